Serve a request end to end: entry, keeper, elector in one node

Cause: the repository was empty. The whole path comes first, thin.

Weighed: permits from the keeper with a direct stream (a call and a release a request, and permits leak when an entry dies) against forwarding through the keeper (exact count in one place, a second hop).

Change: decision packages (placement, keeper, claim, host view, gossip, revision, object set, route, answer, fingerprint, budget, burn), the node that wires them, the operators' verbs, stand-ins and a demo in one process.

Electors vouch for a key only when they have been among its electors ever since it was minted, by their own view. The proposal's rule looked at the elector's start alone: three electors that left the view within a key's lifetime could then be replaced by older hosts that remember nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Programs and checks of balsamknot. The README names the two commands that a newcomer needs: run and test.
+
+MODULES := fleet balsamknot standin load demo
+BIN := $(CURDIR)/.bin
+LINT_VERSION := v2.15.0
+ARGS ?=
+
+.PHONY: run test build lint format generate events fleet measure bench fuzz
+
+run: ## one process with a whole small site; ARGS=--once makes one round and exits
+	@go run ./demo $(ARGS)
+
+test: ## every test of every module
+	go test $(MODULES:%=./%/...)
+
+build: ## the programs, into .bin
+	go build -o $(BIN)/ ./balsamknot ./standin ./load ./demo
+
+lint: $(BIN)/golangci-lint ## formatter and linter
+	for m in $(MODULES); do (cd $$m && $(BIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+format: $(BIN)/golangci-lint
+	for m in $(MODULES); do (cd $$m && $(BIN)/golangci-lint fmt --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+$(BIN)/golangci-lint:
+	GOWORK=off GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+generate: ## the code between nodes, from fleet/proto
+	cd tools/gen && GOWORK=off go build -o $(BIN)/ tool
+	cd fleet && PATH=$(BIN):$$PATH buf generate
+
+events: ## docs/EVENTS.md from the catalogue
+	go run ./balsamknot/event/catalogue > docs/EVENTS.md
+
+fleet: build ## 8 nodes, 10 engines and 4 runners as separate processes, until interrupted
+	scripts/fleet $(ARGS)
+
+measure: build ## the table of docs/MEASURED.md, under four minutes
+	scripts/measure $(ARGS)
+
+bench: ## slopes for docs/CAPACITY.md
+	go test -run '^$$' -bench . -benchmem $(MODULES:%=./%/...)
+
+fuzz: ## each fuzz target for a bounded count of runs
+	scripts/fuzz
--- /dev/null
+++ b/balsamknot/event/event.go
@@ -0,0 +1,110 @@
+// Package event numbers what a node logs, so that operators can look each event up in docs/EVENTS.md.
+package event
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/rs/zerolog"
+)
+
+// Number names an event for good; numbers are never used again for another event.
+type Number int
+
+// String returns the number as it stands in logs.
+func (n Number) String() string { return fmt.Sprintf("BK%04d", int(n)) }
+
+// Events of a node.
+const (
+	NodeStarted      Number = 1001
+	NodeReady        Number = 1002
+	NodeDraining     Number = 1003
+	NodeStopped      Number = 1004
+	NodePaused       Number = 1005
+	HostChanged      Number = 1101
+	PeerRejected     Number = 1102
+	DocumentAccepted Number = 1201
+	DocumentRefused  Number = 1202
+	PlatformLost     Number = 1203
+	PlatformBack     Number = 1204
+	KeeperAssigned   Number = 1301
+	KeeperWithdrawn  Number = 1302
+	EndpointLost     Number = 1303
+	EndpointLeaving  Number = 1304
+	RequestDone      Number = 1401
+	RequestRefused   Number = 1402
+	RequestResumed   Number = 1403
+	RequestRetried   Number = 1404
+	ClaimWon         Number = 1501
+	ClaimDeferred    Number = 1502
+	ClaimUnsettled   Number = 1503
+	ClaimVoided      Number = 1504
+	RequestSuspected Number = 1601
+	RequestCondemned Number = 1602
+	HandlerRecovered Number = 1901
+)
+
+// Entry explains an event to an operator.
+type Entry struct {
+	Number  Number
+	Text    string
+	Meaning string
+	Action  string
+}
+
+// Catalogue holds every event in order of number.
+var Catalogue = []Entry{
+	{NodeStarted, "node started", "The process listens; it is not ready yet.", "None."},
+	{NodeReady, "node ready", "The node has a set in force and knows its peers.", "None."},
+	{NodeDraining, "node draining", "A planned stop began: no new work, what runs finishes.", "Wait for BK1004."},
+	{NodeStopped, "node stopped", "Nothing was in flight when the process ended, unless InFlight says so.", "With InFlight above 0, raise DrainLimit."},
+	{NodePaused, "node was paused", "The process did not run for the time given; its view is refreshed before it acts.", "Look for overcommitted hosts if it returns."},
+	{HostChanged, "host changed state", "This node's view of a host moved.", "Suspect for long: check the host."},
+	{PeerRejected, "peer rejected", "A caller of the peer listener did not prove that it is a node of the fleet.", "Check FleetKey and who reaches the peer network."},
+	{DocumentAccepted, "document in force", "A higher revision of a document is in force on this node.", "None."},
+	{DocumentRefused, "document refused", "A published document failed its check and changed nothing.", "Run balsamknot check and publish a corrected set."},
+	{PlatformLost, "platform unreachable", "Reading the platform failed; the last documents stay in force.", "Check the platform; the fleet goes on."},
+	{PlatformBack, "platform back", "Reading the platform works again.", "None."},
+	{KeeperAssigned, "endpoint kept", "This node became the keeper of an endpoint.", "None."},
+	{KeeperWithdrawn, "endpoint handed over", "Another node became the keeper of an endpoint.", "None."},
+	{EndpointLost, "endpoint lost", "An endpoint broke off or can't be reached.", "Check the endpoint."},
+	{EndpointLeaving, "endpoint leaving", "An endpoint takes no new work and finishes what it has.", "None."},
+	{RequestDone, "request done", "A caller got its whole answer.", "None."},
+	{RequestRefused, "request refused", "A caller got a refusal; see docs/operators/refusals.md.", "By its code."},
+	{RequestResumed, "request resumed", "An answer went on after its connection or keeper was lost.", "None, unless frequent."},
+	{RequestRetried, "request retried", "An idempotent request went to another endpoint.", "None, unless frequent."},
+	{ClaimWon, "claim won", "A quorum of electors vouches for this home.", "None."},
+	{ClaimDeferred, "claim deferred", "Another home holds the key; it was asked for the answer.", "None."},
+	{ClaimUnsettled, "claim unsettled", "Too few electors vouched; nothing was sent. The caller was told Unknown.", "Check the hosts if it lasts longer than ElectorGrace."},
+	{ClaimVoided, "claim voided", "The key was refused as not run and can never run.", "None."},
+	{RequestSuspected, "request suspected", "An endpoint was lost while it ran this fingerprint.", "None yet."},
+	{RequestCondemned, "request condemned", "The fingerprint cost two endpoints and is refused everywhere.", "Find the caller by workspace and fingerprint."},
+	{HandlerRecovered, "handler recovered", "A request handler panicked; the process goes on.", "Report the stack as a defect."},
+}
+
+var texts = func() map[Number]string {
+	m := make(map[Number]string, len(Catalogue))
+	for _, entry := range Catalogue {
+		m[entry.Number] = entry.Text
+	}
+	return m
+}()
+
+// Log begins a log line for an event; the caller adds fields and sends it with Msg(Text(n)).
+func Log(log zerolog.Logger, level zerolog.Level, n Number) *zerolog.Event {
+	return log.WithLevel(level).Str("Event", n.String())
+}
+
+// Text returns an event's short text.
+func Text(n Number) string { return texts[n] }
+
+// Markdown returns the catalogue as the page docs/EVENTS.md.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Log events\n\nGenerated from `balsamknot/event`; CI checks that the two agree.\n\n")
+	b.WriteString("| Event | Text | Meaning | What an operator does |\n| --- | --- | --- | --- |\n")
+	for _, e := range Catalogue {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", e.Number, e.Text, e.Meaning, e.Action)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/balsamknot/node/members.go
@@ -0,0 +1,271 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/fleet/claim"
+	"balsamknot.org/fleet/gossip"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/revision"
+	"balsamknot.org/fleet/wire"
+)
+
+const (
+	exchangeTimeout = 700 * time.Millisecond
+	hearsayImmunity = 2 * time.Second
+	// gossipBytes bounds the rows of one message between nodes.
+	gossipBytes = 1100
+	rowLifetime = 5 * time.Second
+	suspectKey  = "suspect/"
+	loadKey     = "load/"
+)
+
+// members is the controller of the node's view of the fleet: heartbeats, gossip and the elector view.
+type members struct {
+	n *Node
+
+	mu         sync.Mutex
+	view       *host.View
+	store      *gossip.Store
+	round      *gossip.Round
+	electorate claim.Electorate
+	leaving    bool
+	// routing caches the hosts that get new work, by region; it is made anew when the view changes.
+	routing map[host.Region][]host.ID
+	// marks holds the revision of the set that each peer had in force when last heard.
+	marks map[host.ID]revision.Number
+}
+
+func newMembers(n *Node) *members {
+	seed := uint64(time.Now().UnixNano())
+	return &members{
+		n: n,
+		view: host.NewView(host.ViewConfig{
+			Self: n.self, ElectorGrace: n.cfg.ElectorGrace, HearsayImmunity: hearsayImmunity,
+		}),
+		store:   gossip.NewStore(gossip.Config{MessageBytes: gossipBytes, Lifetime: rowLifetime}),
+		round:   gossip.NewRound(rand.New(rand.NewPCG(seed, seed))),
+		marks:   make(map[host.ID]revision.Number),
+		routing: make(map[host.Region][]host.ID),
+	}
+}
+
+// update applies one event to the view and acts on the moves that follow.
+func (m *members) update(now time.Time, e host.Event) {
+	m.mu.Lock()
+	changes := m.view.Update(now, e)
+	keep := m.n.cfg.KeyLifetime + m.n.cfg.ClockSkew
+	m.electorate.Observe(now, m.view.Electors(m.n.self.Region), keep)
+	if _, listed := e.(host.ListPublished); listed || len(changes) > 0 {
+		clear(m.routing)
+	}
+	m.mu.Unlock()
+	for _, c := range changes {
+		event.Log(m.n.log, zerolog.InfoLevel, event.HostChanged).Str("Peer", string(c.ID)).
+			Str("From", c.From).Str("To", c.To).Msg(event.Text(event.HostChanged))
+	}
+	if len(changes) > 0 {
+		m.n.keeping.reassign()
+	}
+}
+
+// missed notes that a peer did not answer, and tells the others.
+func (m *members) missed(id host.ID) {
+	now := m.n.timers.Now()
+	m.update(now, host.Missed{ID: id})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.store.Merge([]gossip.Row{{
+		Origin: m.n.self.ID, Key: suspectKey + string(id), Version: uint64(now.UnixMilli()), At: now,
+	}})
+}
+
+// tick exchanges heartbeat and gossip with the next peer.
+func (m *members) tick(ctx context.Context, now time.Time) {
+	m.update(now, host.Ticked{})
+	m.mu.Lock()
+	id, ok := m.round.Next(m.view.Peers())
+	m.mu.Unlock()
+	if ok {
+		m.n.work.Go(func() { m.exchange(ctx, id) })
+	}
+}
+
+// exchange sends one message to a peer and takes in its answer.
+func (m *members) exchange(ctx context.Context, id host.ID) {
+	m.mu.Lock()
+	record, ok := m.view.Record(id)
+	message := m.message(m.n.timers.Now())
+	m.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := m.n.peers.controlClient(record.PeerAddress).Exchange(ctx, connect.NewRequest(message))
+	if err != nil {
+		m.missed(id)
+		return
+	}
+	m.receive(reply.Msg)
+}
+
+// broadcast exchanges at once with up to n peers, for news that must not wait for the next heartbeat.
+func (m *members) broadcast(ctx context.Context, n int) {
+	var wg sync.WaitGroup
+	for range n {
+		m.mu.Lock()
+		id, ok := m.round.Next(m.view.Live(""))
+		m.mu.Unlock()
+		if ok && id != m.n.self.ID {
+			wg.Go(func() { m.exchange(ctx, id) })
+		}
+	}
+	wg.Wait()
+}
+
+// message is called with mu held.
+func (m *members) message(now time.Time) *wire.ExchangeMessage {
+	message := &wire.ExchangeMessage{
+		Host: string(m.n.self.ID), Incarnation: string(m.n.incarnation), Leaving: m.leaving,
+		Documents: m.n.documents.wireMarks(),
+	}
+	for _, row := range m.store.Pick(now, len(m.view.Peers())+1) {
+		message.Rows = append(message.Rows, &wire.Row{
+			Origin: string(row.Origin), Key: row.Key, Version: row.Version,
+			AgeMs: uint32(max(0, now.Sub(row.At).Milliseconds())), A: row.A, B: row.B, C: row.C,
+		})
+	}
+	return message
+}
+
+// receive takes in a peer's message.
+func (m *members) receive(message *wire.ExchangeMessage) {
+	now := m.n.timers.Now()
+	rows := make([]gossip.Row, 0, len(message.GetRows()))
+	for _, row := range message.GetRows() {
+		rows = append(rows, gossip.Row{
+			Origin: host.ID(row.GetOrigin()), Key: row.GetKey(), Version: row.GetVersion(),
+			At: now.Add(-time.Duration(row.GetAgeMs()) * time.Millisecond), A: row.GetA(), B: row.GetB(), C: row.GetC(),
+		})
+	}
+	from := host.ID(message.GetHost())
+	m.mu.Lock()
+	news := m.store.Merge(rows)
+	for _, mark := range message.GetDocuments() {
+		if revision.Name(mark.GetName()) == revision.Set {
+			m.marks[from] = revision.Number(mark.GetRevision())
+		}
+	}
+	m.mu.Unlock()
+	m.update(now, host.Heard{ID: from, Leaving: message.GetLeaving()})
+	for _, row := range news {
+		m.act(now, row)
+	}
+	m.n.documents.heardMarks(from, message.GetDocuments())
+}
+
+// act applies a fact that was news.
+func (m *members) act(now time.Time, row gossip.Row) {
+	switch {
+	case strings.HasPrefix(row.Key, suspectKey):
+		m.update(now, host.Reported{ID: host.ID(strings.TrimPrefix(row.Key, suspectKey))})
+	case strings.HasPrefix(row.Key, crashKey):
+		m.n.suspects.heard(now, row)
+	}
+}
+
+// tell puts a fact into gossip.
+func (m *members) tell(row gossip.Row) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.store.Merge([]gossip.Row{row})
+}
+
+// rows returns the facts of a kind that still count.
+func (m *members) rows(now time.Time, prefix string) []gossip.Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.store.Select(now, prefix)
+}
+
+// leave tells every peer at once that this node takes no new work.
+func (m *members) leave() {
+	m.mu.Lock()
+	m.leaving = true
+	peers := m.view.Peers()
+	m.mu.Unlock()
+	m.update(m.n.timers.Now(), host.Heard{ID: m.n.self.ID, Leaving: true})
+	m.broadcast(context.Background(), min(len(peers)+1, mostTold))
+}
+
+// mostTold bounds how many peers a node tells at once; the rest hear it by gossip.
+const mostTold = 32
+
+// live returns the hosts of a region that get new work. The result must not be changed.
+func (m *members) live(region host.Region) []host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	hosts, ok := m.routing[region]
+	if !ok {
+		hosts = m.view.Live(region)
+		m.routing[region] = hosts
+	}
+	return hosts
+}
+
+func (m *members) liveInDataCentre() []host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []host.ID
+	for _, id := range m.view.Live("") {
+		if record, _ := m.view.Record(id); record.DataCentre == m.n.self.DataCentre {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (m *members) peerIDs() []host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Peers()
+}
+
+func (m *members) state(id host.ID) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.State(id)
+}
+
+func (m *members) record(id host.ID) (host.Record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Record(id)
+}
+
+func (m *members) electors(key claim.Key) []host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.electorate.Electors(key)
+}
+
+func (m *members) electorSince(key claim.Key) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.electorate.Since(key, m.n.self.ID)
+}
+
+func (m *members) mark(id host.ID) revision.Number {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.marks[id]
+}
--- /dev/null
+++ b/balsamknot/node/meter.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"balsamknot.org/fleet/burn"
+	"balsamknot.org/fleet/object"
+	"balsamknot.org/fleet/outcome"
+)
+
+// meter counts what a node does, for Prometheus and for the burn report.
+type meter struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	firstByte  *prometheus.HistogramVec
+	whole      *prometheus.HistogramVec
+	control    prometheus.Counter
+	drops      prometheus.Counter
+	resumes    prometheus.Counter
+	unsettled  prometheus.Counter
+	rejections prometheus.Counter
+
+	mu   sync.Mutex
+	burn *burn.Meter
+}
+
+func newMeter() *meter {
+	buckets := prometheus.ExponentialBuckets(0.001, 2, 17)
+	labels := []string{"workspace", "service"}
+	m := &meter{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "balsamknot_requests_total", Help: "Requests by workspace, service, outcome and code.",
+		}, append(labels, "outcome", "code")),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "balsamknot_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets,
+		}, labels),
+		whole: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "balsamknot_answer_seconds", Help: "Time to the last byte of an answer.", Buckets: buckets,
+		}, labels),
+		control:    newCounter("balsamknot_control_bytes_total", "Bytes on connections that this node dialled for control, probes included."),
+		drops:      newCounter("balsamknot_frames_dropped_total", "Frames of another try or repeated."),
+		resumes:    newCounter("balsamknot_resumes_total", "Answers that went on over another connection or keeper."),
+		unsettled:  newCounter("balsamknot_claims_unsettled_total", "Claims for which too few electors vouched."),
+		rejections: newCounter("balsamknot_peers_rejected_total", "Calls of the peer listener without proof of identity."),
+		burn:       burn.NewMeter(),
+	}
+	m.registry.MustRegister(m.requests, m.firstByte, m.whole, m.control, m.drops, m.resumes, m.unsettled, m.rejections)
+	return m
+}
+
+func newCounter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+func (m *meter) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+func (m *meter) countControl(bytes int) { m.control.Add(float64(bytes)) }
+func (m *meter) dropped()               { m.drops.Inc() }
+func (m *meter) resumed()               { m.resumes.Inc() }
+
+// finished is one request's end as the caller saw it.
+type finished struct {
+	workspace, service string
+	refusal            *outcome.Refusal
+	firstByte, whole   time.Duration
+	policy             object.Policy
+}
+
+// count notes a request's end. A refusal by the caller's own fault burns no budget.
+func (m *meter) count(now time.Time, f finished) {
+	code, result := "", string(outcome.Done)
+	if f.refusal != nil {
+		code, result = string(f.refusal.Code), string(f.refusal.Outcome)
+	}
+	m.requests.WithLabelValues(f.workspace, f.service, result, code).Inc()
+	if f.policy.Name == "" || (f.refusal != nil && f.refusal.Status < http.StatusInternalServerError && f.refusal.Status != http.StatusTooManyRequests) {
+		return
+	}
+	if f.refusal == nil {
+		m.firstByte.WithLabelValues(f.workspace, f.service).Observe(f.firstByte.Seconds())
+		m.whole.WithLabelValues(f.workspace, f.service).Observe(f.whole.Seconds())
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := func(indicator burn.Indicator, good bool) {
+		m.burn.Count(now, burn.Series{Workspace: f.workspace, Service: f.service, Indicator: indicator}, f.policy.Objective, good)
+	}
+	count(burn.Refusal, f.refusal == nil)
+	if f.refusal == nil {
+		count(burn.FirstToken, f.firstByte <= f.policy.FirstToken)
+		count(burn.Answer, f.whole <= f.policy.Answer)
+	}
+}
+
+func (m *meter) rates(now time.Time) []burn.Rate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.burn.Rates(now)
+}
--- /dev/null
+++ b/fleet/fingerprint/fingerprint.go
@@ -0,0 +1,126 @@
+// Package fingerprint finds requests that crash the endpoints that run them, and stops them after the second.
+package fingerprint
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamknot.org/fleet/engine"
+)
+
+// Print is the hash of what makes a request crash an endpoint: service, method, path and body.
+type Print uint64
+
+// Of returns the fingerprint of a request.
+func Of(service, method, path string, body []byte) Print {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range []string{service, method, path} {
+		_, _ = digest.WriteString(strconv.Itoa(len(part)))
+		_, _ = digest.WriteString(part)
+	}
+	_, _ = digest.Write(body)
+	return Print(digest.Sum64())
+}
+
+// Verdict says how a request may run.
+type Verdict int
+
+// Verdicts on a fingerprint.
+const (
+	// Clear runs as any other.
+	Clear Verdict = iota
+	// Alone runs without neighbours, one copy at a time.
+	Alone
+	// Condemned is refused.
+	Condemned
+)
+
+const (
+	// lifetime is how long a suspicion lasts after the last crash.
+	lifetime = 10 * time.Minute
+	// condemnedAt is how many endpoints a request may cost.
+	condemnedAt = 2
+)
+
+// Key is the gossip key prefix of crash reports.
+const Key = "crash/"
+
+// Registry holds the suspicions of a node. It is not safe for concurrent use.
+type Registry struct {
+	suspects map[Print]*suspect
+}
+
+type suspect struct {
+	crashes map[crash]time.Time
+}
+
+// crash is one endpoint's loss; the minute keeps two losses of one endpoint apart.
+type crash struct {
+	engine engine.ID
+	at     int64
+}
+
+// NewRegistry returns a registry without suspicions.
+func NewRegistry() *Registry {
+	return &Registry{suspects: make(map[Print]*suspect)}
+}
+
+// Lost notes that an endpoint was lost while the prints ran on it.
+func (r *Registry) Lost(now time.Time, id engine.ID, at time.Time, prints ...Print) {
+	for _, p := range prints {
+		s := r.suspects[p]
+		if s == nil {
+			s = &suspect{crashes: make(map[crash]time.Time)}
+			r.suspects[p] = s
+		}
+		s.crashes[crash{id, at.UnixMilli()}] = now
+	}
+}
+
+// Survived clears a print: it ran to its end.
+func (r *Registry) Survived(p Print) {
+	if s := r.suspects[p]; s != nil && len(s.crashes) < condemnedAt {
+		delete(r.suspects, p)
+	}
+}
+
+// Verdict says how a request may run now.
+func (r *Registry) Verdict(now time.Time, p Print) Verdict {
+	s := r.suspects[p]
+	if s == nil {
+		return Clear
+	}
+	for c, at := range s.crashes {
+		if now.Sub(at) > lifetime {
+			delete(s.crashes, c)
+		}
+	}
+	switch n := len(s.crashes); {
+	case n == 0:
+		delete(r.suspects, p)
+		return Clear
+	case n < condemnedAt:
+		return Alone
+	}
+	return Condemned
+}
+
+// Len returns how many prints are suspected or condemned.
+func (r *Registry) Len() int { return len(r.suspects) }
+
+// RowKey returns the gossip key under which a crash is told.
+func RowKey(p Print, id engine.ID) string {
+	return fmt.Sprintf("%s%016x/%s", Key, uint64(p), id)
+}
+
+// ParseRowKey reads a gossip key made by RowKey.
+func ParseRowKey(key string) (Print, engine.ID, bool) {
+	hex, id, ok := strings.Cut(strings.TrimPrefix(key, Key), "/")
+	n, err := strconv.ParseUint(hex, 16, 64)
+	return Print(n), engine.ID(id), ok && err == nil
+}
--- /dev/null
+++ b/fleet/keeper/keeper.go
@@ -0,0 +1,514 @@
+// Package keeper decides which requests an endpoint takes. The keeper of an endpoint is the one node through
+// which all its requests pass, so its count is exact while the nodes' views agree.
+//
+// The load bound follows Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2018,
+// with a mean that is learned from the other keepers.
+package keeper
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"balsamknot.org/fleet/chat"
+	"balsamknot.org/fleet/engine"
+	"balsamknot.org/fleet/outcome"
+)
+
+// Ticket names one request's stay at a keeper.
+type Ticket uint64
+
+// Preference says what a pool gives up first when skew and reuse pull apart.
+type Preference string
+
+// Preferences of a pool.
+const (
+	// PreferReuse sends a chat that overflowed back to where it overflowed to.
+	PreferReuse Preference = "Reuse"
+	// PreferSkew sends each chat to its first engine as soon as the bound allows it.
+	PreferSkew Preference = "Skew"
+)
+
+// LoadFactor is the highest allowed ratio of an engine's load to its pool's mean; at least 1.
+type LoadFactor float64
+
+// PoolConfig is what the accepted set says about a pool.
+type PoolConfig struct {
+	LoadFactor LoadFactor
+	Prefer     Preference
+	// Capacity bounds the running requests of an endpoint; 0 leaves it to the endpoint's own report.
+	Capacity int
+	// QueueLimit bounds the requests that wait at one endpoint.
+	QueueLimit int
+	// QueueWait bounds how long a request waits.
+	QueueWait time.Duration
+	// Bounded is false for plain services without a load bound.
+	Bounded bool
+}
+
+const (
+	// meanLifetime is how long a learned mean counts in full; afterwards its load counts as zero.
+	meanLifetime = 5 * time.Second
+	// reportLifetime is how long a load report speaks for the requests of other keepers.
+	reportLifetime = 10 * time.Second
+	// unreportedLimit bounds the running requests of an endpoint that has not reported yet.
+	unreportedLimit = 1
+	// defaultAge is the assumed lag of a report that does not tell its age.
+	defaultAge = time.Second
+	// minimumRetryAfter is the shortest advice given to a refused caller.
+	minimumRetryAfter = time.Second
+)
+
+// Event is something that happens to a keeper.
+type Event interface{ keeperEvent() }
+
+// PoolConfigured brings a pool's settings into force.
+type PoolConfigured struct {
+	Pool   string
+	Config PoolConfig
+}
+
+// EngineAssigned makes this node the keeper of an endpoint.
+type EngineAssigned struct {
+	Engine engine.ID
+	Pool   string
+}
+
+// EngineWithdrawn ends this node's keeping of an endpoint; running requests finish.
+type EngineWithdrawn struct{ Engine engine.ID }
+
+// EngineLeaving stops or resumes new work for an endpoint.
+type EngineLeaving struct {
+	Engine  engine.ID
+	Leaving bool
+}
+
+// LoadReported is an endpoint's own figure.
+type LoadReported struct {
+	Engine engine.ID
+	Report engine.Report
+}
+
+// MeanLearned is the load of a pool at the other keepers.
+type MeanLearned struct {
+	Pool string
+	// Load and Engines are sums over the endpoints that other nodes keep.
+	Load, Engines int
+	// Stale counts those of Engines whose load was not heard lately and is left out of Load.
+	Stale int
+}
+
+// RequestArrived asks for a place on an endpoint.
+type RequestArrived struct {
+	Ticket    Ticket
+	Engine    engine.ID
+	Chat      chat.ID
+	Workspace string
+	// Weight is the workspace's share in a closing surge; at least 1.
+	Weight   float64
+	Priority int
+	Deadline time.Time
+	// MayQueue is set on the entry's last choice.
+	MayQueue bool
+	// FollowOverflow is set when the first engine's keeper remembers that the chat overflowed.
+	FollowOverflow bool
+	// MustDecide forbids an answer that depends on the chat's memory.
+	MustDecide bool
+	// Alone asks that the request run without neighbours.
+	Alone bool
+	// Resumed is set when the endpoint runs the request already: it is counted, not decided on.
+	Resumed bool
+	// Fingerprint names the request's content; copies of one fingerprint run one after another. 0 is none.
+	Fingerprint uint64
+}
+
+// RequestEnded frees the place of an admitted request.
+type RequestEnded struct{ Ticket Ticket }
+
+// RequestAbandoned takes a request out of the queue, or frees its place when it was just admitted.
+type RequestAbandoned struct{ Ticket Ticket }
+
+// CacheEvicted says that an endpoint dropped a chat's prefix.
+type CacheEvicted struct {
+	Engine engine.ID
+	Chat   chat.ID
+}
+
+// Ticked lets time pass.
+type Ticked struct{}
+
+func (PoolConfigured) keeperEvent()   {}
+func (EngineAssigned) keeperEvent()   {}
+func (EngineWithdrawn) keeperEvent()  {}
+func (EngineLeaving) keeperEvent()    {}
+func (LoadReported) keeperEvent()     {}
+func (MeanLearned) keeperEvent()      {}
+func (RequestArrived) keeperEvent()   {}
+func (RequestEnded) keeperEvent()     {}
+func (RequestAbandoned) keeperEvent() {}
+func (CacheEvicted) keeperEvent()     {}
+func (Ticked) keeperEvent()           {}
+
+// Command is what a keeper decided.
+type Command interface{ keeperCommand() }
+
+// Admit starts a request on its endpoint.
+type Admit struct{ Ticket Ticket }
+
+// RedirectReason says why a keeper sends a request on.
+type RedirectReason string
+
+// Reasons for a redirect.
+const (
+	OverBound  RedirectReason = "OverBound"
+	Overflowed RedirectReason = "Overflowed"
+	NotHere    RedirectReason = "NotHere"
+	NotKeeper  RedirectReason = "NotKeeper"
+	Leaving    RedirectReason = "Leaving"
+)
+
+// Redirect sends a request to its next choice.
+type Redirect struct {
+	Ticket Ticket
+	Reason RedirectReason
+}
+
+// Refuse ends a request that was not started.
+type Refuse struct {
+	Ticket     Ticket
+	Code       outcome.Code
+	RetryAfter time.Duration
+}
+
+func (Admit) keeperCommand()    {}
+func (Redirect) keeperCommand() {}
+func (Refuse) keeperCommand()   {}
+
+// Keeper is the decision state of one node for the endpoints that it keeps. It is not safe for concurrent use.
+type Keeper struct {
+	pools   map[string]*pool
+	engines map[engine.ID]*seat
+	tickets map[Ticket]*place
+}
+
+type pool struct {
+	cfg     PoolConfig
+	mean    MeanLearned
+	learned time.Time
+}
+
+// New returns a keeper without endpoints.
+func New() *Keeper {
+	return &Keeper{
+		pools:   make(map[string]*pool),
+		engines: make(map[engine.ID]*seat),
+		tickets: make(map[Ticket]*place),
+	}
+}
+
+// Update applies one event at time now and returns the commands that follow from it.
+func (k *Keeper) Update(now time.Time, event Event) []Command {
+	switch e := event.(type) {
+	case RequestArrived:
+		return k.admit(now, e)
+	case RequestEnded:
+		return k.release(now, e.Ticket)
+	case RequestAbandoned:
+		return k.release(now, e.Ticket)
+	case LoadReported:
+		return k.noteLoad(now, e)
+	case MeanLearned:
+		return k.noteMean(now, e)
+	case CacheEvicted:
+		k.noteEvicted(e)
+	case EngineAssigned:
+		k.assign(e)
+	case EngineWithdrawn:
+		return k.withdraw(e.Engine)
+	case EngineLeaving:
+		return k.setLeaving(e)
+	case PoolConfigured:
+		return k.configure(now, e)
+	case Ticked:
+		return k.tick(now)
+	}
+	return nil
+}
+
+func (k *Keeper) pool(name string) *pool {
+	p := k.pools[name]
+	if p == nil {
+		p = &pool{}
+		k.pools[name] = p
+	}
+	return p
+}
+
+func (k *Keeper) configure(now time.Time, e PoolConfigured) []Command {
+	k.pool(e.Pool).cfg = e.Config
+	return k.drainPool(now, e.Pool)
+}
+
+func (k *Keeper) assign(e EngineAssigned) {
+	if s := k.engines[e.Engine]; s != nil {
+		s.withdrawn = false
+		return
+	}
+	k.engines[e.Engine] = newSeat(e.Engine, e.Pool)
+}
+
+func (k *Keeper) withdraw(id engine.ID) []Command {
+	s := k.engines[id]
+	if s == nil {
+		return nil
+	}
+	s.withdrawn = true
+	commands := s.rejectQueue(NotKeeper, k.tickets)
+	if s.running == 0 {
+		delete(k.engines, id)
+	}
+	return commands
+}
+
+func (k *Keeper) setLeaving(e EngineLeaving) []Command {
+	s := k.engines[e.Engine]
+	if s == nil {
+		return nil
+	}
+	s.leaving = e.Leaving
+	if !e.Leaving {
+		return nil
+	}
+	return s.rejectQueue(Leaving, k.tickets)
+}
+
+func (k *Keeper) admit(now time.Time, e RequestArrived) []Command {
+	s := k.engines[e.Engine]
+	switch {
+	case s == nil || s.withdrawn:
+		return []Command{Redirect{e.Ticket, NotKeeper}}
+	case !e.Resumed && (s.leaving || s.reported.Leaving):
+		return []Command{Redirect{e.Ticket, Leaving}}
+	}
+	if e.Resumed {
+		return k.start(now, s, e)
+	}
+	cfg := k.pool(s.pool).cfg
+	if redirect, ok := s.followMemory(cfg, e); ok {
+		return []Command{redirect}
+	}
+	if s.queue.len() == 0 && k.fits(now, s, e) {
+		return k.start(now, s, e)
+	}
+	if !e.MayQueue && !s.runs(e.Fingerprint) {
+		s.overflowed(e.Chat)
+		return []Command{Redirect{e.Ticket, OverBound}}
+	}
+	return k.enqueue(now, s, e)
+}
+
+func (k *Keeper) start(now time.Time, s *seat, e RequestArrived) []Command {
+	s.start(now, e)
+	k.tickets[e.Ticket] = &place{seat: s, request: e, started: now}
+	return []Command{Admit{e.Ticket}}
+}
+
+// fits reports whether one more request keeps the endpoint within the bound and its capacity.
+func (k *Keeper) fits(now time.Time, s *seat, e RequestArrived) bool {
+	if s.alone || (e.Alone && s.running > 0) || s.runs(e.Fingerprint) {
+		return false
+	}
+	return s.load(now) < k.limit(now, s)
+}
+
+// limit returns how many requests the endpoint may hold now.
+func (k *Keeper) limit(now time.Time, s *seat) int {
+	p := k.pool(s.pool)
+	limit := s.capacity(p.cfg)
+	if !s.hasReport {
+		limit = min(limit, unreportedLimit)
+	}
+	if !p.cfg.Bounded {
+		return limit
+	}
+	return min(limit, k.bound(now, s.pool))
+}
+
+// bound returns LoadFactor times the mean load of the pool with one more request, rounded up.
+func (k *Keeper) bound(now time.Time, name string) int {
+	p := k.pool(name)
+	load, engines := 0, 0
+	for _, s := range k.engines {
+		if s.pool == name && !s.withdrawn {
+			load += s.load(now)
+			engines++
+		}
+	}
+	if now.Sub(p.learned) <= meanLifetime {
+		load += p.mean.Load
+	}
+	engines += p.mean.Engines
+	if engines == 0 {
+		return 1
+	}
+	factor := max(1, float64(p.cfg.LoadFactor))
+	return max(1, int(math.Ceil(factor*float64(load+1)/float64(engines))))
+}
+
+func (k *Keeper) enqueue(now time.Time, s *seat, e RequestArrived) []Command {
+	cfg := k.pool(s.pool).cfg
+	wait := s.expectedWait(k.limit(now, s))
+	tooLong := wait > cfg.QueueWait && !e.Alone
+	if cfg.QueueLimit == 0 || tooLong || now.Add(wait).After(e.Deadline) {
+		code := outcome.CodeOverloaded
+		if now.Add(wait).After(e.Deadline) {
+			code = outcome.CodeDeadline
+		}
+		return []Command{Refuse{e.Ticket, code, max(wait, minimumRetryAfter)}}
+	}
+	s.queue.push(now, e)
+	k.tickets[e.Ticket] = &place{seat: s, request: e, queued: true}
+	if s.queue.len() <= cfg.QueueLimit {
+		return nil
+	}
+	dropped := s.queue.dropLargest()
+	delete(k.tickets, dropped.Ticket)
+	return []Command{Refuse{dropped.Ticket, outcome.CodeOverloaded, max(wait, minimumRetryAfter)}}
+}
+
+func (k *Keeper) release(now time.Time, ticket Ticket) []Command {
+	p := k.tickets[ticket]
+	if p == nil {
+		return nil
+	}
+	delete(k.tickets, ticket)
+	if p.queued {
+		p.seat.queue.remove(ticket)
+		return nil
+	}
+	p.seat.end(now, p.started, p.request)
+	if p.seat.withdrawn && p.seat.running == 0 && k.engines[p.seat.id] == p.seat {
+		delete(k.engines, p.seat.id)
+		return nil
+	}
+	return k.drain(now, p.seat)
+}
+
+// drain admits queued requests while they fit.
+func (k *Keeper) drain(now time.Time, s *seat) []Command {
+	var commands []Command
+	for s.queue.len() > 0 && !s.withdrawn && k.fits(now, s, s.queue.first()) {
+		next := s.queue.pop()
+		commands = append(commands, k.start(now, s, next)...)
+	}
+	return commands
+}
+
+func (k *Keeper) drainPool(now time.Time, name string) []Command {
+	var commands []Command
+	for _, s := range k.sorted() {
+		if s.pool == name {
+			commands = append(commands, k.drain(now, s)...)
+		}
+	}
+	return commands
+}
+
+func (k *Keeper) noteLoad(now time.Time, e LoadReported) []Command {
+	s := k.engines[e.Engine]
+	if s == nil {
+		return nil
+	}
+	s.report(now, e.Report)
+	return k.drain(now, s)
+}
+
+func (k *Keeper) noteMean(now time.Time, e MeanLearned) []Command {
+	p := k.pool(e.Pool)
+	p.mean = e
+	p.learned = now
+	return k.drainPool(now, e.Pool)
+}
+
+func (k *Keeper) noteEvicted(e CacheEvicted) {
+	if s := k.engines[e.Engine]; s != nil {
+		s.chats.Remove(e.Chat)
+	}
+}
+
+// tick refuses queued requests whose wait or deadline has passed.
+func (k *Keeper) tick(now time.Time) []Command {
+	var commands []Command
+	for _, s := range k.sorted() {
+		cfg := k.pool(s.pool).cfg
+		for _, e := range s.queue.expired(now, cfg.QueueWait) {
+			delete(k.tickets, e.Ticket)
+			code := outcome.CodeOverloaded
+			if !now.Before(e.Deadline) {
+				code = outcome.CodeDeadline
+			}
+			commands = append(commands, Refuse{e.Ticket, code, minimumRetryAfter})
+		}
+		commands = append(commands, k.drain(now, s)...)
+	}
+	return commands
+}
+
+func (k *Keeper) sorted() []*seat {
+	seats := make([]*seat, 0, len(k.engines))
+	for _, s := range k.engines {
+		seats = append(seats, s)
+	}
+	slices.SortFunc(seats, func(a, b *seat) int { return cmp.Compare(a.id, b.id) })
+	return seats
+}
+
+// PoolLoad is the sum over the endpoints that this node keeps in a pool.
+type PoolLoad struct {
+	Pool          string
+	Load, Engines int
+}
+
+// Loads returns the sums to tell the other keepers, in order of pool.
+func (k *Keeper) Loads(now time.Time) []PoolLoad {
+	sums := make(map[string]*PoolLoad)
+	for _, s := range k.engines {
+		if s.withdrawn || s.leaving {
+			continue
+		}
+		sum := sums[s.pool]
+		if sum == nil {
+			sum = &PoolLoad{Pool: s.pool}
+			sums[s.pool] = sum
+		}
+		sum.Load += s.load(now)
+		sum.Engines++
+	}
+	loads := make([]PoolLoad, 0, len(sums))
+	for _, sum := range sums {
+		loads = append(loads, *sum)
+	}
+	slices.SortFunc(loads, func(a, b PoolLoad) int { return cmp.Compare(a.Pool, b.Pool) })
+	return loads
+}
+
+// EngineLoad is one kept endpoint's state, for status and metrics.
+type EngineLoad struct {
+	Engine                        engine.ID
+	Pool                          string
+	Running, Queued, Limit, Chats int
+	Leaving                       bool
+}
+
+// Engines returns the state of each kept endpoint, in order of ID.
+func (k *Keeper) Engines(now time.Time) []EngineLoad {
+	var loads []EngineLoad
+	for _, s := range k.sorted() {
+		loads = append(loads, EngineLoad{
+			Engine: s.id, Pool: s.pool, Running: s.running, Queued: s.queue.len(),
+			Limit: k.limit(now, s), Chats: s.chats.Len(), Leaving: s.leaving,
+		})
+	}
+	return loads
+}
--- /dev/null
+++ b/fleet/placement/placement.go
@@ -0,0 +1,106 @@
+// Package placement orders hosts and engines for a key by rendezvous hashing,
+// so that every node finds the same order without a table and churn moves only
+// the keys of what joined or left.
+//
+// Source: Thaler and Ravishankar, "A Name-Based Mapping Scheme for Rendezvous", 1996.
+package placement
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the rendezvous score of id for key; the highest score comes first.
+func Score(key, id string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(id)
+	return digest.Sum64()
+}
+
+// Rank returns at most n of ids in their order for key.
+// Ties are broken by id, so that the order is the same on all nodes.
+func Rank[T ~string](key string, ids []T, n int) []T {
+	ranked := newTop[T](n)
+	for _, id := range ids {
+		ranked.add(id, float64(Score(key, string(id))))
+	}
+	return ranked.ids()
+}
+
+// Weighted is an id with a positive weight.
+type Weighted[T ~string] struct {
+	ID     T
+	Weight float64
+}
+
+// RankWeighted is Rank with each id's share of keys in proportion to its weight.
+// An id whose weight is not positive is left out.
+func RankWeighted[T ~string](key string, items []Weighted[T], n int) []T {
+	ranked := newTop[T](n)
+	for _, item := range items {
+		if item.Weight <= 0 {
+			continue
+		}
+		ranked.add(item.ID, -item.Weight/math.Log(unit(Score(key, string(item.ID)))))
+	}
+	return ranked.ids()
+}
+
+// unit maps a hash to the open interval (0, 1).
+func unit(hash uint64) float64 {
+	return (float64(hash>>11) + 0.5) / (1 << 53)
+}
+
+type scored[T ~string] struct {
+	id    T
+	score float64
+}
+
+// top keeps the n highest scores in order.
+type top[T ~string] struct {
+	limit int
+	items []scored[T]
+}
+
+func newTop[T ~string](n int) *top[T] {
+	return &top[T]{limit: n, items: make([]scored[T], 0, min(n, 16)+1)}
+}
+
+func (t *top[T]) add(id T, score float64) {
+	item := scored[T]{id: id, score: score}
+	if len(t.items) == t.limit && (t.limit == 0 || before(t.items[t.limit-1], item) < 0) {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(t.items, item, before[T])
+	t.items = slices.Insert(t.items, at, item)
+	if len(t.items) > t.limit {
+		t.items = t.items[:t.limit]
+	}
+}
+
+func (t *top[T]) ids() []T {
+	ids := make([]T, len(t.items))
+	for i, item := range t.items {
+		ids[i] = item.id
+	}
+	return ids
+}
+
+func before[T ~string](a, b scored[T]) int {
+	switch {
+	case a.score > b.score:
+		return -1
+	case a.score < b.score:
+		return 1
+	case a.id < b.id:
+		return -1
+	case a.id > b.id:
+		return 1
+	}
+	return 0
+}
