Prove at-most-once and whole answers with real processes under faults

A request whose last choice was a lost engine was refused as Overloaded although other engines were open.

Change: only the home of a key says NotRun to a call that another node may see otherwise; crashes known of a request travel with it, in both directions, and the queue is sent on after the suspicion stands; the plan skips engines that take no work, and keepers tell the entries which endpoints are down. A node is ready only when its electors may vouch again (ClockSkew after its start).

--- a/balsamknot/node/caller.go
+++ b/balsamknot/node/caller.go
@@ -79,10 +79,10 @@
 func (n *Node) readyFilter(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !n.ready.Load() {
-			writeRefusal(w, &outcome.Refusal{
+			writeRefusal(w, byThisNode(r, &outcome.Refusal{
 				Code: outcome.CodeNotReady, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
 				RetryAfter: time.Second, Detail: "no set is in force yet", Step: "entry",
-			})
+			}))
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -139,6 +139,15 @@
 		Dur("Took", now.Sub(x.began)).Msg(event.Text(event.RequestDone))
 }
 
+// byThisNode weakens a refusal that rests on this node's own view: another node may see it otherwise and run a copy
+// of a keyed call, so that only the home of its key may say NotRun.
+func byThisNode(r *http.Request, refusal *outcome.Refusal) *outcome.Refusal {
+	if r.Header.Get("Idempotency-Key") != "" {
+		refusal.Outcome = outcome.Unknown
+	}
+	return refusal
+}
+
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, refusal *outcome.Refusal) {
 	exchangeOf(r).refusal = refusal
 	writeRefusal(w, refusal)
@@ -150,10 +159,10 @@
 		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		workspace, known := n.documents.inForce().workspaceOf(key)
 		if !ok || !known {
-			n.refuse(w, r, &outcome.Refusal{
+			n.refuse(w, r, byThisNode(r, &outcome.Refusal{
 				Code: outcome.CodeUnknownWorkspace, Outcome: outcome.NotRun, Status: http.StatusUnauthorized,
 				Detail: "the bearer key belongs to no workspace", Step: "entry",
-			})
+			}))
 			return
 		}
 		exchangeOf(r).workspace = workspace
@@ -272,7 +281,7 @@
 	x := exchangeOf(r)
 	current := n.documents.inForce()
 	if refusal := n.allow(x, current, plainService(current, r.URL.Path), "path "+r.URL.Path); refusal != nil {
-		n.refuse(w, r, refusal)
+		n.refuse(w, r, byThisNode(r, refusal))
 		return
 	}
 	body, refusal := n.readBody(w, r)
--- a/balsamknot/node/documents.go
+++ b/balsamknot/node/documents.go
@@ -93,6 +93,8 @@
 	for ctx.Err() == nil && !d.bootstrap(ctx) {
 		pause(ctx, watchPause)
 	}
+	// Until then this node's electors abstain, since keys may have been minted before it began to remember.
+	pause(ctx, d.n.cfg.ClockSkew)
 	if ctx.Err() != nil {
 		return
 	}
--- a/balsamknot/node/forward.go
+++ b/balsamknot/node/forward.go
@@ -52,9 +52,6 @@
 // forward takes a request to an endpoint and its answer to the sink.
 func (n *Node) forward(ctx context.Context, q *request, service object.Service, policy object.Policy) *outcome.Refusal {
 	q.n = n
-	if refusal := n.checkSuspect(q.call); refusal != nil {
-		return refusal
-	}
 	n.retries.deposit(q.call.GetWorkspace(), policy.RetryBudget)
 	plan, try, refusal := route.New(route.Config{
 		Engines:    n.choices(q.call, service.Pool, policy.SpillDepth),
@@ -63,6 +60,9 @@
 	})
 	q.plan = plan
 	for refusal == nil {
+		if refusal = n.checkSuspect(q.call); refusal != nil {
+			break
+		}
 		next := q.attempt(ctx, try)
 		if next == nil {
 			return nil
@@ -89,10 +89,11 @@
 	current := n.documents.inForce()
 	near := make([]engine.ID, 0, len(current.pools[pool]))
 	var far []engine.ID
+	down := n.keeping.down(n.timers.Now())
 	for _, id := range current.pools[pool] {
 		record := current.endpoints[id]
 		switch {
-		case record.Leaving:
+		case record.Leaving, down[id]:
 		case record.Region == n.self.Region:
 			near = append(near, id)
 		default:
@@ -137,6 +138,7 @@
 	r := &wire.ForwardRequest{
 		Call: q.call, Engine: string(try.Engine), TryId: string(id), Resume: try.Resume,
 		MayQueue: try.MayQueue, FollowOverflow: try.FollowOverflow, MustDecide: try.MustDecide,
+		Crashes: q.n.suspects.crashesWire(q.print()),
 	}
 	if try.Resume {
 		r.ResumeAfter = uint64(q.assembly.Last())
@@ -144,6 +146,8 @@
 	return q.exchange(ctx, keeperID, r)
 }
 
+func (q *request) print() fingerprint.Print { return fingerprint.Print(q.call.GetFingerprint()) }
+
 // exchange sends a try to its keeper and reads the frames.
 func (q *request) exchange(ctx context.Context, keeperID host.ID, r *wire.ForwardRequest) route.Event {
 	ctx, cancel := context.WithCancel(ctx)
@@ -260,6 +264,7 @@
 }
 
 func (q *request) end(frame *wire.Frame, end *wire.End) (route.Event, bool) {
+	q.n.suspects.learnWire(q.print(), end.GetCrashes())
 	if !end.GetWhole() {
 		return q.failed(refusalFromWire(end.GetFailure())), true
 	}
@@ -286,6 +291,7 @@
 }
 
 func (q *request) declined(decline *wire.Decline) route.Event {
+	q.n.suspects.learnWire(q.print(), decline.GetCrashes())
 	if q.handedBack != nil {
 		q.handedBack()
 	}
--- a/balsamknot/node/keep.go
+++ b/balsamknot/node/keep.go
@@ -19,11 +19,12 @@
 func (n *Node) serveForward(ctx context.Context, r *wire.ForwardRequest, send func(*wire.Frame) error) error {
 	defer n.enter()()
 	call := r.GetCall()
+	n.suspects.learnWire(fingerprint.Print(call.GetFingerprint()), r.GetCrashes())
 	ctx, cancel := context.WithDeadline(ctx, time.UnixMilli(call.GetDeadlineMs()))
 	defer cancel()
 	record, ok := n.documents.inForce().endpoints[engine.ID(r.GetEngine())]
 	if !ok {
-		return send(declineFrame(r, wire.Decline_NOT_KEEPER, nil))
+		return send(n.declineFrame(r, wire.Decline_NOT_KEEPER, nil))
 	}
 	release, decline := n.admit(ctx, r, record)
 	if decline != nil {
@@ -39,15 +40,15 @@
 	for {
 		verdict := n.suspects.verdict(n.timers.Now(), p)
 		if verdict == fingerprint.Condemned {
-			return nil, declineFrame(r, wire.Decline_REFUSED, condemned(string(n.self.ID)))
+			return nil, n.declineFrame(r, wire.Decline_REFUSED, condemned(string(n.self.ID)))
 		}
 		alone := verdict == fingerprint.Alone
 		ticket, command := n.keeping.arrive(ctx, n.arrival(r, alone))
 		switch c := command.(type) {
 		case keeper.Redirect:
-			return nil, declineFrame(r, reasons[c.Reason], nil)
+			return nil, n.declineFrame(r, reasons[c.Reason], nil)
 		case keeper.Refuse:
-			return nil, declineFrame(r, wire.Decline_REFUSED, overloaded(c, string(record.ID)))
+			return nil, n.declineFrame(r, wire.Decline_REFUSED, overloaded(c, string(record.ID)))
 		case keeper.Admit:
 			if !alone && n.suspects.verdict(n.timers.Now(), p) != fingerprint.Clear {
 				n.keeping.update(keeper.RequestEnded{Ticket: ticket})
@@ -105,6 +106,7 @@
 	}
 	return send(&wire.Frame{TryId: r.GetTryId(), Body: &wire.Frame_End{End: &wire.End{
 		Failure: refusalToWire(n.failure(ctx, err, record.ID)),
+		Crashes: n.suspects.crashesWire(fingerprint.Print(call.GetFingerprint())),
 	}}})
 }
 
@@ -123,9 +125,10 @@
 	return refusal
 }
 
-func declineFrame(r *wire.ForwardRequest, reason wire.Decline_Reason, refusal *outcome.Refusal) *wire.Frame {
+func (n *Node) declineFrame(r *wire.ForwardRequest, reason wire.Decline_Reason, refusal *outcome.Refusal) *wire.Frame {
 	return &wire.Frame{TryId: r.GetTryId(), Body: &wire.Frame_Decline{Decline: &wire.Decline{
 		Reason: reason, Refusal: refusalToWire(refusal),
+		Crashes: n.suspects.crashesWire(fingerprint.Print(r.GetCall().GetFingerprint())),
 	}}}
 }
 
--- a/balsamknot/node/keeping.go
+++ b/balsamknot/node/keeping.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -28,6 +29,8 @@
 	probeTimeout  = 900 * time.Millisecond
 	// downAfter is how many probes in a row must fail before an endpoint gets no new work.
 	downAfter = 2
+	// downLifetime is how long a report of an endpoint that is down counts.
+	downLifetime = 2 * time.Second
 )
 
 // keeping is the controller of the endpoints that this node keeps.
@@ -289,6 +292,7 @@
 			A: int64(load.Load), B: int64(load.Engines),
 		})
 	}
+	k.tellDown(now)
 	heard := make(map[string]int64)
 	for _, row := range k.n.members.rows(now, loadKey) {
 		if row.Origin != k.n.self.ID && k.n.members.state(row.Origin) != host.StateGone {
@@ -301,6 +305,32 @@
 	}
 }
 
+// tellDown tells the entries which endpoints answer no probe, so that they are left out at once.
+func (k *keeping) tellDown(now time.Time) {
+	k.mu.Lock()
+	var down []engine.ID
+	for id, e := range k.kept {
+		if e.failures >= downAfter {
+			down = append(down, id)
+		}
+	}
+	k.mu.Unlock()
+	for _, id := range down {
+		k.n.members.tell(gossip.Row{Origin: k.n.self.ID, Key: downKey + string(id), Version: uint64(now.UnixMilli()), At: now})
+	}
+}
+
+// down returns the endpoints that a keeper lately told to be down.
+func (k *keeping) down(now time.Time) map[engine.ID]bool {
+	down := make(map[engine.ID]bool)
+	for _, row := range k.n.members.rows(now, downKey) {
+		if now.Sub(row.At) < downLifetime {
+			down[engine.ID(strings.TrimPrefix(row.Key, downKey))] = true
+		}
+	}
+	return down
+}
+
 // working counts the endpoints that take new work.
 func working(current *inForce, ids []engine.ID) int {
 	n := 0
@@ -341,15 +371,13 @@
 	}
 	e.lostAt = now
 	e.failures = downAfter
-	k.dispatch(k.machine.Update(now, keeper.EngineLeaving{Engine: id, Leaving: true}))
-	var prints []fingerprint.Print
-	for p := range e.running {
-		prints = append(prints, p)
-	}
+	prints := slices.Sorted(maps.Keys(e.running))
 	k.mu.Unlock()
-	slices.Sort(prints)
 	event.Log(k.n.log, zerolog.WarnLevel, event.EndpointLost).Str("Endpoint", string(id)).Int("Running", len(prints)).Msg(event.Text(event.EndpointLost))
+	// Suspicion comes before the queue is sent on: what leaves here carries it along.
 	k.n.suspects.lost(now, id, prints)
+	k.update(keeper.EngineLeaving{Engine: id, Leaving: true})
+	k.n.suspects.spread()
 }
 
 func (k *keeping) engines() []keeper.EngineLoad {
--- a/balsamknot/node/members.go
+++ b/balsamknot/node/members.go
@@ -26,6 +26,7 @@
 	rowLifetime = 5 * time.Second
 	suspectKey  = "suspect/"
 	loadKey     = "load/"
+	downKey     = "down/"
 )
 
 // members is the controller of the node's view of the fleet: heartbeats, gossip and the elector view.
--- a/balsamknot/node/suspects.go
+++ b/balsamknot/node/suspects.go
@@ -12,6 +12,7 @@
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/gossip"
+	"balsamknot.org/fleet/wire"
 )
 
 const crashKey = fingerprint.Key
@@ -33,38 +34,59 @@
 	return s.registry.Verdict(now, p)
 }
 
-// lost notes that an endpoint was lost with these prints on it, and tells the peers before anyone tries again.
+// lost notes that an endpoint was lost with these prints on it.
 func (s *suspects) lost(now time.Time, id engine.ID, prints []fingerprint.Print) {
-	s.mu.Lock()
-	s.registry.Lost(now, id, now, prints...)
-	s.mu.Unlock()
 	for _, p := range prints {
-		s.log(now, id, p)
+		s.learn(now, p, fingerprint.Crash{Engine: id, At: now.UnixMilli()})
 		s.n.members.tell(gossip.Row{
 			Origin: s.n.self.ID, Key: fingerprint.RowKey(p, id), Version: uint64(now.UnixMilli()), At: now, A: now.UnixMilli(),
 		})
 	}
+}
+
+// spread tells the peers at once.
+func (s *suspects) spread() {
 	s.n.members.broadcast(context.Background(), min(len(s.n.members.peerIDs())+1, mostTold))
 }
 
 // heard takes in a peer's report of a crash.
 func (s *suspects) heard(now time.Time, row gossip.Row) {
-	p, id, ok := fingerprint.ParseRowKey(row.Key)
-	if !ok {
-		return
+	if p, id, ok := fingerprint.ParseRowKey(row.Key); ok {
+		s.learn(now, p, fingerprint.Crash{Engine: id, At: row.A})
 	}
-	s.mu.Lock()
-	s.registry.Lost(now, id, time.UnixMilli(row.A), p)
-	s.mu.Unlock()
-	s.log(now, id, p)
 }
 
-func (s *suspects) log(now time.Time, id engine.ID, p fingerprint.Print) {
+func (s *suspects) learn(now time.Time, p fingerprint.Print, c fingerprint.Crash) {
+	s.mu.Lock()
+	news := s.registry.Lost(now, p, c)
+	s.mu.Unlock()
+	if !news {
+		return
+	}
 	number := event.RequestSuspected
 	if s.verdict(now, p) == fingerprint.Condemned {
 		number = event.RequestCondemned
 	}
-	event.Log(s.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(p)).Str("Endpoint", string(id)).Msg(event.Text(number))
+	event.Log(s.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(p)).Str("Endpoint", string(c.Engine)).Msg(event.Text(number))
+}
+
+// learnWire takes in what travelled with a request.
+func (s *suspects) learnWire(p fingerprint.Print, crashes []*wire.Crash) {
+	now := s.n.timers.Now()
+	for _, c := range crashes {
+		s.learn(now, p, fingerprint.Crash{Engine: engine.ID(c.GetEngine()), At: c.GetAtMs()})
+	}
+}
+
+// crashesWire returns what travels with a request.
+func (s *suspects) crashesWire(p fingerprint.Print) []*wire.Crash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var crashes []*wire.Crash
+	for _, c := range s.registry.Crashes(p) {
+		crashes = append(crashes, &wire.Crash{Engine: string(c.Engine), AtMs: c.At})
+	}
+	return crashes
 }
 
 func (s *suspects) survived(p fingerprint.Print) {
--- a/fleet/fingerprint/fingerprint.go
+++ b/fleet/fingerprint/fingerprint.go
@@ -2,7 +2,10 @@
 package fingerprint
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -56,13 +59,15 @@
 }
 
 type suspect struct {
-	crashes map[crash]time.Time
+	// crashes holds when each was heard of.
+	crashes map[Crash]time.Time
 }
 
-// crash is one endpoint's loss; the minute keeps two losses of one endpoint apart.
-type crash struct {
-	engine engine.ID
-	at     int64
+// Crash is one loss of an endpoint.
+type Crash struct {
+	Engine engine.ID
+	// At is when it was lost, in milliseconds of Unix time; it keeps two losses of one endpoint apart.
+	At int64
 }
 
 // NewRegistry returns a registry without suspicions.
@@ -70,16 +75,32 @@
 	return &Registry{suspects: make(map[Print]*suspect)}
 }
 
-// Lost notes that an endpoint was lost while the prints ran on it.
-func (r *Registry) Lost(now time.Time, id engine.ID, at time.Time, prints ...Print) {
-	for _, p := range prints {
-		s := r.suspects[p]
-		if s == nil {
-			s = &suspect{crashes: make(map[crash]time.Time)}
-			r.suspects[p] = s
-		}
-		s.crashes[crash{id, at.UnixMilli()}] = now
+// Lost notes that an endpoint was lost while the print ran on it, and reports whether that was news.
+func (r *Registry) Lost(now time.Time, p Print, c Crash) bool {
+	s := r.suspects[p]
+	if s == nil {
+		s = &suspect{crashes: make(map[Crash]time.Time)}
+		r.suspects[p] = s
+	}
+	if _, known := s.crashes[c]; known {
+		return false
+	}
+	s.crashes[c] = now
+	return true
+}
+
+// Crashes returns what is known of a print, in order of time. It travels with the request, so that whoever decides on
+// it next knows no less.
+func (r *Registry) Crashes(p Print) []Crash {
+	s := r.suspects[p]
+	if s == nil {
+		return nil
 	}
+	crashes := slices.Collect(maps.Keys(s.crashes))
+	slices.SortFunc(crashes, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Engine, b.Engine))
+	})
+	return crashes
 }
 
 // Survived clears a print: it ran to its end.
--- a/fleet/route/route.go
+++ b/fleet/route/route.go
@@ -70,13 +70,15 @@
 	next  int
 	steps int
 	last  Try
-	// final is set once every engine declined and the first is asked to queue the request.
+	// final is set once every engine declined and one is asked to queue the request.
 	final bool
+	// closed holds the engines that take no new work.
+	closed map[engine.ID]bool
 }
 
 // New returns a plan and its first try.
 func New(cfg Config) (*Plan, Try, *outcome.Refusal) {
-	p := &Plan{cfg: cfg}
+	p := &Plan{cfg: cfg, closed: make(map[engine.ID]bool)}
 	if len(cfg.Engines) == 0 {
 		return p, Try{}, p.refuse(outcome.CodeNoEndpoint, "no endpoint of the pool takes work")
 	}
@@ -121,22 +123,26 @@
 	case keeper.NotHere:
 		p.next = 0
 		return p.take(Try{Engine: p.cfg.Engines[0], MustDecide: true})
-	case keeper.OverBound, keeper.Leaving:
+	case keeper.Leaving:
+		p.closed[p.last.Engine] = true
+	case keeper.OverBound:
 	}
 	return p.advance()
 }
 
-// advance goes to the next engine and, after the last, back to the first with leave to queue.
+// advance goes to the next engine and, after the last, back to the first that is open with leave to queue.
 func (p *Plan) advance() (Try, *outcome.Refusal) {
-	p.next++
-	if p.next < len(p.cfg.Engines) {
-		return p.take(Try{Engine: p.cfg.Engines[p.next], MustDecide: true})
+	for p.next++; p.next < len(p.cfg.Engines); p.next++ {
+		if id := p.cfg.Engines[p.next]; !p.closed[id] {
+			return p.take(Try{Engine: id, MayQueue: p.final, MustDecide: true})
+		}
 	}
 	if p.final {
 		return Try{}, p.refuse(outcome.CodeOverloaded, "every endpoint in reach declined the request")
 	}
 	p.final = true
-	return p.take(Try{Engine: p.cfg.Engines[0], MayQueue: true, MustDecide: true})
+	p.next = -1
+	return p.advance()
 }
 
 // peerLost asks the engine's present keeper: to go on where the try may have started, else to start.
@@ -168,6 +174,7 @@
 	case !e.Budget:
 		return Try{}, p.refuse(outcome.CodeRetryBudget, "the workspace's retry budget is spent")
 	}
+	p.closed[p.last.Engine] = true
 	return p.advance()
 }
 
