--- a/balsamknot/node/baseline.go
+++ b/balsamknot/node/baseline.go
@@ -13,17 +13,13 @@
 	n *Node
 }
 
-// unbounded stands for no bound in a baseline.
-const unbounded = 1_000_000
-
 // baseline takes the load bound out of a pool's settings where a measurement asks for it.
 func (n *Node) baseline(cfg *keeper.PoolConfig) {
 	if n.cfg.Routing == settings.RoutingBalsamknot {
 		return
 	}
-	cfg.Bounded = false
-	cfg.Prefer = keeper.PreferSkew
-	cfg.Capacity = unbounded
+	cfg.Unlimited = true
+	cfg.ReuseWait = 0
 }
 
 // leastLoaded returns the engine whose last report, as this entry read it, is lowest.
--- a/balsamknot/node/claims.go
+++ b/balsamknot/node/claims.go
@@ -114,7 +114,7 @@
 		return reply.Msg
 	}
 	if ctx.Err() == nil {
-		c.n.members.missed(id)
+		c.n.members.missed(id, false)
 	}
 	if neverSent(err) && !deferred {
 		return c.route(ctx, call)
--- a/balsamknot/node/endpoint.go
+++ b/balsamknot/node/endpoint.go
@@ -53,6 +53,8 @@
 	send     func(*wire.Frame) error
 	position uint64
 	headSent bool
+	// load is the endpoint's average load when this request came.
+	load float64
 }
 
 func (m *emitter) head(response *http.Response) error {
@@ -60,7 +62,7 @@
 		return nil
 	}
 	m.headSent = true
-	head := &wire.Head{Status: int32(response.StatusCode), Engine: m.engine, Keeper: m.keeper}
+	head := &wire.Head{Status: int32(response.StatusCode), Engine: m.engine, Keeper: m.keeper, Load: float32(m.load)}
 	for name, values := range response.Header {
 		if hopHeaders[name] {
 			continue
--- a/balsamknot/node/forward.go
+++ b/balsamknot/node/forward.go
@@ -172,7 +172,7 @@
 		err = errTruncated
 	}
 	if keeperID != q.n.self.ID && ctx.Err() == nil {
-		q.n.members.missed(keeperID)
+		q.n.members.missed(keeperID, false)
 	}
 	unsent := neverSent(err)
 	if unsent && q.handedBack != nil {
@@ -225,6 +225,7 @@
 	case *wire.Frame_Decline:
 		return q.declined(body.Decline), true
 	case *wire.Frame_Head:
+		q.n.keeping.hearLoads([]*wire.EngineLoad{{Engine: body.Head.GetEngine(), Load: body.Head.GetLoad()}})
 		step := q.assembly.Update(answer.Frame{Try: answer.TryID(frame.GetTryId()), Kind: answer.Head})
 		if step.Action == answer.Deliver {
 			return q.delivered(q.sink.Head(body.Head))
@@ -300,7 +301,7 @@
 		q.handedBack()
 	}
 	if decline.GetReason() == wire.Decline_OVER_BOUND {
-		q.loads = append(q.loads, &wire.EngineLoad{Engine: string(q.engine), Load: decline.GetLoad()})
+		q.loads = append(q.loads, &wire.EngineLoad{Engine: string(q.engine), Load: float32(decline.GetLoad())})
 	}
 	switch decline.GetReason() {
 	case wire.Decline_REFUSED:
--- a/balsamknot/node/keep.go
+++ b/balsamknot/node/keep.go
@@ -92,7 +92,7 @@
 // runTry runs an admitted request and tells the entry how it ended.
 func (n *Node) runTry(ctx context.Context, r *wire.ForwardRequest, record engine.Record, send func(*wire.Frame) error) error {
 	call := r.GetCall()
-	m := &emitter{try: r.GetTryId(), engine: string(record.ID), keeper: string(n.self.ID), send: send}
+	m := &emitter{try: r.GetTryId(), engine: string(record.ID), keeper: string(n.self.ID), send: send, load: n.keeping.average(record.ID)}
 	var err error
 	if call.GetChat() != "" {
 		err = n.keeping.modelTry(ctx, record, r, m)
--- a/balsamknot/node/keeping.go
+++ b/balsamknot/node/keeping.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math"
 	"net/http"
 	"net/url"
 	"slices"
@@ -286,8 +287,11 @@
 	loads := k.machine.Loads(now)
 	k.mu.Unlock()
 	for _, load := range loads {
+		if told, ok := k.n.members.row(now, k.n.self.ID, loadKey+string(load.Engine)); ok && !worthTelling(now, told, load.Load) {
+			continue
+		}
 		k.n.members.tell(gossip.Row{
-			Origin: k.n.self.ID, Key: loadKey + string(load.Engine), Version: uint64(now.UnixMilli()), At: now, A: int64(load.Load),
+			Origin: k.n.self.ID, Key: loadKey + string(load.Engine), Version: uint64(now.UnixMilli()), At: now, A: int64(load.Load * loadScale),
 		})
 	}
 	k.tellDown(now)
@@ -295,7 +299,7 @@
 	for _, row := range k.n.members.rows(now, loadKey) {
 		id := engine.ID(strings.TrimPrefix(row.Key, loadKey))
 		if record, ok := current.endpoints[id]; ok && row.Origin != k.n.self.ID {
-			k.update(keeper.LoadHeard{Engine: id, Pool: record.Pool, Load: int(row.A), At: row.At})
+			k.update(keeper.LoadHeard{Engine: id, Pool: record.Pool, Load: float64(row.A) / loadScale, At: row.At})
 		}
 	}
 	down := k.down(now)
@@ -304,6 +308,20 @@
 	}
 }
 
+const (
+	// loadChange is the share by which a load must change to be told before loadRefresh.
+	loadChange  = 0.2
+	loadRefresh = 2 * time.Second
+	// loadScale is the unit of a load in gossip, as parts of a request.
+	loadScale = 100
+)
+
+// worthTelling reports whether a load differs enough from what the peers were told.
+func worthTelling(now time.Time, told gossip.Row, load float64) bool {
+	before := float64(told.A) / loadScale
+	return math.Abs(load-before) > loadChange*before || now.Sub(told.At) > loadRefresh
+}
+
 // tellDown tells the entries which endpoints answer no probe, so that they are left out at once.
 func (k *keeping) tellDown(now time.Time) {
 	k.mu.Lock()
@@ -379,6 +397,13 @@
 	k.n.suspects.spread()
 }
 
+// average returns a kept endpoint's load over about a second.
+func (k *keeping) average(id engine.ID) float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.Average(k.n.timers.Now(), id)
+}
+
 func (k *keeping) engines() []keeper.EngineLoad {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -411,7 +436,7 @@
 	current := k.n.documents.inForce()
 	for _, load := range loads {
 		if record, ok := current.endpoints[engine.ID(load.GetEngine())]; ok {
-			k.update(keeper.LoadHeard{Engine: record.ID, Pool: record.Pool, Load: int(load.GetLoad()), At: k.n.timers.Now()})
+			k.update(keeper.LoadMet{Engine: record.ID, Pool: record.Pool, Load: float64(load.GetLoad())})
 		}
 	}
 }
--- a/balsamknot/node/members.go
+++ b/balsamknot/node/members.go
@@ -81,10 +81,10 @@
 	}
 }
 
-// missed notes that a peer did not answer, and tells the others.
-func (m *members) missed(id host.ID) {
+// missed notes that a peer did not answer, and tells the others. asked is set for a heartbeat.
+func (m *members) missed(id host.ID, asked bool) {
 	now := m.n.timers.Now()
-	m.update(now, host.Missed{ID: id})
+	m.update(now, host.Missed{ID: id, Asked: asked})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.store.Merge([]gossip.Row{{
@@ -116,10 +116,10 @@
 	defer cancel()
 	reply, err := m.n.peers.controlClient(record.PeerAddress).Exchange(ctx, connect.NewRequest(message))
 	if err != nil {
-		m.missed(id)
+		m.missed(id, true)
 		return
 	}
-	m.receive(reply.Msg)
+	m.receive(reply.Msg, true)
 }
 
 // broadcast exchanges at once with up to n peers, each once, for news that must not wait for the next heartbeat.
@@ -150,8 +150,8 @@
 	return message
 }
 
-// receive takes in a peer's message.
-func (m *members) receive(message *wire.ExchangeMessage) {
+// receive takes in a peer's message; asked is set when it answers one of ours.
+func (m *members) receive(message *wire.ExchangeMessage, asked bool) {
 	now := m.n.timers.Now()
 	rows := make([]gossip.Row, 0, len(message.GetRows()))
 	for _, row := range message.GetRows() {
@@ -169,7 +169,7 @@
 		}
 	}
 	m.mu.Unlock()
-	m.update(now, host.Heard{ID: from, Incarnation: host.Incarnation(message.GetIncarnation()), Leaving: message.GetLeaving()})
+	m.update(now, host.Heard{ID: from, Incarnation: host.Incarnation(message.GetIncarnation()), Leaving: message.GetLeaving(), Asked: asked})
 	for _, row := range news {
 		m.act(now, row)
 	}
@@ -193,6 +193,13 @@
 	m.store.Merge([]gossip.Row{row})
 }
 
+// row returns one fact if it still counts.
+func (m *members) row(now time.Time, origin host.ID, key string) (gossip.Row, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.store.Get(now, origin, key)
+}
+
 // rows returns the facts of a kind that still count.
 func (m *members) rows(now time.Time, prefix string) []gossip.Row {
 	m.mu.Lock()
@@ -260,9 +267,13 @@
 	return m.electorate.Electors(key)
 }
 
+// electorSince returns since when this node may vouch for a key, zero while it may not.
 func (m *members) electorSince(key claim.Key) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.view.Connected() {
+		return time.Time{}
+	}
 	return m.electorate.Since(key, m.n.self.ID)
 }
 
--- a/balsamknot/node/node.go
+++ b/balsamknot/node/node.go
@@ -62,12 +62,12 @@
 }
 
 const (
-	exchangeInterval = 500 * time.Millisecond
+	exchangeInterval = time.Second
 	keeperInterval   = 100 * time.Millisecond
 	loadRowInterval  = 500 * time.Millisecond
 	forgetInterval   = time.Second
 	// pausedAfter is the gap between two exchange ticks that shows that the process did not run.
-	pausedAfter = 2 * time.Second
+	pausedAfter = 3 * time.Second
 )
 
 // New builds a node; Run starts it.
--- a/balsamknot/node/peer.go
+++ b/balsamknot/node/peer.go
@@ -76,7 +76,7 @@
 // Exchange implements wire.PeerHandler.
 func (s *peerServer) Exchange(_ context.Context, r *connect.Request[wire.ExchangeMessage]) (*connect.Response[wire.ExchangeMessage], error) {
 	m := s.n.members
-	m.receive(r.Msg)
+	m.receive(r.Msg, false)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return connect.NewResponse(m.message(s.n.timers.Now())), nil
--- a/balsamknot/node/peers.go
+++ b/balsamknot/node/peers.go
@@ -20,15 +20,16 @@
 )
 
 const (
-	// pingAfter and pingTimeout replace a silent connection between nodes within two seconds.
-	pingAfter   = time.Second
+	// pingAfter and pingTimeout replace a silent connection that carries requests within three seconds.
+	pingAfter   = 2 * time.Second
 	pingTimeout = time.Second
 	dialTimeout = 700 * time.Millisecond
 	// maxPeerStreams bounds the requests in flight on one connection between two nodes.
 	maxPeerStreams = 4096
 	// maxPeerMessage bounds a message between nodes in bytes.
 	maxPeerMessage = 16 << 20
-	peerIdle       = 90 * time.Second
+	// peerIdle closes unused connections: in a large fleet most peers are seldom met, and each open one costs pings.
+	peerIdle = 5 * time.Second
 )
 
 // peers dials the other nodes: control messages and requests travel on connections of their own.
@@ -50,19 +51,20 @@
 	return &peers{
 		key:     s.FleetKey,
 		self:    s.Host,
-		control: &http.Client{Transport: peerTransport(m.countControl)},
-		forward: &http.Client{Transport: peerTransport(nil)},
+		control: &http.Client{Transport: peerTransport(m.countControl, 0)},
+		forward: &http.Client{Transport: peerTransport(nil, pingAfter)},
 		clients: make(map[clientKey]wire.PeerClient),
 	}
 }
 
-func peerTransport(count func(bytes int)) *http.Transport {
+// peerTransport speaks HTTP/2 without TLS. Control calls have short timeouts of their own and need no pings.
+func peerTransport(count func(bytes int), ping time.Duration) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
 		DialContext:     countingDial(count),
 		Protocols:       &protocols,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: ping, PingTimeout: pingTimeout},
 		IdleConnTimeout: peerIdle,
 	}
 }
--- a/demo/traffic_test.go
+++ b/demo/traffic_test.go
@@ -97,7 +97,9 @@
 		}
 		for caller := range number(ts, named, "callers", 8) {
 			random := rand.New(rand.NewPCG(uint64(number(ts, named, "seed", 1)), uint64(caller)))
-			t.wg.Go(func() { t.caller(s, workspace, fmt.Sprintf("%s-%d", rest[1], caller), number(ts, named, "tokens", 20), random) })
+			t.wg.Go(func() {
+				t.caller(s, workspace, fmt.Sprintf("%s-%d", rest[1], caller), number(ts, named, "tokens", 20), random)
+			})
 		}
 	case "stop":
 		t := trafficOf(ts, name)
--- /dev/null
+++ b/fleet/fingerprint/fingerprint_test.go
@@ -0,0 +1,44 @@
+package fingerprint
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestSecondCrashCondemns(t *testing.T) {
+	t.Parallel()
+	r := NewRegistry()
+	p := Of("assistant", "POST", "/v1/chat/completions", []byte("poison"))
+	require.Equal(t, Clear, r.Verdict(start, p))
+	require.True(t, r.Lost(start, p, Crash{"e1", 1}))
+	require.Equal(t, Alone, r.Verdict(start, p))
+	require.False(t, r.Lost(start, p, Crash{"e1", 1}), "the same loss, heard again")
+	require.Equal(t, Alone, r.Verdict(start, p))
+	r.Lost(start, p, Crash{"e2", 2})
+	require.Equal(t, Condemned, r.Verdict(start, p))
+	r.Survived(p)
+	require.Equal(t, Condemned, r.Verdict(start, p), "a copy that was under way clears nothing")
+	require.Equal(t, Clear, r.Verdict(start.Add(lifetime+time.Second), p))
+	require.Zero(t, r.Len())
+}
+
+func TestInnocentIsCleared(t *testing.T) {
+	t.Parallel()
+	r := NewRegistry()
+	r.Lost(start, 7, Crash{"e1", 1})
+	r.Survived(7)
+	require.Equal(t, Clear, r.Verdict(start, 7))
+}
+
+func TestPartsOfARequestDontRunTogether(t *testing.T) {
+	t.Parallel()
+	require.NotEqual(t, Of("a", "bc", "d", nil), Of("ab", "c", "d", nil))
+	p, id, ok := ParseRowKey(RowKey(42, "engine-1"))
+	require.True(t, ok)
+	require.Equal(t, Print(42), p)
+	require.EqualValues(t, "engine-1", id)
+}
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -30,7 +30,7 @@
 const rowOverhead = 24
 
 // sendFactor times the logarithm of the fleet's size is how often a row is sent.
-const sendFactor = 3
+const sendFactor = 1
 
 // Config bounds a store.
 type Config struct {
--- a/fleet/host/view.go
+++ b/fleet/host/view.go
@@ -39,8 +39,11 @@
 	members  map[ID]*member
 	electors map[ID]Record
 	// changing holds when a difference between list and elector view was first seen.
-	changing map[ID]time.Time
-	listed   bool
+	changing     map[ID]time.Time
+	lastAddition time.Time
+	listed       bool
+	// reach holds whether the last peers asked have answered, the latest last.
+	reach []bool
 }
 
 type member struct {
@@ -86,10 +89,16 @@
 	Incarnation Incarnation
 	// Leaving is what the host says of itself.
 	Leaving bool
+	// Asked is set when this node asked it, as against being asked.
+	Asked bool
 }
 
 // Missed says that a host did not answer this node.
-type Missed struct{ ID ID }
+type Missed struct {
+	ID ID
+	// Asked is set for a heartbeat, as against a request that broke.
+	Asked bool
+}
 
 // Reported says that another node could not reach a host.
 type Reported struct{ ID ID }
@@ -116,8 +125,10 @@
 	case ListPublished:
 		changes = v.applyList(now, e.Hosts)
 	case Heard:
+		v.noteReach(e.Asked, true)
 		changes = v.heard(now, e)
 	case Missed:
+		v.noteReach(e.Asked, false)
 		changes = v.fire(e.ID, eventMissed)
 	case Reported:
 		if m := v.members[e.ID]; m != nil && now.Sub(m.lastHeard) > v.cfg.HearsayImmunity {
@@ -204,7 +215,12 @@
 	return []Changed{{ID: id, From: from, To: m.machine.Current()}}
 }
 
+// maxAdditions is how many hosts may join the elector view in one grace period: two views that follow the same list
+// some seconds apart then differ by no more, and quorums of four of five still meet.
+const maxAdditions = 2
+
 // ageElectors lets a listed change into the elector view once it has stood for the grace period.
+// A host that is no longer listed is gone and can't vouch, so that any number may leave at once.
 func (v *View) ageElectors(now time.Time) {
 	listed := v.listedRecords()
 	for id := range v.changing {
@@ -214,16 +230,31 @@
 			delete(v.changing, id)
 		}
 	}
-	for id, record := range listed {
-		if _, ok := v.electors[id]; !ok && v.stood(now, id) {
-			v.electors[id] = record
-		}
-	}
 	for id := range v.electors {
 		if _, ok := listed[id]; !ok && v.stood(now, id) {
 			delete(v.electors, id)
+			delete(v.changing, id)
+		}
+	}
+	v.addElectors(now, listed)
+}
+
+func (v *View) addElectors(now time.Time, listed map[ID]Record) {
+	if !v.lastAddition.IsZero() && now.Sub(v.lastAddition) < v.cfg.ElectorGrace {
+		return
+	}
+	var ready []ID
+	for id := range listed {
+		if _, ok := v.electors[id]; !ok && v.stood(now, id) {
+			ready = append(ready, id)
 		}
 	}
+	slices.Sort(ready)
+	for _, id := range ready[:min(maxAdditions, len(ready))] {
+		v.electors[id] = listed[id]
+		delete(v.changing, id)
+		v.lastAddition = now
+	}
 }
 
 func (v *View) stood(now time.Time, id ID) bool {
@@ -232,11 +263,7 @@
 		v.changing[id] = now
 		return false
 	}
-	if now.Sub(since) < v.cfg.ElectorGrace {
-		return false
-	}
-	delete(v.changing, id)
-	return true
+	return now.Sub(since) >= v.cfg.ElectorGrace
 }
 
 // listedRecords returns the hosts that the platform lists, leaving ones included.
@@ -250,6 +277,30 @@
 	return records
 }
 
+// reachSample is how many of the last heartbeats tell whether the node is cut off.
+const reachSample = 16
+
+func (v *View) noteReach(asked, answered bool) {
+	if !asked {
+		return
+	}
+	v.reach = append(v.reach, answered)
+	most := min(reachSample, max(1, len(v.members)-1))
+	v.reach = v.reach[max(0, len(v.reach)-most):]
+}
+
+// Connected reports whether at least half of the last peers asked have answered. A node that is not may hold a list that
+// the others have left behind, and must not vouch for keys.
+func (v *View) Connected() bool {
+	missed := 0
+	for _, answered := range v.reach {
+		if !answered {
+			missed++
+		}
+	}
+	return 2*missed <= len(v.reach)
+}
+
 // State returns a host's state, StateGone for one that the view doesn't know.
 func (v *View) State(id ID) string {
 	if m := v.members[id]; m != nil {
--- a/fleet/keeper/keeper.go
+++ b/fleet/keeper/keeper.go
@@ -20,24 +20,15 @@
 // Ticket names one request's stay at a keeper.
 type Ticket uint64
 
-// Preference says what a pool gives up first when skew and reuse pull apart.
-type Preference string
-
-// Preferences of a pool.
-const (
-	// PreferReuse sends a chat that overflowed back to where it overflowed to.
-	PreferReuse Preference = "Reuse"
-	// PreferSkew sends each chat to its first engine as soon as the bound allows it.
-	PreferSkew Preference = "Skew"
-)
-
 // LoadFactor is the highest allowed ratio of an engine's load to its pool's mean; at least 1.
 type LoadFactor float64
 
 // PoolConfig is what the accepted set says about a pool.
 type PoolConfig struct {
 	LoadFactor LoadFactor
-	Prefer     Preference
+	// ReuseWait is how long a chat waits for the endpoint that holds its prefix before it goes to another.
+	// Source: Zaharia et al., "Delay Scheduling", 2010.
+	ReuseWait time.Duration
 	// Capacity bounds the running requests of an endpoint; 0 leaves it to the endpoint's own report.
 	Capacity int
 	// QueueLimit bounds the requests that wait at one endpoint.
@@ -46,11 +37,15 @@
 	QueueWait time.Duration
 	// Bounded is false for plain services without a load bound.
 	Bounded bool
+	// Unlimited lets every request through, for baselines of measurements that leave queueing to the endpoint.
+	Unlimited bool
 }
 
 const (
 	// heardLifetime is how long another keeper's load counts; afterwards it counts as zero, which tightens the bound.
 	heardLifetime = 5 * time.Second
+	// metLifetime is how long a load that a request met goes before what was heard.
+	metLifetime = 300 * time.Millisecond
 	// reportLifetime is how long a load report speaks for the requests of other keepers.
 	reportLifetime = 10 * time.Second
 	// unreportedLimit bounds the running requests of an endpoint that has not reported yet.
@@ -97,15 +92,24 @@
 	Engines int
 }
 
-// LoadHeard is the load of an endpoint that another node keeps: by gossip, or with a request that it declined.
+// LoadHeard is the load of an endpoint that another node keeps, as gossip tells it.
 type LoadHeard struct {
 	Engine engine.ID
 	Pool   string
-	Load   int
+	// Load is the average over about a second.
+	Load float64
 	// At is when the figure held.
 	At time.Time
 }
 
+// LoadMet is the load of an endpoint that a request has just met at its keeper. It goes before what gossip tells,
+// but not for long: requests meet busy endpoints more often than idle ones.
+type LoadMet struct {
+	Engine engine.ID
+	Pool   string
+	Load   float64
+}
+
 // RequestArrived asks for a place on an endpoint.
 type RequestArrived struct {
 	Ticket    Ticket
@@ -128,6 +132,8 @@
 	Resumed bool
 	// Fingerprint names the request's content; copies of one fingerprint run one after another. 0 is none.
 	Fingerprint uint64
+	// patience bounds a wait for reuse, after which the request goes to its next choice.
+	patience time.Duration
 }
 
 // RequestEnded frees the place of an admitted request.
@@ -152,6 +158,7 @@
 func (LoadReported) keeperEvent()     {}
 func (PoolSized) keeperEvent()        {}
 func (LoadHeard) keeperEvent()        {}
+func (LoadMet) keeperEvent()          {}
 func (RequestArrived) keeperEvent()   {}
 func (RequestEnded) keeperEvent()     {}
 func (RequestAbandoned) keeperEvent() {}
@@ -206,15 +213,38 @@
 	cfg PoolConfig
 	// engines counts the endpoints that take work, at all keepers.
 	engines int
-	// others holds the loads heard of endpoints that other nodes keep.
-	others map[engine.ID]heard
+	// others holds the loads heard of endpoints that other nodes keep, and met those that requests met.
+	others, met map[engine.ID]heard
 }
 
 type heard struct {
-	load int
+	load float64
 	at   time.Time
 }
 
+// add sums the loads that still count, those met before those heard.
+func (p *pool) add(now time.Time, counts func(engine.ID) bool) float64 {
+	load := 0.0
+	for id, h := range p.others {
+		_, isMet := p.met[id]
+		if !isMet && counts(id) && now.Sub(h.at) <= heardLifetime {
+			load += h.load
+		}
+	}
+	for id, h := range p.met {
+		if counts(id) {
+			load += h.load
+		}
+	}
+	return load
+}
+
+// forget drops what no longer counts.
+func (p *pool) forget(now time.Time) {
+	maps.DeleteFunc(p.others, func(_ engine.ID, h heard) bool { return now.Sub(h.at) > heardLifetime })
+	maps.DeleteFunc(p.met, func(_ engine.ID, h heard) bool { return now.Sub(h.at) > metLifetime })
+}
+
 // New returns a keeper without endpoints.
 func New() *Keeper {
 	return &Keeper{
@@ -237,6 +267,9 @@
 		return k.noteLoad(now, e)
 	case LoadHeard:
 		return k.noteHeard(now, e)
+	case LoadMet:
+		k.pool(e.Pool).met[e.Engine] = heard{load: e.Load, at: now}
+		return k.drainPool(now, e.Pool)
 	case PoolSized:
 		k.pool(e.Pool).engines = e.Engines
 		return k.drainPool(now, e.Pool)
@@ -259,7 +292,7 @@
 func (k *Keeper) pool(name string) *pool {
 	p := k.pools[name]
 	if p == nil {
-		p = &pool{others: make(map[engine.ID]heard)}
+		p = &pool{others: make(map[engine.ID]heard), met: make(map[engine.ID]heard)}
 		k.pools[name] = p
 	}
 	return p
@@ -315,19 +348,28 @@
 		return k.start(now, s, e)
 	}
 	cfg := k.pool(s.pool).cfg
-	if redirect, ok := s.followMemory(cfg, e); ok {
+	if redirect, ok := s.followMemory(e); ok {
 		return []Command{redirect}
 	}
 	if s.queue.len() == 0 && k.fits(now, s, e) {
 		return k.start(now, s, e)
 	}
+	if s.waitsForReuse(cfg, e) {
+		e.patience = cfg.ReuseWait
+		return k.enqueue(now, s, e)
+	}
 	if !e.MayQueue && !s.runs(e.Fingerprint) {
-		s.overflowed(e.Chat)
-		return []Command{Redirect{Ticket: e.Ticket, Reason: OverBound, Load: s.load(now)}}
+		return k.sendOn(now, s, e)
 	}
 	return k.enqueue(now, s, e)
 }
 
+// sendOn declines a request because of the bound, and remembers that its chat went elsewhere.
+func (k *Keeper) sendOn(now time.Time, s *seat, e RequestArrived) []Command {
+	s.overflowed(e.Chat)
+	return []Command{Redirect{Ticket: e.Ticket, Reason: OverBound, Load: s.load(now)}}
+}
+
 func (k *Keeper) start(now time.Time, s *seat, e RequestArrived) []Command {
 	s.start(now, e)
 	k.tickets[e.Ticket] = &place{seat: s, request: e, started: now}
@@ -345,6 +387,9 @@
 // limit returns how many requests the endpoint may hold now.
 func (k *Keeper) limit(now time.Time, s *seat) int {
 	p := k.pool(s.pool)
+	if p.cfg.Unlimited {
+		return math.MaxInt
+	}
 	limit := s.capacity(p.cfg)
 	if !s.hasReport {
 		limit = min(limit, unreportedLimit)
@@ -358,26 +403,29 @@
 // bound returns LoadFactor times the mean load of the pool with one more request, rounded up.
 func (k *Keeper) bound(now time.Time, name string) int {
 	p := k.pool(name)
-	load, engines := 0, 0
+	load, engines := 0.0, 0
 	for _, s := range k.engines {
 		if s.pool == name && !s.withdrawn {
-			load += s.load(now)
+			s.settle(now)
+			load += s.average
 			engines++
 		}
 	}
-	for id, h := range p.others {
-		if s := k.engines[id]; (s == nil || s.withdrawn) && now.Sub(h.at) <= heardLifetime {
-			load += h.load
-		}
-	}
+	load += p.add(now, func(id engine.ID) bool {
+		s := k.engines[id]
+		return s == nil || s.withdrawn
+	})
 	engines = max(engines, p.engines, 1)
 	factor := max(1, float64(p.cfg.LoadFactor))
-	return max(1, int(math.Ceil(factor*float64(load+1)/float64(engines))))
+	return max(1, int(math.Ceil(factor*(load+1)/float64(engines))))
 }
 
 func (k *Keeper) enqueue(now time.Time, s *seat, e RequestArrived) []Command {
 	cfg := k.pool(s.pool).cfg
 	wait := s.expectedWait(k.limit(now, s))
+	if e.patience > 0 && (wait > cfg.QueueWait || s.queue.len() >= cfg.QueueLimit) {
+		return k.sendOn(now, s, e)
+	}
 	tooLong := wait > cfg.QueueWait && !e.Alone
 	if cfg.QueueLimit == 0 || tooLong || now.Add(wait).After(e.Deadline) {
 		code := outcome.CodeOverloaded
@@ -466,12 +514,16 @@
 func (k *Keeper) tick(now time.Time) []Command {
 	var commands []Command
 	for _, p := range k.pools {
-		maps.DeleteFunc(p.others, func(_ engine.ID, h heard) bool { return now.Sub(h.at) > heardLifetime })
+		p.forget(now)
 	}
 	for _, s := range k.sorted() {
 		cfg := k.pool(s.pool).cfg
 		for _, e := range s.queue.expired(now, cfg.QueueWait) {
 			delete(k.tickets, e.Ticket)
+			if e.patience > 0 && now.Before(e.Deadline) {
+				commands = append(commands, k.sendOn(now, s, e)...)
+				continue
+			}
 			code := outcome.CodeOverloaded
 			if !now.Before(e.Deadline) {
 				code = outcome.CodeDeadline
@@ -492,12 +544,22 @@
 	return seats
 }
 
+// Average returns a kept endpoint's load over about a second, 0 for one that is not kept.
+func (k *Keeper) Average(now time.Time, id engine.ID) float64 {
+	if s := k.engines[id]; s != nil {
+		s.settle(now)
+		return s.average
+	}
+	return 0
+}
+
 // Loads returns the load of each kept endpoint that takes work, to tell the other keepers, in order of ID.
 func (k *Keeper) Loads(now time.Time) []LoadHeard {
 	var loads []LoadHeard
 	for _, s := range k.sorted() {
 		if !s.withdrawn && !s.leaving {
-			loads = append(loads, LoadHeard{Engine: s.id, Pool: s.pool, Load: s.load(now), At: now})
+			s.settle(now)
+			loads = append(loads, LoadHeard{Engine: s.id, Pool: s.pool, Load: s.average, At: now})
 		}
 	}
 	return loads
--- a/fleet/keeper/queue.go
+++ b/fleet/keeper/queue.go
@@ -78,7 +78,11 @@
 func (q *fairQueue) expired(now time.Time, wait time.Duration) []RequestArrived {
 	var gone []RequestArrived
 	q.items = slices.DeleteFunc(q.items, func(item queued) bool {
-		impatient := now.Sub(item.since) > wait && !item.request.Alone
+		limit := wait
+		if item.request.patience > 0 {
+			limit = item.request.patience
+		}
+		impatient := now.Sub(item.since) > limit && !item.request.Alone
 		late := impatient || !now.Before(item.request.Deadline)
 		if late {
 			gone = append(gone, item.request)
--- a/fleet/keeper/seat.go
+++ b/fleet/keeper/seat.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"math"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -16,6 +17,8 @@
 	sampleWindow = 3 * time.Second
 	// sampleStep is the resolution of that history.
 	sampleStep = 50 * time.Millisecond
+	// reportJitter is how far a report's age may be off.
+	reportJitter = 150 * time.Millisecond
 	// durationSmoothing is the weight of the latest request in the mean duration.
 	durationSmoothing = 0.1
 	// initialDuration is the assumed duration of a request before one has ended.
@@ -32,10 +35,10 @@
 	queued  bool
 }
 
-// sample is the lowest running count within one step of time.
+// sample is the highest running count within one step of time.
 type sample struct {
-	at      time.Time
-	running int
+	at   time.Time
+	most int
 }
 
 // seat is the state of one kept endpoint.
@@ -55,6 +58,9 @@
 	history  []sample
 	queue    *fairQueue
 	duration time.Duration
+	// average is the load over about the last averageSpan, as of averaged.
+	average  float64
+	averaged time.Time
 	// chats holds the chats whose prefix is here, and overflows those that were sent on.
 	chats     *lru.Cache[chat.ID, struct{}]
 	overflows *lru.Cache[chat.ID, struct{}]
@@ -79,6 +85,22 @@
 	return s.running + s.foreign
 }
 
+// averageSpan is the time constant of the average load. What it smooths are the ups and downs of single requests:
+// a sum of figures taken at instants some seconds apart would swing by its square root.
+const averageSpan = time.Second
+
+// settle brings the average up to now; it is called before each change of the load.
+func (s *seat) settle(now time.Time) {
+	load := float64(s.load(now))
+	if s.averaged.IsZero() {
+		s.average, s.averaged = load, now
+		return
+	}
+	weight := math.Exp(-now.Sub(s.averaged).Seconds() / averageSpan.Seconds())
+	s.average = load + (s.average-load)*weight
+	s.averaged = now
+}
+
 func (s *seat) capacity(cfg PoolConfig) int {
 	switch {
 	case cfg.Capacity > 0 && s.hasReport && s.reported.Capacity > 0:
@@ -92,6 +114,7 @@
 }
 
 func (s *seat) start(now time.Time, e RequestArrived) {
+	s.settle(now)
 	s.running++
 	s.alone = s.alone || e.Alone
 	if e.Chat != "" {
@@ -105,6 +128,7 @@
 }
 
 func (s *seat) end(now, started time.Time, e RequestArrived) {
+	s.settle(now)
 	s.running--
 	if e.Alone {
 		s.alone = false
@@ -122,37 +146,45 @@
 	return fingerprint != 0 && s.prints[fingerprint] > 0
 }
 
-// sample records the running count; within a step the lowest count stands,
-// so that a report is never explained by more of our own requests than were there.
+// sample records the running count after a change.
 func (s *seat) sample(now time.Time) {
 	n := len(s.history)
 	if n > 0 && now.Sub(s.history[n-1].at) < sampleStep {
-		s.history[n-1].running = min(s.history[n-1].running, s.running)
+		s.history[n-1].most = max(s.history[n-1].most, s.running)
 		return
 	}
 	first := 0
 	for first < n-1 && now.Sub(s.history[first+1].at) > sampleWindow {
 		first++
 	}
-	s.history = append(s.history[first:], sample{at: now, running: s.running})
+	s.history = append(s.history[first:], sample{at: now, most: s.running})
 }
 
-// runningAt returns this keeper's own count at a time within the window.
-func (s *seat) runningAt(at time.Time) int {
-	running := s.running
+// runningAround returns the most that this keeper had running within reportJitter of a time,
+// so that our own ups and downs are not taken for requests of another keeper.
+func (s *seat) runningAround(at time.Time) int {
+	most := -1
 	for i := len(s.history) - 1; i >= 0; i-- {
-		running = s.history[i].running
-		if !s.history[i].at.After(at) {
-			return running
+		h := s.history[i]
+		if h.at.After(at.Add(reportJitter)) {
+			continue
 		}
+		most = max(most, h.most)
+		if h.at.Before(at.Add(-reportJitter)) {
+			break
+		}
+	}
+	if most < 0 {
+		return s.running
 	}
-	return running
+	return most
 }
 
 func (s *seat) report(now time.Time, report engine.Report) {
 	if report.Age <= 0 {
 		report.Age = defaultAge
 	}
+	s.settle(now)
 	at := now.Add(-report.Age)
 	if s.hasReport && at.Before(s.reportedAt) {
 		return
@@ -160,7 +192,7 @@
 	s.reported = report
 	s.reportedAt = at
 	s.hasReport = true
-	s.foreign = max(0, report.Running-s.runningAt(at))
+	s.foreign = max(0, report.Running-s.runningAround(at))
 }
 
 // overflowed remembers that a chat was sent on because of the bound.
@@ -171,8 +203,8 @@
 }
 
 // followMemory sends a chat to where its prefix is expected.
-func (s *seat) followMemory(cfg PoolConfig, e RequestArrived) (Redirect, bool) {
-	if e.MustDecide || e.Chat == "" || cfg.Prefer != PreferReuse || s.chats.Contains(e.Chat) {
+func (s *seat) followMemory(e RequestArrived) (Redirect, bool) {
+	if e.MustDecide || e.Chat == "" || s.chats.Contains(e.Chat) {
 		return Redirect{}, false
 	}
 	if s.overflows.Contains(e.Chat) {
@@ -184,6 +216,11 @@
 	return Redirect{}, false
 }
 
+// waitsForReuse reports whether a chat is worth a short wait because its prefix is here.
+func (s *seat) waitsForReuse(cfg PoolConfig, e RequestArrived) bool {
+	return cfg.ReuseWait > 0 && !e.MayQueue && !e.MustDecide && e.Chat != "" && s.chats.Contains(e.Chat)
+}
+
 // expectedWait estimates when a request that joins the queue now is started.
 func (s *seat) expectedWait(limit int) time.Duration {
 	return s.duration * time.Duration(s.queue.len()+1) / time.Duration(max(1, limit))
--- a/fleet/object/object.go
+++ b/fleet/object/object.go
@@ -59,7 +59,8 @@
 type Policy struct {
 	Name       string
 	LoadFactor keeper.LoadFactor
-	Prefer     keeper.Preference
+	// ReuseWait is how long a chat waits for the engine that holds its prefix.
+	ReuseWait time.Duration
 	// SpillDepth is how many engines a chat tries.
 	SpillDepth int
 	QueueLimit int
@@ -91,7 +92,7 @@
 	}
 	policy := o.Policies[service.Policy]
 	cfg.LoadFactor = policy.LoadFactor
-	cfg.Prefer = policy.Prefer
+	cfg.ReuseWait = policy.ReuseWait
 	cfg.QueueLimit = policy.QueueLimit
 	cfg.QueueWait = policy.QueueWait
 	cfg.Bounded = service.Model != ""
--- a/fleet/object/schema.go
+++ b/fleet/object/schema.go
@@ -44,7 +44,7 @@
 
 var policyFields = []field[Policy]{
 	{"LoadFactor", true, parseLoadFactor, "a number from 1 to 10"},
-	{"Prefer", false, parsePrefer, "Reuse or Skew"},
+	{"ReuseWait", false, func(p *Policy, v string) error { return parseDuration(&p.ReuseWait, v, 0, 10*time.Second) }, "a time like 100ms, at most 10s; 0s for no wait"},
 	{"SpillDepth", false, func(p *Policy, v string) error { return parseInt(&p.SpillDepth, v, 1, 64) }, "a whole number from 1 to 64"},
 	{"QueueLimit", false, func(p *Policy, v string) error { return parseInt(&p.QueueLimit, v, 0, 10_000) }, "a whole number from 0 to 10000"},
 	{"QueueWait", false, func(p *Policy, v string) error { return parseDuration(&p.QueueWait, v, 0, time.Minute) }, "a time like 2s, at most 1m"},
@@ -58,6 +58,7 @@
 // Defaults of optional settings.
 const (
 	defaultWeight      = 1
+	defaultReuseWait   = 100 * time.Millisecond
 	defaultSpillDepth  = 3
 	defaultQueueLimit  = 64
 	defaultQueueWait   = 2 * time.Second
@@ -69,7 +70,7 @@
 
 func defaultPolicy(name string) Policy {
 	return Policy{
-		Name: name, Prefer: keeper.PreferReuse, SpillDepth: defaultSpillDepth, QueueLimit: defaultQueueLimit,
+		Name: name, ReuseWait: defaultReuseWait, SpillDepth: defaultSpillDepth, QueueLimit: defaultQueueLimit,
 		QueueWait: defaultQueueWait, RetryBudget: defaultRetryBudget, FirstToken: defaultFirstToken,
 		Answer: defaultAnswer, Objective: defaultObjective,
 	}
@@ -201,12 +202,3 @@
 	p.LoadFactor = keeper.LoadFactor(factor)
 	return nil
 }
-
-func parsePrefer(p *Policy, value string) error {
-	switch prefer := keeper.Preference(value); prefer {
-	case keeper.PreferReuse, keeper.PreferSkew:
-		p.Prefer = prefer
-		return nil
-	}
-	return fmt.Errorf("%q is neither Reuse nor Skew", value)
-}
--- a/standin/modelengine/engine.go
+++ b/standin/modelengine/engine.go
@@ -35,8 +35,8 @@
 // Stats counts what an engine did.
 type Stats struct {
 	Requests, PromptTokens, CachedTokens, Crashes int64
-	// MostRunning is the highest number of requests held at once.
-	MostRunning int64
+	// Running and MostRunning are the requests held now and at most.
+	Running, MostRunning int64
 }
 
 // Engine is one stand-in. Start serves it, Close ends it.
@@ -127,7 +127,7 @@
 func (e *Engine) Stats() Stats {
 	return Stats{
 		Requests: e.requests.Load(), PromptTokens: e.promptTokens.Load(), CachedTokens: e.cachedTokens.Load(),
-		Crashes: e.crashes.Load(), MostRunning: e.mostRunning.Load(),
+		Crashes: e.crashes.Load(), Running: e.running.Load(), MostRunning: e.mostRunning.Load(),
 	}
 }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -27,7 +27,7 @@
 	frozen map[string]document
 	// previous holds each document as it was before the last change.
 	previous map[string]document
-	reads  atomic.Int64
+	reads    atomic.Int64
 }
 
 type document struct {
