Record a whole session as a golden file, and refuse bad input clearly

Change: the session's transcript (requests, answers byte for byte, log events) from separate processes; tests of callers' and peers' input with fuzz targets; the burn page is drawn by a plot library into one page that loads nothing (the first library's page fetched scripts from a host of its own); settings, verbs and events under test.

--- a/balsamknot/node/documents.go
+++ b/balsamknot/node/documents.go
@@ -354,10 +354,15 @@
 	}
 }
 
+// workspaceHash returns the KeyHash of a bearer key.
+func workspaceHash(key string) string {
+	hash := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(hash[:])
+}
+
 // workspaceOf returns the workspace of a bearer key.
 func (f *inForce) workspaceOf(key string) (object.Workspace, bool) {
-	hash := sha256.Sum256([]byte(key))
-	name, ok := f.byKey[hex.EncodeToString(hash[:])]
+	name, ok := f.byKey[workspaceHash(key)]
 	return f.objects.Workspaces[name], ok
 }
 
--- a/balsamknot/report/report.go
+++ b/balsamknot/report/report.go
@@ -2,12 +2,19 @@
 package report
 
 import (
+	"bytes"
 	"fmt"
+	"html/template"
 	"io"
+	"strings"
 	"text/tabwriter"
 
-	"github.com/go-echarts/go-echarts/v2/charts"
-	"github.com/go-echarts/go-echarts/v2/opts"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
 
 	"balsamknot.org/fleet/burn"
 )
@@ -22,21 +29,75 @@
 	return table.Flush()
 }
 
-// HTML writes the burn rates of a node as a bar chart.
+var page = template.Must(template.New("burn").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>Service-level burn, node {{.Node}}</title>
+<style>body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}td,th{padding:.3em .8em;text-align:left;border-bottom:1px solid #ccc}.hot{color:#b00;font-weight:bold}</style>
+</head><body><h1>Service-level burn, node {{.Node}}</h1>
+<p>A rate of 1 spends the error budget exactly over the objective's period.</p>
+{{.Plot}}
+<table><tr><th>Workspace</th><th>Service</th><th>Indicator</th><th>Objective</th><th>Burn 5 min</th><th>Burn 1 h</th><th>Requests 1 h</th></tr>
+{{range .Rates}}<tr><td>{{.Workspace}}</td><td>{{.Service}}</td><td>{{.Indicator}}</td><td>{{.Objective}}</td>
+<td{{if gt .Short 1.0}} class="hot"{{end}}>{{printf "%.2f" .Short}}</td><td{{if gt .Long 1.0}} class="hot"{{end}}>{{printf "%.2f" .Long}}</td><td>{{.Total}}</td></tr>
+{{end}}</table></body></html>
+`))
+
+// HTML writes the burn rates of a node as a page that loads nothing else.
 func HTML(w io.Writer, node string, rates []burn.Rate) error {
-	bar := charts.NewBar()
-	bar.SetGlobalOptions(
-		charts.WithTitleOpts(opts.Title{Title: "Service-level burn", Subtitle: "node " + node + "; 1 spends the error budget exactly"}),
-		charts.WithXAxisOpts(opts.XAxis{AxisLabel: &opts.AxisLabel{Rotate: 30}}),
-	)
-	names := make([]string, 0, len(rates))
-	short := make([]opts.BarData, 0, len(rates))
-	long := make([]opts.BarData, 0, len(rates))
+	var svg template.HTML
+	if len(rates) > 0 {
+		var err error
+		if svg, err = chart(rates); err != nil {
+			return fmt.Errorf("burn report: plot: %w", err)
+		}
+	}
+	return page.Execute(w, struct {
+		Node  string
+		Plot  template.HTML
+		Rates []burn.Rate
+	}{node, svg, rates})
+}
+
+const (
+	barWidth    = vg.Length(8)
+	seriesWidth = vg.Length(26)
+	frameWidth  = vg.Length(120)
+	chartHeight = vg.Length(320)
+	labelTurn   = 0.6
+)
+
+// chart draws two bars a series, for the short and the long window.
+func chart(rates []burn.Rate) (template.HTML, error) {
+	p := plot.New()
+	p.Y.Label.Text = "burn rate"
+	p.Y.Min = 0
+	var names []string
+	var short, long plotter.Values
 	for _, r := range rates {
 		names = append(names, fmt.Sprintf("%s %s %s", r.Workspace, r.Service, r.Indicator))
-		short = append(short, opts.BarData{Value: r.Short})
-		long = append(long, opts.BarData{Value: r.Long})
+		short = append(short, r.Short)
+		long = append(long, r.Long)
+	}
+	for i, values := range []plotter.Values{short, long} {
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return "", err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.Offset = barWidth * vg.Length(2*i-1) / 2
+		p.Add(bars)
+		p.Legend.Add([]string{"5 minutes", "1 hour"}[i], bars)
+	}
+	p.Legend.Top = true
+	p.NominalX(names...)
+	p.X.Tick.Label.Rotation = labelTurn
+	p.X.Tick.Label.XAlign = draw.XRight
+	canvas := vgsvg.New(frameWidth+seriesWidth*vg.Length(len(rates)), chartHeight)
+	p.Draw(draw.New(canvas))
+	var svg bytes.Buffer
+	if _, err := canvas.WriteTo(&svg); err != nil {
+		return "", err
 	}
-	bar.SetXAxis(names).AddSeries("5 minutes", short).AddSeries("1 hour", long)
-	return bar.Render(w)
+	// The XML prologue has no place inside a page.
+	_, image, _ := strings.Cut(svg.String(), "<svg")
+	return template.HTML("<svg" + image), nil
 }
--- a/demo/calls_test.go
+++ b/demo/calls_test.go
@@ -155,8 +155,12 @@
 		workspace = w
 	}
 	tokens, turns := number(ts, named, "tokens", 16), number(ts, named, "turns", 1)
+	model := "drum-assistant"
+	if m, ok := named["model"]; ok {
+		model = m
+	}
 	request := map[string]any{
-		"model": "drum-assistant", "prompt_cache_key": id, "max_tokens": tokens, "stream": has(rest, "stream"),
+		"model": model, "prompt_cache_key": id, "max_tokens": tokens, "stream": has(rest, "stream"),
 	}
 	var messages []message
 	for turn := range turns {
@@ -167,7 +171,9 @@
 	ts.Check(err)
 	parsed, err := fleetchat.Parse(body)
 	ts.Check(err)
-	target := "http://" + s.layout.Hosts[s.hostIndex(s.resolve(named["via"]))].Caller + "/v1/chat/completions"
+	via := s.resolve(named["via"])
+	target := "http://" + s.layout.Hosts[s.hostIndex(via)].Caller + "/v1/chat/completions"
+	s.note(name, fmt.Sprintf("%s POST /v1/chat/completions %s %s", via, workspace, body))
 	s.run(name, has(rest, "async"), func() *answer {
 		a := send(http.MethodPost, target, workspace, "", body)
 		a.want = modelengine.Expected(string(parsed.ID(workspace)), turns, tokens)
@@ -175,6 +181,12 @@
 	})
 }
 
+func (s *scene) note(name, sent string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[name] = sent
+}
+
 func has(args []string, word string) bool {
 	for _, arg := range args {
 		if arg == word {
@@ -194,7 +206,9 @@
 		keyName = k
 	}
 	key := s.key(keyName)
-	target := "http://" + s.layout.Hosts[s.hostIndex(s.resolve(named["via"]))].Caller + "/returns/confirm"
+	via := s.resolve(named["via"])
+	target := "http://" + s.layout.Hosts[s.hostIndex(via)].Caller + "/returns/confirm"
+	s.note(name, fmt.Sprintf("%s POST /returns/confirm gent-depot %s", via, key))
 	s.run(name, has(rest, "async"), func() *answer {
 		return send(http.MethodPost, target, "gent-depot", key, []byte(`{"drums":40}`))
 	})
--- a/demo/scene_test.go
+++ b/demo/scene_test.go
@@ -73,6 +73,8 @@
 	mu      sync.Mutex
 	answers map[string]*answer
 	keys    map[string]string
+	// sent holds what each call sent, for the transcript.
+	sent    map[string]string
 	pending map[string]chan struct{}
 }
 
@@ -82,10 +84,11 @@
 
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata",
+		Dir:           "testdata",
+		UpdateScripts: os.Getenv("UPDATE_GOLDEN") != "",
 		Setup: func(env *testscript.Env) error {
 			s := &scene{
-				dir: env.WorkDir, nodes: map[string]*exec.Cmd{}, answers: map[string]*answer{}, keys: map[string]string{},
+				dir: env.WorkDir, nodes: map[string]*exec.Cmd{}, answers: map[string]*answer{}, keys: map[string]string{}, sent: map[string]string{},
 				pending: map[string]chan struct{}{}, engines: map[string]*network.Link{}, peers: map[string]*network.Link{},
 			}
 			env.Values[sceneKey{}] = s
@@ -95,7 +98,7 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"site": cmdSite, "start": cmdStart, "signal": cmdSignal, "ended": cmdEnded,
 			"chat": cmdChat, "act": cmdAct, "join": cmdJoin, "expect": cmdExpect, "platform": cmdPlatform, "publish": cmdPublish,
-			"list": cmdList, "link": cmdLink, "until": cmdUntil, "sleep": cmdSleep, "engine": cmdEngine, "storm": cmdStorm, "traffic": cmdTraffic,
+			"list": cmdList, "link": cmdLink, "until": cmdUntil, "sleep": cmdSleep, "engine": cmdEngine, "storm": cmdStorm, "traffic": cmdTraffic, "transcript": cmdTranscript,
 		},
 	})
 }
--- a/fleet/chat/chat_test.go
+++ b/fleet/chat/chat_test.go
@@ -33,7 +33,9 @@
 	f.Add([]byte(`{"model":"m","messages":[{}],"prompt_cache_key":"k"}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		if r, err := chat.Parse(body); err == nil {
-			require.Equal(t, r.ID("w"), r.ID("w"))
+			again, err := chat.Parse(body)
+			require.NoError(t, err)
+			require.Equal(t, r.ID("w"), again.ID("w"))
 		}
 	})
 }
--- a/fleet/gossip/gossip_test.go
+++ b/fleet/gossip/gossip_test.go
@@ -18,7 +18,6 @@
 	ids    []host.ID
 	stores []*Store
 	rounds []*Round
-	bytes  int
 }
 
 func newFleet(n, messageBytes int) *fleet {
--- a/fleet/keeper/keeper_test.go
+++ b/fleet/keeper/keeper_test.go
@@ -228,7 +228,7 @@
 				asked[next] = e.Engine
 				apply(k.Update(now, e))
 			},
-			"end": func(t *rapid.T) {
+			"end": func(*rapid.T) {
 				for ticket := Ticket(1); ticket <= next; ticket++ {
 					if _, ok := running[ticket]; ok {
 						delete(running, ticket)
