--- a/balsamknot/node/documents.go
+++ b/balsamknot/node/documents.go
@@ -99,6 +99,8 @@
 		return
 	}
 	d.n.ready.Store(true)
+	// Peers that tried this host before it was up hold it suspect until they hear of it.
+	d.n.members.broadcast(ctx, mostTold)
 	event.Log(d.n.log, zerolog.InfoLevel, event.NodeReady).Uint64("Revision", uint64(d.inForce().number)).Msg(event.Text(event.NodeReady))
 	var wg sync.WaitGroup
 	for _, name := range revision.Names() {
--- a/balsamknot/node/endpoint.go
+++ b/balsamknot/node/endpoint.go
@@ -140,7 +140,8 @@
 	defer cancel(nil)
 	watchdog := newWatchdog(silentAfter, func() { cancel(errSilent) })
 	defer watchdog.stop()
-	httpRequest, err := modelRequest(ctx, record, call, resume, m.position)
+	priority := k.n.documents.inForce().objects.Workspaces[call.GetWorkspace()].Priority
+	httpRequest, err := modelRequest(ctx, record, call, priority, resume, m.position)
 	if err != nil {
 		return err
 	}
@@ -166,7 +167,7 @@
 	return causeOf(ctx, copyWhole(body, response, m))
 }
 
-func modelRequest(ctx context.Context, record engine.Record, call *wire.Call, resume bool, after uint64) (*http.Request, error) {
+func modelRequest(ctx context.Context, record engine.Record, call *wire.Call, priority int, resume bool, after uint64) (*http.Request, error) {
 	target := url.URL{Scheme: "http", Host: record.Address, Path: call.GetPath()}
 	method := call.GetMethod()
 	var body io.Reader = bytes.NewReader(call.GetBody())
@@ -182,6 +183,7 @@
 	copyHeaders(r.Header, call.GetHeaders())
 	r.Header.Set("Request-Id", call.GetId())
 	r.Header.Set("Chat-Id", call.GetChat())
+	r.Header.Set("Priority", strconv.Itoa(priority))
 	return r, nil
 }
 
--- a/demo/traffic_test.go
+++ b/demo/traffic_test.go
@@ -77,12 +77,14 @@
 	sent     atomic.Int64
 	mu       sync.Mutex
 	failures []string
+	// lost holds the failures that were no refusal with a code: answers broken off, mixed up or run twice.
+	lost []string
 }
 
 var traffics sync.Map
 
 // cmdTraffic runs steady load: traffic start NAME callers=N tokens=N seed=N workspace=W, traffic stop NAME,
-// traffic failed NAME N.
+// traffic failed NAME N, traffic lost NAME N; a refusal with code and Retry-After is failed but not lost.
 func cmdTraffic(ts *testscript.TestScript, neg bool, args []string) {
 	s := sceneOf(ts)
 	rest, named := options(args)
@@ -110,10 +112,14 @@
 		for _, failure := range t.failures {
 			ts.Logf("  %s", failure)
 		}
-	case "failed":
+	case "failed", "lost":
 		t := trafficOf(ts, name)
-		if got := fmt.Sprint(len(t.failures)); (got != rest[2]) != neg {
-			ts.Fatalf("%s of %d failed, want %s: %v", got, t.sent.Load(), rest[2], t.failures[:min(5, len(t.failures))])
+		failures := t.failures
+		if rest[0] == "lost" {
+			failures = t.lost
+		}
+		if got := fmt.Sprint(len(failures)); (got != rest[2]) != neg {
+			ts.Fatalf("%s of %d %s, want %s: %v", got, t.sent.Load(), rest[0], rest[2], failures[:min(5, len(failures))])
 		}
 		if t.sent.Load() == 0 {
 			ts.Fatalf("no traffic was sent")
@@ -144,7 +150,7 @@
 		parsed, _ := fleetchat.Parse(body)
 		a := send(http.MethodPost, "http://"+t.balancer.pick(random)+"/v1/chat/completions", workspace, "", body)
 		a.want = modelengine.Expected(string(parsed.ID(workspace)), turn, tokens)
-		t.note(id, a.whole())
+		t.note(id, a, a.whole())
 		t.confirm(s, workspace, id, random)
 	}
 }
@@ -161,15 +167,19 @@
 	case runs != 1:
 		err = fmt.Errorf("confirmation ran %d times", runs)
 	}
-	t.note(id, err)
+	t.note(id, a, err)
 }
 
-func (t *traffic) note(id string, err error) {
+func (t *traffic) note(id string, a *answer, err error) {
 	t.sent.Add(1)
 	if err == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.failures = append(t.failures, fmt.Sprintf("%s %s: %v", time.Now().Format("05.000"), id, err))
+	text := fmt.Sprintf("%s %s: %v", time.Now().Format("05.000"), id, err)
+	t.failures = append(t.failures, text)
+	if a.refusal.Error.Code == "" || a.header.Get("Retry-After") == "" {
+		t.lost = append(t.lost, text)
+	}
 }
--- a/load/caller/caller.go
+++ b/load/caller/caller.go
@@ -18,8 +18,10 @@
 type Chat struct {
 	Key      string
 	Messages []json.RawMessage
-	turns    int
-	busy     bool
+	// Engine is where the last turn was answered.
+	Engine string
+	turns  int
+	busy   bool
 }
 
 // bytesPerToken is the tokenizer of the stand-in engines.
--- a/load/run.go
+++ b/load/run.go
@@ -41,6 +41,8 @@
 type PhaseResult struct {
 	Phase                      string
 	Sent, Whole, Refused, Lost int
+	// Moved counts returning turns that were answered by another engine than the turn before.
+	Moved int
 	// Reuse is the share of returning prompt tokens found on an engine.
 	Reuse float64
 	// SkewP50 and SkewP99 are the busiest engine over the mean, over time, while the mean is at least minimumMean.
@@ -172,7 +174,7 @@
 
 func (r *runner) send(host string, turn caller.Turn, current *phase) {
 	began := time.Now()
-	answer, firstByte, result := r.exchange(host, turn)
+	answer, firstByte, engine, result := r.exchange(host, turn)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.play.Done(turn, answer, result == endWhole)
@@ -181,6 +183,10 @@
 	case endWhole:
 		current.result.Whole++
 		current.returning += int64(turn.Returning)
+		if turn.Chat.Engine != "" && turn.Chat.Engine != engine {
+			current.result.Moved++
+		}
+		turn.Chat.Engine = engine
 		_ = current.firstByte.RecordValue(firstByte.Sub(began).Microseconds() / 10)
 	case endRefused:
 		current.result.Refused++
@@ -189,23 +195,24 @@
 	}
 }
 
-func (r *runner) exchange(host string, turn caller.Turn) (answer string, firstByte time.Time, result end) {
+func (r *runner) exchange(host string, turn caller.Turn) (answer string, firstByte time.Time, engine string, result end) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/chat/completions", bytes.NewReader(turn.Body))
 	if err != nil {
-		return "", firstByte, endLost
+		return "", firstByte, "", endLost
 	}
 	request.Header.Set("Authorization", "Bearer key-"+turn.Workspace.Name)
 	response, err := r.client.Do(request)
 	if err != nil {
-		return "", firstByte, endLost
+		return "", firstByte, "", endLost
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return "", firstByte, endRefused
+		return "", firstByte, "", endRefused
 	}
-	return readStream(response)
+	answer, firstByte, result = readStream(response)
+	return answer, firstByte, response.Header.Get("Balsamknot-Endpoint"), result
 }
 
 func readStream(response *http.Response) (answer string, firstByte time.Time, result end) {
@@ -328,8 +335,8 @@
 
 func (r Result) print() {
 	for _, p := range r.Phases {
-		fmt.Printf("%-24s %-7s sent %5d whole %5d refused %4d lost %3d reuse %.3f skew p50 %.2f p99 %.2f over %d/%d mean %.1f first byte p50 %.0f p95 %.0f ms control %.0f B/s\n",
-			r.Name, p.Phase, p.Sent, p.Whole, p.Refused, p.Lost, p.Reuse, p.SkewP50, p.SkewP99, p.OverBound, p.Samples, p.MeanLoad,
+		fmt.Printf("%-24s %-7s sent %5d whole %5d refused %4d lost %3d moved %3d reuse %.3f skew p50 %.2f p99 %.2f over %d/%d mean %.1f first byte p50 %.0f p95 %.0f ms control %.0f B/s\n",
+			r.Name, p.Phase, p.Sent, p.Whole, p.Refused, p.Lost, p.Moved, p.Reuse, p.SkewP50, p.SkewP99, p.OverBound, p.Samples, p.MeanLoad,
 			p.FirstByteP50Ms, p.FirstByteP95Ms, r.ControlBytes)
 	}
 }
