--- a/balsamknot/node/caller.go
+++ b/balsamknot/node/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -16,8 +15,6 @@
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
-	"balsamknot.org/fleet/chat"
-	"balsamknot.org/fleet/claim"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/object"
 	"balsamknot.org/fleet/outcome"
@@ -198,30 +195,6 @@
 	}
 }
 
-// serveChat takes a chat completion request to an engine.
-func (n *Node) serveChat(w http.ResponseWriter, r *http.Request) {
-	x := exchangeOf(r)
-	body, refusal := n.readBody(w, r)
-	if refusal != nil {
-		n.refuse(w, r, refusal)
-		return
-	}
-	parsed, err := chat.Parse(body)
-	if err != nil {
-		n.refuse(w, r, malformed(err.Error()))
-		return
-	}
-	current := n.documents.inForce()
-	name := current.byModel[parsed.Model]
-	if refusal := n.allow(x, current, name, "model "+parsed.Model); refusal != nil {
-		n.refuse(w, r, refusal)
-		return
-	}
-	call := n.newCall(x, r, body)
-	call.Chat = string(parsed.ID(x.workspace.Name))
-	n.serveForwarded(w, r, x, call, parsed.Stream)
-}
-
 // allow checks that the workspace may use a service, and notes service and policy.
 func (n *Node) allow(x *exchange, current *inForce, name, asked string) *outcome.Refusal {
 	service, ok := current.objects.Services[name]
@@ -275,189 +248,3 @@
 	}
 	writeRefusal(w, refusal)
 }
-
-// servePlain takes a call to a plain service.
-func (n *Node) servePlain(w http.ResponseWriter, r *http.Request) {
-	x := exchangeOf(r)
-	current := n.documents.inForce()
-	if refusal := n.allow(x, current, plainService(current, r.URL.Path), "path "+r.URL.Path); refusal != nil {
-		n.refuse(w, r, byThisNode(r, refusal))
-		return
-	}
-	body, refusal := n.readBody(w, r)
-	if refusal != nil {
-		n.refuse(w, r, refusal)
-		return
-	}
-	call := n.newCall(x, r, body)
-	key := r.Header.Get("Idempotency-Key")
-	if key == "" && (repeatable(r.Method) || x.service.Repeatable) {
-		n.serveForwarded(w, r, x, call, false)
-		return
-	}
-	parsed, _, err := claim.ParseKey(key)
-	if err != nil {
-		n.refuse(w, r, keyRefusal(key, err))
-		return
-	}
-	call.IdempotencyKey = string(parsed)
-	n.serveKeyed(w, r, x, call)
-}
-
-// repeatable reports whether a method is idempotent by RFC 9110.
-func repeatable(method string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions:
-		return true
-	}
-	return false
-}
-
-func keyRefusal(key string, err error) *outcome.Refusal {
-	refusal := malformed(err.Error())
-	refusal.Code = outcome.CodeKeyMalformed
-	if key == "" {
-		refusal.Code = outcome.CodeKeyRequired
-		refusal.Detail = "this call may not be repeated; send an Idempotency-Key that is a UUIDv7"
-	}
-	return refusal
-}
-
-// plainService returns the service with the longest path that a request lies under.
-func plainService(current *inForce, path string) string {
-	name, longest := "", ""
-	for _, service := range current.objects.Services {
-		if service.Path != "" && len(service.Path) > len(longest) && strings.HasPrefix(path, service.Path) {
-			name, longest = service.Name, service.Path
-		}
-	}
-	return name
-}
-
-// serveKeyed runs a call at most once and writes its answer.
-func (n *Node) serveKeyed(w http.ResponseWriter, r *http.Request, x *exchange, call *wire.Call) {
-	ctx, cancel := context.WithDeadline(r.Context(), time.UnixMilli(call.GetDeadlineMs()))
-	defer cancel()
-	reply := n.claims.route(ctx, call)
-	if refusal := refusalFromWire(reply.GetRefusal()); refusal != nil {
-		n.refuse(w, r, refusal)
-		return
-	}
-	x.firstByte = n.timers.Now()
-	w.Header().Set("Balsamknot-Home", reply.GetHome())
-	writeHeaders(w, reply.GetHeaders())
-	w.Header().Set("Content-Length", strconv.Itoa(len(reply.GetBody())))
-	w.WriteHeader(int(reply.GetStatus()))
-	_, _ = w.Write(reply.GetBody())
-}
-
-func writeHeaders(w http.ResponseWriter, headers []*wire.Header) {
-	for _, h := range headers {
-		w.Header().Add(h.GetName(), h.GetValue())
-	}
-}
-
-// refusalBody is the JSON of a refusal, in the shape that OpenAI clients read.
-type refusalBody struct {
-	Error struct {
-		Code       outcome.Code    `json:"code"`
-		Outcome    outcome.Outcome `json:"outcome"`
-		Message    string          `json:"message"`
-		Step       string          `json:"step"`
-		Peer       string          `json:"peer,omitempty"`
-		RetryAfter float64         `json:"retry_after_seconds,omitempty"`
-	} `json:"error"`
-}
-
-func refusalJSON(refusal *outcome.Refusal) []byte {
-	var body refusalBody
-	body.Error.Code = refusal.Code
-	body.Error.Outcome = refusal.Outcome
-	body.Error.Message = refusal.Detail
-	body.Error.Step = refusal.Step
-	body.Error.Peer = refusal.Peer
-	body.Error.RetryAfter = refusal.RetryAfter.Seconds()
-	encoded, _ := json.Marshal(body)
-	return encoded
-}
-
-func writeRefusal(w http.ResponseWriter, refusal *outcome.Refusal) {
-	w.Header().Set("Content-Type", "application/json")
-	if refusal.RetryAfter > 0 {
-		seconds := int64((refusal.RetryAfter + time.Second - 1) / time.Second)
-		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
-	}
-	w.WriteHeader(refusal.Status)
-	_, _ = w.Write(append(refusalJSON(refusal), '\n'))
-}
-
-// response is the sink that writes to the caller: at once for a stream, when whole for anything else.
-type response struct {
-	w      http.ResponseWriter
-	x      *exchange
-	n      *Node
-	stream bool
-	buffer buffer
-	begun  bool
-}
-
-// Head implements sink.
-func (o *response) Head(head *wire.Head) error {
-	o.x.keeper, o.x.engine = head.GetKeeper(), head.GetEngine()
-	if !o.stream {
-		return o.buffer.Head(head)
-	}
-	o.writeHead(head)
-	o.flush()
-	return nil
-}
-
-// Part implements sink.
-func (o *response) Part(data []byte) error {
-	if !o.stream {
-		return o.buffer.Part(data)
-	}
-	if o.x.firstByte.IsZero() {
-		o.x.firstByte = o.n.timers.Now()
-	}
-	if _, err := o.w.Write(data); err != nil {
-		return err
-	}
-	o.flush()
-	return nil
-}
-
-// Delivered implements sink.
-func (o *response) Delivered() bool { return o.begun }
-
-// Reset implements sink.
-func (o *response) Reset() { o.buffer.Reset() }
-
-func (o *response) writeHead(head *wire.Head) {
-	o.begun = true
-	o.w.Header().Set("Balsamknot-Endpoint", head.GetEngine())
-	o.w.Header().Set("Balsamknot-Keeper", head.GetKeeper())
-	writeHeaders(o.w, head.GetHeaders())
-	o.w.WriteHeader(int(head.GetStatus()))
-}
-
-func (o *response) flush() { _ = http.NewResponseController(o.w).Flush() }
-
-func (o *response) finish() {
-	if o.stream && o.begun {
-		return
-	}
-	o.x.firstByte = o.n.timers.Now()
-	o.w.Header().Set("Content-Length", strconv.Itoa(len(o.buffer.body)))
-	o.writeHead(o.buffer.head)
-	_, _ = o.w.Write(o.buffer.body)
-}
-
-// breakOff ends a stream that can't be completed: an error event, and no regular end.
-func (o *response) breakOff(refusal *outcome.Refusal) {
-	_, _ = o.w.Write([]byte("event: error\ndata: "))
-	_, _ = o.w.Write(refusalJSON(refusal))
-	_, _ = o.w.Write([]byte("\n\n"))
-	o.flush()
-	panic(http.ErrAbortHandler)
-}
--- a/balsamknot/node/claims.go
+++ b/balsamknot/node/claims.go
@@ -94,32 +94,39 @@
 	return slices.Min(regions)
 }
 
-// route sends a keyed call to the home of its key.
+// homeTries bounds how many homes a call is offered while none can be reached.
+const homeTries = 3
+
+// route sends a keyed call to the home of its key, and to the next in line while nothing could be sent.
 func (c *claims) route(ctx context.Context, call *wire.Call) *wire.ActReply {
-	ranked := placement.Rank("home/"+string(scopedKey(call)), c.n.members.live(c.n.homeRegion(call.GetWorkspace())), 1)
-	if len(ranked) == 0 || ranked[0] == c.n.self.ID {
-		return c.act(ctx, call, false)
+	var reply *wire.ActReply
+	for range homeTries {
+		ranked := placement.Rank("home/"+string(scopedKey(call)), c.n.members.live(c.n.homeRegion(call.GetWorkspace())), 1)
+		if len(ranked) == 0 || ranked[0] == c.n.self.ID {
+			return c.act(ctx, call, false)
+		}
+		var sent bool
+		if reply, sent = c.actAt(ctx, ranked[0], call, false); sent {
+			break
+		}
 	}
-	return c.actAt(ctx, ranked[0], call, false)
+	return reply
 }
 
-// actAt asks another home. When the way breaks, the call may have run.
-func (c *claims) actAt(ctx context.Context, id host.ID, call *wire.Call, deferred bool) *wire.ActReply {
+// actAt asks another home. When the way breaks after the call was sent, it may have run.
+func (c *claims) actAt(ctx context.Context, id host.ID, call *wire.Call, deferred bool) (reply *wire.ActReply, sent bool) {
 	record, ok := c.n.members.record(id)
 	if !ok {
-		return c.unknown(outcome.CodePeerUnreachable, "the home of the key is gone", string(id))
+		return c.unknown(outcome.CodePeerUnreachable, "the home of the key is gone", string(id)), false
 	}
-	reply, err := c.n.peers.forwardClient(record.PeerAddress).Act(ctx, connect.NewRequest(&wire.ActRequest{Call: call, Deferred: deferred}))
+	answered, err := c.n.peers.forwardClient(record.PeerAddress).Act(ctx, connect.NewRequest(&wire.ActRequest{Call: call, Deferred: deferred}))
 	if err == nil {
-		return reply.Msg
+		return answered.Msg, true
 	}
 	if ctx.Err() == nil {
 		c.n.members.missed(id, false)
 	}
-	if neverSent(err) && !deferred {
-		return c.route(ctx, call)
-	}
-	return c.unknown(outcome.CodePeerUnreachable, err.Error(), string(id))
+	return c.unknown(outcome.CodePeerUnreachable, err.Error(), string(id)), !neverSent(err)
 }
 
 // act runs a key here if this home wins it, and answers repeats of it.
@@ -232,111 +239,14 @@
 		if deferred || result.Holder.Host == c.self.Host {
 			return c.unknown(outcome.CodeClaimUnsettled, "another home holds the key and can't be asked", string(result.Holder.Host)), false
 		}
-		return c.actAt(ctx, result.Holder.Host, call, true), false
+		reply, _ := c.actAt(ctx, result.Holder.Host, call, true)
+		return reply, false
 	}
 	c.n.meter.unsettled.Inc()
 	c.log(event.ClaimUnsettled, key, "")
 	return c.unknown(outcome.CodeClaimUnsettled, "too few electors vouched; nothing was sent", string(c.n.self.ID)), false
 }
 
-// poll drives a claim to its result.
-func (c *claims) poll(ctx context.Context, key claim.Key, h *home) claim.Command {
-	results := make(chan claim.Command, 1)
-	c.drive(ctx, key, h, claim.Asked{Electors: c.n.members.electors(key)}, results)
-	return <-results
-}
-
-// drive applies one event to a claim and carries out the commands.
-func (c *claims) drive(ctx context.Context, key claim.Key, h *home, e claim.Event, results chan<- claim.Command) {
-	c.mu.Lock()
-	commands := h.claim.Update(c.n.timers.Now(), e)
-	c.mu.Unlock()
-	for _, command := range commands {
-		switch cmd := command.(type) {
-		case claim.AskVotes:
-			for _, id := range cmd.Electors {
-				go c.ask(ctx, key, h, id, cmd, results)
-			}
-		case claim.SendRelease:
-			for _, id := range cmd.Electors {
-				go c.release(key, id, cmd.Attempt)
-			}
-		case claim.Won, claim.Lost, claim.Unsettled:
-			results <- cmd
-		}
-	}
-}
-
-// ask gets one elector's vote.
-func (c *claims) ask(ctx context.Context, key claim.Key, h *home, id host.ID, cmd claim.AskVotes, results chan<- claim.Command) {
-	vote, err := c.vote(ctx, key, id, cmd)
-	if err != nil {
-		c.drive(ctx, key, h, claim.Unheard{From: id, Attempt: cmd.Attempt}, results)
-		return
-	}
-	c.drive(ctx, key, h, claim.Voted{From: id, Vote: vote}, results)
-}
-
-func (c *claims) vote(ctx context.Context, key claim.Key, id host.ID, cmd claim.AskVotes) (claim.Vote, error) {
-	if id == c.n.self.ID {
-		return c.decide(key, c.self, cmd.Attempt, cmd.Electors), nil
-	}
-	record, ok := c.n.members.record(id)
-	if !ok {
-		return claim.Vote{}, errNeverSent
-	}
-	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
-	defer cancel()
-	r := &wire.VoteRequest{Key: string(key), Claimant: formatClaimant(c.self), Attempt: uint64(cmd.Attempt)}
-	for _, elector := range cmd.Electors {
-		r.Electors = append(r.Electors, string(elector))
-	}
-	reply, err := c.n.peers.controlClient(record.PeerAddress).Vote(ctx, connect.NewRequest(r))
-	if err != nil {
-		return claim.Vote{}, err
-	}
-	return claim.Vote{
-		Verdict: claim.Verdict(reply.Msg.GetVerdict()), Attempt: claim.Attempt(reply.Msg.GetAttempt()),
-		Holder: parseClaimant(reply.Msg.GetClaimant()),
-	}, nil
-}
-
-// decide is this node's vote as an elector.
-func (c *claims) decide(key claim.Key, claimant claim.Claimant, attempt claim.Attempt, electors []host.ID) claim.Vote {
-	minted, err := mintOf(key)
-	if err != nil {
-		return claim.Vote{Attempt: attempt}
-	}
-	view, since := c.n.members.electors(key), c.n.members.electorSince(key)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.elector.Decide(c.n.timers.Now(), claim.Claimed{
-		Key: key, Minted: minted, Claimant: claimant, Attempt: attempt, Electors: electors, View: view, Since: since,
-	})
-}
-
-func (c *claims) release(key claim.Key, id host.ID, attempt claim.Attempt) {
-	if id == c.n.self.ID {
-		c.forgetAttempt(key, c.self, attempt)
-		return
-	}
-	record, ok := c.n.members.record(id)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	_, _ = c.n.peers.controlClient(record.PeerAddress).Release(ctx, connect.NewRequest(&wire.ReleaseRequest{
-		Key: string(key), Claimant: formatClaimant(c.self), Attempt: uint64(attempt),
-	}))
-}
-
-func (c *claims) forgetAttempt(key claim.Key, claimant claim.Claimant, attempt claim.Attempt) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.elector.Release(key, claimant, attempt)
-}
-
 // run takes a won call to its endpoint.
 func (c *claims) run(ctx context.Context, call *wire.Call, key claim.Key, h *home) *wire.ActReply {
 	current := c.n.documents.inForce()
@@ -414,34 +324,3 @@
 }
 
 func refused(r *outcome.Refusal) *wire.ActReply { return &wire.ActReply{Refusal: refusalToWire(r)} }
-
-func formatClaimant(c claim.Claimant) string { return string(c.Host) + "/" + string(c.Incarnation) }
-
-func parseClaimant(text string) claim.Claimant {
-	id, incarnation, _ := strings.Cut(text, "/")
-	return claim.Claimant{Host: host.ID(id), Incarnation: host.Incarnation(incarnation)}
-}
-
-// buffer is the sink of an answer that is held back until it is whole.
-type buffer struct {
-	head *wire.Head
-	body []byte
-}
-
-// Head implements sink.
-func (b *buffer) Head(head *wire.Head) error {
-	b.head = head
-	return nil
-}
-
-// Part implements sink.
-func (b *buffer) Part(data []byte) error {
-	b.body = append(b.body, data...)
-	return nil
-}
-
-// Delivered implements sink.
-func (b *buffer) Delivered() bool { return false }
-
-// Reset implements sink.
-func (b *buffer) Reset() { *b = buffer{} }
--- a/balsamknot/node/documents.go
+++ b/balsamknot/node/documents.go
@@ -144,15 +144,63 @@
 	wg.Wait()
 }
 
-// fetch takes one document from a peer.
+// fetch takes one document from a peer: the deltas to its version, or all of it.
 func (d *documents) fetch(ctx context.Context, address string, name revision.Name) {
-	reply, err := d.n.peers.controlClient(address).FetchDocument(ctx, connect.NewRequest(&wire.FetchDocumentRequest{
-		Name: string(name), HaveRevision: uint64(d.number(name)),
-	}))
-	if err != nil || !reply.Msg.GetFound() {
-		return
+	for _, have := range []revision.Document{d.document(name), {}} {
+		reply, err := d.n.peers.controlClient(address).FetchDocument(ctx, connect.NewRequest(&wire.FetchDocumentRequest{
+			Name: string(name), HaveRevision: uint64(have.Number),
+		}))
+		if err != nil || !reply.Msg.GetFound() {
+			return
+		}
+		doc, err := assemble(name, have, reply.Msg)
+		if err == nil {
+			d.offer(doc, address)
+			return
+		}
+	}
+}
+
+// assemble returns the document of a peer's reply. revision.ErrDelta says that it has to be fetched whole.
+func assemble(name revision.Name, have revision.Document, reply *wire.FetchDocumentReply) (revision.Document, error) {
+	if len(reply.GetDeltas()) == 0 {
+		return revision.Document{Name: name, Number: revision.Number(reply.GetRevision()), Value: reply.GetValue()}, nil
+	}
+	doc := have
+	for _, delta := range reply.GetDeltas() {
+		var err error
+		doc, err = revision.Delta{
+			From: revision.Number(delta.GetFrom()), To: revision.Number(delta.GetTo()), Prefix: int(delta.GetPrefix()),
+			Suffix: int(delta.GetSuffix()), Middle: delta.GetMiddle(), Sum: delta.GetSum(),
+		}.Apply(doc)
+		if err != nil {
+			return revision.Document{}, err
+		}
+	}
+	return doc, nil
+}
+
+// reply answers a peer that has a version of a document.
+func (d *documents) reply(name revision.Name, have revision.Number) *wire.FetchDocumentReply {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	doc := d.ledger.InForce(name)
+	if doc.Number == 0 || doc.Number <= have {
+		return &wire.FetchDocumentReply{}
+	}
+	reply := &wire.FetchDocumentReply{Found: true, Revision: uint64(doc.Number)}
+	deltas, ok := d.ledger.Since(name, have)
+	if !ok {
+		reply.Value = doc.Value
+		return reply
+	}
+	for _, delta := range deltas {
+		reply.Deltas = append(reply.Deltas, &wire.Delta{
+			From: uint64(delta.From), To: uint64(delta.To), Prefix: uint32(delta.Prefix), Suffix: uint32(delta.Suffix),
+			Middle: delta.Middle, Sum: delta.Sum,
+		})
 	}
-	d.offer(revision.Document{Name: name, Number: revision.Number(reply.Msg.GetRevision()), Value: reply.Msg.GetValue()}, address)
+	return reply
 }
 
 // read takes one document from the platform.
--- a/balsamknot/node/endpoint.go
+++ b/balsamknot/node/endpoint.go
@@ -285,15 +285,22 @@
 // plainTry runs a call on a plain service once. keyed calls are never sent again, whatever happens.
 func (k *keeping) plainTry(ctx context.Context, record engine.Record, call *wire.Call, m *emitter) error {
 	keyed := call.GetIdempotencyKey() != ""
+	began := k.n.timers.Now()
 	err := k.plainConnection(ctx, record, call, m, keyed)
 	var failed sendError
-	if keyed || err == nil || ctx.Err() != nil || errors.As(err, &failed) || errors.Is(err, errAnswerTooLarge) {
+	if err == nil || ctx.Err() != nil || errors.As(err, &failed) || errors.Is(err, errAnswerTooLarge) {
 		return err
 	}
 	if errors.Is(err, errSilent) {
 		k.n.meter.resumed()
 		return k.plainConnection(ctx, record, call, m, true)
 	}
+	if !k.answers(record.Address) {
+		k.endpointLost(record.ID, began)
+	}
+	if keyed {
+		return err
+	}
 	return eris.Wrapf(errEndpointLost, "run: endpoint %s: %v", record.ID, err)
 }
 
--- a/balsamknot/node/forward.go
+++ b/balsamknot/node/forward.go
@@ -159,10 +159,10 @@
 	var result route.Event
 	var finished bool
 	err := q.n.frames(ctx, keeperID, r, func(frame *wire.Frame) error {
-		if finished {
-			return nil
-		}
 		result, finished = q.take(frame)
+		if finished && frame.GetEnd() == nil && frame.GetDecline() == nil {
+			return errEnough
+		}
 		return nil
 	})
 	switch {
@@ -203,6 +203,9 @@
 	return stream.Err()
 }
 
+// errEnough ends a try before its last frame.
+var errEnough = errors.New("the rest of the answer is not wanted")
+
 // errNeverSent says that a request did not leave this node.
 var errNeverSent = errors.New("no way to the peer is known")
 
@@ -225,7 +228,7 @@
 	case *wire.Frame_Decline:
 		return q.declined(body.Decline), true
 	case *wire.Frame_Head:
-		q.n.keeping.hearLoads([]*wire.EngineLoad{{Engine: body.Head.GetEngine(), Load: body.Head.GetLoad()}})
+		q.n.keeping.hearAverage(body.Head)
 		step := q.assembly.Update(answer.Frame{Try: answer.TryID(frame.GetTryId()), Kind: answer.Head})
 		if step.Action == answer.Deliver {
 			return q.delivered(q.sink.Head(body.Head))
--- a/balsamknot/node/keeping.go
+++ b/balsamknot/node/keeping.go
@@ -2,28 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
-	"math"
 	"net/http"
-	"net/url"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
-	"balsamknot.org/fleet/chat"
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/fingerprint"
-	"balsamknot.org/fleet/gossip"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/keeper"
 	"balsamknot.org/fleet/placement"
-	"balsamknot.org/fleet/wire"
 )
 
 const (
@@ -207,158 +199,6 @@
 	k.dispatch(k.machine.Update(now, keeper.EngineLeaving{Engine: id, Leaving: leaving}))
 }
 
-// loadReport is an endpoint's answer to a probe.
-type loadReport struct {
-	Running, Capacity int
-	AgeMs             int64
-	Leaving           bool
-	Seq               uint64
-	Events            []struct {
-		Seq  uint64
-		Kind string
-		Chat string
-	}
-}
-
-// probe asks an endpoint for its load and cache events.
-func (k *keeping) probe(id engine.ID) {
-	k.mu.Lock()
-	e := k.kept[id]
-	if e == nil {
-		k.mu.Unlock()
-		return
-	}
-	address, after := e.record.Address, e.events
-	k.mu.Unlock()
-	report, err := k.askLoad(address, after)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.n.timers.Now()
-	if err != nil {
-		e.failures++
-		if e.failures == downAfter {
-			k.dispatch(k.machine.Update(now, keeper.EngineLeaving{Engine: id, Leaving: true}))
-		}
-		return
-	}
-	if e.failures >= downAfter {
-		k.dispatch(k.machine.Update(now, keeper.EngineLeaving{Engine: id, Leaving: e.record.Leaving}))
-	}
-	e.failures = 0
-	e.events = report.Seq
-	for _, ev := range report.Events {
-		k.dispatch(k.machine.Update(now, keeper.CacheEvicted{Engine: id, Chat: chat.ID(ev.Chat)}))
-	}
-	k.dispatch(k.machine.Update(now, keeper.LoadReported{Engine: id, Report: engine.Report{
-		Running: report.Running, Capacity: report.Capacity, Leaving: report.Leaving,
-		Age: time.Duration(report.AgeMs) * time.Millisecond,
-	}}))
-}
-
-func (k *keeping) askLoad(address string, after uint64) (loadReport, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	target := url.URL{
-		Scheme: "http", Host: address, Path: "/v1/load",
-		RawQuery: "events_after=" + strconv.FormatUint(after, 10),
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), http.NoBody)
-	if err != nil {
-		return loadReport{}, err
-	}
-	response, err := k.pooled.Do(r)
-	if err != nil {
-		return loadReport{}, err
-	}
-	defer response.Body.Close()
-	var report loadReport
-	counted := &countingReader{r: response.Body}
-	err = json.NewDecoder(counted).Decode(&report)
-	k.n.meter.countControl(probeOverhead + counted.n)
-	return report, err
-}
-
-// probeOverhead is what a probe's request line and the headers of both sides take, in bytes.
-const probeOverhead = 260
-
-// exchangeLoads tells the other keepers the loads of this node's endpoints, and takes in theirs.
-func (k *keeping) exchangeLoads(now time.Time) {
-	k.mu.Lock()
-	loads := k.machine.Loads(now)
-	k.mu.Unlock()
-	for _, load := range loads {
-		if told, ok := k.n.members.row(now, k.n.self.ID, loadKey+string(load.Engine)); ok && !worthTelling(now, told, load.Load) {
-			continue
-		}
-		k.n.members.tell(gossip.Row{
-			Origin: k.n.self.ID, Key: loadKey + string(load.Engine), Version: uint64(now.UnixMilli()), At: now, A: int64(load.Load * loadScale),
-		})
-	}
-	k.tellDown(now)
-	current := k.n.documents.inForce()
-	for _, row := range k.n.members.rows(now, loadKey) {
-		id := engine.ID(strings.TrimPrefix(row.Key, loadKey))
-		if record, ok := current.endpoints[id]; ok && row.Origin != k.n.self.ID {
-			k.update(keeper.LoadHeard{Engine: id, Pool: record.Pool, Load: float64(row.A) / loadScale, At: row.At})
-		}
-	}
-	down := k.down(now)
-	for pool, ids := range current.pools {
-		k.update(keeper.PoolSized{Pool: pool, Engines: working(current, ids, down)})
-	}
-}
-
-const (
-	// loadChange is the share by which a load must change to be told before loadRefresh.
-	loadChange  = 0.2
-	loadRefresh = 2 * time.Second
-	// loadScale is the unit of a load in gossip, as parts of a request.
-	loadScale = 100
-)
-
-// worthTelling reports whether a load differs enough from what the peers were told.
-func worthTelling(now time.Time, told gossip.Row, load float64) bool {
-	before := float64(told.A) / loadScale
-	return math.Abs(load-before) > loadChange*before || now.Sub(told.At) > loadRefresh
-}
-
-// tellDown tells the entries which endpoints answer no probe, so that they are left out at once.
-func (k *keeping) tellDown(now time.Time) {
-	k.mu.Lock()
-	var down []engine.ID
-	for id, e := range k.kept {
-		if e.failures >= downAfter {
-			down = append(down, id)
-		}
-	}
-	k.mu.Unlock()
-	for _, id := range down {
-		k.n.members.tell(gossip.Row{Origin: k.n.self.ID, Key: downKey + string(id), Version: uint64(now.UnixMilli()), At: now})
-	}
-}
-
-// down returns the endpoints that a keeper lately told to be down.
-func (k *keeping) down(now time.Time) map[engine.ID]bool {
-	down := make(map[engine.ID]bool)
-	for _, row := range k.n.members.rows(now, downKey) {
-		if now.Sub(row.At) < downLifetime {
-			down[engine.ID(strings.TrimPrefix(row.Key, downKey))] = true
-		}
-	}
-	return down
-}
-
-// working counts the endpoints that take new work.
-func working(current *inForce, ids []engine.ID, down map[engine.ID]bool) int {
-	n := 0
-	for _, id := range ids {
-		if !current.endpoints[id].Leaving && !down[id] {
-			n++
-		}
-	}
-	return n
-}
-
 // begin notes a try on an endpoint; the function returned ends it.
 func (k *keeping) begin(id engine.ID, p fingerprint.Print) func() {
 	k.mu.Lock()
@@ -430,13 +270,3 @@
 	defer k.mu.Unlock()
 	k.reports[id] = running
 }
-
-// hearLoads takes in what travelled with a request: the loads of the engines that declined it just before.
-func (k *keeping) hearLoads(loads []*wire.EngineLoad) {
-	current := k.n.documents.inForce()
-	for _, load := range loads {
-		if record, ok := current.endpoints[engine.ID(load.GetEngine())]; ok {
-			k.update(keeper.LoadMet{Engine: record.ID, Pool: record.Pool, Load: float64(load.GetLoad())})
-		}
-	}
-}
--- a/balsamknot/node/node.go
+++ b/balsamknot/node/node.go
@@ -47,8 +47,8 @@
 
 	ready    atomic.Bool
 	draining atomic.Bool
-	inFlight sync.WaitGroup
-	flying   atomic.Int64
+	// flying counts what a planned stop waits for: callers' requests, tries kept here, and keyed calls.
+	flying atomic.Int64
 
 	listeners listeners
 	stop      context.CancelFunc
@@ -68,6 +68,8 @@
 	forgetInterval   = time.Second
 	// pausedAfter is the gap between two exchange ticks that shows that the process did not run.
 	pausedAfter = 3 * time.Second
+	// drainInterval is how often a stopping node looks whether anything is in flight.
+	drainInterval = 20 * time.Millisecond
 )
 
 // New builds a node; Run starts it.
@@ -149,25 +151,16 @@
 	event.Log(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.flying.Load()).Msg(event.Text(event.NodeDraining))
 	n.members.leave()
 	time.Sleep(n.cfg.DrainGrace)
-	done := make(chan struct{})
-	go func() {
-		n.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(n.cfg.DrainLimit):
+	limit := n.timers.Now().Add(n.cfg.DrainLimit)
+	for n.flying.Load() > 0 && n.timers.Now().Before(limit) {
+		time.Sleep(drainInterval)
 	}
 }
 
 // enter counts a request in flight; the function returned ends it.
 func (n *Node) enter() func() {
-	n.inFlight.Add(1)
 	n.flying.Add(1)
-	return func() {
-		n.flying.Add(-1)
-		n.inFlight.Done()
-	}
+	return func() { n.flying.Add(-1) }
 }
 
 // Ready reports whether the node takes requests.
--- a/balsamknot/node/peer.go
+++ b/balsamknot/node/peer.go
@@ -84,9 +84,5 @@
 
 // FetchDocument implements wire.PeerHandler.
 func (s *peerServer) FetchDocument(_ context.Context, r *connect.Request[wire.FetchDocumentRequest]) (*connect.Response[wire.FetchDocumentReply], error) {
-	doc := s.n.documents.document(revision.Name(r.Msg.GetName()))
-	if doc.Number == 0 || uint64(doc.Number) <= r.Msg.GetHaveRevision() {
-		return connect.NewResponse(&wire.FetchDocumentReply{}), nil
-	}
-	return connect.NewResponse(&wire.FetchDocumentReply{Found: true, Revision: uint64(doc.Number), Value: doc.Value}), nil
+	return connect.NewResponse(s.n.documents.reply(revision.Name(r.Msg.GetName()), revision.Number(r.Msg.GetHaveRevision()))), nil
 }
--- /dev/null
+++ b/balsamknot/node/response.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"balsamknot.org/fleet/outcome"
+	"balsamknot.org/fleet/wire"
+)
+
+// refusalBody is the JSON of a refusal, in the shape that OpenAI clients read.
+type refusalBody struct {
+	Error struct {
+		Code       outcome.Code    `json:"code"`
+		Outcome    outcome.Outcome `json:"outcome"`
+		Message    string          `json:"message"`
+		Step       string          `json:"step"`
+		Peer       string          `json:"peer,omitempty"`
+		RetryAfter float64         `json:"retry_after_seconds,omitempty"`
+	} `json:"error"`
+}
+
+func refusalJSON(refusal *outcome.Refusal) []byte {
+	var body refusalBody
+	body.Error.Code = refusal.Code
+	body.Error.Outcome = refusal.Outcome
+	body.Error.Message = refusal.Detail
+	body.Error.Step = refusal.Step
+	body.Error.Peer = refusal.Peer
+	body.Error.RetryAfter = refusal.RetryAfter.Seconds()
+	encoded, _ := json.Marshal(body)
+	return encoded
+}
+
+func writeRefusal(w http.ResponseWriter, refusal *outcome.Refusal) {
+	w.Header().Set("Content-Type", "application/json")
+	if refusal.RetryAfter > 0 {
+		seconds := int64((refusal.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(refusal.Status)
+	_, _ = w.Write(append(refusalJSON(refusal), '\n'))
+}
+
+// response is the sink that writes to the caller: at once for a stream, when whole for anything else.
+type response struct {
+	w      http.ResponseWriter
+	x      *exchange
+	n      *Node
+	stream bool
+	buffer buffer
+	begun  bool
+}
+
+// Head implements sink.
+func (o *response) Head(head *wire.Head) error {
+	o.x.keeper, o.x.engine = head.GetKeeper(), head.GetEngine()
+	if !o.stream {
+		return o.buffer.Head(head)
+	}
+	o.writeHead(head)
+	o.flush()
+	return nil
+}
+
+// Part implements sink.
+func (o *response) Part(data []byte) error {
+	if !o.stream {
+		return o.buffer.Part(data)
+	}
+	if o.x.firstByte.IsZero() {
+		o.x.firstByte = o.n.timers.Now()
+	}
+	if _, err := o.w.Write(data); err != nil {
+		return err
+	}
+	o.flush()
+	return nil
+}
+
+// Delivered implements sink.
+func (o *response) Delivered() bool { return o.begun }
+
+// Reset implements sink.
+func (o *response) Reset() { o.buffer.Reset() }
+
+func (o *response) writeHead(head *wire.Head) {
+	o.begun = true
+	o.w.Header().Set("Balsamknot-Endpoint", head.GetEngine())
+	o.w.Header().Set("Balsamknot-Keeper", head.GetKeeper())
+	writeHeaders(o.w, head.GetHeaders())
+	o.w.WriteHeader(int(head.GetStatus()))
+}
+
+func (o *response) flush() { _ = http.NewResponseController(o.w).Flush() }
+
+func (o *response) finish() {
+	if o.stream && o.begun {
+		return
+	}
+	o.x.firstByte = o.n.timers.Now()
+	o.w.Header().Set("Content-Length", strconv.Itoa(len(o.buffer.body)))
+	o.writeHead(o.buffer.head)
+	_, _ = o.w.Write(o.buffer.body)
+}
+
+// breakOff ends a stream that can't be completed: an error event, and no regular end.
+func (o *response) breakOff(refusal *outcome.Refusal) {
+	_, _ = o.w.Write([]byte("event: error\ndata: "))
+	_, _ = o.w.Write(refusalJSON(refusal))
+	_, _ = o.w.Write([]byte("\n\n"))
+	o.flush()
+	panic(http.ErrAbortHandler)
+}
+
+// buffer is the sink of an answer that is held back until it is whole.
+type buffer struct {
+	head *wire.Head
+	body []byte
+}
+
+// Head implements sink.
+func (b *buffer) Head(head *wire.Head) error {
+	b.head = head
+	return nil
+}
+
+// Part implements sink.
+func (b *buffer) Part(data []byte) error {
+	b.body = append(b.body, data...)
+	return nil
+}
+
+// Delivered implements sink.
+func (b *buffer) Delivered() bool { return false }
+
+// Reset implements sink.
+func (b *buffer) Reset() { *b = buffer{} }
--- a/balsamknot/node/suspects.go
+++ b/balsamknot/node/suspects.go
@@ -36,11 +36,14 @@
 
 // lost notes that an endpoint was lost with these prints on it.
 func (s *suspects) lost(now time.Time, id engine.ID, prints []fingerprint.Print) {
+	c := fingerprint.Crash{Engine: id, At: now.UnixMilli(), Alone: len(prints) == 1}
 	for _, p := range prints {
-		s.learn(now, p, fingerprint.Crash{Engine: id, At: now.UnixMilli()})
-		s.n.members.tell(gossip.Row{
-			Origin: s.n.self.ID, Key: fingerprint.RowKey(p, id), Version: uint64(now.UnixMilli()), At: now, A: now.UnixMilli(),
-		})
+		s.learn(now, p, c)
+		row := gossip.Row{Origin: s.n.self.ID, Key: fingerprint.RowKey(p, id), Version: uint64(c.At), At: now, A: c.At}
+		if c.Alone {
+			row.B = 1
+		}
+		s.n.members.tell(row)
 	}
 }
 
@@ -52,7 +55,7 @@
 // heard takes in a peer's report of a crash.
 func (s *suspects) heard(now time.Time, row gossip.Row) {
 	if p, id, ok := fingerprint.ParseRowKey(row.Key); ok {
-		s.learn(now, p, fingerprint.Crash{Engine: id, At: row.A})
+		s.learn(now, p, fingerprint.Crash{Engine: id, At: row.A, Alone: row.B == 1})
 	}
 }
 
@@ -74,7 +77,7 @@
 func (s *suspects) learnWire(p fingerprint.Print, crashes []*wire.Crash) {
 	now := s.n.timers.Now()
 	for _, c := range crashes {
-		s.learn(now, p, fingerprint.Crash{Engine: engine.ID(c.GetEngine()), At: c.GetAtMs()})
+		s.learn(now, p, fingerprint.Crash{Engine: engine.ID(c.GetEngine()), At: c.GetAtMs(), Alone: c.GetAlone()})
 	}
 }
 
@@ -84,7 +87,7 @@
 	defer s.mu.Unlock()
 	var crashes []*wire.Crash
 	for _, c := range s.registry.Crashes(p) {
-		crashes = append(crashes, &wire.Crash{Engine: string(c.Engine), AtMs: c.At})
+		crashes = append(crashes, &wire.Crash{Engine: string(c.Engine), AtMs: c.At, Alone: c.Alone})
 	}
 	return crashes
 }
--- a/balsamknot/settings/settings.go
+++ b/balsamknot/settings/settings.go
@@ -12,9 +12,8 @@
 	"strings"
 	"time"
 
-	"gopkg.in/ini.v1"
-
 	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/inifile"
 )
 
 // Node is everything that a process learns from its settings. Keys in the file have the fields' names.
@@ -142,10 +141,10 @@
 	var faults Faults
 	for i, line := range strings.Split(string(content), "\n") {
 		line = strings.TrimSpace(line)
-		if line == "" || line[0] == '#' || line[0] == ';' || line == "[Node]" {
+		if inifile.Blank(line) || line == "[Node]" {
 			continue
 		}
-		key, value, ok := splitLine(line)
+		key, value, ok := inifile.Setting(line)
 		fault := Fault{File: path, Line: i + 1, Key: key}
 		set, known := setters[key]
 		switch {
@@ -177,18 +176,6 @@
 	return n, nil
 }
 
-func splitLine(line string) (key, value string, ok bool) {
-	file, err := ini.LoadSources(ini.LoadOptions{SpaceBeforeInlineComment: true, IgnoreContinuation: true}, []byte(line))
-	if err != nil {
-		return "", "", false
-	}
-	keys := file.Section(ini.DefaultSection).Keys()
-	if len(keys) != 1 {
-		return "", "", false
-	}
-	return keys[0].Name(), keys[0].Value(), true
-}
-
 func text[T ~string](into *T) setter {
 	return func(value string) error {
 		if value == "" {
--- a/fleet/fingerprint/fingerprint.go
+++ b/fleet/fingerprint/fingerprint.go
@@ -46,8 +46,10 @@
 const (
 	// lifetime is how long a suspicion lasts after the last crash.
 	lifetime = 10 * time.Minute
-	// condemnedAt is how many endpoints a request may cost.
+	// condemnedAt is how many losses condemn a request when it ran alone in one of them.
 	condemnedAt = 2
+	// condemnedBeside is how many do when it never ran alone: many requests of a popular kind may run beside a culprit.
+	condemnedBeside = 3
 )
 
 // Key is the gossip key prefix of crash reports.
@@ -68,6 +70,8 @@
 	Engine engine.ID
 	// At is when it was lost, in milliseconds of Unix time; it keeps two losses of one endpoint apart.
 	At int64
+	// Alone is true when nothing else ran on it.
+	Alone bool
 }
 
 // NewRegistry returns a registry without suspicions.
@@ -105,7 +109,7 @@
 
 // Survived clears a print: it ran to its end.
 func (r *Registry) Survived(p Print) {
-	if s := r.suspects[p]; s != nil && len(s.crashes) < condemnedAt {
+	if s := r.suspects[p]; s != nil && !s.condemned() {
 		delete(r.suspects, p)
 	}
 }
@@ -121,14 +125,26 @@
 			delete(s.crashes, c)
 		}
 	}
-	switch n := len(s.crashes); {
-	case n == 0:
+	switch {
+	case len(s.crashes) == 0:
 		delete(r.suspects, p)
 		return Clear
-	case n < condemnedAt:
-		return Alone
+	case s.condemned():
+		return Condemned
 	}
-	return Condemned
+	return Alone
+}
+
+func (s *suspect) condemned() bool {
+	if len(s.crashes) >= condemnedBeside {
+		return true
+	}
+	for c := range s.crashes {
+		if c.Alone && len(s.crashes) >= condemnedAt {
+			return true
+		}
+	}
+	return false
 }
 
 // Len returns how many prints are suspected or condemned.
--- a/fleet/keeper/keeper.go
+++ b/fleet/keeper/keeper.go
@@ -7,12 +7,9 @@
 
 import (
 	"cmp"
-	"maps"
-	"math"
 	"slices"
 	"time"
 
-	"balsamknot.org/fleet/chat"
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/outcome"
 )
@@ -56,152 +53,6 @@
 	minimumRetryAfter = time.Second
 )
 
-// Event is something that happens to a keeper.
-type Event interface{ keeperEvent() }
-
-// PoolConfigured brings a pool's settings into force.
-type PoolConfigured struct {
-	Pool   string
-	Config PoolConfig
-}
-
-// EngineAssigned makes this node the keeper of an endpoint.
-type EngineAssigned struct {
-	Engine engine.ID
-	Pool   string
-}
-
-// EngineWithdrawn ends this node's keeping of an endpoint; running requests finish.
-type EngineWithdrawn struct{ Engine engine.ID }
-
-// EngineLeaving stops or resumes new work for an endpoint.
-type EngineLeaving struct {
-	Engine  engine.ID
-	Leaving bool
-}
-
-// LoadReported is an endpoint's own figure.
-type LoadReported struct {
-	Engine engine.ID
-	Report engine.Report
-}
-
-// PoolSized tells how many endpoints of a pool take work, those of other keepers included.
-type PoolSized struct {
-	Pool    string
-	Engines int
-}
-
-// LoadHeard is the load of an endpoint that another node keeps, as gossip tells it.
-type LoadHeard struct {
-	Engine engine.ID
-	Pool   string
-	// Load is the average over about a second.
-	Load float64
-	// At is when the figure held.
-	At time.Time
-}
-
-// LoadMet is the load of an endpoint that a request has just met at its keeper. It goes before what gossip tells,
-// but not for long: requests meet busy endpoints more often than idle ones.
-type LoadMet struct {
-	Engine engine.ID
-	Pool   string
-	Load   float64
-}
-
-// RequestArrived asks for a place on an endpoint.
-type RequestArrived struct {
-	Ticket    Ticket
-	Engine    engine.ID
-	Chat      chat.ID
-	Workspace string
-	// Weight is the workspace's share in a closing surge; at least 1.
-	Weight   float64
-	Priority int
-	Deadline time.Time
-	// MayQueue is set on the entry's last choice.
-	MayQueue bool
-	// FollowOverflow is set when the first engine's keeper remembers that the chat overflowed.
-	FollowOverflow bool
-	// MustDecide forbids an answer that depends on the chat's memory.
-	MustDecide bool
-	// Alone asks that the request run without neighbours.
-	Alone bool
-	// Resumed is set when the endpoint runs the request already: it is counted, not decided on.
-	Resumed bool
-	// Fingerprint names the request's content; copies of one fingerprint run one after another. 0 is none.
-	Fingerprint uint64
-	// patience bounds a wait for reuse, after which the request goes to its next choice.
-	patience time.Duration
-}
-
-// RequestEnded frees the place of an admitted request.
-type RequestEnded struct{ Ticket Ticket }
-
-// RequestAbandoned takes a request out of the queue, or frees its place when it was just admitted.
-type RequestAbandoned struct{ Ticket Ticket }
-
-// CacheEvicted says that an endpoint dropped a chat's prefix.
-type CacheEvicted struct {
-	Engine engine.ID
-	Chat   chat.ID
-}
-
-// Ticked lets time pass.
-type Ticked struct{}
-
-func (PoolConfigured) keeperEvent()   {}
-func (EngineAssigned) keeperEvent()   {}
-func (EngineWithdrawn) keeperEvent()  {}
-func (EngineLeaving) keeperEvent()    {}
-func (LoadReported) keeperEvent()     {}
-func (PoolSized) keeperEvent()        {}
-func (LoadHeard) keeperEvent()        {}
-func (LoadMet) keeperEvent()          {}
-func (RequestArrived) keeperEvent()   {}
-func (RequestEnded) keeperEvent()     {}
-func (RequestAbandoned) keeperEvent() {}
-func (CacheEvicted) keeperEvent()     {}
-func (Ticked) keeperEvent()           {}
-
-// Command is what a keeper decided.
-type Command interface{ keeperCommand() }
-
-// Admit starts a request on its endpoint.
-type Admit struct{ Ticket Ticket }
-
-// RedirectReason says why a keeper sends a request on.
-type RedirectReason string
-
-// Reasons for a redirect.
-const (
-	OverBound  RedirectReason = "OverBound"
-	Overflowed RedirectReason = "Overflowed"
-	NotHere    RedirectReason = "NotHere"
-	NotKeeper  RedirectReason = "NotKeeper"
-	Leaving    RedirectReason = "Leaving"
-)
-
-// Redirect sends a request to its next choice.
-type Redirect struct {
-	Ticket Ticket
-	Reason RedirectReason
-	// Load is what the endpoint holds, for the mean of the next keeper.
-	Load int
-}
-
-// Refuse ends a request that was not started.
-type Refuse struct {
-	Ticket     Ticket
-	Code       outcome.Code
-	RetryAfter time.Duration
-}
-
-func (Admit) keeperCommand()    {}
-func (Redirect) keeperCommand() {}
-func (Refuse) keeperCommand()   {}
-
 // Keeper is the decision state of one node for the endpoints that it keeps. It is not safe for concurrent use.
 type Keeper struct {
 	pools   map[string]*pool
@@ -209,42 +60,6 @@
 	tickets map[Ticket]*place
 }
 
-type pool struct {
-	cfg PoolConfig
-	// engines counts the endpoints that take work, at all keepers.
-	engines int
-	// others holds the loads heard of endpoints that other nodes keep, and met those that requests met.
-	others, met map[engine.ID]heard
-}
-
-type heard struct {
-	load float64
-	at   time.Time
-}
-
-// add sums the loads that still count, those met before those heard.
-func (p *pool) add(now time.Time, counts func(engine.ID) bool) float64 {
-	load := 0.0
-	for id, h := range p.others {
-		_, isMet := p.met[id]
-		if !isMet && counts(id) && now.Sub(h.at) <= heardLifetime {
-			load += h.load
-		}
-	}
-	for id, h := range p.met {
-		if counts(id) {
-			load += h.load
-		}
-	}
-	return load
-}
-
-// forget drops what no longer counts.
-func (p *pool) forget(now time.Time) {
-	maps.DeleteFunc(p.others, func(_ engine.ID, h heard) bool { return now.Sub(h.at) > heardLifetime })
-	maps.DeleteFunc(p.met, func(_ engine.ID, h heard) bool { return now.Sub(h.at) > metLifetime })
-}
-
 // New returns a keeper without endpoints.
 func New() *Keeper {
 	return &Keeper{
@@ -384,42 +199,6 @@
 	return s.load(now) < k.limit(now, s)
 }
 
-// limit returns how many requests the endpoint may hold now.
-func (k *Keeper) limit(now time.Time, s *seat) int {
-	p := k.pool(s.pool)
-	if p.cfg.Unlimited {
-		return math.MaxInt
-	}
-	limit := s.capacity(p.cfg)
-	if !s.hasReport {
-		limit = min(limit, unreportedLimit)
-	}
-	if !p.cfg.Bounded {
-		return limit
-	}
-	return min(limit, k.bound(now, s.pool))
-}
-
-// bound returns LoadFactor times the mean load of the pool with one more request, rounded up.
-func (k *Keeper) bound(now time.Time, name string) int {
-	p := k.pool(name)
-	load, engines := 0.0, 0
-	for _, s := range k.engines {
-		if s.pool == name && !s.withdrawn {
-			s.settle(now)
-			load += s.average
-			engines++
-		}
-	}
-	load += p.add(now, func(id engine.ID) bool {
-		s := k.engines[id]
-		return s == nil || s.withdrawn
-	})
-	engines = max(engines, p.engines, 1)
-	factor := max(1, float64(p.cfg.LoadFactor))
-	return max(1, int(math.Ceil(factor*(load+1)/float64(engines))))
-}
-
 func (k *Keeper) enqueue(now time.Time, s *seat, e RequestArrived) []Command {
 	cfg := k.pool(s.pool).cfg
 	wait := s.expectedWait(k.limit(now, s))
@@ -543,44 +322,3 @@
 	slices.SortFunc(seats, func(a, b *seat) int { return cmp.Compare(a.id, b.id) })
 	return seats
 }
-
-// Average returns a kept endpoint's load over about a second, 0 for one that is not kept.
-func (k *Keeper) Average(now time.Time, id engine.ID) float64 {
-	if s := k.engines[id]; s != nil {
-		s.settle(now)
-		return s.average
-	}
-	return 0
-}
-
-// Loads returns the load of each kept endpoint that takes work, to tell the other keepers, in order of ID.
-func (k *Keeper) Loads(now time.Time) []LoadHeard {
-	var loads []LoadHeard
-	for _, s := range k.sorted() {
-		if !s.withdrawn && !s.leaving {
-			s.settle(now)
-			loads = append(loads, LoadHeard{Engine: s.id, Pool: s.pool, Load: s.average, At: now})
-		}
-	}
-	return loads
-}
-
-// EngineLoad is one kept endpoint's state, for status and metrics.
-type EngineLoad struct {
-	Engine                        engine.ID
-	Pool                          string
-	Running, Queued, Limit, Chats int
-	Leaving                       bool
-}
-
-// Engines returns the state of each kept endpoint, in order of ID.
-func (k *Keeper) Engines(now time.Time) []EngineLoad {
-	var loads []EngineLoad
-	for _, s := range k.sorted() {
-		loads = append(loads, EngineLoad{
-			Engine: s.id, Pool: s.pool, Running: s.running, Queued: s.queue.len(),
-			Limit: k.limit(now, s), Chats: s.chats.Len(), Leaving: s.leaving,
-		})
-	}
-	return loads
-}
--- a/fleet/object/source.go
+++ b/fleet/object/source.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"gopkg.in/ini.v1"
+	"balsamknot.org/fleet/inifile"
 )
 
 // section is one INI section with the lines that it was read from.
@@ -33,7 +33,7 @@
 		line = strings.TrimSpace(line)
 		number := n + 1
 		switch {
-		case line == "" || line[0] == '#' || line[0] == ';':
+		case inifile.Blank(line):
 		case len(line) > maxLine:
 			faults = append(faults, Fault{Severity: Error, Line: number, Message: "line is too long", Hint: "64 KiB at most"})
 		case line[0] == '[':
@@ -48,7 +48,7 @@
 				Hint: "begin an object with [Workspace name]",
 			})
 		default:
-			found, ok := readSetting(line)
+			key, value, ok := inifile.Setting(line)
 			if !ok {
 				faults = append(faults, Fault{
 					Severity: Error, Line: number, Object: sections[len(sections)-1].object(),
@@ -56,9 +56,8 @@
 				})
 				continue
 			}
-			found.line = number
 			last := &sections[len(sections)-1]
-			last.keys = append(last.keys, found)
+			last.keys = append(last.keys, setting{key: key, value: value, line: number})
 		}
 	}
 	return sections, faults
@@ -103,19 +102,3 @@
 	}
 	return true
 }
-
-// readSetting lets the INI library split a line, so that quotes and comments mean what they mean elsewhere.
-func readSetting(line string) (setting, bool) {
-	file, err := ini.LoadSources(ini.LoadOptions{
-		SpaceBeforeInlineComment: true,
-		IgnoreContinuation:       true,
-	}, []byte(line))
-	if err != nil {
-		return setting{}, false
-	}
-	keys := file.Section(ini.DefaultSection).Keys()
-	if len(keys) != 1 || keys[0].Name() == "" {
-		return setting{}, false
-	}
-	return setting{key: keys[0].Name(), value: keys[0].Value()}, true
-}
--- a/fleet/revision/revision.go
+++ b/fleet/revision/revision.go
@@ -43,9 +43,9 @@
 type Ledger struct {
 	verdict Verdict
 	inForce map[Name]Document
-	// seen is the highest number read, accepted or not.
-	seen    map[Name]Number
 	refused map[Name]Refused
+	// history holds the deltas between the versions that came into force, the latest last.
+	history map[Name][]Delta
 }
 
 // Refused is a version that the check turned down; it changes nothing.
@@ -59,8 +59,8 @@
 	return &Ledger{
 		verdict: verdict,
 		inForce: make(map[Name]Document),
-		seen:    make(map[Name]Number),
 		refused: make(map[Name]Refused),
+		history: make(map[Name][]Delta),
 	}
 }
 
@@ -79,22 +79,19 @@
 
 // Offer decides on a version read from the platform or from a peer.
 func (l *Ledger) Offer(d Document) (Decision, error) {
-	if d.Number <= l.seen[d.Name] && d.Number <= l.inForce[d.Name].Number {
-		return Ignored, nil
-	}
 	if d.Number <= l.inForce[d.Name].Number {
 		return Ignored, nil
 	}
 	if refused, ok := l.refused[d.Name]; ok && refused.Number == d.Number {
 		return Ignored, nil
 	}
-	l.seen[d.Name] = max(l.seen[d.Name], d.Number)
 	if err := l.verdict(d); err != nil {
 		if d.Number > l.refused[d.Name].Number {
 			l.refused[d.Name] = Refused{Number: d.Number, Reason: err}
 		}
 		return TurnedDown, err
 	}
+	l.remember(l.inForce[d.Name], d)
 	l.inForce[d.Name] = d
 	return Accepted, nil
 }
--- a/fleet/revision/revision_test.go
+++ b/fleet/revision/revision_test.go
@@ -1,6 +1,7 @@
 package revision
 
 import (
+	"bytes"
 	"errors"
 	"flag"
 	"fmt"
@@ -86,3 +87,62 @@
 	safety := float64(nodes*len(Names())) / SafetyRead(nodes).Seconds()
 	require.Less(t, safety+float64(watchers), perSecond/10.0, "calls a second, a waiting watch as one")
 }
+
+// However a document changes, the deltas that a ledger keeps lead from any version that they reach back to, to the one in
+// force, byte for byte.
+func TestDeltasLeadToTheVersionInForce(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger(func(Document) error { return nil })
+		versions := map[Number]Document{}
+		for n := range rapid.IntRange(1, 8).Draw(t, "versions") {
+			value := rapid.SliceOfN(rapid.SampledFrom([]byte("ab")), 0, 12).Draw(t, "value")
+			doc := Document{Name: Set, Number: Number(n + 1), Value: value}
+			versions[doc.Number] = doc
+			_, _ = l.Offer(doc)
+		}
+		for _, doc := range versions {
+			deltas, ok := l.Since(Set, doc.Number)
+			if !ok {
+				continue
+			}
+			for _, d := range deltas {
+				var err error
+				doc, err = d.Apply(doc)
+				require.NoError(t, err)
+			}
+			require.Equal(t, l.InForce(Set).Number, doc.Number)
+			require.Equal(t, string(l.InForce(Set).Value), string(doc.Value))
+		}
+	})
+}
+
+func TestDeltaThatDoesNotFitIsRefused(t *testing.T) {
+	t.Parallel()
+	a, b := Document{Name: Set, Number: 1, Value: []byte("one two three")}, Document{Name: Set, Number: 2, Value: []byte("one 2 three")}
+	d := Between(a, b)
+	require.Equal(t, "2", string(d.Middle))
+	for _, wrong := range []Document{{Number: 2, Value: a.Value}, {Number: 1, Value: []byte("one")}, {Number: 1, Value: []byte("one two THREE")}} {
+		_, err := d.Apply(wrong)
+		require.ErrorIs(t, err, ErrDelta)
+	}
+}
+
+// One workspace of 3,600 changes: what travels is its own lines.
+func TestChangeOfOneObjectTravelsAlone(t *testing.T) {
+	t.Parallel()
+	set := func(weight int) []byte {
+		var b bytes.Buffer
+		for i := range 3600 {
+			w := 1
+			if i == 1234 {
+				w = weight
+			}
+			fmt.Fprintf(&b, "[Workspace w-%d]\nKeyHash = %064x\nServices = assistant, returns\nWeight = %d\n", i, i*7919, w)
+		}
+		return b.Bytes()
+	}
+	d := Between(Document{Number: 1, Value: set(1)}, Document{Number: 2, Value: set(25)})
+	require.Less(t, len(d.Middle), 100)
+	require.Greater(t, len(set(1)), 400_000)
+}
--- a/load/run.go
+++ b/load/run.go
@@ -69,6 +69,7 @@
 type phase struct {
 	result    PhaseResult
 	returning int64
+	cached    int64
 	firstByte *hdrhistogram.Histogram
 	skew      *hdrhistogram.Histogram
 	means     float64
@@ -102,8 +103,14 @@
 	result := Result{Name: r.o.name}
 	began := time.Now()
 	control := r.controlBytes(ctx)
+	phases := make([]*phase, 0, len(r.o.phases))
 	for _, p := range r.o.phases {
-		result.Phases = append(result.Phases, r.runPhase(ctx, p))
+		phases = append(phases, r.runPhase(ctx, p))
+	}
+	// Requests still under way count for the phase in which they were sent.
+	r.wg.Wait()
+	for _, p := range phases {
+		result.Phases = append(result.Phases, p.finish())
 	}
 	const directions = 2
 	spent := r.controlBytes(ctx) - control
@@ -111,7 +118,7 @@
 	return result
 }
 
-func (r *runner) runPhase(ctx context.Context, p Phase) PhaseResult {
+func (r *runner) runPhase(ctx context.Context, p Phase) *phase {
 	current := &phase{
 		result:    PhaseResult{Phase: p.Name},
 		firstByte: hdrhistogram.New(1, histogramMost, 3),
@@ -120,16 +127,13 @@
 	r.mu.Lock()
 	r.phase = current
 	r.mu.Unlock()
-	before := r.cachedTokens(ctx)
 	ctx, cancel := context.WithTimeout(ctx, p.Duration)
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { r.sampleSkew(ctx, current) })
 	r.arrivals(ctx, p, current)
 	wg.Wait()
-	r.wg.Wait()
-	cached := r.cachedTokens(context.WithoutCancel(ctx)) - before
-	return current.finish(cached)
+	return current
 }
 
 // arrivals sends requests as a Poisson process; a surge adds to the rate what the surging workspaces add.
@@ -174,20 +178,21 @@
 
 func (r *runner) send(host string, turn caller.Turn, current *phase) {
 	began := time.Now()
-	answer, firstByte, engine, result := r.exchange(host, turn)
+	m, result := r.exchange(host, turn)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.play.Done(turn, answer, result == endWhole)
+	r.play.Done(turn, m.text, result == endWhole)
 	current.result.Sent++
 	switch result {
 	case endWhole:
 		current.result.Whole++
 		current.returning += int64(turn.Returning)
-		if turn.Chat.Engine != "" && turn.Chat.Engine != engine {
+		current.cached += m.cached
+		if turn.Chat.Engine != "" && turn.Chat.Engine != m.engine {
 			current.result.Moved++
 		}
-		turn.Chat.Engine = engine
-		_ = current.firstByte.RecordValue(firstByte.Sub(began).Microseconds() / 10)
+		turn.Chat.Engine = m.engine
+		_ = current.firstByte.RecordValue(m.firstByte.Sub(began).Microseconds() / 10)
 	case endRefused:
 		current.result.Refused++
 	case endLost:
@@ -195,27 +200,50 @@
 	}
 }
 
-func (r *runner) exchange(host string, turn caller.Turn) (answer string, firstByte time.Time, engine string, result end) {
+// met is an answer as the caller got it.
+type met struct {
+	text      string
+	engine    string
+	firstByte time.Time
+	// cached is how many prompt tokens the engine found cached, as it says in the answer.
+	cached int64
+}
+
+func (r *runner) exchange(host string, turn caller.Turn) (met, end) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/chat/completions", bytes.NewReader(turn.Body))
 	if err != nil {
-		return "", firstByte, "", endLost
+		return met{}, endLost
 	}
 	request.Header.Set("Authorization", "Bearer key-"+turn.Workspace.Name)
 	response, err := r.client.Do(request)
 	if err != nil {
-		return "", firstByte, "", endLost
+		return met{}, endLost
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return "", firstByte, "", endRefused
+		return met{}, endRefused
 	}
-	answer, firstByte, result = readStream(response)
-	return answer, firstByte, response.Header.Get("Balsamknot-Endpoint"), result
+	return readStream(response)
+}
+
+// chunk is the part of a streamed chunk that the callers read.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage struct {
+		Details struct {
+			Cached int64 `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
 }
 
-func readStream(response *http.Response) (answer string, firstByte time.Time, result end) {
+func readStream(response *http.Response) (met, end) {
+	m := met{engine: response.Header.Get("Balsamknot-Endpoint")}
 	var text strings.Builder
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
@@ -223,30 +251,20 @@
 		if !ok {
 			continue
 		}
-		if firstByte.IsZero() {
-			firstByte = time.Now()
+		if m.firstByte.IsZero() {
+			m.firstByte = time.Now()
 		}
 		if data == "[DONE]" {
-			return text.String(), firstByte, endWhole
+			m.text = text.String()
+			return m, endWhole
 		}
-		var chunk struct {
-			Choices []struct{ Delta struct{ Content string } }
-		}
-		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
-			text.WriteString(chunk.Choices[0].Delta.Content)
-		}
-	}
-	return "", firstByte, endLost
-}
-
-func (r *runner) cachedTokens(ctx context.Context) int64 {
-	var total int64
-	for _, address := range r.o.engines {
-		if e, err := gauge.ReadEngine(ctx, address); err == nil {
-			total += e.CachedTokens
+		var c chunk
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			text.WriteString(c.Choices[0].Delta.Content)
+			m.cached += c.Usage.Details.Cached
 		}
 	}
-	return total
+	return m, endLost
 }
 
 func (r *runner) controlBytes(ctx context.Context) float64 {
@@ -319,10 +337,10 @@
 	}
 }
 
-func (c *phase) finish(cached int64) PhaseResult {
+func (c *phase) finish() PhaseResult {
 	result := c.result
 	if c.returning > 0 {
-		result.Reuse = float64(cached) / float64(c.returning)
+		result.Reuse = float64(c.cached) / float64(c.returning)
 	}
 	result.SkewP50 = float64(c.skew.ValueAtQuantile(50)) / skewScale
 	result.SkewP99 = float64(c.skew.ValueAtQuantile(99)) / skewScale
--- a/standin/modelengine/job.go
+++ b/standin/modelengine/job.go
@@ -115,10 +115,14 @@
 		}
 		word := token(chat, len(req.Messages), n)
 		j.text += word
-		chunk, _ := json.Marshal(map[string]any{
+		content := map[string]any{
 			"id": j.id, "object": "chat.completion.chunk", "model": req.Model,
 			"choices": []any{map[string]any{"index": 0, "delta": map[string]any{"content": word}}},
-		})
+		}
+		if n == tokens {
+			content["usage"] = map[string]any{"prompt_tokens_details": map[string]any{"cached_tokens": j.cached}}
+		}
+		chunk, _ := json.Marshal(content)
 		j.push(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", n, chunk))
 	}
 	j.push(fmt.Appendf(nil, "id: %d\ndata: [DONE]\n\n", tokens+1))
