--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,17 @@
 LINT_VERSION := v2.15.0
 ARGS ?=
 
-.PHONY: run test build lint format generate events fleet measure bench fuzz
+.PHONY: run test test-units test-scenarios build lint format generate events fleet measure bench fuzz
 
 run: ## one process with a whole small site; ARGS=--once makes one round and exits
 	@go run ./demo $(ARGS)
 
-test: ## every test of every module; the scenarios' processes run when nothing else does
+test: test-units test-scenarios ## every test of every module
+
+test-units: ## decisions, parts of the node, verbs
 	go test ./fleet/... ./balsamknot/... ./standin/... ./load/...
+
+test-scenarios: ## scripted sites of separate processes, run when nothing else does
 	go test -parallel 3 ./demo/...
 
 build: ## the programs, into .bin
--- a/balsamknot/node/endpoint.go
+++ b/balsamknot/node/endpoint.go
@@ -171,7 +171,7 @@
 }
 
 func modelRequest(ctx context.Context, record engine.Record, call *wire.Call, priority int, resume bool, after uint64) (*http.Request, error) {
-	target := url.URL{Scheme: "http", Host: record.Address, Path: call.GetPath()}
+	target := targetOf(record, call)
 	method := call.GetMethod()
 	var body io.Reader = bytes.NewReader(call.GetBody())
 	if resume {
@@ -190,6 +190,16 @@
 	return r, nil
 }
 
+// targetOf returns where a call goes on an endpoint, with the caller's path and query as they came.
+func targetOf(record engine.Record, call *wire.Call) url.URL {
+	path, query, _ := strings.Cut(call.GetPath(), "?")
+	target := url.URL{Scheme: "http", Host: record.Address, Path: path, RawQuery: query}
+	if decoded, err := url.PathUnescape(path); err == nil {
+		target.Path, target.RawPath = decoded, path
+	}
+	return target
+}
+
 func copyHeaders(into http.Header, headers []*wire.Header) {
 	for _, h := range headers {
 		if !hopHeaders[http.CanonicalHeaderKey(h.GetName())] {
@@ -323,8 +333,7 @@
 	if !k.n.timers.Now().Before(time.UnixMilli(call.GetDeadlineMs())) {
 		return context.DeadlineExceeded
 	}
-	path, query, _ := strings.Cut(call.GetPath(), "?")
-	target := url.URL{Scheme: "http", Host: record.Address, Path: path, RawQuery: query}
+	target := targetOf(record, call)
 	r, err := http.NewRequestWithContext(ctx, call.GetMethod(), target.String(), onceBody(call.GetBody()))
 	if err != nil {
 		return eris.Wrapf(err, "run: endpoint %s", record.ID)
--- a/balsamknot/node/loads.go
+++ b/balsamknot/node/loads.go
@@ -39,9 +39,11 @@
 }
 
 const (
-	// loadChange is the share by which a load must change to be told before loadRefresh.
-	loadChange  = 0.2
-	loadRefresh = 2 * time.Second
+	// loadChange is the share, and loadStep the least number of requests, by which a load must change to be told
+	// before loadRefresh.
+	loadChange  = 0.25
+	loadStep    = 0.5
+	loadRefresh = 3 * time.Second
 	// loadScale is the unit of a load in gossip, as parts of a request.
 	loadScale = 100
 )
@@ -49,7 +51,7 @@
 // worthTelling reports whether a load differs enough from what the peers were told.
 func worthTelling(now time.Time, told gossip.Row, load float64) bool {
 	before := float64(told.A) / loadScale
-	return math.Abs(load-before) > loadChange*before || now.Sub(told.At) > loadRefresh
+	return math.Abs(load-before) > max(loadStep, loadChange*before) || now.Sub(told.At) > loadRefresh
 }
 
 // tellDown tells the entries which endpoints answer no probe, so that they are left out at once.
--- a/balsamknot/node/meter.go
+++ b/balsamknot/node/meter.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
 
 	"balsamknot.org/fleet/burn"
 	"balsamknot.org/fleet/object"
@@ -26,13 +27,17 @@
 	unsettled  prometheus.Counter
 	rejections prometheus.Counter
 
+	objectives *prometheus.CounterVec
+
 	mu   sync.Mutex
 	burn *burn.Meter
+	// targets holds the objective of each series, from the policy at its last request.
+	targets map[burn.Series]float64
 }
 
 func newMeter() *meter {
 	buckets := prometheus.ExponentialBuckets(0.001, 2, 17)
-	labels := []string{"workspace", "service"}
+	labels := []string{labelWorkspace, labelService}
 	m := &meter{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -50,9 +55,13 @@
 		resumes:    newCounter("balsamknot_resumes_total", "Answers that went on over another connection or keeper."),
 		unsettled:  newCounter("balsamknot_claims_unsettled_total", "Claims for which too few electors vouched."),
 		rejections: newCounter("balsamknot_peers_rejected_total", "Calls of the peer listener without proof of identity."),
-		burn:       burn.NewMeter(),
+		objectives: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "balsamknot_objective_total", Help: "Requests by whether they met the objective of an indicator.",
+		}, append(labels, labelIndicator, labelResult)),
+		burn:    burn.NewMeter(),
+		targets: make(map[burn.Series]float64),
 	}
-	m.registry.MustRegister(m.requests, m.firstByte, m.whole, m.control, m.reads, m.drops, m.resumes, m.unsettled, m.rejections)
+	m.registry.MustRegister(m.requests, m.firstByte, m.whole, m.objectives, m.control, m.reads, m.drops, m.resumes, m.unsettled, m.rejections)
 	return m
 }
 
@@ -93,19 +102,75 @@
 		m.firstByte.WithLabelValues(f.workspace, f.service).Observe(f.firstByte.Seconds())
 		m.whole.WithLabelValues(f.workspace, f.service).Observe(f.whole.Seconds())
 	}
+	m.judge(f, burn.Refusal, f.refusal == nil)
+	if f.refusal == nil {
+		m.judge(f, burn.FirstToken, f.firstByte <= f.policy.FirstToken)
+		m.judge(f, burn.Answer, f.whole <= f.policy.Answer)
+	}
+}
+
+// Labels of the objectives' counter beside workspace and service.
+const (
+	labelWorkspace = "workspace"
+	labelService   = "service"
+	labelIndicator = "indicator"
+	labelResult    = "result"
+	resultGood     = "good"
+	resultPoor     = "poor"
+)
+
+func (m *meter) judge(f finished, indicator burn.Indicator, good bool) {
+	result := resultPoor
+	if good {
+		result = resultGood
+	}
+	m.objectives.WithLabelValues(f.workspace, f.service, string(indicator), result).Inc()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.targets[burn.Series{Workspace: f.workspace, Service: f.service, Indicator: indicator}] = f.policy.Objective
+}
+
+// observe takes the objectives' counters into the burn windows.
+func (m *meter) observe(now time.Time) {
+	totals := make(map[burn.Series]burn.Counts)
+	collected := make(chan prometheus.Metric)
+	go func() {
+		m.objectives.Collect(collected)
+		close(collected)
+	}()
+	for metric := range collected {
+		var written dto.Metric
+		if err := metric.Write(&written); err == nil {
+			addCounter(totals, &written)
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	count := func(indicator burn.Indicator, good bool) {
-		m.burn.Count(now, burn.Series{Workspace: f.workspace, Service: f.service, Indicator: indicator}, f.policy.Objective, good)
+	for series, counts := range totals {
+		m.burn.Observe(now, series, m.targets[series], counts)
 	}
-	count(burn.Refusal, f.refusal == nil)
-	if f.refusal == nil {
-		count(burn.FirstToken, f.firstByte <= f.policy.FirstToken)
-		count(burn.Answer, f.whole <= f.policy.Answer)
+}
+
+func addCounter(totals map[burn.Series]burn.Counts, written *dto.Metric) {
+	labels := make(map[string]string)
+	for _, pair := range written.GetLabel() {
+		labels[pair.GetName()] = pair.GetValue()
+	}
+	series := burn.Series{
+		Workspace: labels[labelWorkspace], Service: labels[labelService], Indicator: burn.Indicator(labels[labelIndicator]),
+	}
+	counts := totals[series]
+	value := uint64(written.GetCounter().GetValue())
+	if labels[labelResult] == resultGood {
+		counts.Good = value
+	} else {
+		counts.Poor = value
 	}
+	totals[series] = counts
 }
 
 func (m *meter) rates(now time.Time) []burn.Rate {
+	m.observe(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.burn.Rates(now)
--- a/balsamknot/node/node.go
+++ b/balsamknot/node/node.go
@@ -16,6 +16,7 @@
 
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/balsamknot/settings"
+	"balsamknot.org/fleet/burn"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/timer"
 )
@@ -134,6 +135,7 @@
 		n.timers.Every(keeperInterval, func(now time.Time, _ time.Duration) { n.keeping.tick(now) }),
 		n.timers.Every(loadRowInterval, func(now time.Time, _ time.Duration) { n.keeping.exchangeLoads(now) }),
 		n.timers.Every(forgetInterval, func(now time.Time, _ time.Duration) { n.claims.forget(now) }),
+		n.timers.Every(burn.Step, func(now time.Time, _ time.Duration) { n.meter.observe(now) }),
 		n.timers.Every(probeInterval, func(now time.Time, _ time.Duration) { n.baselines.pollEndpoints(now) }),
 	}
 }
--- a/balsamknot/node/node_test.go
+++ b/balsamknot/node/node_test.go
@@ -19,6 +19,7 @@
 
 	"balsamknot.org/balsamknot/settings"
 	"balsamknot.org/fleet/claim"
+	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/object"
 	"balsamknot.org/fleet/revision"
 	"balsamknot.org/fleet/timer"
@@ -249,3 +250,11 @@
 	require.NotContains(t, w.Body.String(), "src=", "the page loads nothing")
 	require.True(t, bytes.Contains(w.Body.Bytes(), []byte("<svg")))
 }
+
+func TestPathAndQueryAreKept(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/returns/a%2Fb?x=1&y=%20", "/returns/", "/v1/chat/completions?trace=1"} {
+		target := targetOf(engine.Record{Address: "127.0.0.1:1"}, &wire.Call{Path: path})
+		require.Equal(t, "http://127.0.0.1:1"+path, target.String())
+	}
+}
--- a/demo/calls_test.go
+++ b/demo/calls_test.go
@@ -235,7 +235,7 @@
 	}
 }
 
-// cmdExpect checks: expect whole NAME..., status NAME N, outcome NAME O, runs KEY N, same-engine A B, crashes N, accepted SET.
+// cmdExpect checks: expect whole NAME..., status NAME N, outcome NAME O, runs KEY N, same-engine A B, crashes N, most-running N.
 func cmdExpect(ts *testscript.TestScript, neg bool, args []string) {
 	s := sceneOf(ts)
 	s.mu.Lock()
@@ -271,6 +271,14 @@
 			crashes += int(e.Stats().Crashes)
 		}
 		failure = differ(strconv.Itoa(crashes), args[1], nil)
+	case "most-running":
+		most, err := strconv.ParseInt(args[1], 10, 64)
+		ts.Check(err)
+		for _, e := range s.running.Engines {
+			if n := e.Stats().MostRunning; n > most {
+				failure = fmt.Errorf("an engine held %d requests", n)
+			}
+		}
 	default:
 		ts.Fatalf("unknown expectation %s", args[0])
 	}
--- a/fleet/burn/burn.go
+++ b/fleet/burn/burn.go
@@ -25,8 +25,8 @@
 	LongWindow  = time.Hour
 )
 
-// step is the resolution of the windows.
-const step = 10 * time.Second
+// Step is how often counters are to be observed; it is the resolution of the windows.
+const Step = 10 * time.Second
 
 // Series names one burn rate.
 type Series struct {
@@ -35,45 +35,44 @@
 	Indicator Indicator
 }
 
-type bucket struct {
-	at         int64
-	good, poor uint64
+// Counts are the totals of a series since the process began.
+type Counts struct{ Good, Poor uint64 }
+
+type sample struct {
+	at     time.Time
+	counts Counts
 }
 
 type track struct {
 	objective float64
-	buckets   []bucket
+	samples   []sample
 }
 
-// Meter counts outcomes by series. It is not safe for concurrent use.
+// Meter holds an hour of observed counters by series. It is not safe for concurrent use.
 type Meter struct {
 	tracks map[Series]*track
 }
 
-// NewMeter returns a meter without counts.
+// NewMeter returns a meter that has observed nothing.
 func NewMeter() *Meter { return &Meter{tracks: make(map[Series]*track)} }
 
-// Count adds one outcome. The objective is the share that must be good.
-func (m *Meter) Count(now time.Time, series Series, objective float64, good bool) {
+// Observe notes a series' counters. The objective is the share that must be good.
+func (m *Meter) Observe(now time.Time, series Series, objective float64, counts Counts) {
 	t := m.tracks[series]
 	if t == nil {
 		t = &track{}
 		m.tracks[series] = t
 	}
 	t.objective = objective
-	at := now.UnixNano() / int64(step)
-	if n := len(t.buckets); n == 0 || t.buckets[n-1].at != at {
-		t.buckets = append(t.buckets, bucket{at: at})
-		if most := int(LongWindow/step) + 1; len(t.buckets) > most {
-			t.buckets = t.buckets[len(t.buckets)-most:]
-		}
-	}
-	last := &t.buckets[len(t.buckets)-1]
-	if good {
-		last.good++
+	n := len(t.samples)
+	if n > 1 && now.Sub(t.samples[n-2].at) <= Step {
+		t.samples[n-1] = sample{now, counts}
 		return
 	}
-	last.poor++
+	t.samples = append(t.samples, sample{now, counts})
+	for len(t.samples) > 1 && now.Sub(t.samples[1].at) > LongWindow {
+		t.samples = t.samples[1:]
+	}
 }
 
 // Rate is the burn of one series: 1 spends the budget exactly over the objective's period.
@@ -100,15 +99,18 @@
 	return rates
 }
 
+// burn compares the latest counters with those a window ago; before the first observation they were zero.
 func (t *track) burn(now time.Time, window time.Duration) (rate float64, total uint64) {
-	first := now.Add(-window).UnixNano() / int64(step)
-	var poor uint64
-	for _, b := range t.buckets {
-		if b.at > first {
-			poor += b.poor
-			total += b.good + b.poor
+	var before Counts
+	for _, s := range t.samples {
+		if now.Sub(s.at) < window {
+			break
 		}
+		before = s.counts
 	}
+	last := t.samples[len(t.samples)-1].counts
+	poor := last.Poor - before.Poor
+	total = poor + last.Good - before.Good
 	if total == 0 || t.objective >= 1 {
 		return 0, total
 	}
--- a/fleet/burn/burn_test.go
+++ b/fleet/burn/burn_test.go
@@ -13,18 +13,19 @@
 	t.Parallel()
 	m := NewMeter()
 	series := Series{Workspace: "gent", Service: "assistant", Indicator: FirstToken}
-	start := time.Unix(1_000_000_000, 0).Truncate(time.Hour)
-	end := start.Add(time.Hour)
-	for minute := range 60 {
-		failing := 2
-		if minute >= 55 {
+	start := time.Unix(1_000_000_000, 0)
+	var counts Counts
+	m.Observe(start, series, 0.95, counts)
+	for minute := 1; minute <= 60; minute++ {
+		failing := uint64(2)
+		if minute > 55 {
 			failing = 10
 		}
-		for n := range 100 {
-			// Buckets end on full steps; 5 s into the minute lies within one.
-			m.Count(start.Add(time.Duration(minute)*time.Minute+15*time.Second), series, 0.95, n >= failing)
-		}
+		counts.Poor += failing
+		counts.Good += 100 - failing
+		m.Observe(start.Add(time.Duration(minute)*time.Minute), series, 0.95, counts)
 	}
+	end := start.Add(time.Hour)
 	rates := m.Rates(end)
 	require.Len(t, rates, 1)
 	require.InDelta(t, 2.0, rates[0].Short, 1e-9)
@@ -32,3 +33,15 @@
 	require.EqualValues(t, 6000, rates[0].Total)
 	require.Zero(t, m.Rates(end.Add(2 * time.Hour))[0].Total, "old counts fall out of the windows")
 }
+
+func TestObservationsBetweenStepsReplaceEachOther(t *testing.T) {
+	t.Parallel()
+	m := NewMeter()
+	series := Series{Workspace: "gent"}
+	start := time.Unix(1_000_000_000, 0)
+	for n := range 1000 {
+		m.Observe(start.Add(time.Duration(n)*time.Second), series, 0.9, Counts{Good: uint64(n)})
+	}
+	require.LessOrEqual(t, len(m.tracks[series].samples), 1000/int(Step.Seconds())+2)
+	require.EqualValues(t, 999, m.Rates(start.Add(1000 * time.Second))[0].Total)
+}
