--- a/balsamknot/node/caller.go
+++ b/balsamknot/node/caller.go
@@ -121,7 +121,7 @@
 	if x.firstByte.IsZero() {
 		x.firstByte = now
 	}
-	n.meter.count(now, finished{
+	n.meter.count(finished{
 		workspace: x.workspace.Name, service: x.service.Name, refusal: x.refusal, policy: x.policy,
 		firstByte: x.firstByte.Sub(x.began), whole: now.Sub(x.began),
 	})
--- a/balsamknot/node/meter.go
+++ b/balsamknot/node/meter.go
@@ -89,7 +89,7 @@
 }
 
 // count notes a request's end. A refusal by the caller's own fault burns no budget.
-func (m *meter) count(now time.Time, f finished) {
+func (m *meter) count(f finished) {
 	code, result := "", string(outcome.Done)
 	if f.refusal != nil {
 		code, result = string(f.refusal.Code), string(f.refusal.Outcome)
--- a/balsamknot/node/node_test.go
+++ b/balsamknot/node/node_test.go
@@ -10,7 +10,6 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -243,7 +242,7 @@
 func TestBurnPageStandsAlone(t *testing.T) {
 	t.Parallel()
 	n := newTestNode(t)
-	n.meter.count(time.Now(), finished{workspace: "gent", service: "assistant", policy: n.documents.inForce().objects.Policies["p"]})
+	n.meter.count(finished{workspace: "gent", service: "assistant", policy: n.documents.inForce().objects.Policies["p"]})
 	w := httptest.NewRecorder()
 	n.operatorHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/burn?format=html", http.NoBody))
 	require.Contains(t, w.Body.String(), "gent assistant")
