Bound the keys that a node remembers; keep control connections open

Cause: found by reading. Keys of ten minutes were remembered without a bound on their number. Control connections closed after 5 s unused, while a peer's turn comes every 7 s with 8 hosts, so that each heartbeat opened a new one.

Change: an elector that remembers 200,000 keys abstains for new ones, a home refuses them as Unknown; control connections stay for 90 s (they cost nothing unused, having no pings). One Sleep where three stood. Scenarios: a refusal as not run stays one, whichever host is asked; the operators' verbs on real nodes.

--- a/balsamknot/node/claims.go
+++ b/balsamknot/node/claims.go
@@ -25,6 +25,8 @@
 	releaseTimeout = time.Second
 	// answerBytes bounds the answers that a home keeps for repeats.
 	answerBytes = 64 << 20
+	// mostKeys bounds the keys that a node remembers as home, and as elector.
+	mostKeys = 200_000
 )
 
 // claims is the controller of idempotency keys: this node's part as elector and as home.
@@ -58,7 +60,7 @@
 }
 
 func newClaims(n *Node) *claims {
-	limits := claim.Limits{Lifetime: n.cfg.KeyLifetime, Skew: n.cfg.ClockSkew}
+	limits := claim.Limits{Lifetime: n.cfg.KeyLifetime, Skew: n.cfg.ClockSkew, Keys: mostKeys}
 	return &claims{
 		n: n, self: claim.Claimant{Host: n.self.ID, Incarnation: n.incarnation}, limits: limits,
 		elector: claim.NewElector(limits), homes: make(map[claim.Key]*home),
@@ -141,7 +143,7 @@
 	c.mu.Lock()
 	h := c.homes[key]
 	if h == nil {
-		if refusal := c.checkAge(minted); refusal != nil {
+		if refusal := c.checkNew(minted); refusal != nil {
 			c.mu.Unlock()
 			return refused(refusal)
 		}
@@ -171,9 +173,15 @@
 	}
 }
 
-func (c *claims) checkAge(minted time.Time) *outcome.Refusal {
+// checkNew refuses a key that this home does not know yet and must not take on.
+func (c *claims) checkNew(minted time.Time) *outcome.Refusal {
 	now := c.n.timers.Now()
 	switch {
+	case c.limits.Full(len(c.homes)):
+		return &outcome.Refusal{
+			Code: outcome.CodeOverloaded, Outcome: outcome.Unknown, Status: http.StatusServiceUnavailable,
+			RetryAfter: claimRetry, Detail: "the home remembers as many keys as it may", Step: "claim", Peer: string(c.n.self.ID),
+		}
 	case c.limits.Expired(now, minted):
 		return &outcome.Refusal{
 			Code: outcome.CodeKeyExpired, Outcome: outcome.Unknown, Status: http.StatusConflict, Step: "claim",
--- a/balsamknot/node/documents.go
+++ b/balsamknot/node/documents.go
@@ -20,6 +20,7 @@
 	"balsamknot.org/fleet/object"
 	"balsamknot.org/fleet/platform"
 	"balsamknot.org/fleet/revision"
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/fleet/wire"
 )
 
@@ -91,10 +92,10 @@
 // so that a stale platform can't put an old set into force beside peers that have a newer one.
 func (d *documents) start(ctx context.Context) {
 	for ctx.Err() == nil && !d.bootstrap(ctx) {
-		pause(ctx, watchPause)
+		timer.Sleep(ctx, watchPause)
 	}
 	// Until then this node's electors abstain, since keys may have been minted before it began to remember.
-	pause(ctx, d.n.cfg.ClockSkew)
+	timer.Sleep(ctx, d.n.cfg.ClockSkew)
 	if ctx.Err() != nil {
 		return
 	}
@@ -229,7 +230,7 @@
 			d.read(ctx, name)
 			last = now
 		default:
-			pause(ctx, watchPause)
+			timer.Sleep(ctx, watchPause)
 		}
 	}
 }
@@ -240,7 +241,7 @@
 	d.noteReach(ctx, err)
 	switch {
 	case err != nil:
-		pause(ctx, watchPause)
+		timer.Sleep(ctx, watchPause)
 	case found:
 		d.offer(doc, d.platform.Address)
 	}
@@ -415,13 +416,3 @@
 	name, ok := f.byKey[workspaceHash(key)]
 	return f.objects.Workspaces[name], ok
 }
-
-// pause waits for d or for the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/balsamknot/node/peers.go
+++ b/balsamknot/node/peers.go
@@ -28,8 +28,11 @@
 	maxPeerStreams = 4096
 	// maxPeerMessage bounds a message between nodes in bytes.
 	maxPeerMessage = 16 << 20
-	// peerIdle closes unused connections: in a large fleet most peers are seldom met, and each open one costs pings.
-	peerIdle = 5 * time.Second
+	// forwardIdle closes unused connections for requests: in a large fleet most peers are seldom met, and each open
+	// connection costs pings.
+	forwardIdle = 5 * time.Second
+	// controlIdle keeps those for control, which cost nothing while unused: a new one costs more than a heartbeat.
+	controlIdle = 90 * time.Second
 )
 
 // peers dials the other nodes: control messages and requests travel on connections of their own.
@@ -51,21 +54,21 @@
 	return &peers{
 		key:     s.FleetKey,
 		self:    s.Host,
-		control: &http.Client{Transport: peerTransport(m.countControl, 0)},
-		forward: &http.Client{Transport: peerTransport(nil, pingAfter)},
+		control: &http.Client{Transport: peerTransport(m.countControl, 0, controlIdle)},
+		forward: &http.Client{Transport: peerTransport(nil, pingAfter, forwardIdle)},
 		clients: make(map[clientKey]wire.PeerClient),
 	}
 }
 
 // peerTransport speaks HTTP/2 without TLS. Control calls have short timeouts of their own and need no pings.
-func peerTransport(count func(bytes int), ping time.Duration) *http.Transport {
+func peerTransport(count func(bytes int), ping, idle time.Duration) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
 		DialContext:     countingDial(count),
 		Protocols:       &protocols,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: ping, PingTimeout: pingTimeout},
-		IdleConnTimeout: peerIdle,
+		IdleConnTimeout: idle,
 	}
 }
 
--- a/demo/scene_test.go
+++ b/demo/scene_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -97,7 +98,7 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"site": cmdSite, "start": cmdStart, "signal": cmdSignal, "ended": cmdEnded,
 			"chat": cmdChat, "act": cmdAct, "join": cmdJoin, "expect": cmdExpect, "platform": cmdPlatform, "publish": cmdPublish,
-			"list": cmdList, "link": cmdLink, "until": cmdUntil, "sleep": cmdSleep, "engine": cmdEngine, "storm": cmdStorm, "traffic": cmdTraffic, "transcript": cmdTranscript,
+			"list": cmdList, "link": cmdLink, "until": cmdUntil, "sleep": cmdSleep, "engine": cmdEngine, "storm": cmdStorm, "traffic": cmdTraffic, "transcript": cmdTranscript, "verb": cmdVerb,
 		},
 	})
 }
@@ -329,7 +330,7 @@
 	}
 }
 
-// cmdList changes the platform's lists: list drop|leave|add HOST..., list leave-endpoint|drop-endpoint ID.
+// cmdList changes the platform's lists: list drop|leave|add HOST..., list leave-endpoint|stay-endpoint|drop-endpoint ID.
 func cmdList(ts *testscript.TestScript, _ bool, args []string) {
 	s := sceneOf(ts)
 	for _, arg := range args[1:] {
@@ -339,10 +340,10 @@
 			s.hosts = dropRecord(s.hosts, func(h host.Record) bool { return string(h.ID) == id })
 		case "drop-endpoint":
 			s.endpoints = dropRecord(s.endpoints, func(e engine.Record) bool { return string(e.ID) == id })
-		case "leave-endpoint":
+		case "leave-endpoint", "stay-endpoint":
 			for i := range s.endpoints {
 				if string(s.endpoints[i].ID) == id {
-					s.endpoints[i].Leaving = true
+					s.endpoints[i].Leaving = args[0] == "leave-endpoint"
 				}
 			}
 		default:
@@ -444,6 +445,23 @@
 	}
 }
 
+// cmdVerb runs an operators' verb against a node and keeps its output in verb.out: verb HOST EXIT-CODE NAME ARGS...
+func cmdVerb(ts *testscript.TestScript, _ bool, args []string) {
+	s := sceneOf(ts)
+	var out bytes.Buffer
+	verb := append([]string{args[2], "--node", s.layout.Hosts[s.hostIndex(args[0])].Operator}, args[3:]...)
+	for i := 3; i < len(verb); i++ {
+		if strings.HasSuffix(verb[i], ".ini") {
+			verb[i] = ts.MkAbs(verb[i])
+		}
+	}
+	code := operator.Run(context.Background(), verb, operator.Streams{In: strings.NewReader(""), Out: &out, Err: &out})
+	ts.Check(os.WriteFile(filepath.Join(s.dir, "verb.out"), out.Bytes(), 0o600))
+	if strconv.Itoa(code) != args[1] {
+		ts.Fatalf("exit code %d, want %s: %s", code, args[1], out.String())
+	}
+}
+
 func (s *scene) stateAt(at, id string) string {
 	status, err := s.status(at)
 	if err != nil {
--- a/fleet/claim/claim_test.go
+++ b/fleet/claim/claim_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+func TestFullElectorAbstainsForNewKeysOnly(t *testing.T) {
+	t.Parallel()
+	bounded := limits
+	bounded.Keys = 2
+	e := NewElector(bounded)
+	vote := func(key Key) Verdict {
+		return e.Decide(decidedAt, Claimed{Key: key, Minted: mintedAt, Claimant: homeNames[0], Attempt: 1, Since: begunAt}).Verdict
+	}
+	require.Equal(t, Granted, vote("a"))
+	require.Equal(t, Granted, vote("b"))
+	require.Equal(t, Abstained, vote("c"))
+	require.Equal(t, Granted, vote("a"))
+	require.Zero(t, e.Forget(mintedAt.Add(limits.Lifetime+limits.Skew+time.Second)))
+	require.Equal(t, Granted, vote("c"))
+}
+
 func TestLateStartIsRefusedAsNotRun(t *testing.T) {
 	t.Parallel()
 	c := NewClaim(homeNames[0], limits, mintedAt)
--- a/fleet/claim/elector.go
+++ b/fleet/claim/elector.go
@@ -78,6 +78,9 @@
 		return Vote{Attempt: c.Attempt}
 	}
 	g := e.grants[c.Key]
+	if g == nil && e.limits.Full(len(e.grants)) {
+		return Vote{Attempt: c.Attempt}
+	}
 	if g == nil {
 		g = &grant{minted: c.Minted, released: make(map[Claimant]Attempt)}
 		e.grants[c.Key] = g
--- a/fleet/claim/key.go
+++ b/fleet/claim/key.go
@@ -35,6 +35,13 @@
 	Lifetime time.Duration
 	// Skew bounds the difference between any two clocks of callers and hosts.
 	Skew time.Duration
+	// Keys bounds how many keys an elector or a home remembers; 0 is no bound.
+	Keys int
+}
+
+// Full reports whether no further key can be remembered.
+func (l Limits) Full(keys int) bool {
+	return l.Keys > 0 && keys >= l.Keys
 }
 
 // Expired reports whether the key may no longer be run, because electors may have forgotten it.
--- a/fleet/timer/timer.go
+++ b/fleet/timer/timer.go
@@ -2,6 +2,7 @@
 package timer
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -76,3 +77,18 @@
 	s.next++
 	return true
 }
+
+// Sleep waits for d and reports whether it passed before ctx ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/fleet/timer/timer_test.go
@@ -0,0 +1,58 @@
+package timer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestSubscribersAreCalledUntilTheyCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New()
+		calls := 0
+		cancel := s.Every(time.Second, func(time.Time, time.Duration) { calls++ })
+		time.Sleep(3500 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, 3, calls)
+		cancel()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		require.Equal(t, 3, calls)
+		s.Stop()
+		s.Every(time.Second, func(time.Time, time.Duration) { calls++ })
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 3, calls, "a stopped service calls nobody")
+	})
+}
+
+func TestSubscriberSeesThatTimeWasLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New()
+		defer s.Stop()
+		var longest time.Duration
+		first := true
+		s.Every(time.Second, func(_ time.Time, elapsed time.Duration) {
+			longest = max(longest, elapsed)
+			if first {
+				first = false
+				time.Sleep(10 * time.Second)
+			}
+		})
+		time.Sleep(13500 * time.Millisecond)
+		synctest.Wait()
+		require.Greater(t, longest, 5*time.Second)
+	})
+}
+
+func TestSleepEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		require.True(t, Sleep(ctx, 500*time.Millisecond))
+		require.False(t, Sleep(ctx, time.Hour))
+		require.False(t, Sleep(ctx, 0))
+	})
+}
--- a/load/run.go
+++ b/load/run.go
@@ -16,6 +16,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/load/caller"
 	"balsamknot.org/load/gauge"
 )
@@ -151,16 +152,7 @@
 		if ok {
 			r.wg.Go(func() { r.send(host, turn, current) })
 		}
-		pause(ctx, wait)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		timer.Sleep(ctx, wait)
 	}
 }
 
@@ -295,7 +287,7 @@
 			current.sample(loads, r.o.loadFactor)
 			r.mu.Unlock()
 		}
-		pause(ctx, sampleInterval)
+		timer.Sleep(ctx, sampleInterval)
 	}
 }
 
--- a/standin/modelengine/http.go
+++ b/standin/modelengine/http.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"balsamknot.org/fleet/timer"
 )
 
 const maxBody = 4 << 20
@@ -60,7 +62,7 @@
 // reap cancels a request that nobody reads and forgets a finished one, each after the grace period.
 func (e *Engine) reap(ctx context.Context, j *job) {
 	const period = time.Second
-	for pause(ctx, period) {
+	for timer.Sleep(ctx, period) {
 		if j.abandoned(resumeGrace) {
 			break
 		}
--- a/standin/modelengine/job.go
+++ b/standin/modelengine/job.go
@@ -7,6 +7,8 @@
 	"hash/fnv"
 	"sync"
 	"time"
+
+	"balsamknot.org/fleet/timer"
 )
 
 // request is the part of a chat completion request that the engine reads.
@@ -98,7 +100,7 @@
 	j.cached = cached
 	j.mu.Unlock()
 	const thousand = 1000
-	if !pause(ctx, e.cfg.PrefillTime*time.Duration(p.size()-cached)/thousand) {
+	if !timer.Sleep(ctx, e.cfg.PrefillTime*time.Duration(p.size()-cached)/thousand) {
 		return
 	}
 	e.generate(ctx, j, req, chat)
@@ -110,7 +112,7 @@
 		tokens = defaultTokens
 	}
 	for n := 1; n <= tokens; n++ {
-		if !pause(ctx, e.cfg.TokenTime) {
+		if !timer.Sleep(ctx, e.cfg.TokenTime) {
 			return
 		}
 		word := token(chat, len(req.Messages), n)
@@ -128,20 +130,6 @@
 	j.push(fmt.Appendf(nil, "id: %d\ndata: [DONE]\n\n", tokens+1))
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // token makes an answer that is a function of the chat, so that a wrong or mixed answer shows.
 func token(chat string, turn, n int) string {
 	hash := fnv.New32a()
