Let an elector that woke from a pause refresh its view before it vouches

Cause: found by reading. A thawed process answered votes by its old view until its next heartbeat tick noticed the pause.

Seen: TestElectorThatWokeFromAPauseAbstains fails without the change (granted) and passes with it.

--- a/balsamknot/node/members.go
+++ b/balsamknot/node/members.go
@@ -40,6 +40,8 @@
 	random     *rand.Rand
 	electorate claim.Electorate
 	leaving    bool
+	// ticked is when the view was last brought up to date: long ago when the process has just woken from a pause.
+	ticked time.Time
 	// routing caches the hosts that get new work, by region; it is made anew when the view changes.
 	routing map[host.Region][]host.ID
 	// marks holds the revision of the set that each peer had in force when last heard.
@@ -57,6 +59,7 @@
 		store:   gossip.NewStore(gossip.Config{MessageBytes: gossipBytes, Lifetime: rowLifetime}),
 		round:   gossip.NewRound(random),
 		random:  random,
+		ticked:  n.timers.Now(),
 		marks:   make(map[host.ID]revision.Number),
 		routing: make(map[host.Region][]host.ID),
 	}
@@ -96,6 +99,7 @@
 func (m *members) tick(ctx context.Context, now time.Time) {
 	m.update(now, host.Ticked{})
 	m.mu.Lock()
+	m.ticked = now
 	id, ok := m.round.Next(m.view.Peers())
 	m.mu.Unlock()
 	if ok {
@@ -271,7 +275,7 @@
 func (m *members) electorSince(key claim.Key) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.view.Connected() {
+	if !m.view.Connected() || m.n.timers.Now().Sub(m.ticked) > pausedAfter {
 		return time.Time{}
 	}
 	return m.electorate.Since(key, m.n.self.ID)
--- a/balsamknot/node/node.go
+++ b/balsamknot/node/node.go
@@ -144,6 +144,7 @@
 func (n *Node) resumeAfterPause(ctx context.Context, elapsed time.Duration) {
 	event.Log(n.log, zerolog.WarnLevel, event.NodePaused).Dur("Elapsed", elapsed).Msg(event.Text(event.NodePaused))
 	n.documents.refresh(ctx)
+	n.members.broadcast(ctx, askedAtStart)
 }
 
 // drain ends a node as planned: peers hear it first, callers are turned away by the balancer,
--- a/balsamknot/node/node_test.go
+++ b/balsamknot/node/node_test.go
@@ -10,7 +10,9 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
@@ -19,6 +21,7 @@
 	"balsamknot.org/balsamknot/settings"
 	"balsamknot.org/fleet/claim"
 	"balsamknot.org/fleet/engine"
+	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/object"
 	"balsamknot.org/fleet/revision"
 	"balsamknot.org/fleet/timer"
@@ -257,3 +260,20 @@
 		require.Equal(t, "http://127.0.0.1:1"+path, target.String())
 	}
 }
+
+// A process that wakes from a pause holds an old view: it does not vouch before it has refreshed it.
+func TestElectorThatWokeFromAPauseAbstains(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(t)
+	now := n.timers.Now()
+	key := claim.Key("gent/" + uuid.Must(uuid.NewV7()).String())
+	vote := func() claim.Verdict {
+		return n.claims.decide(key, claim.Claimant{Host: "host-1"}, 1, []host.ID{"host-1"}).Verdict
+	}
+	n.members.electorate = claim.Electorate{}
+	n.members.electorate.Observe(now.Add(-time.Hour), []host.ID{"host-1"}, time.Hour)
+	n.members.ticked = now.Add(-2 * pausedAfter)
+	require.Equal(t, claim.Abstained, vote())
+	n.members.tick(context.Background(), n.timers.Now())
+	require.Equal(t, claim.Granted, vote())
+}
