--- a/balsamknot/node/forward.go
+++ b/balsamknot/node/forward.go
@@ -39,7 +39,6 @@
 type request struct {
 	n        *Node
 	call     *wire.Call
-	plan     *route.Plan
 	assembly answer.Assembly
 	sink     sink
 	tries    int
@@ -61,7 +60,6 @@
 		Deadline:   time.UnixMilli(q.call.GetDeadlineMs()),
 		Repeatable: q.call.GetIdempotencyKey() == "",
 	})
-	q.plan = plan
 	for refusal == nil {
 		if refusal = n.checkSuspect(q.call); refusal != nil {
 			break
--- a/balsamknot/node/node.go
+++ b/balsamknot/node/node.go
@@ -52,7 +52,6 @@
 	flying atomic.Int64
 
 	listeners listeners
-	stop      context.CancelFunc
 	work      sync.WaitGroup
 }
 
@@ -103,7 +102,6 @@
 // Run serves until ctx ends, then drains and returns.
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	n.stop = stop
 	defer stop()
 	if err := n.listen(ctx); err != nil {
 		return err
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -6,7 +6,6 @@
 package placement
 
 import (
-	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,38 +26,14 @@
 func Rank[T ~string](key string, ids []T, n int) []T {
 	ranked := newTop[T](n)
 	for _, id := range ids {
-		ranked.add(id, float64(Score(key, string(id))))
+		ranked.add(id, Score(key, string(id)))
 	}
 	return ranked.ids()
 }
 
-// Weighted is an id with a positive weight.
-type Weighted[T ~string] struct {
-	ID     T
-	Weight float64
-}
-
-// RankWeighted is Rank with each id's share of keys in proportion to its weight.
-// An id whose weight is not positive is left out.
-func RankWeighted[T ~string](key string, items []Weighted[T], n int) []T {
-	ranked := newTop[T](n)
-	for _, item := range items {
-		if item.Weight <= 0 {
-			continue
-		}
-		ranked.add(item.ID, -item.Weight/math.Log(unit(Score(key, string(item.ID)))))
-	}
-	return ranked.ids()
-}
-
-// unit maps a hash to the open interval (0, 1).
-func unit(hash uint64) float64 {
-	return (float64(hash>>11) + 0.5) / (1 << 53)
-}
-
 type scored[T ~string] struct {
 	id    T
-	score float64
+	score uint64
 }
 
 // top keeps the n highest scores in order.
@@ -71,7 +46,7 @@
 	return &top[T]{limit: n, items: make([]scored[T], 0, min(n, 16)+1)}
 }
 
-func (t *top[T]) add(id T, score float64) {
+func (t *top[T]) add(id T, score uint64) {
 	item := scored[T]{id: id, score: score}
 	if len(t.items) == t.limit && (t.limit == 0 || before(t.items[t.limit-1], item) < 0) {
 		return
--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -36,16 +36,16 @@
 	require.Empty(t, Rank("chat", a, 0))
 }
 
-func TestShareFollowsWeight(t *testing.T) {
+func TestSharesAreEven(t *testing.T) {
 	t.Parallel()
 	counts := map[string]int{}
-	items := []Weighted[string]{{"a", 1}, {"b", 3}, {"none", 0}}
 	const keys = 20_000
 	for n := range keys {
-		counts[RankWeighted(fmt.Sprint(n), items, 1)[0]]++
+		counts[Rank(fmt.Sprint(n), ids(10), 1)[0]]++
+	}
+	for id, n := range counts {
+		require.InDelta(t, 0.1, float64(n)/keys, 0.02, id)
 	}
-	require.InDelta(t, 0.75, float64(counts["b"])/keys, 0.02)
-	require.Zero(t, counts["none"])
 }
 
 func BenchmarkRank800(b *testing.B) {
