Look endpoints that are down up without reading all gossip

Cause: found by reading. Change: the rows are taken in when they are heard. Behaviour is the same; runner_down, crash_request and lists_differ pass.

--- a/balsamknot/node/keeping.go
+++ b/balsamknot/node/keeping.go
@@ -38,6 +38,8 @@
 	kept    map[engine.ID]*kept
 	pooled  *http.Client
 	fresh   *http.Client
+	// lastDown holds when an endpoint was last told to be down.
+	lastDown map[engine.ID]time.Time
 	// reports holds the last load that the least-loaded baseline read of each endpoint.
 	reports map[engine.ID]int
 }
@@ -57,9 +59,10 @@
 func newKeeping(n *Node) *keeping {
 	return &keeping{
 		n: n, machine: keeper.New(), waiting: make(map[keeper.Ticket]chan keeper.Command), kept: make(map[engine.ID]*kept),
-		reports: make(map[engine.ID]int),
-		pooled:  &http.Client{Transport: endpointTransport(false)},
-		fresh:   &http.Client{Transport: endpointTransport(true)},
+		reports:  make(map[engine.ID]int),
+		lastDown: make(map[engine.ID]time.Time),
+		pooled:   &http.Client{Transport: endpointTransport(false)},
+		fresh:    &http.Client{Transport: endpointTransport(true)},
 	}
 }
 
--- a/balsamknot/node/loads.go
+++ b/balsamknot/node/loads.go
@@ -65,17 +65,31 @@
 	}
 	k.mu.Unlock()
 	for _, id := range down {
+		k.noteDown(id, now)
 		k.n.members.tell(gossip.Row{Origin: k.n.self.ID, Key: downKey + string(id), Version: uint64(now.UnixMilli()), At: now})
 	}
 }
 
-// down returns the endpoints that a keeper lately told to be down.
+// noteDown takes in that an endpoint was down at a time, as its keeper tells.
+func (k *keeping) noteDown(id engine.ID, at time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if at.After(k.lastDown[id]) {
+		k.lastDown[id] = at
+	}
+}
+
+// down returns the endpoints that were lately told to be down.
 func (k *keeping) down(now time.Time) map[engine.ID]bool {
-	down := make(map[engine.ID]bool)
-	for _, row := range k.n.members.rows(now, downKey) {
-		if now.Sub(row.At) < downLifetime {
-			down[engine.ID(strings.TrimPrefix(row.Key, downKey))] = true
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	down := make(map[engine.ID]bool, len(k.lastDown))
+	for id, at := range k.lastDown {
+		if now.Sub(at) >= downLifetime {
+			delete(k.lastDown, id)
+			continue
 		}
+		down[id] = true
 	}
 	return down
 }
--- a/balsamknot/node/members.go
+++ b/balsamknot/node/members.go
@@ -12,6 +12,7 @@
 
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/fleet/claim"
+	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/gossip"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/revision"
@@ -185,6 +186,8 @@
 	switch {
 	case strings.HasPrefix(row.Key, suspectKey):
 		m.update(now, host.Reported{ID: host.ID(strings.TrimPrefix(row.Key, suspectKey))})
+	case strings.HasPrefix(row.Key, downKey):
+		m.n.keeping.noteDown(engine.ID(strings.TrimPrefix(row.Key, downKey)), row.At)
 	case strings.HasPrefix(row.Key, crashKey):
 		m.n.suspects.heard(now, row)
 	}
--- a/balsamknot/node/node_test.go
+++ b/balsamknot/node/node_test.go
@@ -277,3 +277,13 @@
 	n.members.tick(context.Background(), n.timers.Now())
 	require.Equal(t, claim.Granted, vote())
 }
+
+func TestEndpointToldToBeDownIsLeftOutForAWhile(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(t)
+	now := n.timers.Now()
+	n.members.receive(&wire.ExchangeMessage{Host: "host-2", Rows: []*wire.Row{{Origin: "host-2", Key: downKey + "e1", Version: 1, AgeMs: 500}}}, false)
+	require.Equal(t, map[engine.ID]bool{"e1": true}, n.keeping.down(now.Add(time.Second)))
+	require.Empty(t, n.keeping.down(now.Add(downLifetime)))
+	require.Empty(t, n.keeping.down(now))
+}
