--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -17,8 +17,6 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"balsamknot.org/balsamknot/node"
-	"balsamknot.org/balsamknot/settings"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/standin/site"
 )
@@ -43,13 +41,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &demo{site: layout, running: running, cancel: cancel, timers: timer.New()}
 	for i := range layout.Hosts {
-		parsed, err := settings.Parse("bench", []byte(layout.NodeSettings(i)))
-		require.NoError(b, err)
-		n, err := node.New(node.Config{Settings: parsed, Log: zerolog.Nop(), Timers: d.timers})
-		require.NoError(b, err)
-		done := make(chan error, 1)
-		go func() { done <- n.Run(ctx) }()
-		d.nodes, d.done = append(d.nodes, n), append(d.done, done)
+		require.NoError(b, d.startNode(ctx, i, zerolog.Nop()))
 	}
 	b.Cleanup(d.stop)
 	require.NoError(b, d.awaitReady())
