Serve the users' platform: a thin path from caller to endpoint

Cause: balsamknot could not be run on the users' machines; their platform publishes, registers and speaks in its own way.

Change: platform/ translates names, formats and calls. Decisions are new packages of fleet: site (what is published), catalogue (what is believed, with its age), pool (who gets which endpoint), attempt (what may be repeated, and what may be said). The program entry wires them; here each entry still decides alone. The schema of INI settings moved from balsamknot/settings to fleet/inifile, so that both programs use one copy.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -42,6 +42,9 @@
 	RequestSuspected Number = 1601
 	RequestCondemned Number = 1602
 	HandlerRecovered Number = 1901
+	EntryUnreadable  Number = 2001
+	EndpointSeen     Number = 2002
+	EndpointGone     Number = 2003
 )
 
 // Entry explains an event to an operator.
@@ -80,6 +83,9 @@
 	{RequestSuspected, "request suspected", "An endpoint was lost while it ran this fingerprint.", "None yet."},
 	{RequestCondemned, "request condemned", "The fingerprint cost two endpoints and is refused everywhere.", "Find the caller by workspace and fingerprint."},
 	{HandlerRecovered, "handler recovered", "A request handler panicked; the process goes on.", "Report the stack as a defect."},
+	{EntryUnreadable, "registration unreadable", "A registration in the platform's store can't be read and names no endpoint.", "Find who wrote it."},
+	{EndpointSeen, "endpoint registered", "An endpoint registered itself, or changed what it says of itself.", "None."},
+	{EndpointGone, "endpoint gone", "An endpoint is no longer registered, or did not come back after an outage of the store.", "None, unless it should be there."},
 }
 
 var texts = func() map[Number]string {
--- a/balsamknot/settings/settings.go
+++ b/balsamknot/settings/settings.go
@@ -2,14 +2,7 @@
 package settings
 
 import (
-	"cmp"
-	"encoding/hex"
-	"fmt"
-	"net"
 	"os"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"balsamknot.org/fleet/host"
@@ -57,26 +50,8 @@
 	RoutingHashOnly    Routing = "HashOnly"
 )
 
-// Fault is one thing wrong with a settings file.
-type Fault struct {
-	File string
-	// Line counts from 1; 0 when a setting is missing.
-	Line    int
-	Key     string
-	Message string
-}
-
 // Faults is everything wrong with a settings file.
-type Faults []Fault
-
-// Error implements error, one line a fault.
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i, fault := range f {
-		lines[i] = fmt.Sprintf("%s:%d: %s: %s", fault.File, fault.Line, fault.Key, fault.Message)
-	}
-	return strings.Join(lines, "\n")
-}
+type Faults = inifile.Faults
 
 // Defaults of a node's settings.
 const (
@@ -88,26 +63,24 @@
 	minimumFleetKey     = 16
 )
 
-type setter func(value string) error
-
-func (n *Node) setters() map[string]setter {
-	return map[string]setter{
-		"Host":            text(&n.Host),
-		"DataCentre":      text(&n.DataCentre),
-		"Region":          text(&n.Region),
-		"CallerAddress":   address(&n.CallerAddress),
-		"PeerAddress":     address(&n.PeerAddress),
-		"OperatorAddress": address(&n.OperatorAddress),
-		"MetricsAddress":  address(&n.MetricsAddress),
-		"PlatformAddress": address(&n.PlatformAddress),
-		"Seeds":           addresses(&n.Seeds),
-		"FleetKey":        secret(&n.FleetKey),
-		"KeyLifetime":     duration(&n.KeyLifetime, time.Second),
-		"ClockSkew":       duration(&n.ClockSkew, 0),
-		"ElectorGrace":    duration(&n.ElectorGrace, 0),
-		"DrainGrace":      duration(&n.DrainGrace, 0),
-		"DrainLimit":      duration(&n.DrainLimit, 0),
-		"Routing":         oneOf(&n.Routing, RoutingBalsamknot, RoutingRandom, RoutingLeastLoaded, RoutingHashOnly),
+func (n *Node) setters() map[string]inifile.Setter {
+	return map[string]inifile.Setter{
+		"Host":            inifile.Text(&n.Host),
+		"DataCentre":      inifile.Text(&n.DataCentre),
+		"Region":          inifile.Text(&n.Region),
+		"CallerAddress":   inifile.Address(&n.CallerAddress),
+		"PeerAddress":     inifile.Address(&n.PeerAddress),
+		"OperatorAddress": inifile.Address(&n.OperatorAddress),
+		"MetricsAddress":  inifile.Address(&n.MetricsAddress),
+		"PlatformAddress": inifile.Address(&n.PlatformAddress),
+		"Seeds":           inifile.Addresses(&n.Seeds),
+		"FleetKey":        inifile.Secret(&n.FleetKey, minimumFleetKey),
+		"KeyLifetime":     inifile.Duration(&n.KeyLifetime, time.Second),
+		"ClockSkew":       inifile.Duration(&n.ClockSkew, 0),
+		"ElectorGrace":    inifile.Duration(&n.ElectorGrace, 0),
+		"DrainGrace":      inifile.Duration(&n.DrainGrace, 0),
+		"DrainLimit":      inifile.Duration(&n.DrainLimit, 0),
+		"Routing":         inifile.OneOf(&n.Routing, RoutingBalsamknot, RoutingRandom, RoutingLeastLoaded, RoutingHashOnly),
 	}
 }
 
@@ -136,118 +109,9 @@
 // Parse reads settings: one section [Node] of Key = value. The error is a Faults with every fault found.
 func Parse(path string, content []byte) (Node, error) {
 	n := Default()
-	setters := n.setters()
-	seen := make(map[string]bool)
-	var faults Faults
-	for i, line := range strings.Split(string(content), "\n") {
-		line = strings.TrimSpace(line)
-		if inifile.Blank(line) || line == "[Node]" {
-			continue
-		}
-		key, value, ok := inifile.Setting(line)
-		fault := Fault{File: path, Line: i + 1, Key: key}
-		set, known := setters[key]
-		switch {
-		case !ok:
-			fault.Key, fault.Message = line, "not a setting; write Key = value below [Node]"
-		case !known:
-			fault.Message = "unknown setting"
-		case seen[key]:
-			fault.Message = "set twice"
-		default:
-			seen[key] = true
-			if err := set(value); err != nil {
-				fault.Message = err.Error()
-			}
-		}
-		if fault.Message != "" {
-			faults = append(faults, fault)
-		}
-	}
-	for _, key := range required {
-		if !seen[key] {
-			faults = append(faults, Fault{File: path, Key: key, Message: "setting is missing"})
-		}
-	}
-	if len(faults) > 0 {
-		slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
-		return Node{}, faults
+	schema := inifile.Schema{Section: "Node", Setters: n.setters(), Required: required}
+	if err := schema.Parse(path, content); err != nil {
+		return Node{}, err
 	}
 	return n, nil
 }
-
-func text[T ~string](into *T) setter {
-	return func(value string) error {
-		if value == "" {
-			return fmt.Errorf("is empty")
-		}
-		*into = T(value)
-		return nil
-	}
-}
-
-func address(into *string) setter {
-	return func(value string) error {
-		if err := checkAddress(value); err != nil {
-			return err
-		}
-		*into = value
-		return nil
-	}
-}
-
-func addresses(into *[]string) setter {
-	return func(value string) error {
-		for part := range strings.SplitSeq(value, ",") {
-			part = strings.TrimSpace(part)
-			if err := checkAddress(part); err != nil {
-				return err
-			}
-			*into = append(*into, part)
-		}
-		return nil
-	}
-}
-
-func checkAddress(value string) error {
-	ip, port, err := net.SplitHostPort(value)
-	if err != nil || net.ParseIP(ip) == nil {
-		return fmt.Errorf("%q is not ip:port", value)
-	}
-	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
-		return fmt.Errorf("%q has no port from 0 to 65535", value)
-	}
-	return nil
-}
-
-func secret(into *[]byte) setter {
-	return func(value string) error {
-		raw, err := hex.DecodeString(value)
-		if err != nil || len(raw) < minimumFleetKey {
-			return fmt.Errorf("is not at least %d bytes in hexadecimal", minimumFleetKey)
-		}
-		*into = raw
-		return nil
-	}
-}
-
-func duration(into *time.Duration, least time.Duration) setter {
-	return func(value string) error {
-		d, err := time.ParseDuration(value)
-		if err != nil || d < least {
-			return fmt.Errorf("%q is not a time of at least %s, such as 10s", value, least)
-		}
-		*into = d
-		return nil
-	}
-}
-
-func oneOf[T ~string](into *T, allowed ...T) setter {
-	return func(value string) error {
-		if !slices.Contains(allowed, T(value)) {
-			return fmt.Errorf("%q is not one of %v", value, allowed)
-		}
-		*into = T(value)
-		return nil
-	}
-}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,72 @@
+// Command entry runs an entry host: it serves callers on the users' machines and reads what their platform publishes.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/entry/node"
+	"balsamknot.org/entry/settings"
+	"balsamknot.org/fleet/timer"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// collectAt is the growth of the heap, in percent, at which the collector runs: memory is dearer here than processor time.
+const collectAt = 50
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	flags := ff.NewFlagSet("entry")
+	file := flags.StringLong("settings", "", "settings file of this host (INI)")
+	check := flags.BoolLong("check", "check the settings and exit")
+	if err := ff.Parse(flags, args); err != nil {
+		fmt.Fprintln(os.Stderr, ffhelp.Flags(flags))
+		if errors.Is(err, ff.ErrHelp) {
+			return exitDone
+		}
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		return exitUsage
+	}
+	cfg, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		return exitUsage
+	}
+	if *check {
+		return exitDone
+	}
+	debug.SetGCPercent(collectAt)
+	if err := serve(cfg); err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+func serve(cfg settings.Host) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	timers := timer.New()
+	defer timers.Stop()
+	log := zerolog.New(os.Stdout).With().Timestamp().Str("Host", string(cfg.Host)).Logger()
+	return node.New(node.Config{Settings: cfg, Log: log, Timers: timers}).Run(ctx)
+}
--- /dev/null
+++ b/entry/node/caller.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"balsamknot.org/fleet/site"
+	"balsamknot.org/fleet/timer"
+	"balsamknot.org/platform"
+)
+
+// callers serves those who ask.
+type callers struct {
+	n *Node
+	// flying counts requests that were read and not yet answered.
+	flying atomic.Int64
+
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+}
+
+const (
+	// unknownReturn is when to come back to a host that does not know the set yet.
+	unknownReturn = 300 * time.Millisecond
+	// defaultPatience is assumed of callers that don't say how long they wait.
+	defaultPatience = 30 * time.Second
+	// defaultIdle and defaultBody hold before the first set.
+	defaultIdle = 60 * time.Second
+	defaultBody = 4 << 20
+)
+
+func newCallers(n *Node) *callers {
+	return &callers{n: n, idle: make(map[net.Conn]time.Time)}
+}
+
+func (c *callers) server() *http.Server {
+	return &http.Server{
+		Handler: c, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: headerBytes, ConnState: c.noteState,
+		DisableGeneralOptionsHandler: true, ErrorLog: nil,
+	}
+}
+
+// noteState remembers since when a caller's connection is idle.
+func (c *callers) noteState(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateIdle {
+		c.idle[conn] = timer.Boot()
+		return
+	}
+	delete(c.idle, conn)
+}
+
+// sweep closes connections that were idle for longer than the set allows.
+func (c *callers) sweep(now time.Time) {
+	limit := defaultIdle
+	if set, _ := c.n.beliefs.set(now); set != nil && set.Limits.IdleTimeout > 0 {
+		limit = set.Limits.IdleTimeout
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.idle {
+		if now.Sub(since) > limit {
+			delete(c.idle, conn)
+			_ = conn.Close()
+		}
+	}
+}
+
+// request is one caller's request with what was found out about it.
+type request struct {
+	w     http.ResponseWriter
+	r     *http.Request
+	call  platform.Call
+	start time.Time
+	// deadline is when neither caller nor route wait any longer.
+	deadline  time.Time
+	set       *site.Set
+	route     *site.Route
+	service   site.ServiceName
+	workspace site.WorkspaceName
+	body      []byte
+	resumed   string
+}
+
+// ServeHTTP answers one request.
+func (c *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.flying.Add(1)
+	defer c.flying.Add(-1)
+	q := &request{w: w, r: r, call: platform.ReadCall(r.Header), start: timer.Boot()}
+	if c.n.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if !c.admit(q) || !c.readBody(q) {
+		return
+	}
+	c.n.serve(q)
+}
+
+// admit finds the request's route and workspace, or answers it.
+func (c *callers) admit(q *request) bool {
+	set, valid := c.n.beliefs.set(q.start)
+	if !valid {
+		q.refuse(http.StatusServiceUnavailable, unknownReturn)
+		return false
+	}
+	q.set = set
+	if q.call.Patience == 0 {
+		q.call.Patience = defaultPatience
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	route, found := set.Match(q.r.Host, path)
+	if !found {
+		q.refuse(http.StatusNotFound, 0)
+		return false
+	}
+	q.route = route
+	if !route.Public && len(set.Workspaces) > 0 {
+		workspace, known := set.Keys[site.Key(q.call.Key)]
+		if !known {
+			q.refuse(http.StatusUnauthorized, 0)
+			return false
+		}
+		q.workspace = workspace
+	}
+	q.service = route.Service(q.call.ID)
+	q.deadline = q.start.Add(q.call.Patience)
+	if route.Timeout > 0 && route.Timeout < q.call.Patience {
+		q.deadline = q.start.Add(route.Timeout)
+	}
+	return true
+}
+
+// readBody reads the whole body, so that it can be sent at once, and again where that is allowed.
+func (c *callers) readBody(q *request) bool {
+	if q.r.ContentLength == 0 {
+		return true
+	}
+	limit := q.set.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(q.deadline.Sub(timer.Boot())))
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	_ = http.NewResponseController(q.w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		q.refuse(http.StatusRequestEntityTooLarge, 0)
+		return false
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	}
+	q.body = body
+	return true
+}
+
+// refuse answers with the system's own status; after says when to come back.
+func (q *request) refuse(status int, after time.Duration) {
+	h := q.w.Header()
+	platform.Refuse(h, q.call.ID, after)
+	h.Set("Content-Type", "text/plain")
+	text := http.StatusText(status) + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	q.w.WriteHeader(status)
+	_, _ = io.WriteString(q.w, text)
+}
+
+// allowed reports whether the newest set still holds the caller's key, and is known well enough to say so.
+func (n *Node) allowed(now time.Time, q *request) bool {
+	set, valid := n.beliefs.set(now)
+	if !valid {
+		return false
+	}
+	if q.route.Public || len(set.Workspaces) == 0 {
+		return true
+	}
+	workspace, known := set.Keys[site.Key(q.call.Key)]
+	return known && workspace == q.workspace
+}
+
+// gone reports whether the caller has left.
+func (q *request) gone() bool { return errors.Is(q.r.Context().Err(), context.Canceled) }
--- /dev/null
+++ b/entry/node/node.go
@@ -0,0 +1,167 @@
+// Package node wires the decisions of an entry host to HTTP, datagrams, timers and logs. One node is one process on one
+// host: it serves callers, keeps the places of some services, and reads the platform.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/entry/connection"
+	"balsamknot.org/entry/settings"
+	"balsamknot.org/fleet/timer"
+	"balsamknot.org/platform"
+)
+
+// Config is what a node is built from.
+type Config struct {
+	Settings settings.Host
+	Log      zerolog.Logger
+	Timers   *timer.Service
+}
+
+// Node is one running entry host.
+type Node struct {
+	cfg    settings.Host
+	log    zerolog.Logger
+	timers *timer.Service
+
+	store    *platform.Store
+	beliefs  *beliefs
+	places   *places
+	links    *connection.Pool
+	callers  *callers
+	draining atomic.Bool
+
+	servers []*http.Server
+	work    sync.WaitGroup
+}
+
+const (
+	// tickInterval is how often decisions hear that time has passed.
+	tickInterval = 100 * time.Millisecond
+	// sweepInterval is how often idle connections are looked at.
+	sweepInterval = time.Second
+	// dialLimit bounds a new connection to an endpoint.
+	dialLimit = 300 * time.Millisecond
+	// linkSilence is after how long a silent connection to an endpoint is taken to be dead.
+	linkSilence = 3 * time.Second
+	// linkIdle is how long an idle connection is kept whose endpoint says nothing of it.
+	linkIdle = 900 * time.Millisecond
+	// linksPerEndpoint bounds the idle connections to an endpoint.
+	linksPerEndpoint = 8
+	// headerLimit bounds the time and headerBytes the size of a caller's headers.
+	headerLimit = 5 * time.Second
+	headerBytes = 16 << 10
+	// stopMargin is how long before its end by force a draining process ends by itself.
+	stopMargin = 700 * time.Millisecond
+	// drainLeast is how long a draining host serves at least, until the balancer has noticed.
+	drainLeast = 2600 * time.Millisecond
+	// drainStep is how often a draining host looks whether requests are in flight.
+	drainStep = 50 * time.Millisecond
+)
+
+// New builds a node; Run starts it.
+func New(cfg Config) *Node {
+	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, store: platform.NewStore(cfg.Settings.StoreAddress)}
+	n.links = connection.New(connection.Config{
+		DialLimit: dialLimit, Silence: linkSilence, Idle: linkIdle, IdlePerEndpoint: linksPerEndpoint,
+	})
+	n.places = newPlaces(n)
+	n.beliefs = newBeliefs(n)
+	n.callers = newCallers(n)
+	return n
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (n *Node) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := n.listen(ctx); err != nil {
+		return err
+	}
+	event.Log(n.log, zerolog.InfoLevel, event.NodeStarted).Str("Callers", n.cfg.CallerAddress).Msg(event.Text(event.NodeStarted))
+	n.work.Go(func() { n.beliefs.follow(work) })
+	cancels := []func(){
+		n.timers.Every(tickInterval, func(time.Time, time.Duration) { n.tick() }),
+		n.timers.Every(sweepInterval, func(time.Time, time.Duration) { n.sweep() }),
+	}
+	<-ctx.Done()
+	n.drain()
+	for _, cancel := range cancels {
+		cancel()
+	}
+	stop()
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+	n.links.Close()
+	n.work.Wait()
+	event.Log(n.log, zerolog.InfoLevel, event.NodeStopped).Int64("InFlight", n.callers.flying.Load()).Msg(event.Text(event.NodeStopped))
+	return nil
+}
+
+func (n *Node) tick() {
+	now := timer.Boot()
+	n.beliefs.tick(now)
+	n.places.tick(now)
+}
+
+func (n *Node) sweep() {
+	n.links.Sweep()
+	n.callers.sweep(timer.Boot())
+}
+
+// drain ends a node as planned: the balancer hears it, what still comes is served, and what runs finishes.
+func (n *Node) drain() {
+	start := timer.Boot()
+	n.draining.Store(true)
+	event.Log(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.callers.flying.Load()).Msg(event.Text(event.NodeDraining))
+	for {
+		time.Sleep(drainStep)
+		spent := timer.Boot().Sub(start)
+		if spent >= n.cfg.DrainLimit-stopMargin || (spent >= drainLeast && n.callers.flying.Load() == 0) {
+			return
+		}
+	}
+}
+
+// Ready reports whether the node takes callers.
+func (n *Node) Ready() bool {
+	return !n.draining.Load() && n.beliefs.valid(timer.Boot())
+}
+
+func (n *Node) listen(ctx context.Context) error {
+	for _, l := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{n.cfg.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerLimit}},
+		{n.cfg.CallerAddress, n.callers.server()},
+	} {
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", l.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen: address %s", l.address)
+		}
+		n.servers = append(n.servers, l.server)
+		n.work.Go(func() { _ = l.server.Serve(listener) })
+	}
+	return nil
+}
+
+func (n *Node) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/fleet/pool/seat.go
@@ -0,0 +1,138 @@
+package pool
+
+import (
+	"encoding/binary"
+	"time"
+
+	"balsamknot.org/fleet/chat"
+	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/placement"
+)
+
+const (
+	// readRate is how many prompt tokens an engine reads in a millisecond.
+	readRate = 92.0
+	// rereadWeight counts the reading of a part that another engine holds several times: it delays the requests beside it.
+	rereadWeight = 3.0
+	// neighbourCost is what each running request adds to the cost of an engine, in milliseconds.
+	neighbourCost = 20.0
+	// spreadCost is the share of the rendezvous order in the cost, in milliseconds. It makes keepers that know nothing agree.
+	spreadCost = 10.0
+	// farCost is what another data centre adds, in running requests of a runner.
+	farCost = 1.5
+	// failureCost is what a runner that always fails adds, in running requests.
+	failureCost = 12.0
+	// failureWeight is the weight of the newest result in the failure share.
+	failureWeight = 0.15
+	// partLifetime is how long a part that nobody used is taken to be cached.
+	partLifetime = 60 * time.Second
+	// partLimit bounds the parts remembered of an engine.
+	partLimit = 4096
+	// firstSuspicion is how long an endpoint is passed over after it broke off; it doubles up to longestSuspicion.
+	firstSuspicion   = 500 * time.Millisecond
+	longestSuspicion = 4 * time.Second
+	// fullPause is how long an endpoint is passed over that turned a request away.
+	fullPause = 200 * time.Millisecond
+)
+
+// seat is one endpoint as its keeper sees it.
+type seat struct {
+	record  endpoint.Record
+	running int
+	parts   map[chat.PartID]time.Time
+	// failures is the recent share of requests that failed, 0 to 1.
+	failures float64
+	// breaks counts connections that broke since the last whole answer.
+	breaks       int
+	suspectUntil time.Time
+}
+
+func newSeat(r endpoint.Record) *seat {
+	return &seat{record: r, parts: make(map[chat.PartID]time.Time)}
+}
+
+func (st *seat) take(now time.Time, p chat.Prompt) {
+	st.running++
+	for i, part := range p.Parts {
+		if i == len(p.Parts)-1 && len(p.Parts) > 1 {
+			return
+		}
+		st.parts[part.ID] = now
+	}
+	if len(st.parts) > partLimit {
+		st.forgetParts(now)
+	}
+}
+
+func (st *seat) forgetParts(now time.Time) {
+	for id, used := range st.parts {
+		if now.Sub(used) > partLifetime {
+			delete(st.parts, id)
+		}
+	}
+}
+
+func (st *seat) end(now time.Time, result Result) {
+	st.running--
+	switch result {
+	case Done:
+		st.failures -= failureWeight * st.failures
+		st.breaks = 0
+		st.suspectUntil = time.Time{}
+	case Failed:
+		st.failures += failureWeight * (1 - st.failures)
+	case TurnedAway:
+		st.failures += failureWeight * (1 - st.failures)
+		st.pause(now, fullPause)
+	case Broken, Silent:
+		st.failures += failureWeight * (1 - st.failures)
+		st.pause(now, min(firstSuspicion<<min(st.breaks, 8), longestSuspicion))
+		st.breaks++
+	case Unknown:
+	}
+}
+
+func (st *seat) pause(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(st.suspectUntil) {
+		st.suspectUntil = until
+	}
+}
+
+func (st *seat) suspect(now time.Time) bool { return now.Before(st.suspectUntil) }
+
+// engineCost estimates, in milliseconds, what a prompt costs at this engine: parts to read, and requests beside it.
+func (st *seat) engineCost(now time.Time, e Asked) float64 {
+	missing := 0
+	cached := true
+	for i, part := range e.Prompt.Parts {
+		used, held := st.parts[part.ID]
+		cached = cached && held && now.Sub(used) < partLifetime
+		if !cached && i < len(e.Prompt.Parts)-1 {
+			missing += part.Tokens
+		}
+	}
+	if missing > 0 && e.Known == st.record.Instance.ID {
+		missing = 0
+	}
+	return rereadWeight*float64(missing)/readRate + neighbourCost*float64(st.running) +
+		neighbourCost*neighboursAtFull*st.failures + spreadCost*st.spread(e)
+}
+
+// neighboursAtFull is how many running requests an engine that always fails counts for.
+const neighboursAtFull = 30
+
+// runnerCost orders runners of a plain service: the least busy, near ones first.
+func (st *seat) runnerCost(e Asked) float64 {
+	c := float64(st.running) + failureCost*st.failures
+	if st.record.DataCentre != e.DataCentre {
+		c += farCost
+	}
+	return c
+}
+
+// spread is the endpoint's place in the rendezvous order of the prompt's subject, from 0 to 1, lowest first.
+func (st *seat) spread(e Asked) float64 {
+	var key [8]byte
+	binary.BigEndian.PutUint64(key[:], subjectKey(e.Prompt))
+	return 1 - float64(placement.Score(string(key[:]), string(st.record.Instance.ID)))/(1<<64)
+}
