Give places through one keeper a service

Ruled out: bytes through the keeper (a second hop, two owners of one request).

Change: hosts find each other by heartbeats (fleet/roster); the first live host in a service's rendezvous order keeps its places. An ask costs one datagram each way and an end another. A keeper that does not answer in 45 ms is passed over and the entry decides alone, with what it saw of its own requests.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -16,35 +16,38 @@
 
 // Events of a node.
 const (
-	NodeStarted      Number = 1001
-	NodeReady        Number = 1002
-	NodeDraining     Number = 1003
-	NodeStopped      Number = 1004
-	NodePaused       Number = 1005
-	HostChanged      Number = 1101
-	PeerRejected     Number = 1102
-	DocumentAccepted Number = 1201
-	DocumentRefused  Number = 1202
-	PlatformLost     Number = 1203
-	PlatformBack     Number = 1204
-	KeeperAssigned   Number = 1301
-	KeeperWithdrawn  Number = 1302
-	EndpointLost     Number = 1303
-	EndpointLeaving  Number = 1304
-	RequestDone      Number = 1401
-	RequestRefused   Number = 1402
-	RequestResumed   Number = 1403
-	RequestRetried   Number = 1404
-	ClaimWon         Number = 1501
-	ClaimDeferred    Number = 1502
-	ClaimUnsettled   Number = 1503
-	ClaimVoided      Number = 1504
-	RequestSuspected Number = 1601
-	RequestCondemned Number = 1602
-	HandlerRecovered Number = 1901
-	EntryUnreadable  Number = 2001
-	EndpointSeen     Number = 2002
-	EndpointGone     Number = 2003
+	NodeStarted        Number = 1001
+	NodeReady          Number = 1002
+	NodeDraining       Number = 1003
+	NodeStopped        Number = 1004
+	NodePaused         Number = 1005
+	HostChanged        Number = 1101
+	PeerRejected       Number = 1102
+	DocumentAccepted   Number = 1201
+	DocumentRefused    Number = 1202
+	PlatformLost       Number = 1203
+	PlatformBack       Number = 1204
+	KeeperAssigned     Number = 1301
+	KeeperWithdrawn    Number = 1302
+	EndpointLost       Number = 1303
+	EndpointLeaving    Number = 1304
+	RequestDone        Number = 1401
+	RequestRefused     Number = 1402
+	RequestResumed     Number = 1403
+	RequestRetried     Number = 1404
+	ClaimWon           Number = 1501
+	ClaimDeferred      Number = 1502
+	ClaimUnsettled     Number = 1503
+	ClaimVoided        Number = 1504
+	RequestSuspected   Number = 1601
+	RequestCondemned   Number = 1602
+	HandlerRecovered   Number = 1901
+	EntryUnreadable    Number = 2001
+	EndpointSeen       Number = 2002
+	EndpointGone       Number = 2003
+	DatagramUnreadable Number = 2101
+	DatagramUnsent     Number = 2102
+	KeeperSilent       Number = 2103
 )
 
 // Entry explains an event to an operator.
@@ -86,6 +89,9 @@
 	{EntryUnreadable, "registration unreadable", "A registration in the platform's store can't be read and names no endpoint.", "Find who wrote it."},
 	{EndpointSeen, "endpoint registered", "An endpoint registered itself, or changed what it says of itself.", "None."},
 	{EndpointGone, "endpoint gone", "An endpoint is no longer registered, or did not come back after an outage of the store.", "None, unless it should be there."},
+	{DatagramUnreadable, "datagram unreadable", "A datagram on the hosts' own port can't be read.", "See who sends it; versions may differ."},
+	{DatagramUnsent, "datagram not sent", "A datagram to another host could not be sent.", "None, unless it lasts."},
+	{KeeperSilent, "keeper silent", "The host that keeps a service did not answer; the request's own host decided.", "Check that host if it lasts."},
 }
 
 var texts = func() map[Number]string {
--- /dev/null
+++ b/entry/node/members.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/placement"
+	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/roster"
+	"balsamknot.org/fleet/site"
+	"balsamknot.org/fleet/timer"
+)
+
+// members finds the other hosts and exchanges datagrams with them.
+type members struct {
+	n      *Node
+	socket *peer.Socket
+
+	mu     sync.Mutex
+	roster *roster.Roster
+	// avoided holds hosts that did not answer, with the time until which they are not asked again.
+	avoided map[host.ID]avoidance
+	live    []host.ID
+}
+
+type avoidance struct {
+	until time.Time
+	times int
+}
+
+const (
+	// beatInterval is the time between rounds of heartbeats.
+	beatInterval = 300 * time.Millisecond
+	// beatFanout is how many hosts get each round, and beatRows how many heartbeats each message holds.
+	beatFanout = 3
+	beatRows   = 24
+	// suspectAfter, suspectPerHost and forgetAfter say when a silent host counts as lost, and when it is forgotten.
+	suspectAfter   = 1500 * time.Millisecond
+	suspectPerHost = 40 * time.Millisecond
+	forgetAfter    = time.Minute
+	// firstAvoidance is how long a host is not asked that did not answer; it doubles up to longestAvoidance.
+	firstAvoidance   = time.Second
+	longestAvoidance = 8 * time.Second
+)
+
+func newMembers(n *Node) *members {
+	return &members{
+		n: n, avoided: make(map[host.ID]avoidance),
+		roster: roster.New(roster.Config{
+			Self: roster.Heartbeat{
+				Host: n.cfg.Host, Address: n.peerAddress(n.cfg.Address), DataCentre: n.cfg.DataCentre,
+				Started: time.Now().UnixMilli(),
+			},
+			Seeds: n.seedAddresses(), Fanout: beatFanout, Rows: beatRows,
+			Suspect: suspectAfter, SuspectPerHost: suspectPerHost, Forget: forgetAfter,
+			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}),
+		live: []host.ID{n.cfg.Host},
+	}
+}
+
+func (n *Node) peerAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(int(n.cfg.FirstPort)))
+}
+
+// seedAddresses turns the seeds into addresses for datagrams: the hosts are the same, the port is the hosts' own.
+func (n *Node) seedAddresses() []string {
+	var addresses []string
+	for _, seed := range n.cfg.Seeds {
+		if ip, _, err := net.SplitHostPort(seed); err == nil {
+			addresses = append(addresses, n.peerAddress(ip))
+		}
+	}
+	return addresses
+}
+
+func (m *members) listen(ctx context.Context) error {
+	socket, err := peer.Listen(ctx, m.n.peerAddress(m.n.cfg.Address))
+	m.socket = socket
+	return err
+}
+
+func (m *members) serve() {
+	m.socket.Serve(m.handle, func(from netip.AddrPort, err error) {
+		event.Log(m.n.log, zerolog.WarnLevel, event.DatagramUnreadable).Stringer("From", from).Err(err).
+			Msg(event.Text(event.DatagramUnreadable))
+	})
+}
+
+func (m *members) handle(_ netip.AddrPort, d peer.Datagram) {
+	now := timer.Boot()
+	if len(d.Beats) > 0 {
+		m.mu.Lock()
+		changes := m.roster.Hear(now, d.From, d.Beats)
+		m.note(changes)
+		m.mu.Unlock()
+		m.act(now, changes)
+	}
+	m.n.places.handle(now, d)
+}
+
+// note keeps the list of live hosts at hand; mu is held.
+func (m *members) note(changes []roster.Change) {
+	if len(changes) > 0 {
+		m.live = m.roster.Live()
+	}
+}
+
+func (m *members) act(now time.Time, changes []roster.Change) {
+	for _, c := range changes {
+		event.Log(m.n.log, zerolog.InfoLevel, event.HostChanged).Str("Peer", string(c.Host)).Bool("Live", c.Live).
+			Msg(event.Text(event.HostChanged))
+		if !c.Live {
+			m.n.places.update(now, pool.HostLost{Host: c.Host})
+		}
+	}
+}
+
+func (m *members) tick(now time.Time) {
+	m.mu.Lock()
+	messages, changes := m.roster.Tick(now)
+	m.note(changes)
+	m.mu.Unlock()
+	m.act(now, changes)
+	m.tell(messages)
+}
+
+func (m *members) tell(messages []roster.Message) {
+	for _, message := range messages {
+		m.sendTo(message.To, peer.Datagram{Beats: message.Rows})
+	}
+}
+
+// leave tells the others that this host stops.
+func (m *members) leave() {
+	m.mu.Lock()
+	messages := m.roster.Leave()
+	m.live = m.roster.Live()
+	m.mu.Unlock()
+	m.tell(messages)
+}
+
+// send sends a datagram to a host; a host that is not known gets none.
+func (m *members) send(to host.ID, d peer.Datagram) {
+	m.mu.Lock()
+	address, known := m.roster.Address(to)
+	m.mu.Unlock()
+	if known {
+		m.sendTo(address, d)
+	}
+}
+
+func (m *members) sendTo(address string, d peer.Datagram) {
+	d.From = m.n.cfg.Host
+	if _, err := m.socket.Send(address, d); err != nil {
+		event.Log(m.n.log, zerolog.DebugLevel, event.DatagramUnsent).Str("To", address).Err(err).Msg(event.Text(event.DatagramUnsent))
+	}
+}
+
+// keeper returns the host that keeps a service: the first live one in the service's order that answers.
+func (m *members) keeper(now time.Time, service site.ServiceName) host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range placement.Rank(string(service), m.live, keeperCandidates) {
+		if id == m.n.cfg.Host || !now.Before(m.avoided[id].until) {
+			return id
+		}
+	}
+	return m.n.cfg.Host
+}
+
+// keeperCandidates bounds the hosts that are asked before a host decides alone.
+const keeperCandidates = 3
+
+// unanswered notes that a host did not answer, and answered that it did.
+func (m *members) unanswered(now time.Time, id host.ID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := m.avoided[id]
+	if now.Before(a.until) {
+		return
+	}
+	a.until = now.Add(min(firstAvoidance<<min(a.times, 8), longestAvoidance))
+	a.times++
+	m.avoided[id] = a
+}
+
+func (m *members) answered(id host.ID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.avoided, id)
+}
+
+// hosts returns how many hosts live, this one included.
+func (m *members) hosts() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(len(m.live), 1)
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -35,6 +35,7 @@
 
 	store    *platform.Store
 	beliefs  *beliefs
+	members  *members
 	places   *places
 	links    *connection.Pool
 	callers  *callers
@@ -74,6 +75,7 @@
 	n.links = connection.New(connection.Config{
 		DialLimit: dialLimit, Silence: linkSilence, Idle: linkIdle, IdlePerEndpoint: linksPerEndpoint,
 	})
+	n.members = newMembers(n)
 	n.places = newPlaces(n)
 	n.beliefs = newBeliefs(n)
 	n.callers = newCallers(n)
@@ -88,9 +90,12 @@
 		return err
 	}
 	event.Log(n.log, zerolog.InfoLevel, event.NodeStarted).Str("Callers", n.cfg.CallerAddress).Msg(event.Text(event.NodeStarted))
+	n.work.Go(n.members.serve)
 	n.work.Go(func() { n.beliefs.follow(work) })
 	cancels := []func(){
 		n.timers.Every(tickInterval, func(time.Time, time.Duration) { n.tick() }),
+		n.timers.Every(beatInterval, func(time.Time, time.Duration) { n.members.tick(timer.Boot()) }),
+		n.timers.Every(holdInterval, func(time.Time, time.Duration) { n.places.remind(timer.Boot()) }),
 		n.timers.Every(sweepInterval, func(time.Time, time.Duration) { n.sweep() }),
 	}
 	<-ctx.Done()
@@ -102,6 +107,7 @@
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
+	_ = n.members.socket.Close()
 	n.links.Close()
 	n.work.Wait()
 	event.Log(n.log, zerolog.InfoLevel, event.NodeStopped).Int64("InFlight", n.callers.flying.Load()).Msg(event.Text(event.NodeStopped))
@@ -123,6 +129,7 @@
 func (n *Node) drain() {
 	start := timer.Boot()
 	n.draining.Store(true)
+	n.members.leave()
 	event.Log(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.callers.flying.Load()).Msg(event.Text(event.NodeDraining))
 	for {
 		time.Sleep(drainStep)
@@ -139,6 +146,9 @@
 }
 
 func (n *Node) listen(ctx context.Context) error {
+	if err := n.members.listen(ctx); err != nil {
+		return err
+	}
 	for _, l := range []struct {
 		address string
 		server  *http.Server
--- a/entry/node/places.go
+++ b/entry/node/places.go
@@ -5,7 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -15,15 +20,41 @@
 type places struct {
 	n *Node
 
-	mu      sync.Mutex
-	keeper  *pool.Keeper
-	next    uint64
-	answers map[pool.Ticket]chan pool.Command
+	mu     sync.Mutex
+	keeper *pool.Keeper
+	next   uint64
+	// answers holds who waits here for a keeper's word, by the number of the ticket.
+	answers map[uint64]chan pool.Command
+	// held holds this host's own places.
+	held map[pool.Ticket]holding
+}
+
+// holding is a place that a request of this host has.
+type holding struct {
+	place pool.Held
+	// keeper gave the place.
+	keeper host.ID
 }
 
+const (
+	// askAgain is after how long an unanswered question is sent again; it is given up after askLimit.
+	askAgain = 15 * time.Millisecond
+	askLimit = 45 * time.Millisecond
+	// queueAgain is how often a host that waits for a place asks whether it still does, and queueLimit how long it goes
+	// without an answer.
+	queueAgain = 250 * time.Millisecond
+	queueLimit = 700 * time.Millisecond
+	// holdInterval is how often a host tells keepers which places it holds.
+	holdInterval = time.Second
+	// holdsPerDatagram bounds the places told in one datagram.
+	holdsPerDatagram = 12
+	// answerRoom is how many words of a keeper may wait to be read.
+	answerRoom = 4
+)
+
 func newPlaces(n *Node) *places {
 	return &places{
-		n: n, answers: make(map[pool.Ticket]chan pool.Command),
+		n: n, answers: make(map[uint64]chan pool.Command), held: make(map[pool.Ticket]holding),
 		keeper: pool.New(pool.Config{
 			LoadFactor: n.cfg.LoadFactor, RetryRatio: n.cfg.RetryRatio, RetrySlack: n.cfg.RetrySlack,
 			RetryWindow: n.cfg.RetryWindow,
@@ -34,54 +65,270 @@
 // update tells the keeper an event and carries out its commands.
 func (p *places) update(now time.Time, e pool.Event) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.carry(p.keeper.Update(now, e))
+	commands := p.keeper.Update(now, e)
+	p.mu.Unlock()
+	p.carry(commands)
 }
 
 func (p *places) tick(now time.Time) { p.update(now, pool.Ticked{}) }
 
+// carry gives a keeper's words to those who wait, here or on other hosts.
 func (p *places) carry(commands []pool.Command) {
 	for _, c := range commands {
-		switch c := c.(type) {
-		case pool.Place:
-			p.answer(c.Ticket, c)
-		case pool.Refuse:
-			p.answer(c.Ticket, c)
+		ticket, answer := toAnswer(c)
+		if ticket.Host == p.n.cfg.Host {
+			p.hear(ticket.Number, c)
+			continue
 		}
+		p.n.members.send(ticket.Host, peer.Datagram{Answers: []peer.Answer{answer}})
+	}
+}
+
+func toAnswer(c pool.Command) (pool.Ticket, peer.Answer) {
+	switch c := c.(type) {
+	case pool.Place:
+		return c.Ticket, peer.Answer{
+			Number: c.Ticket.Number, Kind: peer.Placed, Endpoint: c.Endpoint.Instance.ID, Born: c.Endpoint.Instance.Born,
+		}
+	case pool.Queue:
+		return c.Ticket, peer.Answer{Number: c.Ticket.Number, Kind: peer.Queued}
+	case pool.Refuse:
+		return c.Ticket, peer.Answer{
+			Number: c.Ticket.Number, Kind: peer.Refused, Reason: c.Reason, AfterMs: c.After.Milliseconds(),
+		}
+	}
+	return pool.Ticket{}, peer.Answer{}
+}
+
+// hear gives a keeper's word to the request that waits for it.
+func (p *places) hear(number uint64, c pool.Command) bool {
+	p.mu.Lock()
+	ch := p.answers[number]
+	p.mu.Unlock()
+	if ch == nil {
+		return false
+	}
+	select {
+	case ch <- c:
+	default:
 	}
+	return true
 }
 
-func (p *places) answer(ticket pool.Ticket, c pool.Command) {
-	if ch := p.answers[ticket]; ch != nil {
-		delete(p.answers, ticket)
-		ch <- c
+// handle takes what other hosts say of places.
+func (p *places) handle(now time.Time, d peer.Datagram) {
+	for _, ask := range d.Asks {
+		p.update(now, ask.Asked(d.From))
 	}
+	for _, end := range d.Ends {
+		p.update(now, pool.Ended{Ticket: pool.Ticket{Host: d.From, Number: end.Number}, Service: end.Service, Result: end.Result})
+	}
+	for _, hold := range d.Holds {
+		p.update(now, hold.Held(d.From))
+	}
+	for _, answer := range d.Answers {
+		p.n.members.answered(d.From)
+		p.answer(d.From, answer)
+	}
+}
+
+// answer takes a keeper's answer. A place that nobody waits for any more is given back.
+func (p *places) answer(from host.ID, a peer.Answer) {
+	ticket := pool.Ticket{Host: p.n.cfg.Host, Number: a.Number}
+	var c pool.Command
+	switch a.Kind {
+	case peer.Placed:
+		record, known := p.record(endpoint.Instance{ID: a.Endpoint, Born: a.Born})
+		if !known {
+			record = endpoint.Record{Instance: endpoint.Instance{ID: a.Endpoint, Born: a.Born}}
+		}
+		c = pool.Place{Ticket: ticket, Endpoint: record}
+	case peer.Queued:
+		c = pool.Queue{Ticket: ticket}
+	default:
+		c = pool.Refuse{Ticket: ticket, Reason: a.Reason, After: time.Duration(a.AfterMs) * time.Millisecond}
+	}
+	if p.hear(a.Number, c) || a.Kind != peer.Placed || p.holds(ticket, from) {
+		return
+	}
+	p.n.members.send(from, peer.Datagram{Ends: []peer.End{{Number: a.Number}}})
 }
 
-// ask returns a place or a refusal; nil when ctx ended first. The ticket is set here.
+func (p *places) holds(ticket pool.Ticket, keeper host.ID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.held[ticket]
+	return ok && h.keeper == keeper
+}
+
+func (p *places) record(instance endpoint.Instance) (endpoint.Record, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeper.Record(instance)
+}
+
+// ask returns a place or a refusal; nil when ctx ended first.
 func (p *places) ask(ctx context.Context, e pool.Asked) (pool.Ticket, pool.Command) {
-	ch := make(chan pool.Command, 1)
+	now := timer.Boot()
+	ch := make(chan pool.Command, answerRoom)
 	p.mu.Lock()
 	p.next++
 	e.Ticket = pool.Ticket{Host: p.n.cfg.Host, Number: p.next}
-	p.answers[e.Ticket] = ch
-	p.carry(p.keeper.Update(timer.Boot(), e))
+	p.answers[e.Ticket.Number] = ch
+	e.Known = p.keeper.Knows(now, e.Service, e.Prompt)
 	p.mu.Unlock()
-	select {
-	case c := <-ch:
-		return e.Ticket, c
-	case <-ctx.Done():
-		p.end(e.Ticket, e.Service, pool.Unknown)
-		return e.Ticket, nil
+	defer p.forget(e.Ticket)
+	keeper := p.n.members.keeper(now, e.Service)
+	if keeper != p.n.cfg.Host {
+		c := p.askKeeper(ctx, keeper, e, ch)
+		if c != nil || ctx.Err() != nil {
+			return e.Ticket, c
+		}
+		e.Share = 1 / float64(p.n.members.hosts())
 	}
+	return e.Ticket, p.decide(ctx, e, ch)
 }
 
-// end gives a place up.
-func (p *places) end(ticket pool.Ticket, service site.ServiceName, result pool.Result) {
+func (p *places) forget(ticket pool.Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.answers, ticket)
-	p.carry(p.keeper.Update(timer.Boot(), pool.Ended{Ticket: ticket, Service: service, Result: result}))
+	delete(p.answers, ticket.Number)
+}
+
+// askKeeper asks another host; nil means that it did not answer, or knows no endpoint.
+func (p *places) askKeeper(ctx context.Context, keeper host.ID, e pool.Asked, ch chan pool.Command) pool.Command {
+	question := peer.Datagram{Asks: []peer.Ask{peer.FromAsked(e)}}
+	p.n.members.send(keeper, question)
+	heard := timer.Boot()
+	again, limit := askAgain, askLimit
+	wait := time.NewTimer(again)
+	defer wait.Stop()
+	for {
+		select {
+		case c := <-ch:
+			switch c := c.(type) {
+			case pool.Place:
+				p.hold(e, c, keeper)
+				return c
+			case pool.Refuse:
+				if c.Reason == pool.NoEndpoint {
+					return nil
+				}
+				return c
+			}
+			heard, again, limit = timer.Boot(), queueAgain, queueLimit
+			wait.Reset(again)
+		case <-wait.C:
+			now := timer.Boot()
+			if now.Sub(heard) >= limit {
+				p.n.members.unanswered(now, keeper)
+				p.n.members.send(keeper, withdrawal(e))
+				event.Log(p.n.log, zerolog.WarnLevel, event.KeeperSilent).Str("Peer", string(keeper)).
+					Str("Service", string(e.Service)).Msg(event.Text(event.KeeperSilent))
+				return nil
+			}
+			p.n.members.send(keeper, question)
+			wait.Reset(again)
+		case <-ctx.Done():
+			p.n.members.send(keeper, withdrawal(e))
+			return nil
+		}
+	}
+}
+
+func withdrawal(e pool.Asked) peer.Datagram {
+	return peer.Datagram{Ends: []peer.End{{Number: e.Ticket.Number, Service: e.Service}}}
+}
+
+// decide lets this host's own keeper place a request.
+func (p *places) decide(ctx context.Context, e pool.Asked, ch chan pool.Command) pool.Command {
+	p.update(timer.Boot(), e)
+	for {
+		select {
+		case c := <-ch:
+			switch c := c.(type) {
+			case pool.Place:
+				p.hold(e, c, p.n.cfg.Host)
+				return c
+			case pool.Refuse:
+				return c
+			}
+		case <-ctx.Done():
+			p.update(timer.Boot(), pool.Ended{Ticket: e.Ticket, Service: e.Service})
+			return nil
+		}
+	}
+}
+
+// hold notes a place. This host's own keeper hears of it too, so that it can decide when the service's keeper is lost.
+func (p *places) hold(e pool.Asked, c pool.Place, keeper host.ID) {
+	h := holding{keeper: keeper, place: pool.Held{
+		Ticket: e.Ticket, Service: e.Service, ID: c.Endpoint.Instance.ID, Prompt: e.Prompt,
+	}}
+	p.mu.Lock()
+	p.held[e.Ticket] = h
+	p.mu.Unlock()
+	if keeper != p.n.cfg.Host {
+		p.update(timer.Boot(), h.place)
+	}
+}
+
+// end gives a place up, with its keeper and here.
+func (p *places) end(ticket pool.Ticket, service site.ServiceName, result pool.Result) {
+	now := timer.Boot()
+	p.mu.Lock()
+	h, ok := p.held[ticket]
+	delete(p.held, ticket)
+	p.mu.Unlock()
+	p.update(now, pool.Ended{Ticket: ticket, Service: service, Result: result})
+	if !ok {
+		return
+	}
+	keeper := p.n.members.keeper(now, service)
+	for _, id := range []host.ID{h.keeper, keeper} {
+		if id != p.n.cfg.Host {
+			p.n.members.send(id, peer.Datagram{Ends: []peer.End{{Number: ticket.Number, Service: service, Result: result}}})
+		}
+		if h.keeper == keeper {
+			return
+		}
+	}
+}
+
+// remind tells the keepers which places this host holds: a new keeper learns them, an old one keeps them.
+func (p *places) remind(now time.Time) {
+	p.mu.Lock()
+	batches := make(map[host.ID][]peer.Hold)
+	for _, h := range p.held {
+		keeper := p.n.members.keeper(now, h.place.Service)
+		batches[keeper] = append(batches[keeper], peer.FromHeld(h.place))
+	}
+	p.mu.Unlock()
+	for keeper, holds := range batches {
+		for len(holds) > 0 {
+			part := holds[:min(len(holds), holdsPerDatagram)]
+			holds = holds[len(part):]
+			if keeper == p.n.cfg.Host {
+				p.handle(now, peer.Datagram{From: keeper, Holds: part})
+				continue
+			}
+			p.n.members.send(keeper, peer.Datagram{Holds: part})
+		}
+	}
+	p.renew(now)
+}
+
+// renew keeps this host's places with its own keeper.
+func (p *places) renew(now time.Time) {
+	p.mu.Lock()
+	own := make([]pool.Held, 0, len(p.held))
+	for _, h := range p.held {
+		own = append(own, h.place)
+	}
+	p.mu.Unlock()
+	for _, held := range own {
+		p.update(now, held)
+	}
 }
 
 func (p *places) usable(instance endpoint.Instance) bool {
--- /dev/null
+++ b/entry/peer/message.go
@@ -0,0 +1,162 @@
+// Package peer carries messages between hosts as datagrams: heartbeats, and the few words that a place costs.
+// A lost datagram is asked for again by whoever waits for it; none carries a caller's bytes.
+package peer
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"balsamknot.org/fleet/chat"
+	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/fingerprint"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/roster"
+	"balsamknot.org/fleet/site"
+)
+
+// Datagram is one message between hosts. Any of its lists may be empty.
+type Datagram struct {
+	_       struct{} `cbor:",toarray"`
+	From    host.ID
+	Beats   []roster.Heartbeat
+	Asks    []Ask
+	Answers []Answer
+	Ends    []End
+	Holds   []Hold
+	Crashes []Crash
+}
+
+// Ask wants a place for a request of the sender.
+type Ask struct {
+	_          struct{} `cbor:",toarray"`
+	Number     uint64
+	Service    site.ServiceName
+	Parts      []Part
+	Rank       int
+	PatienceMs int64
+	Tried      []endpoint.ID
+	Repeat     bool
+	DataCentre host.DataCentre
+	Known      endpoint.ID
+}
+
+// Part is a part of a prompt.
+type Part struct {
+	_      struct{} `cbor:",toarray"`
+	ID     chat.PartID
+	Tokens int
+}
+
+// Answer answers an Ask.
+type Answer struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Kind   AnswerKind
+	// Endpoint and Born are set with Placed.
+	Endpoint endpoint.ID
+	Born     int64
+	// Reason and AfterMs are set with Refused.
+	Reason  pool.Reason
+	AfterMs int64
+}
+
+// AnswerKind says what became of an Ask.
+type AnswerKind int
+
+// Kinds of answers.
+const (
+	Placed AnswerKind = iota
+	Queued
+	Refused
+)
+
+// End gives a place up, or withdraws an Ask.
+type End struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Service site.ServiceName
+	Result  pool.Result
+}
+
+// Hold tells of a place that the sender holds.
+type Hold struct {
+	_        struct{} `cbor:",toarray"`
+	Number   uint64
+	Service  site.ServiceName
+	Endpoint endpoint.ID
+	Parts    []Part
+}
+
+// Crash tells that an endpoint was lost while it ran a request.
+type Crash struct {
+	_        struct{} `cbor:",toarray"`
+	Print    fingerprint.Print
+	Endpoint endpoint.ID
+	// AtMs is when, in milliseconds of Unix time.
+	AtMs  int64
+	Alone bool
+}
+
+// Encode returns the bytes of a datagram.
+func Encode(d Datagram) ([]byte, error) {
+	raw, err := cbor.Marshal(d)
+	return raw, eris.Wrap(err, "encode a datagram")
+}
+
+// Decode reads a datagram.
+func Decode(raw []byte) (Datagram, error) {
+	var d Datagram
+	if err := cbor.Unmarshal(raw, &d); err != nil {
+		return Datagram{}, eris.Wrap(err, "decode a datagram")
+	}
+	return d, nil
+}
+
+// FromAsked translates a question for the wire.
+func FromAsked(e pool.Asked) Ask {
+	return Ask{
+		Number: e.Ticket.Number, Service: e.Service, Parts: fromPrompt(e.Prompt), Rank: e.Rank,
+		PatienceMs: e.Patience.Milliseconds(), Tried: e.Tried, Repeat: e.Repeat, DataCentre: e.DataCentre, Known: e.Known,
+	}
+}
+
+// Asked translates a question from the wire.
+func (a Ask) Asked(from host.ID) pool.Asked {
+	return pool.Asked{
+		Ticket: pool.Ticket{Host: from, Number: a.Number}, Service: a.Service, Prompt: toPrompt(a.Parts), Rank: a.Rank,
+		Patience: time.Duration(a.PatienceMs) * time.Millisecond, Tried: a.Tried, Repeat: a.Repeat,
+		DataCentre: a.DataCentre, Known: a.Known,
+	}
+}
+
+// FromHeld translates a held place for the wire.
+func FromHeld(e pool.Held) Hold {
+	return Hold{Number: e.Ticket.Number, Service: e.Service, Endpoint: e.ID, Parts: fromPrompt(e.Prompt)}
+}
+
+// Held translates a held place from the wire.
+func (h Hold) Held(from host.ID) pool.Held {
+	return pool.Held{
+		Ticket: pool.Ticket{Host: from, Number: h.Number}, Service: h.Service, ID: h.Endpoint, Prompt: toPrompt(h.Parts),
+	}
+}
+
+func fromPrompt(p chat.Prompt) []Part {
+	var parts []Part
+	for _, part := range p.Parts {
+		parts = append(parts, Part{ID: part.ID, Tokens: part.Tokens})
+	}
+	return parts
+}
+
+func toPrompt(parts []Part) chat.Prompt {
+	var p chat.Prompt
+	for _, part := range parts {
+		p.Parts = append(p.Parts, chat.Part{ID: part.ID, Tokens: part.Tokens})
+		p.Tokens += part.Tokens
+	}
+	return p
+}
--- a/fleet/pool/budget.go
+++ b/fleet/pool/budget.go
@@ -21,7 +21,11 @@
 }
 
 // take counts a request, and reports whether it may go on; only a repeat can be refused.
-func (b *retryBudget) take(now time.Time, repeat bool) bool {
+func (b *retryBudget) take(now time.Time, e Asked) bool {
+	slack := b.cfg.RetrySlack
+	if e.Share > 0 {
+		slack *= e.Share
+	}
 	second := now.Unix()
 	firsts, spends := 0, 0
 	for _, bucket := range b.buckets {
@@ -30,15 +34,15 @@
 			spends += bucket.spends
 		}
 	}
-	allowed := budgetShare * (b.cfg.RetryRatio*float64(firsts) + b.cfg.RetrySlack)
-	if repeat && float64(spends+1) > allowed {
+	allowed := budgetShare * (b.cfg.RetryRatio*float64(firsts) + slack)
+	if e.Repeat && float64(spends+1) > allowed {
 		return false
 	}
 	current := &b.buckets[second%int64(len(b.buckets))]
 	if current.second != second {
 		*current = budgetBucket{second: second}
 	}
-	if repeat {
+	if e.Repeat {
 		current.spends++
 	} else {
 		current.firsts++
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -45,6 +45,8 @@
 	DataCentre host.DataCentre
 	// Known is the endpoint that the entry last saw serve the prompt's subject; empty when none.
 	Known endpoint.ID
+	// Share is the part of the retry budget that may be spent; 0 is all of it, for asks of the service's one keeper.
+	Share float64
 }
 
 // Held tells of a place that a request holds, to a keeper that may not know it.
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -6,8 +6,8 @@
 import (
 	"time"
 
+	"balsamknot.org/fleet/chat"
 	"balsamknot.org/fleet/endpoint"
-	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/site"
 )
 
@@ -105,7 +105,25 @@
 	return st != nil && !st.record.Leaving && st.record.Instance == instance
 }
 
-// Waiting returns how many requests wait for a place, and Running how many hold one.
+// Record returns what an endpoint registered, if that instance is registered.
+func (k *Keeper) Record(instance endpoint.Instance) (endpoint.Record, bool) {
+	home, ok := k.homes[instance.ID]
+	if !ok {
+		return endpoint.Record{}, false
+	}
+	st := k.service(home).seats[instance.ID]
+	if st == nil || st.record.Instance != instance {
+		return endpoint.Record{}, false
+	}
+	return st.record, true
+}
+
+// Knows returns the endpoint that last served a prompt with the same subject; empty when none is known.
+func (k *Keeper) Knows(now time.Time, name site.ServiceName, p chat.Prompt) endpoint.ID {
+	return k.service(name).knows(now, p)
+}
+
+// Waiting returns how many requests wait for a place.
 func (k *Keeper) Waiting() int {
 	n := 0
 	for _, s := range k.services {
@@ -122,14 +140,3 @@
 	}
 	return n
 }
-
-// Holders returns the hosts that hold or wait for places.
-func (k *Keeper) Holders() map[host.ID]int {
-	hosts := make(map[host.ID]int)
-	for _, s := range k.services {
-		for ticket := range s.holders {
-			hosts[ticket.Host]++
-		}
-	}
-	return hosts
-}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -89,7 +89,7 @@
 	if slices.ContainsFunc(s.queue, func(w waiting) bool { return w.ask.Ticket == e.Ticket }) {
 		return []Command{Queue{e.Ticket}}
 	}
-	if !s.budget.take(now, e.Repeat) {
+	if !s.budget.take(now, e) {
 		return []Command{Refuse{e.Ticket, NoBudget, longestReturn}}
 	}
 	if len(s.queue) == 0 {
@@ -223,6 +223,9 @@
 // choose returns the endpoint with the lowest cost that has room; nil when none has.
 // Endpoints under suspicion are taken only when there is no other.
 func (s *service) choose(now time.Time, e Asked) *seat {
+	if s.engine != nil && e.Known != "" && s.knows(now, e.Prompt) != "" {
+		e.Known = ""
+	}
 	limit := s.limit()
 	var best *seat
 	var least cost
@@ -254,6 +257,22 @@
 	return int(s.cfg.LoadFactor*float64(running)/float64(usable)) + boundMargin
 }
 
+// knows returns the endpoint that last served the prompt's subject and may still hold it.
+func (s *service) knows(now time.Time, p chat.Prompt) endpoint.ID {
+	subject := p.Subject()
+	if subject == 0 {
+		return ""
+	}
+	var best endpoint.ID
+	latest := now.Add(-partLifetime)
+	for _, id := range sortedKeys(s.seats) {
+		if used, ok := s.seats[id].parts[subject]; ok && used.After(latest) {
+			best, latest = id, used
+		}
+	}
+	return best
+}
+
 func (s *service) cost(now time.Time, st *seat, e Asked) cost {
 	c := cost{suspect: st.suspect(now)}
 	if s.engine != nil {
