--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -28,6 +28,9 @@
 }
 
 const (
+	// streamRoom is the time that a stream may need, and turnedReturn when a caller may come back, to another host.
+	streamRoom   = 4 * time.Second
+	turnedReturn = 50 * time.Millisecond
 	// unknownReturn is when to come back to a host that does not know the set yet.
 	unknownReturn = 300 * time.Millisecond
 	// defaultPatience is assumed of callers that don't say how long they wait.
@@ -75,6 +78,21 @@
 	}
 }
 
+// closeIdle closes all connections that were idle for a moment: their callers turn to other hosts.
+func (c *callers) closeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.idle {
+		if now.Sub(since) > idleMoment {
+			delete(c.idle, conn)
+			_ = conn.Close()
+		}
+	}
+}
+
+// idleMoment is the time in which a caller's next request may be on its way.
+const idleMoment = 200 * time.Millisecond
+
 // request is one caller's request with what was found out about it.
 type request struct {
 	w     http.ResponseWriter
@@ -99,7 +117,7 @@
 	if c.n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.admit(q) || !c.readBody(q) {
+	if !c.admit(q) || !c.readBody(q) || !c.fits(q) {
 		return
 	}
 	c.n.serve(q)
@@ -139,6 +157,15 @@
 	return true
 }
 
+// fits turns a stream away that a stopping host could not carry to its end.
+func (c *callers) fits(q *request) bool {
+	if !q.route.Streaming || !c.n.stopsWithin(q.start, streamRoom) {
+		return true
+	}
+	q.refuse(http.StatusServiceUnavailable, turnedReturn)
+	return false
+}
+
 // readBody reads the whole body, so that it can be sent at once, and again where that is allowed.
 func (c *callers) readBody(q *request) bool {
 	if q.r.ContentLength == 0 {
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -40,6 +40,8 @@
 	links    *connection.Pool
 	callers  *callers
 	draining atomic.Bool
+	// stops is when a draining process ends, in nanoseconds of the boot clock; 0 before.
+	stops atomic.Int64
 
 	servers []*http.Server
 	work    sync.WaitGroup
@@ -128,18 +130,29 @@
 // drain ends a node as planned: the balancer hears it, what still comes is served, and what runs finishes.
 func (n *Node) drain() {
 	start := timer.Boot()
+	n.stops.Store(start.Add(n.cfg.DrainLimit - stopMargin).UnixNano())
 	n.draining.Store(true)
 	n.members.leave()
 	event.Log(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.callers.flying.Load()).Msg(event.Text(event.NodeDraining))
 	for {
 		time.Sleep(drainStep)
-		spent := timer.Boot().Sub(start)
+		now := timer.Boot()
+		spent := now.Sub(start)
+		if spent >= drainLeast {
+			n.callers.closeIdle(now)
+		}
 		if spent >= n.cfg.DrainLimit-stopMargin || (spent >= drainLeast && n.callers.flying.Load() == 0) {
 			return
 		}
 	}
 }
 
+// stopsWithin reports whether the process ends within d of now.
+func (n *Node) stopsWithin(now time.Time, d time.Duration) bool {
+	stops := n.stops.Load()
+	return stops != 0 && now.Add(d).UnixNano() > stops
+}
+
 // Ready reports whether the node takes callers.
 func (n *Node) Ready() bool {
 	return !n.draining.Load() && n.beliefs.valid(timer.Boot())
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -163,11 +163,7 @@
 // relay answers with an endpoint's status, headers and whole body.
 func (q *request) relay(x *connection.Exchange, body []byte) {
 	h := q.w.Header()
-	closing := h.Get("Connection")
 	platform.Deliver(h, x.Response.Header)
-	if closing != "" {
-		h.Set("Connection", closing)
-	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	q.w.WriteHeader(x.Response.StatusCode)
 	_, _ = q.w.Write(body)
