Fetch parts of a prompt from the engine that holds them; log and count each decision

Change: a place names the engine that holds more of the prompt, and the request carries it; load counts little against parts. Each decision that touches a request is a line of a bounded log that never blocks (fleet/logbook); counters and histograms are served on the metrics address.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -35,6 +35,9 @@
 	RequestRefused     Number = 1402
 	RequestResumed     Number = 1403
 	RequestRetried     Number = 1404
+	RequestPlaced      Number = 1405
+	RequestLeft        Number = 1406
+	RequestCut         Number = 1407
 	ClaimWon           Number = 1501
 	ClaimDeferred      Number = 1502
 	ClaimUnsettled     Number = 1503
@@ -42,6 +45,7 @@
 	RequestSuspected   Number = 1601
 	RequestCondemned   Number = 1602
 	HandlerRecovered   Number = 1901
+	LinesDropped       Number = 1902
 	EntryUnreadable    Number = 2001
 	EndpointSeen       Number = 2002
 	EndpointGone       Number = 2003
@@ -79,6 +83,9 @@
 	{RequestRefused, "request refused", "A caller got a refusal; see docs/operators/refusals.md.", "By its code."},
 	{RequestResumed, "request resumed", "An answer went on after its connection or keeper was lost.", "None, unless frequent."},
 	{RequestRetried, "request retried", "An idempotent request went to another endpoint.", "None, unless frequent."},
+	{RequestPlaced, "request placed", "A keeper chose the endpoint: Running of Limit were there, Missing tokens of shared parts have to be read; BeliefMs is how old the set is by which it was let in.", "None."},
+	{RequestLeft, "caller left", "The caller closed its connection before its answer was whole; the endpoint was told to stop.", "None, unless frequent."},
+	{RequestCut, "answer cut", "An answer that had begun can't go on: the caller's connection was closed so that it does not look whole.", "By its Cause."},
 	{ClaimWon, "claim won", "A quorum of electors vouches for this home.", "None."},
 	{ClaimDeferred, "claim deferred", "Another home holds the key; it was asked for the answer.", "None."},
 	{ClaimUnsettled, "claim unsettled", "Too few electors vouched; nothing was sent. The caller was told Unknown.", "Check the hosts if it lasts longer than ElectorGrace."},
@@ -86,6 +93,7 @@
 	{RequestSuspected, "request suspected", "An endpoint was lost while it ran this fingerprint.", "None yet."},
 	{RequestCondemned, "request condemned", "The fingerprint cost two endpoints and is refused everywhere.", "Find the caller by workspace and fingerprint."},
 	{HandlerRecovered, "handler recovered", "A request handler panicked; the process goes on.", "Report the stack as a defect."},
+	{LinesDropped, "log lines dropped", "More lines than the log's budget, or a reader that does not read; counted by event.", "Read the log faster, or look at the counters."},
 	{EntryUnreadable, "registration unreadable", "A registration in the platform's store can't be read and names no endpoint.", "Find who wrote it."},
 	{EndpointSeen, "endpoint registered", "An endpoint registered itself, or changed what it says of itself.", "None."},
 	{EndpointGone, "endpoint gone", "An endpoint is no longer registered, or did not come back after an outage of the store.", "None, unless it should be there."},
@@ -107,6 +115,11 @@
 	return log.WithLevel(level).Str("Event", n.String())
 }
 
+// Note begins a log line for an event, with its text as the message; the caller adds fields and sends it with Send.
+func Note(log zerolog.Logger, level zerolog.Level, n Number) *zerolog.Event {
+	return log.WithLevel(level).Str("Event", n.String()).Str(zerolog.MessageFieldName, Text(n))
+}
+
 // Text returns an event's short text.
 func Text(n Number) string { return texts[n] }
 
--- a/entry/main.go
+++ b/entry/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
@@ -16,6 +17,7 @@
 
 	"balsamknot.org/entry/node"
 	"balsamknot.org/entry/settings"
+	"balsamknot.org/fleet/logbook"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -29,6 +31,14 @@
 // collectAt is the growth of the heap, in percent, at which the collector runs: memory is dearer here than processor time.
 const collectAt = 50
 
+// The log's budget: bytes a second, what may be saved up of them, what may wait for a slow reader, and the time between writes.
+const (
+	logRate     = 64 << 10
+	logBurst    = 256 << 10
+	logPending  = 256 << 10
+	logInterval = 100 * time.Millisecond
+)
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -67,6 +77,11 @@
 	signal.Ignore(syscall.SIGHUP)
 	timers := timer.New()
 	defer timers.Stop()
-	log := zerolog.New(os.Stdout).With().Timestamp().Str("Host", string(cfg.Host)).Logger()
+	book := logbook.New(logbook.Config{
+		Out: os.Stdout, Rate: logRate, Burst: logBurst, Pending: logPending, Interval: logInterval, Now: timer.Boot,
+	})
+	defer book.Close()
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(book).With().Timestamp().Str("Host", string(cfg.Host)).Logger()
 	return node.New(node.Config{Settings: cfg, Log: log, Timers: timers}).Run(ctx)
 }
--- a/entry/node/beliefs.go
+++ b/entry/node/beliefs.go
@@ -60,6 +60,16 @@
 	return b.catalogue.Age(now)
 }
 
+// version returns the version of the set in force; 0 before the first.
+func (b *beliefs) version() site.Version {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if set := b.catalogue.Set(); set != nil {
+		return set.Version
+	}
+	return 0
+}
+
 func (b *beliefs) valid(now time.Time) bool {
 	_, ok := b.set(now)
 	return ok
@@ -118,7 +128,7 @@
 	for _, change := range page.Changes {
 		p, err := platform.Decode(change)
 		if err != nil {
-			event.Log(b.n.log, zerolog.WarnLevel, event.EntryUnreadable).Str("Key", change.Key).Err(err).Msg(event.Text(event.EntryUnreadable))
+			event.Note(b.n.log, zerolog.WarnLevel, event.EntryUnreadable).Str("Key", change.Key).Err(err).Send()
 		}
 		switch {
 		case p.Set != nil:
@@ -133,16 +143,18 @@
 }
 
 func (b *beliefs) failed(err error) {
+	b.n.meter.read("failed")
 	if !b.lost {
 		b.lost = true
-		event.Log(b.n.log, zerolog.WarnLevel, event.PlatformLost).Err(err).Msg(event.Text(event.PlatformLost))
+		event.Note(b.n.log, zerolog.WarnLevel, event.PlatformLost).Err(err).Send()
 	}
 }
 
 func (b *beliefs) apply(read catalogue.Read) {
+	b.n.meter.read("done")
 	if b.lost {
 		b.lost = false
-		event.Log(b.n.log, zerolog.InfoLevel, event.PlatformBack).Msg(event.Text(event.PlatformBack))
+		event.Note(b.n.log, zerolog.InfoLevel, event.PlatformBack).Send()
 	}
 	now := timer.Boot()
 	b.mu.Lock()
@@ -154,19 +166,18 @@
 // publish tells the keeper what changed.
 func (b *beliefs) publish(now time.Time, change catalogue.Change) {
 	if change.Set != nil {
-		event.Log(b.n.log, zerolog.InfoLevel, event.DocumentAccepted).Int64("Version", int64(change.Set.Version)).
-			Msg(event.Text(event.DocumentAccepted))
+		event.Note(b.n.log, zerolog.InfoLevel, event.DocumentAccepted).Int64("Version", int64(change.Set.Version)).Send()
 		for _, service := range change.Set.Services {
 			b.n.places.update(now, pool.ServiceSeen{Service: service})
 		}
 	}
 	for _, record := range change.Endpoints {
-		event.Log(b.n.log, zerolog.InfoLevel, event.EndpointSeen).Str("Endpoint", string(record.Instance.ID)).
-			Bool("Leaving", record.Leaving).Msg(event.Text(event.EndpointSeen))
+		event.Note(b.n.log, zerolog.InfoLevel, event.EndpointSeen).Str("Endpoint", string(record.Instance.ID)).
+			Bool("Leaving", record.Leaving).Send()
 		b.n.places.update(now, pool.EndpointSeen{Record: record})
 	}
 	for _, id := range change.Gone {
-		event.Log(b.n.log, zerolog.InfoLevel, event.EndpointGone).Str("Endpoint", string(id)).Msg(event.Text(event.EndpointGone))
+		event.Note(b.n.log, zerolog.InfoLevel, event.EndpointGone).Str("Endpoint", string(id)).Send()
 		b.n.places.update(now, pool.EndpointGone{ID: id})
 	}
 }
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -12,6 +12,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
@@ -106,7 +110,26 @@
 	service   site.ServiceName
 	workspace site.WorkspaceName
 	body      []byte
-	resumed   string
+	// resumed is the last event that was delivered.
+	resumed string
+	// endpoint got the request last.
+	endpoint endpoint.ID
+	// cause says why the latest try ended.
+	cause string
+	// first is when the caller got the first byte of an answer.
+	first time.Time
+}
+
+// line begins a log line about the request.
+func (q *request) line(log zerolog.Logger, level zerolog.Level, number event.Number) *zerolog.Event {
+	line := event.Note(log, level, number).Str("Request", q.call.ID)
+	if q.route != nil {
+		line = line.Str("Route", string(q.route.Name)).Str("Service", string(q.service))
+	}
+	if q.set != nil {
+		line = line.Int64("Version", int64(q.set.Version))
+	}
+	return line
 }
 
 // ServeHTTP answers one request.
@@ -127,7 +150,8 @@
 func (c *callers) admit(q *request) bool {
 	set, valid := c.n.beliefs.set(q.start)
 	if !valid {
-		q.refuse(http.StatusServiceUnavailable, unknownReturn)
+		q.cause = "no set, or one that was not confirmed in time"
+		c.n.refuse(q, http.StatusServiceUnavailable, unknownReturn)
 		return false
 	}
 	q.set = set
@@ -137,14 +161,16 @@
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
 	route, found := set.Match(q.r.Host, path)
 	if !found {
-		q.refuse(http.StatusNotFound, 0)
+		q.cause = "no route for " + q.r.Host + path
+		c.n.refuse(q, http.StatusNotFound, 0)
 		return false
 	}
 	q.route = route
 	if !route.Public && len(set.Workspaces) > 0 {
 		workspace, known := set.Keys[site.Key(q.call.Key)]
 		if !known {
-			q.refuse(http.StatusUnauthorized, 0)
+			q.cause = "no workspace has this key"
+			c.n.refuse(q, http.StatusUnauthorized, 0)
 			return false
 		}
 		q.workspace = workspace
@@ -162,7 +188,8 @@
 	if !q.route.Streaming || !c.n.stopsWithin(q.start, streamRoom) {
 		return true
 	}
-	q.refuse(http.StatusServiceUnavailable, turnedReturn)
+	q.cause = "the host stops before a stream could end"
+	c.n.refuse(q, http.StatusServiceUnavailable, turnedReturn)
 	return false
 }
 
@@ -181,17 +208,18 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		q.refuse(http.StatusRequestEntityTooLarge, 0)
+		q.cause = "the body is too large"
+		c.n.refuse(q, http.StatusRequestEntityTooLarge, 0)
 		return false
 	case err != nil:
-		panic(http.ErrAbortHandler)
+		c.n.left(q)
 	}
 	q.body = body
 	return true
 }
 
 // refuse answers with the system's own status; after says when to come back.
-func (q *request) refuse(status int, after time.Duration) {
+func (n *Node) refuse(q *request, status int, after time.Duration) {
 	h := q.w.Header()
 	platform.Refuse(h, q.call.ID, after)
 	h.Set("Content-Type", "text/plain")
@@ -199,6 +227,19 @@
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	q.w.WriteHeader(status)
 	_, _ = io.WriteString(q.w, text)
+	now := timer.Boot()
+	q.line(n.log, zerolog.WarnLevel, event.RequestRefused).Int("Status", status).Str("Cause", q.cause).
+		Str("Endpoint", string(q.endpoint)).Dur("RetryAfterMs", after).Dur("BeliefMs", n.beliefs.age(now)).
+		Dur("TotalMs", now.Sub(q.start)).Send()
+	n.meter.finished(q, refusalOf(status))
+}
+
+// refusalOf tells refusals, which promise that the request did not run, from failures.
+func refusalOf(status int) outcome {
+	if status == http.StatusBadGateway || status == http.StatusGatewayTimeout {
+		return outcomeFailed
+	}
+	return outcomeRefused
 }
 
 // allowed reports whether the newest set still holds the caller's key, and is known well enough to say so.
--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -92,8 +92,7 @@
 
 func (m *members) serve() {
 	m.socket.Serve(m.handle, func(from netip.AddrPort, err error) {
-		event.Log(m.n.log, zerolog.WarnLevel, event.DatagramUnreadable).Stringer("From", from).Err(err).
-			Msg(event.Text(event.DatagramUnreadable))
+		event.Note(m.n.log, zerolog.WarnLevel, event.DatagramUnreadable).Stringer("From", from).Err(err).Send()
 	})
 }
 
@@ -118,8 +117,7 @@
 
 func (m *members) act(now time.Time, changes []roster.Change) {
 	for _, c := range changes {
-		event.Log(m.n.log, zerolog.InfoLevel, event.HostChanged).Str("Peer", string(c.Host)).Bool("Live", c.Live).
-			Msg(event.Text(event.HostChanged))
+		event.Note(m.n.log, zerolog.InfoLevel, event.HostChanged).Str("Peer", string(c.Host)).Bool("Live", c.Live).Send()
 		if !c.Live {
 			m.n.places.update(now, pool.HostLost{Host: c.Host})
 		}
@@ -162,8 +160,10 @@
 
 func (m *members) sendTo(address string, d peer.Datagram) {
 	d.From = m.n.cfg.Host
-	if _, err := m.socket.Send(address, d); err != nil {
-		event.Log(m.n.log, zerolog.DebugLevel, event.DatagramUnsent).Str("To", address).Err(err).Msg(event.Text(event.DatagramUnsent))
+	size, err := m.socket.Send(address, d)
+	m.n.meter.datagram(size)
+	if err != nil {
+		event.Note(m.n.log, zerolog.DebugLevel, event.DatagramUnsent).Str("To", address).Err(err).Send()
 	}
 }
 
--- /dev/null
+++ b/entry/node/meter.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/site"
+)
+
+// outcome is how a request ended, as its label says.
+type outcome string
+
+// Outcomes of requests.
+const (
+	outcomeDone    outcome = "done"
+	outcomeFailed  outcome = "failed"
+	outcomeRefused outcome = "refused"
+	outcomeCut     outcome = "cut"
+	outcomeLeft    outcome = "left"
+)
+
+func outcomeOf(status int) outcome {
+	if status >= http.StatusInternalServerError {
+		return outcomeFailed
+	}
+	return outcomeDone
+}
+
+// meter counts what a node does.
+type meter struct {
+	set *metrics.Set
+}
+
+func newMeter(n *Node) *meter {
+	m := &meter{set: metrics.NewSet()}
+	m.set.NewGauge("entry_requests_in_flight", func() float64 { return float64(n.callers.flying.Load()) })
+	m.set.NewGauge("entry_belief_age_seconds", func() float64 { return n.beliefs.age(now()).Seconds() })
+	m.set.NewGauge("entry_set_version", func() float64 { return float64(n.beliefs.version()) })
+	m.set.NewGauge("entry_hosts_live", func() float64 { return float64(n.members.hosts()) })
+	m.set.NewGauge("entry_endpoint_connections_total", func() float64 { return float64(n.links.Dials()) })
+	m.set.NewGauge("entry_places_held", func() float64 { running, _ := n.places.counts(); return float64(running) })
+	m.set.NewGauge("entry_places_waiting", func() float64 { _, waiting := n.places.counts(); return float64(waiting) })
+	return m
+}
+
+func (m *meter) write(w io.Writer) { m.set.WritePrometheus(w) }
+
+// placed notes how long a request took to its place, and what its endpoint has to read again.
+func (m *meter) placed(q *request, after time.Duration, why pool.Why) {
+	m.set.GetOrCreateHistogram(`entry_place_seconds{service="` + label(q.service) + `"}`).Update(after.Seconds())
+	m.set.GetOrCreateCounter(`entry_missing_tokens_total{service="` + label(q.service) + `"}`).Add(why.Missing)
+}
+
+func (m *meter) retried(q *request) {
+	m.set.GetOrCreateCounter(`entry_repeats_total{service="` + label(q.service) + `"}`).Inc()
+}
+
+// finished notes how a request ended and, of whole answers, how long they took.
+func (m *meter) finished(q *request, o outcome) {
+	m.set.GetOrCreateCounter(`entry_requests_total{service="` + label(q.service) + `",outcome="` + string(o) + `"}`).Inc()
+	if o != outcomeDone {
+		return
+	}
+	m.set.GetOrCreateHistogram(`entry_first_byte_seconds{service="` + label(q.service) + `"}`).Update(q.first.Sub(q.start).Seconds())
+	m.set.GetOrCreateHistogram(`entry_answer_seconds{service="` + label(q.service) + `"}`).Update(now().Sub(q.start).Seconds())
+}
+
+// read counts a read of the platform, datagram a datagram to another host, with its size in bytes.
+func (m *meter) read(result string) {
+	m.set.GetOrCreateCounter(`entry_store_reads_total{result="` + result + `"}`).Inc()
+}
+
+func (m *meter) datagram(bytes int) {
+	m.set.GetOrCreateCounter(`entry_datagrams_sent_total`).Inc()
+	m.set.GetOrCreateCounter(`entry_datagram_bytes_sent_total`).Add(bytes)
+}
+
+// label makes a service's name fit between quotes; an unknown service has none.
+func label(name site.ServiceName) string {
+	clean := make([]byte, 0, len(name))
+	for i := range len(name) {
+		if c := name[i]; c != '"' && c != '\\' && c >= ' ' {
+			clean = append(clean, c)
+		}
+	}
+	return string(clean)
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -39,6 +39,7 @@
 	places   *places
 	links    *connection.Pool
 	callers  *callers
+	meter    *meter
 	draining atomic.Bool
 	// stops is when a draining process ends, in nanoseconds of the boot clock; 0 before.
 	stops atomic.Int64
@@ -81,6 +82,7 @@
 	n.places = newPlaces(n)
 	n.beliefs = newBeliefs(n)
 	n.callers = newCallers(n)
+	n.meter = newMeter(n)
 	return n
 }
 
@@ -91,7 +93,7 @@
 	if err := n.listen(ctx); err != nil {
 		return err
 	}
-	event.Log(n.log, zerolog.InfoLevel, event.NodeStarted).Str("Callers", n.cfg.CallerAddress).Msg(event.Text(event.NodeStarted))
+	event.Note(n.log, zerolog.InfoLevel, event.NodeStarted).Str("Callers", n.cfg.CallerAddress).Send()
 	n.work.Go(n.members.serve)
 	n.work.Go(func() { n.beliefs.follow(work) })
 	cancels := []func(){
@@ -112,7 +114,7 @@
 	_ = n.members.socket.Close()
 	n.links.Close()
 	n.work.Wait()
-	event.Log(n.log, zerolog.InfoLevel, event.NodeStopped).Int64("InFlight", n.callers.flying.Load()).Msg(event.Text(event.NodeStopped))
+	event.Note(n.log, zerolog.InfoLevel, event.NodeStopped).Int64("InFlight", n.callers.flying.Load()).Send()
 	return nil
 }
 
@@ -133,7 +135,7 @@
 	n.stops.Store(start.Add(n.cfg.DrainLimit - stopMargin).UnixNano())
 	n.draining.Store(true)
 	n.members.leave()
-	event.Log(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.callers.flying.Load()).Msg(event.Text(event.NodeDraining))
+	event.Note(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.callers.flying.Load()).Send()
 	for {
 		time.Sleep(drainStep)
 		now := timer.Boot()
@@ -167,8 +169,12 @@
 		server  *http.Server
 	}{
 		{n.cfg.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerLimit}},
+		{n.cfg.MetricsAddress, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerLimit}},
 		{n.cfg.CallerAddress, n.callers.server()},
 	} {
+		if l.address == "" {
+			continue
+		}
 		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", l.address)
 		if err != nil {
 			return eris.Wrapf(err, "listen: address %s", l.address)
@@ -179,6 +185,18 @@
 	return nil
 }
 
+// MetricsPath is where the counters are served.
+const MetricsPath = "/metrics"
+
+func (n *Node) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { n.meter.write(w) })
+	return mux
+}
+
+// now is the node's clock, which runs while the host is suspended.
+func now() time.Time { return timer.Boot() }
+
 func (n *Node) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/entry/node/places.go
+++ b/entry/node/places.go
@@ -89,6 +89,7 @@
 	case pool.Place:
 		return c.Ticket, peer.Answer{
 			Number: c.Ticket.Number, Kind: peer.Placed, Endpoint: c.Endpoint.Instance.ID, Born: c.Endpoint.Instance.Born,
+			Fetch: c.Fetch, Why: peer.FromWhy(c.Why),
 		}
 	case pool.Queue:
 		return c.Ticket, peer.Answer{Number: c.Ticket.Number, Kind: peer.Queued}
@@ -142,7 +143,7 @@
 		if !known {
 			record = endpoint.Record{Instance: endpoint.Instance{ID: a.Endpoint, Born: a.Born}}
 		}
-		c = pool.Place{Ticket: ticket, Endpoint: record}
+		c = pool.Place{Ticket: ticket, Endpoint: record, Fetch: a.Fetch, Why: a.Why.Why()}
 	case peer.Queued:
 		c = pool.Queue{Ticket: ticket}
 	default:
@@ -223,8 +224,8 @@
 			if now.Sub(heard) >= limit {
 				p.n.members.unanswered(now, keeper)
 				p.n.members.send(keeper, withdrawal(e))
-				event.Log(p.n.log, zerolog.WarnLevel, event.KeeperSilent).Str("Peer", string(keeper)).
-					Str("Service", string(e.Service)).Msg(event.Text(event.KeeperSilent))
+				event.Note(p.n.log, zerolog.WarnLevel, event.KeeperSilent).Str("Peer", string(keeper)).
+					Str("Service", string(e.Service)).Send()
 				return nil
 			}
 			p.n.members.send(keeper, question)
@@ -331,8 +332,22 @@
 	}
 }
 
+// address returns where an endpoint is reached; empty when it isn't registered.
+func (p *places) address(id endpoint.ID) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeper.Address(id)
+}
+
 func (p *places) usable(instance endpoint.Instance) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.keeper.Usable(instance)
 }
+
+// counts returns how many requests hold a place that this host keeps, and how many wait for one.
+func (p *places) counts() (running, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeper.Running(), p.keeper.Waiting()
+}
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/connection"
 	"balsamknot.org/fleet/attempt"
 	"balsamknot.org/fleet/endpoint"
@@ -34,58 +37,116 @@
 		case attempt.Ask:
 			next = n.try(q, a, c)
 		case attempt.Answer:
-			q.refuse(c.Status, c.After)
+			n.refuse(q, c.Status, c.After)
 			return
 		case attempt.Abort:
-			panic(http.ErrAbortHandler)
+			n.cut(q)
 		case nil:
 			return
 		}
 	}
 }
 
+// cut closes the caller's connection in the middle of an answer.
+func (n *Node) cut(q *request) {
+	q.line(n.log, zerolog.WarnLevel, event.RequestCut).Str("Cause", q.cause).Str("Endpoint", string(q.endpoint)).
+		Str("Position", q.resumed).Dur("TotalMs", timer.Boot().Sub(q.start)).Send()
+	n.meter.finished(q, outcomeCut)
+	panic(http.ErrAbortHandler)
+}
+
+// left ends a request whose caller is gone.
+func (n *Node) left(q *request) {
+	q.line(n.log, zerolog.InfoLevel, event.RequestLeft).Str("Endpoint", string(q.endpoint)).
+		Dur("TotalMs", timer.Boot().Sub(q.start)).Send()
+	n.meter.finished(q, outcomeLeft)
+	panic(http.ErrAbortHandler)
+}
+
 // try asks for a place and sends the request there. It returns nil when the request has ended.
 func (n *Node) try(q *request, a *attempt.Attempt, ask attempt.Ask) attempt.Command {
 	now := timer.Boot()
 	left := q.deadline.Sub(now)
 	if left <= 0 {
+		q.cause = "no time left for a place"
 		return a.Update(now, attempt.Expired{})
 	}
 	ticket, answer := n.places.ask(q.r.Context(), pool.Asked{
 		Service: q.service, Prompt: q.call.Prompt, Rank: q.set.Rank(q.route, q.workspace), Patience: left / 2,
 		Tried: ask.Tried, Repeat: ask.Repeat, DataCentre: n.cfg.DataCentre,
 	})
-	switch place := answer.(type) {
+	switch c := answer.(type) {
 	case pool.Place:
-		result, next := n.send(q, a, place.Endpoint)
-		n.places.end(ticket, q.service, result)
+		n.notePlaced(q, c)
+		// The place is given back also when the caller's connection is aborted.
+		result := pool.Unknown
+		defer func() { n.places.end(ticket, q.service, result) }()
+		var next attempt.Command
+		result, next = n.send(q, a, c)
+		n.noteNext(q, next)
 		return next
 	case pool.Refuse:
-		return a.Update(timer.Boot(), attempt.Refused{Reason: place.Reason, After: place.After})
+		q.cause = "no place: " + c.Reason.String()
+		return a.Update(timer.Boot(), attempt.Refused{Reason: c.Reason, After: c.After})
 	}
-	panic(http.ErrAbortHandler)
+	if !q.gone() {
+		q.cause = "no answer of the keeper"
+		return a.Update(timer.Boot(), attempt.Expired{})
+	}
+	n.left(q)
+	return nil
+}
+
+func (n *Node) notePlaced(q *request, c pool.Place) {
+	now := timer.Boot()
+	q.endpoint = c.Endpoint.Instance.ID
+	q.line(n.log, zerolog.InfoLevel, event.RequestPlaced).Str("Endpoint", string(q.endpoint)).
+		Int("Running", c.Why.Running).Int("Limit", c.Why.Limit).Int("Missing", c.Why.Missing).Int("Fetched", c.Why.Fetched).Bool("Suspect", c.Why.Suspect).
+		Dur("WaitedMs", c.Why.Waited).Dur("BeliefMs", n.beliefs.age(now)).Send()
+	n.meter.placed(q, now.Sub(q.start), c.Why)
+}
+
+// noteNext logs that a request goes on at another endpoint.
+func (n *Node) noteNext(q *request, next attempt.Command) {
+	ask, again := next.(attempt.Ask)
+	if !again {
+		return
+	}
+	number := event.RequestRetried
+	if q.resumed != "" {
+		number = event.RequestResumed
+	}
+	q.line(n.log, zerolog.WarnLevel, number).Str("Endpoint", string(q.endpoint)).Str("Cause", q.cause).
+		Bool("Repeat", ask.Repeat).Str("Position", q.resumed).Send()
+	n.meter.retried(q)
 }
 
 // send gives the request to an endpoint and delivers its answer.
-func (n *Node) send(q *request, a *attempt.Attempt, to endpoint.Record) (pool.Result, attempt.Command) {
+func (n *Node) send(q *request, a *attempt.Attempt, place pool.Place) (pool.Result, attempt.Command) {
 	now := timer.Boot()
+	to := place.Endpoint
 	id := to.Instance.ID
 	switch {
 	case !n.allowed(now, q):
+		q.cause = "the key or the set is no longer good"
 		return pool.Unknown, a.Update(now, attempt.NotAllowed{After: unknownReturn})
 	case !n.places.usable(to.Instance):
+		q.cause = "the endpoint is leaving or gone"
 		return pool.Unknown, a.Update(now, attempt.Unreached{ID: id})
 	}
 	left := q.deadline.Sub(now)
 	header := platform.Forward(q.r.Header, platform.Offer{
 		Workspace: string(q.workspace), Instance: to.Instance, Left: left, Rank: q.set.Rank(q.route, q.workspace),
-		Position: q.position(),
+		Position: q.position(), Fetch: n.places.address(place.Fetch),
 	})
 	x, err := n.links.Do(q.r.Context(), to.Address, connection.Request{
 		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
 	}, time.Now().Add(left))
 	if errors.Is(err, connection.ErrUnreached) {
-		n.leave(q)
+		if q.gone() {
+			n.left(q)
+		}
+		q.cause = err.Error()
 		return pool.Broken, a.Update(timer.Boot(), attempt.Unreached{ID: id})
 	}
 	a.Sent(id)
@@ -98,20 +159,14 @@
 	return n.deliver(q, a, id, x)
 }
 
-// leave ends the request without an answer when its caller is gone.
-func (n *Node) leave(q *request) {
-	if q.gone() {
-		panic(http.ErrAbortHandler)
-	}
-}
-
 // broken decides what follows from an answer that broke off.
 func (n *Node) broken(q *request, a *attempt.Attempt, id endpoint.ID, err error) (pool.Result, attempt.Command) {
+	if q.gone() {
+		n.left(q)
+	}
 	now := timer.Boot()
-	switch {
-	case q.gone():
-		return pool.Unknown, nil
-	case errors.Is(err, os.ErrDeadlineExceeded) && !now.Before(q.deadline.Add(-time.Millisecond)):
+	q.cause = err.Error()
+	if errors.Is(err, os.ErrDeadlineExceeded) && !now.Before(q.deadline.Add(-time.Millisecond)) {
 		return pool.Silent, a.Update(now, attempt.Expired{})
 	}
 	return pool.Broken, a.Update(now, attempt.Broken{ID: id})
@@ -123,6 +178,7 @@
 	switch {
 	case x.Reply.NotRun:
 		drop(x)
+		q.cause = "not run: status " + strconv.Itoa(status)
 		return pool.TurnedAway, a.Update(timer.Boot(), attempt.TurnedAway{ID: id})
 	case status >= http.StatusInternalServerError:
 		return n.failed(q, a, id, x)
@@ -134,7 +190,7 @@
 		return n.broken(q, a, id, err)
 	}
 	x.Finish()
-	q.relay(x, body)
+	n.relay(q, x, body)
 	return pool.Done, nil
 }
 
@@ -152,21 +208,38 @@
 		return n.broken(q, a, id, err)
 	}
 	x.Finish()
+	q.cause = "the endpoint failed: status " + strconv.Itoa(x.Response.StatusCode)
 	next := a.Update(timer.Boot(), attempt.Failed{ID: id})
 	if _, relay := next.(attempt.Relay); relay {
-		q.relay(x, body)
+		n.relay(q, x, body)
 		return pool.Failed, nil
 	}
 	return pool.Failed, next
 }
 
 // relay answers with an endpoint's status, headers and whole body.
-func (q *request) relay(x *connection.Exchange, body []byte) {
+func (n *Node) relay(q *request, x *connection.Exchange, body []byte) {
 	h := q.w.Header()
 	platform.Deliver(h, x.Response.Header)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	q.w.WriteHeader(x.Response.StatusCode)
 	_, _ = q.w.Write(body)
+	n.done(q, x.Response.StatusCode)
+}
+
+// done notes an answer that was delivered whole.
+func (n *Node) done(q *request, status int) {
+	now := timer.Boot()
+	if q.first.IsZero() {
+		q.first = now
+	}
+	level := zerolog.InfoLevel
+	if status >= http.StatusInternalServerError {
+		level = zerolog.WarnLevel
+	}
+	q.line(n.log, level, event.RequestDone).Int("Status", status).Str("Endpoint", string(q.endpoint)).
+		Dur("FirstMs", q.first.Sub(q.start)).Dur("TotalMs", now.Sub(q.start)).Send()
+	n.meter.finished(q, outcomeOf(status))
 }
 
 // stream passes whole events on as they come.
@@ -177,22 +250,22 @@
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			x.Finish()
+			n.done(q, x.Response.StatusCode)
 			return pool.Done, nil
 		}
 		if err != nil {
 			return n.broken(q, a, id, err)
 		}
-		if q.resumed == "" {
+		if q.first.IsZero() {
+			q.first = timer.Boot()
 			platform.Deliver(q.w.Header(), x.Response.Header)
 			q.w.WriteHeader(x.Response.StatusCode)
 			a.Delivering()
 		}
 		q.resumed = events.Last()
-		if _, err := q.w.Write(ev); err != nil {
-			return pool.Unknown, nil
-		}
-		if err := control.Flush(); err != nil {
-			return pool.Unknown, nil
+		_, err = q.w.Write(ev)
+		if err := errors.Join(err, control.Flush()); err != nil {
+			n.left(q)
 		}
 	}
 }
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -55,14 +55,24 @@
 	_      struct{} `cbor:",toarray"`
 	Number uint64
 	Kind   AnswerKind
-	// Endpoint and Born are set with Placed.
+	// Endpoint, Born and Why are set with Placed.
 	Endpoint endpoint.ID
 	Born     int64
+	Fetch    endpoint.ID
+	Why      Why
 	// Reason and AfterMs are set with Refused.
 	Reason  pool.Reason
 	AfterMs int64
 }
 
+// Why is what the keeper knew when it chose the endpoint; see pool.Why.
+type Why struct {
+	_                                struct{} `cbor:",toarray"`
+	Running, Limit, Missing, Fetched int
+	Suspect                          bool
+	WaitedMs                         int64
+}
+
 // AnswerKind says what became of an Ask.
 type AnswerKind int
 
@@ -144,6 +154,19 @@
 	}
 }
 
+// FromWhy translates a keeper's reasons for the wire.
+func FromWhy(w pool.Why) Why {
+	return Why{Running: w.Running, Limit: w.Limit, Missing: w.Missing, Fetched: w.Fetched, Suspect: w.Suspect, WaitedMs: w.Waited.Milliseconds()}
+}
+
+// Why translates a keeper's reasons from the wire.
+func (w Why) Why() pool.Why {
+	return pool.Why{
+		Running: w.Running, Limit: w.Limit, Missing: w.Missing, Fetched: w.Fetched, Suspect: w.Suspect,
+		Waited: time.Duration(w.WaitedMs) * time.Millisecond,
+	}
+}
+
 func fromPrompt(p chat.Prompt) []Part {
 	var parts []Part
 	for _, part := range p.Parts {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -20,6 +20,8 @@
 	CallerAddress string
 	ReadyAddress  string
 	PeerAddress   string
+	// MetricsAddress is the ip:port where counters are served; empty for none.
+	MetricsAddress string
 	// FirstPort and LastPort are free for messages between hosts, on every host alike.
 	FirstPort, LastPort uint16
 	// Seeds are peer addresses of some hosts; they may be stale.
@@ -60,22 +62,23 @@
 
 func (h *Host) setters() map[string]inifile.Setter {
 	return map[string]inifile.Setter{
-		"Host":          inifile.Text(&h.Host),
-		"DataCentre":    inifile.Text(&h.DataCentre),
-		"Region":        inifile.Text(&h.Region),
-		"Address":       inifile.Text(&h.Address),
-		"CallerAddress": inifile.Address(&h.CallerAddress),
-		"ReadyAddress":  inifile.Address(&h.ReadyAddress),
-		"PeerAddress":   inifile.Optional(inifile.Address(&h.PeerAddress)),
-		"PeerPorts":     inifile.Ports(&h.FirstPort, &h.LastPort),
-		"Seeds":         inifile.Optional(inifile.Addresses(&h.Seeds)),
-		"StoreAddress":  inifile.Address(&h.StoreAddress),
-		"DrainLimit":    inifile.Optional(inifile.Duration(&h.DrainLimit, time.Second)),
-		"RevokeLimit":   inifile.Optional(inifile.Duration(&h.RevokeLimit, time.Second)),
-		"RetryRatio":    inifile.Optional(inifile.Number(&h.RetryRatio, 0)),
-		"RetryWindow":   inifile.Optional(inifile.Duration(&h.RetryWindow, time.Second)),
-		"RetrySlack":    inifile.Optional(inifile.Number(&h.RetrySlack, 0)),
-		"LoadFactor":    inifile.Optional(inifile.Number(&h.LoadFactor, 1)),
+		"Host":           inifile.Text(&h.Host),
+		"DataCentre":     inifile.Text(&h.DataCentre),
+		"Region":         inifile.Text(&h.Region),
+		"Address":        inifile.Text(&h.Address),
+		"CallerAddress":  inifile.Address(&h.CallerAddress),
+		"ReadyAddress":   inifile.Address(&h.ReadyAddress),
+		"PeerAddress":    inifile.Optional(inifile.Address(&h.PeerAddress)),
+		"MetricsAddress": inifile.Optional(inifile.Address(&h.MetricsAddress)),
+		"PeerPorts":      inifile.Ports(&h.FirstPort, &h.LastPort),
+		"Seeds":          inifile.Optional(inifile.Addresses(&h.Seeds)),
+		"StoreAddress":   inifile.Address(&h.StoreAddress),
+		"DrainLimit":     inifile.Optional(inifile.Duration(&h.DrainLimit, time.Second)),
+		"RevokeLimit":    inifile.Optional(inifile.Duration(&h.RevokeLimit, time.Second)),
+		"RetryRatio":     inifile.Optional(inifile.Number(&h.RetryRatio, 0)),
+		"RetryWindow":    inifile.Optional(inifile.Duration(&h.RetryWindow, time.Second)),
+		"RetrySlack":     inifile.Optional(inifile.Number(&h.RetrySlack, 0)),
+		"LoadFactor":     inifile.Optional(inifile.Number(&h.LoadFactor, 1)),
 	}
 }
 
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -105,6 +105,21 @@
 type Place struct {
 	Ticket   Ticket
 	Endpoint endpoint.Record
+	// Fetch is an engine that holds more of the prompt than Endpoint does; empty when there is none.
+	Fetch endpoint.ID
+	Why   Why
+}
+
+// Why is what a keeper knew when it chose an endpoint.
+type Why struct {
+	// Running counts the requests at the endpoint before this one, and Limit is how many it may hold.
+	Running, Limit int
+	// Missing is how many tokens of shared parts the endpoint does not hold, and Fetched how many of them another has.
+	Missing, Fetched int
+	// Suspect is true when the endpoint was taken though it failed lately, for want of another.
+	Suspect bool
+	// Waited is how long the request waited for its place.
+	Waited time.Duration
 }
 
 // Queue tells that a request waits for a place.
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -118,6 +118,16 @@
 	return st.record, true
 }
 
+// Address returns where an endpoint is reached; empty when it isn't registered.
+func (k *Keeper) Address(id endpoint.ID) string {
+	if home, ok := k.homes[id]; ok {
+		if st := k.service(home).seats[id]; st != nil {
+			return st.record.Address
+		}
+	}
+	return ""
+}
+
 // Knows returns the endpoint that last served a prompt with the same subject; empty when none is known.
 func (k *Keeper) Knows(now time.Time, name site.ServiceName, p chat.Prompt) endpoint.ID {
 	return k.service(name).knows(now, p)
--- a/fleet/pool/seat.go
+++ b/fleet/pool/seat.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"balsamknot.org/fleet/chat"
@@ -12,12 +13,13 @@
 const (
 	// readRate is how many prompt tokens an engine reads in a millisecond.
 	readRate = 92.0
-	// rereadWeight counts the reading of a part that another engine holds several times: it delays the requests beside it.
-	rereadWeight = 3.0
-	// neighbourCost is what each running request adds to the cost of an engine, in milliseconds.
-	neighbourCost = 20.0
+	// neighbourCost is what each running request adds to the cost of an engine, and arrivalCost each request of the last
+	// arrivalMemory, in milliseconds. Both are small against reading a part again: a chat moves only when it has to.
+	neighbourCost = 1.0
+	arrivalCost   = 2.0
+	arrivalMemory = 4 * time.Second
 	// spreadCost is the share of the rendezvous order in the cost, in milliseconds. It makes keepers that know nothing agree.
-	spreadCost = 10.0
+	spreadCost = 4.0
 	// farCost is what another data centre adds, in running requests of a runner.
 	farCost = 1.5
 	// failureCost is what a runner that always fails adds, in running requests.
@@ -43,7 +45,10 @@
 	// failures is the recent share of requests that failed, 0 to 1.
 	failures float64
 	// breaks counts connections that broke since the last whole answer.
-	breaks       int
+	breaks int
+	// arrivals counts requests with decay, as of arrived.
+	arrivals     float64
+	arrived      time.Time
 	suspectUntil time.Time
 }
 
@@ -53,6 +58,7 @@
 
 func (st *seat) take(now time.Time, p chat.Prompt) {
 	st.running++
+	st.arrivals, st.arrived = st.recent(now)+1, now
 	for i, part := range p.Parts {
 		if i == len(p.Parts)-1 && len(p.Parts) > 1 {
 			return
@@ -100,26 +106,37 @@
 
 func (st *seat) suspect(now time.Time) bool { return now.Before(st.suspectUntil) }
 
-// engineCost estimates, in milliseconds, what a prompt costs at this engine: parts to read, and requests beside it.
-func (st *seat) engineCost(now time.Time, e Asked) float64 {
-	missing := 0
+// missing is how many tokens of the prompt's shared parts the endpoint has to read. A part counts as held only when all
+// parts before it are held too.
+func (st *seat) missing(now time.Time, e Asked) int {
+	if e.Known == st.record.Instance.ID {
+		return 0
+	}
+	tokens := 0
 	cached := true
 	for i, part := range e.Prompt.Parts {
 		used, held := st.parts[part.ID]
 		cached = cached && held && now.Sub(used) < partLifetime
 		if !cached && i < len(e.Prompt.Parts)-1 {
-			missing += part.Tokens
+			tokens += part.Tokens
 		}
 	}
-	if missing > 0 && e.Known == st.record.Instance.ID {
-		missing = 0
-	}
-	return rereadWeight*float64(missing)/readRate + neighbourCost*float64(st.running) +
-		neighbourCost*neighboursAtFull*st.failures + spreadCost*st.spread(e)
+	return tokens
+}
+
+// engineCost estimates, in milliseconds, what a prompt costs at this engine: parts to read, and requests beside it.
+func (st *seat) engineCost(now time.Time, e Asked) float64 {
+	return float64(st.missing(now, e))/readRate + neighbourCost*float64(st.running) + arrivalCost*st.recent(now) +
+		failingCost*st.failures + spreadCost*st.spread(e)
+}
+
+// recent is how many requests came of late, each counting less as time passes.
+func (st *seat) recent(now time.Time) float64 {
+	return st.arrivals * math.Exp(-now.Sub(st.arrived).Seconds()/arrivalMemory.Seconds())
 }
 
-// neighboursAtFull is how many running requests an engine that always fails counts for.
-const neighboursAtFull = 30
+// failingCost is what an engine that always fails adds, in milliseconds.
+const failingCost = 600.0
 
 // runnerCost orders runners of a plain service: the least busy, near ones first.
 func (st *seat) runnerCost(e Asked) float64 {
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -84,7 +84,7 @@
 func (s *service) ask(now time.Time, e Asked) []Command {
 	if h := s.holders[e.Ticket]; h != nil {
 		h.heard = now
-		return []Command{Place{e.Ticket, h.seat.record}}
+		return []Command{Place{Ticket: e.Ticket, Endpoint: h.seat.record}}
 	}
 	if slices.ContainsFunc(s.queue, func(w waiting) bool { return w.ask.Ticket == e.Ticket }) {
 		return []Command{Queue{e.Ticket}}
@@ -94,7 +94,7 @@
 	}
 	if len(s.queue) == 0 {
 		if st := s.choose(now, e); st != nil {
-			return s.place(now, e, st)
+			return s.place(now, e, st, 0)
 		}
 	}
 	if !s.anyUsable(e) {
@@ -114,10 +114,15 @@
 
 func clampReturn(d time.Duration) time.Duration { return min(max(d, shortestReturn), longestReturn) }
 
-func (s *service) place(now time.Time, e Asked, st *seat) []Command {
+func (s *service) place(now time.Time, e Asked, st *seat, waited time.Duration) []Command {
+	why := Why{Running: st.running, Limit: s.limit(), Missing: st.missing(now, e), Suspect: st.suspect(now), Waited: waited}
+	var fetch endpoint.ID
+	if source := s.source(now, st, e); source != nil {
+		fetch, why.Fetched = source.record.Instance.ID, why.Missing-source.missing(now, e)
+	}
 	s.holders[e.Ticket] = &holder{seat: st, since: now, heard: now}
 	st.take(now, e.Prompt)
-	return []Command{Place{e.Ticket, st.record}}
+	return []Command{Place{Ticket: e.Ticket, Endpoint: st.record, Fetch: fetch, Why: why}}
 }
 
 // hold takes up a place that was given by another keeper.
@@ -186,9 +191,9 @@
 		if st == nil {
 			return commands
 		}
-		e := s.queue[0].ask
+		next := s.queue[0]
 		s.queue = s.queue[1:]
-		commands = append(commands, s.place(now, e, st)...)
+		commands = append(commands, s.place(now, next.ask, st, now.Sub(next.since))...)
 	}
 	return commands
 }
@@ -242,6 +247,29 @@
 	return best
 }
 
+// leastFetch is the least number of tokens for which one engine fetches from another.
+const leastFetch = 64
+
+// source returns the engine that holds the most of a prompt beyond what st holds; nil when none holds enough more.
+// An engine that leaves still hands out what it holds; one under suspicion may not answer.
+func (s *service) source(now time.Time, st *seat, e Asked) *seat {
+	if s.engine == nil || !s.engine.Transfers {
+		return nil
+	}
+	var best *seat
+	least := st.missing(now, e) - leastFetch
+	for _, id := range sortedKeys(s.seats) {
+		other := s.seats[id]
+		if other == st || other.suspect(now) {
+			continue
+		}
+		if m := other.missing(now, e); m <= least {
+			best, least = other, m-1
+		}
+	}
+	return best
+}
+
 // limit is how many requests an endpoint may hold.
 func (s *service) limit() int {
 	usable, running := 0, 0
--- a/fleet/site/site.go
+++ b/fleet/site/site.go
@@ -85,6 +85,8 @@
 	Places int
 	// Tokens is the memory of an engine, in tokens.
 	Tokens int
+	// Transfers is true when engines hand parts to each other.
+	Transfers bool
 	// Listeners is how many callers may wait for an engine's cache events at once.
 	Listeners int
 }
