Place new chats by the mean of running requests

Cause: chats moved at their engine's bound, which sat one below what operators allow, and new chats went by arrivals alone, short and long alike.

--- a/fleet/pool/seat.go
+++ b/fleet/pool/seat.go
@@ -13,11 +13,12 @@
 const (
 	// readRate is how many prompt tokens an engine reads in a millisecond.
 	readRate = 92.0
-	// neighbourCost is what each running request adds to the cost of an engine, and arrivalCost each request of the last
-	// arrivalMemory, in milliseconds. Both are small against reading a part again: a chat moves only when it has to.
+	// neighbourCost is what each running request adds to the cost of an engine, and busyCost each request that ran on the
+	// mean of the last busyMemory, in milliseconds. Both are small against reading a part again: a chat moves only when
+	// it has to, and a new one goes where little was to do for a while.
 	neighbourCost = 1.0
-	arrivalCost   = 2.0
-	arrivalMemory = 4 * time.Second
+	busyCost      = 4.0
+	busyMemory    = 4 * time.Second
 	// spreadCost is the share of the rendezvous order in the cost, in milliseconds. It makes keepers that know nothing agree.
 	spreadCost = 4.0
 	// farCost is what another data centre adds, in running requests of a runner.
@@ -46,9 +47,9 @@
 	failures float64
 	// breaks counts connections that broke since the last whole answer.
 	breaks int
-	// arrivals counts requests with decay, as of arrived.
-	arrivals     float64
-	arrived      time.Time
+	// busy is the decaying mean of running, as of changed.
+	busy         float64
+	changed      time.Time
 	suspectUntil time.Time
 }
 
@@ -57,8 +58,7 @@
 }
 
 func (st *seat) take(now time.Time, p chat.Prompt) {
-	st.running++
-	st.arrivals, st.arrived = st.recent(now)+1, now
+	st.run(now, 1)
 	for i, part := range p.Parts {
 		if i == len(p.Parts)-1 && len(p.Parts) > 1 {
 			return
@@ -79,7 +79,7 @@
 }
 
 func (st *seat) end(now time.Time, result Result) {
-	st.running--
+	st.run(now, -1)
 	switch result {
 	case Done:
 		st.failures -= failureWeight * st.failures
@@ -126,13 +126,23 @@
 
 // engineCost estimates, in milliseconds, what a prompt costs at this engine: parts to read, and requests beside it.
 func (st *seat) engineCost(now time.Time, e Asked) float64 {
-	return float64(st.missing(now, e))/readRate + neighbourCost*float64(st.running) + arrivalCost*st.recent(now) +
+	return float64(st.missing(now, e))/readRate + neighbourCost*float64(st.running) + busyCost*st.load(now) +
 		failingCost*st.failures + spreadCost*st.spread(e)
 }
 
-// recent is how many requests came of late, each counting less as time passes.
-func (st *seat) recent(now time.Time) float64 {
-	return st.arrivals * math.Exp(-now.Sub(st.arrived).Seconds()/arrivalMemory.Seconds())
+// run changes how many requests run.
+func (st *seat) run(now time.Time, change int) {
+	st.busy, st.changed = st.load(now), now
+	st.running += change
+}
+
+// load is how many requests ran on the mean of late.
+func (st *seat) load(now time.Time) float64 {
+	if st.changed.IsZero() {
+		return 0
+	}
+	old := math.Exp(-now.Sub(st.changed).Seconds() / busyMemory.Seconds())
+	return old*st.busy + (1-old)*float64(st.running)
 }
 
 // failingCost is what an engine that always fails adds, in milliseconds.
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// boundMargin is added to LoadFactor times the mean; it is one below what operators allow, for places on their way.
-	boundMargin = 2
+	// boundMargin is added to LoadFactor times the mean.
+	boundMargin = 3
 	// rankDelay is by how much a rank's requests may overtake those of the next rank.
 	rankDelay = 400 * time.Millisecond
 	// queuePerPlace bounds the requests that wait for a service, for each of its places.
@@ -282,7 +282,7 @@
 	if usable == 0 {
 		return 0
 	}
-	return int(s.cfg.LoadFactor*float64(running)/float64(usable)) + boundMargin
+	return int(s.cfg.LoadFactor*float64(running)/float64(usable) + boundMargin)
 }
 
 // knows returns the endpoint that last served the prompt's subject and may still hold it.
