Let two hosts of a region read the store for the others

Change: two hosts, first in rendezvous order, read the store; the others ask them in a datagram how new their knowledge is, and fetch what changed. Ages count from when the first read was sent. A host whose readers fail or grow old reads the store itself. A host that no longer trusts its set closes the connections on which it says so, so that callers turn to others.

--- a/entry/node/beliefs.go
+++ b/entry/node/beliefs.go
@@ -3,25 +3,39 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/catalogue"
+	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
 )
 
-// beliefs holds the catalogue and reads the platform into it.
+// beliefs holds the catalogue, and fills it from the platform or from hosts that read it.
 type beliefs struct {
-	n *Node
+	n      *Node
+	client *http.Client
+	// woken ends the wait between two steps.
+	woken chan struct{}
 
 	mu        sync.RWMutex
 	catalogue *catalogue.Catalogue
+	history   *catalogue.History
+	source    *catalogue.Source
+	// nonce numbers probes, and confirms takes their answers.
+	nonce    uint64
+	confirms chan peer.Confirm
+	// followers holds who asked lately, with the time.
+	followers map[host.ID]time.Time
 
 	lost bool
 }
@@ -34,17 +48,36 @@
 	// outageAfter is how long the platform has to be away to count as out.
 	outageAfter = 2500 * time.Millisecond
 	// watchWait is how long a watch waits for changes.
-	watchWait = 1200 * time.Millisecond
-	// watchGap is the least time between two watches.
-	watchGap = 500 * time.Millisecond
-	// retryGap is the time after a read that failed.
-	retryGap = 250 * time.Millisecond
+	watchWait = 1000 * time.Millisecond
+	// watchGap is the least time between two watches, and probeGap between two probes of a reader.
+	watchGap = 300 * time.Millisecond
+	probeGap = 600 * time.Millisecond
+	// probeLimit is how long a reader has to answer.
+	probeLimit = 150 * time.Millisecond
+	// staleReader is the age from which on a reader's knowledge is no help.
+	staleReader = 2400 * time.Millisecond
+	// directAfter is the age at which a host reads the platform itself.
+	directAfter = 3200 * time.Millisecond
+	// failurePause is how long a source that failed is left alone.
+	failurePause = 500 * time.Millisecond
+	// followerMemory is how long a host that asked hears of changes.
+	followerMemory = 3 * time.Second
+	// knowledgeIdle is how long connections between hosts are kept.
+	knowledgeIdle = 10 * time.Second
 )
 
 func newBeliefs(n *Node) *beliefs {
-	return &beliefs{n: n, catalogue: catalogue.New(catalogue.Config{
-		Lease: n.cfg.RevokeLimit - leaseMargin, Return: returnGrace, Outage: outageAfter,
-	})}
+	return &beliefs{
+		n: n, woken: make(chan struct{}, 1), confirms: make(chan peer.Confirm, 1), followers: make(map[host.ID]time.Time),
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: n.dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: knowledgeIdle, DisableCompression: true,
+		}},
+		history: catalogue.NewHistory(),
+		source:  catalogue.NewSource(catalogue.SourceConfig{Self: n.cfg.Host, Direct: directAfter, Pause: failurePause}),
+		catalogue: catalogue.New(catalogue.Config{
+			Lease: n.cfg.RevokeLimit - leaseMargin, Return: returnGrace, Outage: outageAfter,
+		}),
+	}
 }
 
 // set returns the set in force, and whether it may be acted on.
@@ -82,53 +115,197 @@
 	b.publish(now, change)
 }
 
-// follow reads the platform until ctx ends.
+// follow keeps the catalogue fresh until ctx ends.
 func (b *beliefs) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		sent := timer.Boot()
-		read, err := b.read(ctx)
-		if err != nil {
-			b.failed(err)
-			timer.Sleep(ctx, retryGap)
+		b.mu.Lock()
+		step := b.source.Next(sent, b.n.members.readers(), b.catalogue.Age(sent))
+		b.mu.Unlock()
+		if step.Wait > 0 {
+			timer.Sleep(ctx, step.Wait)
 			continue
 		}
-		read.Sent = sent
-		b.apply(read)
-		timer.Sleep(ctx, watchGap-timer.Boot().Sub(sent))
+		gap, err := b.take(ctx, sent, step)
+		b.note(step, err)
+		if err == nil {
+			b.rest(ctx, gap-timer.Boot().Sub(sent))
+		}
 	}
 }
 
+// rest waits for d, or until a reader tells of a change.
+func (b *beliefs) rest(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-b.woken:
+	case <-ctx.Done():
+	}
+}
+
+// take carries out a step and returns the least time to the next one.
+func (b *beliefs) take(ctx context.Context, sent time.Time, step catalogue.Step) (time.Duration, error) {
+	if step.Reader != "" {
+		return probeGap, b.ask(ctx, sent, step.Reader)
+	}
+	page, whole, err := b.read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	entries := make([]catalogue.Entry, len(page.Changes))
+	for i, c := range page.Changes {
+		entries[i] = catalogue.Entry{Key: c.Key, Value: c.Value, Removed: c.Removed}
+	}
+	b.apply(sent, entries, catalogue.Position(page.At), whole)
+	return watchGap, nil
+}
+
 // read watches for changes, or reads everything when there is no history to go on from.
-func (b *beliefs) read(ctx context.Context) (catalogue.Read, error) {
+func (b *beliefs) read(ctx context.Context) (page platform.Page, whole bool, err error) {
 	b.mu.RLock()
 	at := b.catalogue.At()
 	b.mu.RUnlock()
 	if at > 0 {
-		page, err := b.n.store.Watch(ctx, "", platform.Revision(at), watchWait)
+		page, err = b.n.store.Watch(ctx, "", platform.Revision(at), watchWait)
 		if !errors.Is(err, platform.ErrHistoryLost) {
-			return b.decode(page), err
+			return page, false, err
+		}
+	}
+	page, err = b.n.store.Range(ctx, "")
+	return page, true, err
+}
+
+// ask probes a reader, and fetches from it what is new.
+func (b *beliefs) ask(ctx context.Context, sent time.Time, reader host.ID) error {
+	b.mu.Lock()
+	b.nonce++
+	nonce := b.nonce
+	at := b.catalogue.At()
+	b.mu.Unlock()
+	b.n.members.send(reader, peer.Datagram{Probes: []peer.Probe{{Nonce: nonce}}})
+	c, err := b.awaitConfirm(ctx, nonce, reader)
+	if err != nil {
+		return err
+	}
+	age := time.Duration(c.AgeMs) * time.Millisecond
+	if age > staleReader {
+		return eris.Errorf("ask reader %s: its knowledge is %s old", reader, age)
+	}
+	if c.Newest <= at {
+		b.confirm(sent.Add(-age))
+		return nil
+	}
+	return b.fetch(ctx, reader, at)
+}
+
+func (b *beliefs) awaitConfirm(ctx context.Context, nonce uint64, reader host.ID) (peer.Confirm, error) {
+	t := time.NewTimer(probeLimit)
+	defer t.Stop()
+	for {
+		select {
+		case c := <-b.confirms:
+			if c.Nonce == nonce {
+				return c, nil
+			}
+		case <-t.C:
+			return peer.Confirm{}, eris.Errorf("ask reader %s: no answer", reader)
+		case <-ctx.Done():
+			return peer.Confirm{}, eris.Wrapf(ctx.Err(), "ask reader %s", reader)
 		}
 	}
-	return b.readAll(ctx)
 }
 
-func (b *beliefs) readAll(ctx context.Context) (catalogue.Read, error) {
-	page, err := b.n.store.Range(ctx, "")
+func (b *beliefs) fetch(ctx context.Context, reader host.ID, after catalogue.Position) error {
+	address, known := b.n.members.knowledgeAddress(reader)
+	if !known {
+		return eris.Errorf("fetch from reader %s: its address is not known", reader)
+	}
+	sent := timer.Boot()
+	k, err := peer.FetchKnowledge(ctx, b.client, address, after)
 	if err != nil {
-		return catalogue.Read{}, err
+		return err
+	}
+	b.apply(sent.Add(-time.Duration(k.AgeMs)*time.Millisecond), k.Entries, k.At, k.Whole)
+	return nil
+}
+
+// load returns what this host knows behind a position, for another host.
+func (b *beliefs) load(after catalogue.Position) (peer.Knowledge, bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if b.history.At() == 0 {
+		return peer.Knowledge{}, false
 	}
-	read := b.decode(page)
-	read.Whole = true
-	return read, nil
+	entries, whole := b.history.Since(after)
+	return peer.Knowledge{
+		At: b.history.At(), Whole: whole, Entries: entries, AgeMs: b.catalogue.Age(timer.Boot()).Milliseconds() + 1,
+	}, true
 }
 
-// decode translates a page; entries that can't be read are logged and name no endpoint.
-func (b *beliefs) decode(page platform.Page) catalogue.Read {
-	read := catalogue.Read{At: catalogue.Position(page.At)}
-	for _, change := range page.Changes {
-		p, err := platform.Decode(change)
+// handle answers probes and takes confirmations and notices.
+func (b *beliefs) handle(now time.Time, d peer.Datagram) {
+	for _, p := range d.Probes {
+		b.mu.Lock()
+		c := peer.Confirm{Nonce: p.Nonce, Newest: b.history.Newest(), AgeMs: b.catalogue.Age(now).Milliseconds() + 1}
+		known := b.history.At() > 0
+		b.followers[d.From] = now
+		b.mu.Unlock()
+		if known {
+			b.n.members.send(d.From, peer.Datagram{Confirms: []peer.Confirm{c}})
+		}
+	}
+	for _, c := range d.Confirms {
+		select {
+		case b.confirms <- c:
+		default:
+		}
+	}
+	for _, notice := range d.Notices {
+		b.mu.RLock()
+		news := notice.Newest > b.catalogue.At()
+		b.mu.RUnlock()
+		if news {
+			b.wake()
+		}
+	}
+}
+
+func (b *beliefs) wake() {
+	select {
+	case b.woken <- struct{}{}:
+	default:
+	}
+}
+
+// tell lets those who asked lately know that there is something new.
+func (b *beliefs) tell(now time.Time, newest catalogue.Position) {
+	b.mu.Lock()
+	var to []host.ID
+	for id, asked := range b.followers {
+		if now.Sub(asked) > followerMemory {
+			delete(b.followers, id)
+			continue
+		}
+		to = append(to, id)
+	}
+	b.mu.Unlock()
+	for _, id := range to {
+		b.n.members.send(id, peer.Datagram{Notices: []peer.Notice{{Newest: newest}}})
+	}
+}
+
+// decode translates entries; those that can't be read are logged and name no endpoint.
+func (b *beliefs) decode(entries []catalogue.Entry) catalogue.Read {
+	var read catalogue.Read
+	for _, e := range entries {
+		p, err := platform.Decode(platform.Change{Key: e.Key, Value: e.Value, Removed: e.Removed})
 		if err != nil {
-			event.Note(b.n.log, zerolog.WarnLevel, event.EntryUnreadable).Str("Key", change.Key).Err(err).Send()
+			event.Note(b.n.log, zerolog.WarnLevel, event.EntryUnreadable).Str("Key", e.Key).Err(err).Send()
 		}
 		switch {
 		case p.Set != nil:
@@ -142,38 +319,69 @@
 	return read
 }
 
-func (b *beliefs) failed(err error) {
-	b.n.meter.read("failed")
-	if !b.lost {
+// note remembers how a step ended, and logs when the platform is lost or back.
+func (b *beliefs) note(step catalogue.Step, err error) {
+	now := timer.Boot()
+	b.mu.Lock()
+	if err != nil {
+		b.source.Failed(now, step)
+	} else {
+		b.source.Done(step)
+	}
+	b.mu.Unlock()
+	source := string(step.Reader)
+	if step.Reader == "" {
+		source = "store"
+		b.n.meter.read(err)
+	}
+	switch {
+	case err != nil && !b.lost:
 		b.lost = true
-		event.Note(b.n.log, zerolog.WarnLevel, event.PlatformLost).Err(err).Send()
+		event.Note(b.n.log, zerolog.WarnLevel, event.PlatformLost).Str("Source", source).Dur("BeliefMs", b.age(now)).Err(err).Send()
+	case err == nil && b.lost:
+		b.lost = false
+		event.Note(b.n.log, zerolog.InfoLevel, event.PlatformBack).Str("Source", source).Dur("BeliefMs", b.age(now)).Send()
 	}
 }
 
-func (b *beliefs) apply(read catalogue.Read) {
-	b.n.meter.read("done")
-	if b.lost {
-		b.lost = false
-		event.Note(b.n.log, zerolog.InfoLevel, event.PlatformBack).Send()
-	}
+// confirm notes that nothing changed up to a time.
+func (b *beliefs) confirm(sent time.Time) {
+	now := timer.Boot()
+	b.mu.Lock()
+	change := b.catalogue.Apply(now, catalogue.Read{Sent: sent})
+	b.mu.Unlock()
+	b.publish(now, change)
+}
+
+// apply takes in what was true at a time.
+func (b *beliefs) apply(sent time.Time, entries []catalogue.Entry, at catalogue.Position, whole bool) {
+	read := b.decode(entries)
+	read.Sent, read.At, read.Whole = sent, at, whole
 	now := timer.Boot()
 	b.mu.Lock()
+	before := b.history.Newest()
+	b.history.Note(now, entries, at, whole)
+	newest := b.history.Newest()
 	change := b.catalogue.Apply(now, read)
 	b.mu.Unlock()
 	b.publish(now, change)
+	if newest > before {
+		b.tell(now, newest)
+	}
 }
 
 // publish tells the keeper what changed.
 func (b *beliefs) publish(now time.Time, change catalogue.Change) {
 	if change.Set != nil {
-		event.Note(b.n.log, zerolog.InfoLevel, event.DocumentAccepted).Int64("Version", int64(change.Set.Version)).Send()
+		event.Note(b.n.log, zerolog.InfoLevel, event.DocumentAccepted).Int64("Version", int64(change.Set.Version)).
+			Dur("BeliefMs", b.age(now)).Send()
 		for _, service := range change.Set.Services {
 			b.n.places.update(now, pool.ServiceSeen{Service: service})
 		}
 	}
 	for _, record := range change.Endpoints {
 		event.Note(b.n.log, zerolog.InfoLevel, event.EndpointSeen).Str("Endpoint", string(record.Instance.ID)).
-			Bool("Leaving", record.Leaving).Send()
+			Str("Service", string(record.Service)).Bool("Leaving", record.Leaving).Send()
 		b.n.places.update(now, pool.EndpointSeen{Record: record})
 	}
 	for _, id := range change.Gone {
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -151,6 +151,7 @@
 	set, valid := c.n.beliefs.set(q.start)
 	if !valid {
 		q.cause = "no set, or one that was not confirmed in time"
+		q.w.Header().Set("Connection", "close")
 		c.n.refuse(q, http.StatusServiceUnavailable, unknownReturn)
 		return false
 	}
--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -106,6 +106,7 @@
 		m.act(now, changes)
 	}
 	m.n.places.handle(now, d)
+	m.n.beliefs.handle(now, d)
 }
 
 // note keeps the list of live hosts at hand; mu is held.
@@ -207,3 +208,37 @@
 	defer m.mu.Unlock()
 	return max(len(m.live), 1)
 }
+
+// readersPerRegion is how many hosts of a region read the platform for the others.
+const readersPerRegion = 2
+
+// readers returns the hosts that read the platform for the others.
+func (m *members) readers() []host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return placement.Rank("store/"+string(m.n.cfg.Region), m.live, readersPerRegion)
+}
+
+// knowledgeAddress returns where a host serves what it knows of the platform.
+func (m *members) knowledgeAddress(id host.ID) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	address, known := m.roster.Address(id)
+	if !known {
+		return "", false
+	}
+	ip, _, err := net.SplitHostPort(address)
+	return m.n.knowledgeAddress(ip), err == nil
+}
+
+// knowledgeAddress is the second of the hosts' own ports.
+func (n *Node) knowledgeAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(int(n.cfg.FirstPort)+1))
+}
+
+// peerDialLimit bounds a new connection to another host.
+const peerDialLimit = 400 * time.Millisecond
+
+func (n *Node) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: peerDialLimit}).DialContext(ctx, network, address)
+}
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -69,11 +69,16 @@
 	m.set.GetOrCreateHistogram(`entry_answer_seconds{service="` + label(q.service) + `"}`).Update(now().Sub(q.start).Seconds())
 }
 
-// read counts a read of the platform, datagram a datagram to another host, with its size in bytes.
-func (m *meter) read(result string) {
+// read counts a read of the platform.
+func (m *meter) read(err error) {
+	result := "done"
+	if err != nil {
+		result = "failed"
+	}
 	m.set.GetOrCreateCounter(`entry_store_reads_total{result="` + result + `"}`).Inc()
 }
 
+// datagram counts a datagram to another host.
 func (m *meter) datagram(bytes int) {
 	m.set.GetOrCreateCounter(`entry_datagrams_sent_total`).Inc()
 	m.set.GetOrCreateCounter(`entry_datagram_bytes_sent_total`).Add(bytes)
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -15,6 +15,7 @@
 
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/connection"
+	"balsamknot.org/entry/peer"
 	"balsamknot.org/entry/settings"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
@@ -170,6 +171,7 @@
 	}{
 		{n.cfg.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerLimit}},
 		{n.cfg.MetricsAddress, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerLimit}},
+		{n.knowledgeAddress(n.cfg.Address), &http.Server{Handler: n.knowledgeHandler(), ReadHeaderTimeout: headerLimit}},
 		{n.cfg.CallerAddress, n.callers.server()},
 	} {
 		if l.address == "" {
@@ -188,6 +190,12 @@
 // MetricsPath is where the counters are served.
 const MetricsPath = "/metrics"
 
+func (n *Node) knowledgeHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+peer.KnowledgePath, peer.KnowledgeHandler(n.beliefs.load))
+	return mux
+}
+
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { n.meter.write(w) })
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -27,6 +27,10 @@
 	Ends    []End
 	Holds   []Hold
 	Crashes []Crash
+	// Probes, Confirms and Notices share what few hosts read of the platform.
+	Probes   []Probe
+	Confirms []Confirm
+	Notices  []Notice
 }
 
 // Ask wants a place for a request of the sender.
