Test the new decisions, the connections to endpoints, the platform's formats and whole hosts against stand-ins

A failure of an endpoint while an answer goes on elsewhere relayed a second head into the answer; found by the test of attempt (failed first), it now aborts. Stand-ins speak the store's and the endpoints' published protocol.

--- /dev/null
+++ b/entry/node/node_test.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func text(t *testing.T, r *http.Response) string {
+	t.Helper()
+	raw, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	return string(raw)
+}
+
+func TestARequestIsServedThroughEveryHost(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1")
+	a := s.endpoint("i-a", "plain", nil)
+	s.start(3, 11)
+	for i, n := range s.nodes {
+		r := n.call(t, http.MethodPost, "/once/x?y=1", "id-"+string(rune('1'+i)), "k1")
+		require.Equal(t, http.StatusOK, r.StatusCode)
+		require.Equal(t, "answer of i-a", text(t, r))
+		require.Equal(t, "seal-i-a", r.Header.Get("Server-Seal"))
+	}
+	require.Equal(t, 3, a.ran())
+	require.Equal(t, http.StatusNotFound, s.nodes[0].call(t, http.MethodGet, "/nowhere/", "id-4", "k1").StatusCode)
+	require.Equal(t, http.StatusUnauthorized, s.nodes[0].call(t, http.MethodGet, "/again/", "id-5", "wrong").StatusCode)
+}
+
+func TestWhatMayNotBeRepeatedRunsOnce(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1")
+	broken := func(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+	a, b := s.endpoint("i-a", "plain", broken), s.endpoint("i-b", "plain", broken)
+	s.start(1, 12)
+	require.Equal(t, http.StatusBadGateway, s.nodes[0].call(t, http.MethodPost, "/once/x", "id-1", "k1").StatusCode)
+	require.Equal(t, 1, a.ran()+b.ran())
+	require.Equal(t, http.StatusBadGateway, s.nodes[0].call(t, http.MethodGet, "/again/x", "id-2", "k1").StatusCode)
+	require.Equal(t, 3, a.ran()+b.ran(), "what may be repeated went to both")
+}
+
+func TestAStreamGoesOnAtAnotherEngine(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1")
+	var breaks atomic.Bool
+	breaks.Store(true)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		from := r.Header.Get("Last-Event-Id")
+		if from == "" {
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		}
+		if breaks.Swap(false) {
+			_, _ = io.WriteString(w, "id: 2\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+	}
+	a, b := s.endpoint("i-a", "engines", serve), s.endpoint("i-b", "engines", serve)
+	s.start(2, 13)
+	r := s.nodes[1].call(t, http.MethodPost, "/stream/x", "id-1", "k1", "Prompt-Prefix", "a1:100,b2:50")
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", text(t, r))
+	require.Equal(t, 1, a.ran())
+	require.Equal(t, 1, b.ran())
+}
+
+func TestAnEndpointThatLeavesGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1")
+	a := s.endpoint("i-a", "plain", nil)
+	s.start(2, 14)
+	require.Equal(t, http.StatusOK, s.nodes[0].call(t, http.MethodGet, "/again/x", "id-1", "k1").StatusCode)
+	b := s.endpoint("i-b", "plain", nil)
+	s.store.put("servers/i-a", a.entry("plain", "draining"))
+	for _, n := range s.nodes {
+		require.Eventually(t, func() bool { return n.log.has(`"Endpoint":"i-a","Service":"plain","Leaving":true`) }, time.Minute, 5*time.Millisecond)
+	}
+	before := a.ran()
+	for i, n := range s.nodes {
+		require.Equal(t, "answer of i-b", text(t, n.call(t, http.MethodGet, "/again/x", "id-b"+string(rune('1'+i)), "k1")))
+	}
+	require.Equal(t, before, a.ran())
+	require.Equal(t, 2, b.ran())
+}
+
+func TestAStoppingHostServesWhatComesAndClosesItsConnections(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1")
+	s.endpoint("i-a", "plain", nil)
+	s.start(2, 15)
+	n := s.nodes[0]
+	require.False(t, n.call(t, http.MethodGet, "/again/x", "id-1", "k1").Close)
+	n.stop()
+	require.Eventually(t, func() bool { return !n.Ready() }, time.Minute, time.Millisecond)
+	r := n.call(t, http.MethodGet, "/again/x", "id-2", "k1")
+	require.Equal(t, http.StatusOK, r.StatusCode)
+	require.True(t, r.Close)
+	<-n.over
+	require.Eventually(t, func() bool { return s.nodes[1].members.hosts() == 1 }, time.Minute, 5*time.Millisecond)
+	require.Equal(t, http.StatusOK, s.nodes[1].call(t, http.MethodGet, "/again/x", "id-3", "k1").StatusCode)
+}
+
+func TestAKeyThatWasTakenAwayIsRefusedOnAHostThatTheStoreTurnsAway(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1", "k2")
+	s.endpoint("i-a", "plain", nil)
+	s.cutOff = 2
+	s.start(3, 16)
+	cut := s.nodes[2]
+	require.Equal(t, http.StatusOK, cut.call(t, http.MethodGet, "/again/x", "id-0", "k2").StatusCode)
+	s.publish(2, "k1")
+	require.Eventually(t, func() bool { return cut.beliefs.version() == 2 }, time.Minute, 5*time.Millisecond)
+	require.Equal(t, http.StatusUnauthorized, cut.call(t, http.MethodGet, "/again/x", "id-1", "k2").StatusCode)
+	require.Equal(t, http.StatusOK, cut.call(t, http.MethodGet, "/again/x", "id-2", "k1").StatusCode)
+}
+
+func TestWithoutTheStoreEveryHostStopsInTime(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1")
+	a := s.endpoint("i-a", "plain", nil)
+	s.start(2, 17)
+	s.store.setDown(true)
+	for _, n := range s.nodes {
+		require.Eventually(t, func() bool { return !n.Ready() }, time.Minute, 5*time.Millisecond)
+		r := n.call(t, http.MethodGet, "/again/x", "id-1", "k1")
+		require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+		require.NotEmpty(t, r.Header.Get("Retry-After"))
+	}
+	require.Zero(t, a.ran())
+	s.store.setDown(false)
+	for _, n := range s.nodes {
+		require.Eventually(t, n.Ready, time.Minute, 5*time.Millisecond)
+	}
+}
+
+func TestMetricsAreServed(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1")
+	s.endpoint("i-a", "plain", nil)
+	s.start(1, 18)
+	require.Equal(t, http.StatusOK, s.nodes[0].call(t, http.MethodGet, "/again/x", "id-1", "k1").StatusCode)
+	r, err := http.Get("http://" + s.nodes[0].cfg.MetricsAddress + MetricsPath)
+	require.NoError(t, err)
+	defer r.Body.Close()
+	served := text(t, r)
+	require.Contains(t, served, `entry_requests_total{service="plain",outcome="done"} 1`)
+	require.True(t, strings.Contains(served, "entry_first_byte_seconds_bucket"))
+}
--- a/fleet/attempt/attempt.go
+++ b/fleet/attempt/attempt.go
@@ -139,6 +139,9 @@
 		if a.mayRepeat(now) {
 			return a.again()
 		}
+		if a.delivering {
+			return Abort{}
+		}
 		return Relay{}
 	case Broken:
 		if a.mayRepeat(now) {
--- /dev/null
+++ b/fleet/catalogue/catalogue_test.go
@@ -0,0 +1,136 @@
+package catalogue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/site"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func newCatalogue() *Catalogue {
+	return New(Config{Lease: 4 * time.Second, Return: 2 * time.Second, Outage: 2500 * time.Millisecond})
+}
+
+func record(id string, leaving bool) endpoint.Record {
+	return endpoint.Record{Instance: endpoint.Instance{ID: endpoint.ID(id)}, Leaving: leaving}
+}
+
+func TestALowerVersionIsNeverTaken(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	require.False(t, c.Valid(at(0)))
+	c.Apply(at(0), Read{Sent: at(0), At: 5, Set: &site.Set{Version: 7}})
+	c.Apply(at(1), Read{Sent: at(1), At: 6, Set: &site.Set{Version: 6}})
+	require.Equal(t, site.Version(7), c.Set().Version)
+}
+
+func TestTheLeaseCountsFromWhenTheReadWasSent(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	c.Apply(at(3*time.Second), Read{Sent: at(0), At: 1, Set: &site.Set{Version: 1}})
+	require.True(t, c.Valid(at(3999*time.Millisecond)))
+	require.False(t, c.Valid(at(4*time.Second)))
+	c.Apply(at(5*time.Second), Read{Sent: at(4500 * time.Millisecond), At: 1})
+	require.True(t, c.Valid(at(5*time.Second)))
+	c.Apply(at(6*time.Second), Read{Sent: at(2 * time.Second)})
+	require.Equal(t, 1500*time.Millisecond, c.Age(at(6*time.Second)), "an older confirmation takes nothing back")
+}
+
+func TestARegistrationThatRanOutInAnOutageIsKeptForAMoment(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	c.Apply(at(0), Read{Sent: at(0), At: 1, Whole: true, Endpoints: []endpoint.Record{record("back", false), record("lost", false), record("leaving", true)}})
+	returned := 6 * time.Second
+	change := c.Apply(at(returned), Read{Sent: at(returned), At: 2, Gone: []endpoint.ID{"back", "lost", "leaving"}})
+	require.Equal(t, []endpoint.ID{"leaving"}, change.Gone)
+	c.Apply(at(returned+time.Second), Read{Sent: at(returned + time.Second), At: 3, Endpoints: []endpoint.Record{record("back", false)}})
+	require.Empty(t, c.Tick(at(returned+1900*time.Millisecond)).Gone)
+	require.Equal(t, []endpoint.ID{"lost"}, c.Tick(at(returned+2*time.Second)).Gone)
+	require.Equal(t, 1, c.Endpoints())
+}
+
+func TestWithoutAnOutageARemovalCountsAtOnce(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	c.Apply(at(0), Read{Sent: at(0), At: 1, Whole: true, Endpoints: []endpoint.Record{record("a", false), record("b", false)}})
+	change := c.Apply(at(time.Second), Read{Sent: at(time.Second), At: 2, Whole: true, Endpoints: []endpoint.Record{record("b", false)}})
+	require.Equal(t, []endpoint.ID{"a"}, change.Gone)
+}
+
+func TestSourcePrefersReadersAndReadsItselfWhenTheyDoNotHelp(t *testing.T) {
+	t.Parallel()
+	s := NewSource(SourceConfig{Self: "me", Direct: 3 * time.Second, Pause: 500 * time.Millisecond})
+	readers := []host.ID{"r1", "r2"}
+	require.Equal(t, Step{Reader: "r1"}, s.Next(at(0), readers, time.Second))
+	s.Failed(at(0), Step{Reader: "r1"})
+	require.Equal(t, Step{Reader: "r2"}, s.Next(at(0), readers, time.Second))
+	s.Failed(at(0), Step{Reader: "r2"})
+	require.Equal(t, Step{}, s.Next(at(0), readers, time.Second), "no reader answers")
+	s.Failed(at(0), Step{})
+	require.Equal(t, Step{Wait: 400 * time.Millisecond}, s.Next(at(100*time.Millisecond), readers, time.Second), "neither does the platform")
+	require.Equal(t, Step{Reader: "r1"}, s.Next(at(time.Second), readers, time.Second))
+	require.Equal(t, Step{}, s.Next(at(time.Second), readers, 3100*time.Millisecond), "too old for readers to help")
+	require.Equal(t, Step{}, s.Next(at(time.Second), []host.ID{"me", "r1"}, 0), "a reader reads")
+	s.Failed(at(time.Second), Step{})
+	require.Equal(t, Step{Reader: "r1"}, s.Next(at(time.Second), []host.ID{"me", "r1"}, 0), "whom the platform turns away asks the other reader")
+}
+
+// A follower that takes a history's answers, at any moments, has what the history has, also across removals and whole reads.
+func TestAFollowerEndsWithWhatItsReaderHas(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(r *rapid.T) {
+		reader, follower := NewHistory(), NewHistory()
+		truth := map[string]string{}
+		now := start
+		for position := Position(1); position < 30; position++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(r, "s")) * time.Second)
+			key := fmt.Sprint("k", rapid.IntRange(0, 3).Draw(r, "key"))
+			entry := Entry{Key: key, Removed: rapid.Bool().Draw(r, "removed"), Value: []byte(fmt.Sprint(position))}
+			if entry.Removed {
+				entry.Value = nil
+				delete(truth, key)
+			} else {
+				truth[key] = string(entry.Value)
+			}
+			if position == 1 || rapid.IntRange(0, 4).Draw(r, "whole") == 0 {
+				reader.Note(now, all(truth), position, true)
+			} else {
+				reader.Note(now, []Entry{entry}, position, false)
+			}
+			if rapid.Bool().Draw(r, "ask") {
+				entries, whole := reader.Since(follower.At())
+				follower.Note(now, entries, reader.At(), whole)
+				require.Equal(r, truth, held(follower))
+			}
+		}
+		require.Equal(r, truth, held(reader))
+	})
+}
+
+func all(truth map[string]string) []Entry {
+	var entries []Entry
+	for key, value := range truth {
+		entries = append(entries, Entry{Key: key, Value: []byte(value)})
+	}
+	return entries
+}
+
+func held(h *History) map[string]string {
+	m := map[string]string{}
+	for key, p := range h.entries {
+		if !p.entry.Removed {
+			m[key] = string(p.entry.Value)
+		}
+	}
+	return m
+}
