--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -31,6 +31,8 @@
 	// avoided holds hosts that did not answer, with the time until which they are not asked again.
 	avoided map[host.ID]avoidance
 	live    []host.ID
+	// strong are those of them that keep places and read the platform for others.
+	strong []host.ID
 }
 
 type avoidance struct {
@@ -58,14 +60,14 @@
 		n: n, avoided: make(map[host.ID]avoidance),
 		roster: roster.New(roster.Config{
 			Self: roster.Heartbeat{
-				Host: n.cfg.Host, Address: n.peerAddress(n.cfg.Address), DataCentre: n.cfg.DataCentre,
+				Host: n.cfg.Host, Address: n.peerAddress(n.cfg.Address), DataCentre: n.cfg.DataCentre, Cores: n.cfg.Cores,
 				Started: time.Now().UnixMilli(),
 			},
 			Seeds: n.seedAddresses(), Fanout: beatFanout, Rows: beatRows,
 			Suspect: suspectAfter, SuspectPerHost: suspectPerHost, Forget: forgetAfter,
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
-		live: []host.ID{n.cfg.Host},
+		live: []host.ID{n.cfg.Host}, strong: []host.ID{n.cfg.Host},
 	}
 }
 
@@ -112,7 +114,7 @@
 // note keeps the list of live hosts at hand; mu is held.
 func (m *members) note(changes []roster.Change) {
 	if len(changes) > 0 {
-		m.live = m.roster.Live()
+		m.live, m.strong = m.roster.Live(), m.roster.Strong()
 	}
 }
 
@@ -144,7 +146,7 @@
 func (m *members) leave() {
 	m.mu.Lock()
 	messages := m.roster.Leave()
-	m.live = m.roster.Live()
+	m.live, m.strong = m.roster.Live(), m.roster.Strong()
 	m.mu.Unlock()
 	m.tell(messages)
 }
@@ -172,7 +174,7 @@
 func (m *members) keeper(now time.Time, service site.ServiceName) host.ID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, id := range placement.Rank(string(service), m.live, keeperCandidates) {
+	for _, id := range placement.Rank(string(service), m.strong, keeperCandidates) {
 		if id == m.n.cfg.Host || !now.Before(m.avoided[id].until) {
 			return id
 		}
@@ -216,7 +218,7 @@
 func (m *members) readers() []host.ID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return placement.Rank("store/"+string(m.n.cfg.Region), m.live, readersPerRegion)
+	return placement.Rank("store/"+string(m.n.cfg.Region), m.strong, readersPerRegion)
 }
 
 // knowledgeAddress returns where a host serves what it knows of the platform.
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -24,6 +24,8 @@
 	MetricsAddress string
 	// FirstPort and LastPort are free for messages between hosts, on every host alike.
 	FirstPort, LastPort uint16
+	// Cores is the processor time that the host has, in cores.
+	Cores float64
 	// Seeds are peer addresses of some hosts; they may be stale.
 	Seeds []string
 	// StoreAddress is the ip:port of the platform's store.
@@ -71,6 +73,7 @@
 		"PeerAddress":    inifile.Optional(inifile.Address(&h.PeerAddress)),
 		"MetricsAddress": inifile.Optional(inifile.Address(&h.MetricsAddress)),
 		"PeerPorts":      inifile.Ports(&h.FirstPort, &h.LastPort),
+		"Cores":          inifile.Optional(inifile.Number(&h.Cores, 0)),
 		"Seeds":          inifile.Optional(inifile.Addresses(&h.Seeds)),
 		"StoreAddress":   inifile.Address(&h.StoreAddress),
 		"DrainLimit":     inifile.Optional(inifile.Duration(&h.DrainLimit, time.Second)),
--- a/fleet/chat/prompt.go
+++ b/fleet/chat/prompt.go
@@ -40,3 +40,11 @@
 	}
 	return p.Parts[len(p.Parts)-2].ID
 }
+
+// SubjectTokens is the length of the last part that a prompt shares with others; 0 when it shares none.
+func (p Prompt) SubjectTokens() int {
+	if len(p.Parts) < 2 {
+		return 0
+	}
+	return p.Parts[len(p.Parts)-2].Tokens
+}
--- a/fleet/pool/seat.go
+++ b/fleet/pool/seat.go
@@ -1,13 +1,12 @@
 package pool
 
 import (
-	"encoding/binary"
-	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"balsamknot.org/fleet/chat"
 	"balsamknot.org/fleet/endpoint"
-	"balsamknot.org/fleet/placement"
 )
 
 const (
@@ -40,7 +39,9 @@
 
 // seat is one endpoint as its keeper sees it.
 type seat struct {
-	record  endpoint.Record
+	record endpoint.Record
+	// hash stands for the endpoint's ID in rendezvous orders.
+	hash    uint64
 	running int
 	parts   map[chat.PartID]time.Time
 	// failures is the recent share of requests that failed, 0 to 1.
@@ -54,7 +55,7 @@
 }
 
 func newSeat(r endpoint.Record) *seat {
-	return &seat{record: r, parts: make(map[chat.PartID]time.Time)}
+	return &seat{record: r, hash: xxhash.Sum64String(string(r.Instance.ID)), parts: make(map[chat.PartID]time.Time)}
 }
 
 func (st *seat) take(now time.Time, p chat.Prompt) {
@@ -106,28 +107,32 @@
 
 func (st *seat) suspect(now time.Time) bool { return now.Before(st.suspectUntil) }
 
-// missing is how many tokens of the prompt's shared parts the endpoint has to read. A part counts as held only when all
+// hasRoom reports whether the endpoint may get one more request.
+func (st *seat) hasRoom(limit int) bool {
+	return !st.record.Leaving && st.running < min(limit, st.record.Places)
+}
+
+// missing is how many tokens of a prompt's shared parts the endpoint does not hold. A part counts as held only when all
 // parts before it are held too.
-func (st *seat) missing(now time.Time, e Asked) int {
-	if e.Known == st.record.Instance.ID {
-		return 0
-	}
+func (st *seat) missing(now time.Time, p chat.Prompt) int {
 	tokens := 0
 	cached := true
-	for i, part := range e.Prompt.Parts {
-		used, held := st.parts[part.ID]
-		cached = cached && held && now.Sub(used) < partLifetime
-		if !cached && i < len(e.Prompt.Parts)-1 {
-			tokens += part.Tokens
+	for i := range len(p.Parts) - 1 {
+		if cached {
+			used, held := st.parts[p.Parts[i].ID]
+			cached = held && now.Sub(used) < partLifetime
+		}
+		if !cached {
+			tokens += p.Parts[i].Tokens
 		}
 	}
 	return tokens
 }
 
 // engineCost estimates, in milliseconds, what a prompt costs at this engine: parts to read, and requests beside it.
-func (st *seat) engineCost(now time.Time, e Asked) float64 {
-	return float64(st.missing(now, e))/readRate + neighbourCost*float64(st.running) + busyCost*st.load(now) +
-		failingCost*st.failures + spreadCost*st.spread(e)
+func (st *seat) engineCost(now time.Time, missing int, subject uint64) float64 {
+	return float64(missing)/readRate + neighbourCost*float64(st.running) + busyCost*st.load(now) +
+		failingCost*st.failures + spreadCost*st.spread(subject)
 }
 
 // run changes how many requests run.
@@ -141,7 +146,7 @@
 	if st.changed.IsZero() {
 		return 0
 	}
-	old := math.Exp(-now.Sub(st.changed).Seconds() / busyMemory.Seconds())
+	old := 1 / (1 + now.Sub(st.changed).Seconds()/busyMemory.Seconds())
 	return old*st.busy + (1-old)*float64(st.running)
 }
 
@@ -157,9 +162,14 @@
 	return c
 }
 
-// spread is the endpoint's place in the rendezvous order of the prompt's subject, from 0 to 1, lowest first.
-func (st *seat) spread(e Asked) float64 {
-	var key [8]byte
-	binary.BigEndian.PutUint64(key[:], subjectKey(e.Prompt))
-	return 1 - float64(placement.Score(string(key[:]), string(st.record.Instance.ID)))/(1<<64)
+// spread is the endpoint's place in the rendezvous order of a subject, from 0 to 1, lowest first.
+func (st *seat) spread(subject uint64) float64 { return float64(mix(subject^st.hash)) / (1 << 64) }
+
+// mix scatters the bits of x. Source: Steele, Lea and Flood, "Fast Splittable Pseudorandom Number Generators", 2014.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -32,9 +32,13 @@
 
 // service is the state of one service's endpoints.
 type service struct {
-	cfg     Config
-	engine  *site.Engine
-	seats   map[endpoint.ID]*seat
+	cfg    Config
+	engine *site.Engine
+	seats  map[endpoint.ID]*seat
+	// order holds the seats in order of ID. usable counts those that don't leave, running what all hold.
+	order   []*seat
+	usable  int
+	running int
 	holders map[Ticket]*holder
 	// queue is in order of due.
 	queue  []waiting
@@ -75,10 +79,47 @@
 		s.seats[r.Instance.ID] = st
 	}
 	st.record = r
+	s.reorder()
 	return s.drain(now)
 }
 
-func (s *service) remove(id endpoint.ID) { delete(s.seats, id) }
+func (s *service) remove(id endpoint.ID) {
+	delete(s.seats, id)
+	s.reorder()
+}
+
+// reorder counts the seats anew after one came, left or changed.
+func (s *service) reorder() {
+	s.order = slices.SortedFunc(maps.Values(s.seats), func(a, b *seat) int {
+		return cmp.Compare(a.record.Instance.ID, b.record.Instance.ID)
+	})
+	s.usable, s.running = 0, 0
+	for _, st := range s.order {
+		s.running += st.running
+		if !st.record.Leaving {
+			s.usable++
+		}
+	}
+}
+
+// take gives a place at a seat, and give takes it back. A seat that is gone counts no more.
+func (s *service) take(now time.Time, t Ticket, st *seat, p chat.Prompt) {
+	s.holders[t] = &holder{seat: st, since: now, heard: now}
+	st.take(now, p)
+	s.count(st, 1)
+}
+
+func (s *service) give(now time.Time, t Ticket, h *holder, r Result) {
+	delete(s.holders, t)
+	h.seat.end(now, r)
+	s.count(h.seat, -1)
+}
+
+func (s *service) count(st *seat, change int) {
+	if s.seats[st.record.Instance.ID] == st {
+		s.running += change
+	}
+}
 
 // ask places a request, lets it wait, or refuses it at once when no place will be free in its time.
 func (s *service) ask(now time.Time, e Asked) []Command {
@@ -93,8 +134,8 @@
 		return []Command{Refuse{e.Ticket, NoBudget, longestReturn}}
 	}
 	if len(s.queue) == 0 {
-		if st := s.choose(now, e); st != nil {
-			return s.place(now, e, st, 0)
+		if c, ok := s.choose(now, e); ok {
+			return s.place(now, e, c, 0)
 		}
 	}
 	if !s.anyUsable(e) {
@@ -114,15 +155,15 @@
 
 func clampReturn(d time.Duration) time.Duration { return min(max(d, shortestReturn), longestReturn) }
 
-func (s *service) place(now time.Time, e Asked, st *seat, waited time.Duration) []Command {
-	why := Why{Running: st.running, Limit: s.limit(), Missing: st.missing(now, e), Suspect: st.suspect(now), Waited: waited}
-	var fetch endpoint.ID
-	if source := s.source(now, st, e); source != nil {
-		fetch, why.Fetched = source.record.Instance.ID, why.Missing-source.missing(now, e)
+func (s *service) place(now time.Time, e Asked, c choice, waited time.Duration) []Command {
+	place := Place{Ticket: e.Ticket, Endpoint: c.seat.record, Why: Why{
+		Running: c.seat.running, Limit: s.limit(), Missing: c.missing, Suspect: c.seat.suspect(now), Waited: waited,
+	}}
+	if c.source != nil {
+		place.Fetch, place.Why.Fetched = c.source.record.Instance.ID, c.missing-c.sourceMissing
 	}
-	s.holders[e.Ticket] = &holder{seat: st, since: now, heard: now}
-	st.take(now, e.Prompt)
-	return []Command{Place{Ticket: e.Ticket, Endpoint: st.record, Fetch: fetch, Why: why}}
+	s.take(now, e.Ticket, c.seat, e.Prompt)
+	return []Command{place}
 }
 
 // hold takes up a place that was given by another keeper.
@@ -135,8 +176,7 @@
 	if st == nil {
 		return
 	}
-	s.holders[e.Ticket] = &holder{seat: st, since: now, heard: now}
-	st.take(now, e.Prompt)
+	s.take(now, e.Ticket, st, e.Prompt)
 }
 
 func (s *service) end(now time.Time, e Ended) []Command {
@@ -145,8 +185,7 @@
 		s.queue = slices.DeleteFunc(s.queue, func(w waiting) bool { return w.ask.Ticket == e.Ticket })
 		return nil
 	}
-	delete(s.holders, e.Ticket)
-	h.seat.end(now, e.Result)
+	s.give(now, e.Ticket, h, e.Result)
 	if e.Result == Done {
 		s.stay += time.Duration(stayWeight * float64(now.Sub(h.since)-s.stay))
 	}
@@ -156,8 +195,7 @@
 func (s *service) forgetHost(now time.Time, id host.ID) []Command {
 	for ticket, h := range s.holders {
 		if ticket.Host == id {
-			delete(s.holders, ticket)
-			h.seat.end(now, Unknown)
+			s.give(now, ticket, h, Unknown)
 		}
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(w waiting) bool { return w.ask.Ticket.Host == id })
@@ -168,8 +206,7 @@
 func (s *service) tick(now time.Time) []Command {
 	for ticket, h := range s.holders {
 		if now.Sub(h.heard) > holdLimit {
-			delete(s.holders, ticket)
-			h.seat.end(now, Unknown)
+			s.give(now, ticket, h, Unknown)
 		}
 	}
 	var commands []Command
@@ -187,13 +224,13 @@
 func (s *service) drain(now time.Time) []Command {
 	var commands []Command
 	for len(s.queue) > 0 {
-		st := s.choose(now, s.queue[0].ask)
-		if st == nil {
+		c, ok := s.choose(now, s.queue[0].ask)
+		if !ok {
 			return commands
 		}
 		next := s.queue[0]
 		s.queue = s.queue[1:]
-		commands = append(commands, s.place(now, next.ask, st, now.Sub(next.since))...)
+		commands = append(commands, s.place(now, next.ask, c, now.Sub(next.since))...)
 	}
 	return commands
 }
@@ -208,7 +245,7 @@
 
 func (s *service) places() int {
 	n := 0
-	for _, st := range s.seats {
+	for _, st := range s.order {
 		if !st.record.Leaving {
 			n += st.record.Places
 		}
@@ -217,117 +254,14 @@
 }
 
 func (s *service) anyUsable(e Asked) bool {
-	for id, st := range s.seats {
-		if !st.record.Leaving && !slices.Contains(e.Tried, id) {
+	for _, st := range s.order {
+		if !st.record.Leaving && !slices.Contains(e.Tried, st.record.Instance.ID) {
 			return true
 		}
 	}
 	return false
 }
 
-// choose returns the endpoint with the lowest cost that has room; nil when none has.
-// Endpoints under suspicion are taken only when there is no other.
-func (s *service) choose(now time.Time, e Asked) *seat {
-	if s.engine != nil && e.Known != "" && s.knows(now, e.Prompt) != "" {
-		e.Known = ""
-	}
-	limit := s.limit()
-	var best *seat
-	var least cost
-	for _, id := range sortedKeys(s.seats) {
-		st := s.seats[id]
-		if st.record.Leaving || st.running >= min(limit, st.record.Places) || slices.Contains(e.Tried, id) {
-			continue
-		}
-		c := s.cost(now, st, e)
-		if best == nil || c.before(least) {
-			best, least = st, c
-		}
-	}
-	return best
-}
-
-// leastFetch is the least number of tokens for which one engine fetches from another.
-const leastFetch = 64
-
-// source returns the engine that holds the most of a prompt beyond what st holds; nil when none holds enough more.
-// An engine that leaves still hands out what it holds; one under suspicion may not answer.
-func (s *service) source(now time.Time, st *seat, e Asked) *seat {
-	if s.engine == nil || !s.engine.Transfers {
-		return nil
-	}
-	var best *seat
-	least := st.missing(now, e) - leastFetch
-	for _, id := range sortedKeys(s.seats) {
-		other := s.seats[id]
-		if other == st || other.suspect(now) {
-			continue
-		}
-		if m := other.missing(now, e); m <= least {
-			best, least = other, m-1
-		}
-	}
-	return best
-}
-
-// limit is how many requests an endpoint may hold.
-func (s *service) limit() int {
-	usable, running := 0, 0
-	for _, st := range s.seats {
-		if !st.record.Leaving {
-			usable++
-		}
-		running += st.running
-	}
-	if usable == 0 {
-		return 0
-	}
-	return int(s.cfg.LoadFactor*float64(running)/float64(usable) + boundMargin)
-}
-
-// knows returns the endpoint that last served the prompt's subject and may still hold it.
-func (s *service) knows(now time.Time, p chat.Prompt) endpoint.ID {
-	subject := p.Subject()
-	if subject == 0 {
-		return ""
-	}
-	var best endpoint.ID
-	latest := now.Add(-partLifetime)
-	for _, id := range sortedKeys(s.seats) {
-		if used, ok := s.seats[id].parts[subject]; ok && used.After(latest) {
-			best, latest = id, used
-		}
-	}
-	return best
-}
-
-func (s *service) cost(now time.Time, st *seat, e Asked) cost {
-	c := cost{suspect: st.suspect(now)}
-	if s.engine != nil {
-		c.work = st.engineCost(now, e)
-		return c
-	}
-	c.work = st.runnerCost(e)
-	return c
-}
-
-// cost orders endpoints for a request.
-type cost struct {
-	suspect bool
-	// work is in milliseconds.
-	work float64
-}
-
-func (c cost) before(d cost) bool {
-	if c.suspect != d.suspect {
-		return d.suspect
-	}
-	return c.work < d.work
-}
-
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
-
-// subjectKey is what a prompt's rendezvous order hangs on.
-func subjectKey(p chat.Prompt) uint64 { return uint64(p.Subject()) }
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -20,6 +20,8 @@
 	// Address is the ip:port for messages between hosts.
 	Address    string
 	DataCentre host.DataCentre
+	// Cores is the processor time that the host has, in cores.
+	Cores float64
 	// Started is the Unix millisecond at which the host's process started.
 	Started int64
 	// Count grows while the process lives.
@@ -41,7 +43,7 @@
 	Suspect        time.Duration
 	SuspectPerHost time.Duration
 	Forget         time.Duration
-	Random  *rand.Rand
+	Random         *rand.Rand
 }
 
 // Message is one round's heartbeats for one host.
@@ -223,6 +225,26 @@
 	return ids
 }
 
+// strongShare is the part of the strongest host's cores from which on a host counts as strong.
+const strongShare = 0.7
+
+// Strong returns the live hosts that can bear work for others: all that have nearly as many cores as the strongest.
+func (r *Roster) Strong() []host.ID {
+	live := r.Live()
+	most := 0.0
+	for _, id := range live {
+		most = max(most, r.cores(id))
+	}
+	return slices.DeleteFunc(live, func(id host.ID) bool { return r.cores(id) < strongShare*most })
+}
+
+func (r *Roster) cores(id host.ID) float64 {
+	if p := r.peers[id]; p != nil {
+		return p.beat.Cores
+	}
+	return r.cfg.Self.Cores
+}
+
 // Address returns where a host is reached.
 func (r *Roster) Address(id host.ID) (string, bool) {
 	p := r.peers[id]
@@ -232,14 +254,6 @@
 	return p.beat.Address, true
 }
 
-// DataCentre returns where a host stands.
-func (r *Roster) DataCentre(id host.ID) host.DataCentre {
-	if p := r.peers[id]; p != nil {
-		return p.beat.DataCentre
-	}
-	return r.cfg.Self.DataCentre
-}
-
 func (r *Roster) ids() []host.ID {
 	ids := make([]host.ID, 0, len(r.peers))
 	for id := range r.peers {
--- a/fleet/roster/roster_test.go
+++ b/fleet/roster/roster_test.go
@@ -111,3 +111,11 @@
 	require.NotContains(t, f.hosts[address(2)].Live(), id(2))
 	require.NotContains(t, f.hosts[address(0)].Live(), id(2))
 }
+
+func TestWorkForOthersGoesToStrongHosts(t *testing.T) {
+	t.Parallel()
+	r := New(Config{Self: Heartbeat{Host: "weak", Cores: 0.2}})
+	require.Equal(t, []host.ID{"weak"}, r.Strong())
+	r.Hear(time.Unix(1, 0), "a", []Heartbeat{{Host: "a", Cores: 0.8}, {Host: "b", Cores: 0.6}, {Host: "c", Cores: 0.2}, {Host: "d", Cores: 1, Leaving: true}})
+	require.Equal(t, []host.ID{"a", "b"}, r.Strong())
+}
