Let deputies learn what a service's engines hold; ask readers before the store

Change: a keeper tells five others where each subject is cached, once it changed or after 8 s; a new process keeps places only after it had time to learn; a host reads the store itself only when every reader failed it; a new process waits a moment for the others, and its first requests for the first set.

--- a/entry/node/beliefs.go
+++ b/entry/node/beliefs.go
@@ -26,6 +26,9 @@
 	client *http.Client
 	// woken ends the wait between two steps.
 	woken chan struct{}
+	// known is closed when the first set is in force.
+	known chan struct{}
+	once  sync.Once
 
 	mu        sync.RWMutex
 	catalogue *catalogue.Catalogue
@@ -56,8 +59,6 @@
 	probeLimit = 150 * time.Millisecond
 	// staleReader is the age from which on a reader's knowledge is no help.
 	staleReader = 2400 * time.Millisecond
-	// directAfter is the age at which a host reads the platform itself.
-	directAfter = 3200 * time.Millisecond
 	// failurePause is how long a source that failed is left alone.
 	failurePause = 500 * time.Millisecond
 	// followerMemory is how long a host that asked hears of changes.
@@ -68,12 +69,12 @@
 
 func newBeliefs(n *Node) *beliefs {
 	return &beliefs{
-		n: n, woken: make(chan struct{}, 1), confirms: make(chan peer.Confirm, 1), followers: make(map[host.ID]time.Time),
+		n: n, woken: make(chan struct{}, 1), known: make(chan struct{}), confirms: make(chan peer.Confirm, 1), followers: make(map[host.ID]time.Time),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: n.dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: knowledgeIdle, DisableCompression: true,
 		}},
 		history: catalogue.NewHistory(),
-		source:  catalogue.NewSource(catalogue.SourceConfig{Self: n.cfg.Host, Direct: directAfter, Pause: failurePause}),
+		source:  catalogue.NewSource(catalogue.SourceConfig{Self: n.cfg.Host, Pause: failurePause}),
 		catalogue: catalogue.New(catalogue.Config{
 			Lease: n.cfg.RevokeLimit - leaseMargin, Return: returnGrace, Outage: outageAfter,
 		}),
@@ -87,6 +88,17 @@
 	return b.catalogue.Set(), b.catalogue.Valid(now)
 }
 
+// await waits for the first set of a process that has just started, for at most d.
+func (b *beliefs) await(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-b.known:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (b *beliefs) age(now time.Time) time.Duration {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
@@ -117,10 +129,11 @@
 
 // follow keeps the catalogue fresh until ctx ends.
 func (b *beliefs) follow(ctx context.Context) {
+	b.n.members.settle(ctx)
 	for ctx.Err() == nil {
 		sent := timer.Boot()
 		b.mu.Lock()
-		step := b.source.Next(sent, b.n.members.readers(), b.catalogue.Age(sent))
+		step := b.source.Next(sent, b.n.members.readers(), b.catalogue.At() > 0)
 		b.mu.Unlock()
 		if step.Wait > 0 {
 			timer.Sleep(ctx, step.Wait)
@@ -378,6 +391,7 @@
 		for _, service := range change.Set.Services {
 			b.n.places.update(now, pool.ServiceSeen{Service: service})
 		}
+		defer b.once.Do(func() { close(b.known) })
 	}
 	for _, record := range change.Endpoints {
 		event.Note(b.n.log, zerolog.InfoLevel, event.EndpointSeen).Str("Endpoint", string(record.Instance.ID)).
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -35,6 +35,8 @@
 	// streamRoom is the time that a stream may need, and turnedReturn when a caller may come back, to another host.
 	streamRoom   = 4 * time.Second
 	turnedReturn = 50 * time.Millisecond
+	// firstSetLimit is how long a request waits for the first set of a process that has just started.
+	firstSetLimit = 250 * time.Millisecond
 	// unknownReturn is when to come back to a host that does not know the set yet.
 	unknownReturn = 300 * time.Millisecond
 	// defaultPatience is assumed of callers that don't say how long they wait.
@@ -149,6 +151,10 @@
 // admit finds the request's route and workspace, or answers it.
 func (c *callers) admit(q *request) bool {
 	set, valid := c.n.beliefs.set(q.start)
+	if set == nil {
+		c.n.beliefs.await(q.r.Context(), firstSetLimit)
+		set, valid = c.n.beliefs.set(timer.Boot())
+	}
 	if !valid {
 		q.cause = "no set, or one that was not confirmed in time"
 		q.w.Header().Set("Connection", "close")
--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -55,6 +57,14 @@
 	longestAvoidance = 8 * time.Second
 )
 
+const (
+	// settleLimit bounds the wait of a new process for others, settleStep is how often it looks, and settleMore how long it
+	// goes on listening once it knows one.
+	settleLimit = 250 * time.Millisecond
+	settleStep  = 20 * time.Millisecond
+	settleMore  = 60 * time.Millisecond
+)
+
 func newMembers(n *Node) *members {
 	return &members{
 		n: n, avoided: make(map[host.ID]avoidance),
@@ -106,11 +116,40 @@
 		m.note(changes)
 		m.mu.Unlock()
 		m.act(now, changes)
+		m.welcome(d.From, changes)
 	}
 	m.n.places.handle(now, d)
 	m.n.beliefs.handle(now, d)
 }
 
+// welcome tells a host that has just come what is known of the others.
+func (m *members) welcome(from host.ID, changes []roster.Change) {
+	for _, c := range changes {
+		if c.Host == from && c.Live {
+			m.mu.Lock()
+			message, known := m.roster.Welcome(from)
+			m.mu.Unlock()
+			if known {
+				m.tell([]roster.Message{message})
+			}
+			return
+		}
+	}
+}
+
+// settle waits until other hosts are known and have told of more, or until this one seems to be alone.
+func (m *members) settle(ctx context.Context) {
+	for waited := time.Duration(0); waited < settleLimit; waited += settleStep {
+		if m.hosts() > 1 {
+			timer.Sleep(ctx, settleMore)
+			return
+		}
+		if !timer.Sleep(ctx, settleStep) {
+			return
+		}
+	}
+}
+
 // note keeps the list of live hosts at hand; mu is held.
 func (m *members) note(changes []roster.Change) {
 	if len(changes) > 0 {
@@ -174,7 +213,7 @@
 func (m *members) keeper(now time.Time, service site.ServiceName) host.ID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, id := range placement.Rank(string(service), m.strong, keeperCandidates) {
+	for _, id := range m.ranked(service) {
 		if id == m.n.cfg.Host || !now.Before(m.avoided[id].until) {
 			return id
 		}
@@ -182,8 +221,38 @@
 	return m.n.cfg.Host
 }
 
-// keeperCandidates bounds the hosts that are asked before a host decides alone.
-const keeperCandidates = 3
+// ranked returns the hosts that would keep a service, the first one first; mu is held. A host that has just started
+// comes after those that had time to learn what the service's endpoints hold.
+func (m *members) ranked(service site.ServiceName) []host.ID {
+	ids := placement.Rank(string(service), m.strong, keeperCandidates)
+	slices.SortStableFunc(ids, func(a, b host.ID) int {
+		return cmp.Compare(m.youth(a), m.youth(b))
+	})
+	return ids
+}
+
+// youth is 1 for hosts that have just started; mu is held.
+func (m *members) youth(id host.ID) int {
+	if m.roster.Seasoned(id, seasonedBeats) {
+		return 0
+	}
+	return 1
+}
+
+// keepers returns the host that keeps a service and its deputies.
+func (m *members) keepers(service site.ServiceName) []host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ranked(service)
+}
+
+const (
+	// keeperCandidates bounds the hosts that keep a service in turn.
+	keeperCandidates = 6
+	// seasonedBeats is how many heartbeats a host sends before it keeps places: longer than a keeper takes to tell its
+	// deputies all that it knows.
+	seasonedBeats = 30
+)
 
 // unanswered notes that a host did not answer, and answered that it did.
 func (m *members) unanswered(now time.Time, id host.ID) {
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -74,6 +74,18 @@
 	require.Equal(t, 1, b.ran())
 }
 
+// A caller that already has the last event asks for what comes after it: the engine's answer is empty, and signed.
+func TestAnEmptyStreamKeepsItsHead(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1")
+	s.endpoint("i-a", "engines", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	s.start(1, 19)
+	r := s.nodes[0].call(t, http.MethodPost, "/stream/x", "id-1", "k1", "Last-Event-Id", "9")
+	require.Empty(t, text(t, r))
+	require.Equal(t, "seal-i-a", r.Header.Get("Server-Seal"))
+}
+
 func TestAnEndpointThatLeavesGetsNothingNew(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
--- a/entry/node/places.go
+++ b/entry/node/places.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	holdInterval = time.Second
 	// holdsPerDatagram bounds the places told in one datagram.
 	holdsPerDatagram = 12
+	// cachedPerDatagram bounds what is told of caches in one datagram.
+	cachedPerDatagram = 32
 	// answerRoom is how many words of a keeper may wait to be read.
 	answerRoom = 4
 )
@@ -75,6 +78,10 @@
 // carry gives a keeper's words to those who wait, here or on other hosts.
 func (p *places) carry(commands []pool.Command) {
 	for _, c := range commands {
+		if tell, ok := c.(pool.Tell); ok {
+			p.tell(tell)
+			continue
+		}
 		ticket, answer := toAnswer(c)
 		if ticket.Host == p.n.cfg.Host {
 			p.hear(ticket.Number, c)
@@ -84,6 +91,20 @@
 	}
 }
 
+// tell lets the hosts that would keep a service next know what its endpoints' caches hold.
+func (p *places) tell(t pool.Tell) {
+	ranked := p.n.members.keepers(t.Service)
+	if len(ranked) == 0 || ranked[0] != p.n.cfg.Host {
+		return
+	}
+	for cached := range slices.Chunk(t.Cached, cachedPerDatagram) {
+		learned := peer.FromTell(t.Service, cached)
+		for _, deputy := range ranked[1:] {
+			p.n.members.send(deputy, peer.Datagram{Learned: []peer.Learned{learned}})
+		}
+	}
+}
+
 func toAnswer(c pool.Command) (pool.Ticket, peer.Answer) {
 	switch c := c.(type) {
 	case pool.Place:
@@ -127,6 +148,9 @@
 	for _, hold := range d.Holds {
 		p.update(now, hold.Held(d.From))
 	}
+	for _, learned := range d.Learned {
+		p.update(now, learned.Learned())
+	}
 	for _, answer := range d.Answers {
 		p.n.members.answered(d.From)
 		p.answer(d.From, answer)
@@ -209,6 +233,7 @@
 		case c := <-ch:
 			switch c := c.(type) {
 			case pool.Place:
+				c.Why.Keeper = keeper
 				p.hold(e, c, keeper)
 				return c
 			case pool.Refuse:
@@ -249,6 +274,7 @@
 		case c := <-ch:
 			switch c := c.(type) {
 			case pool.Place:
+				c.Why.Keeper = p.n.cfg.Host
 				p.hold(e, c, p.n.cfg.Host)
 				return c
 			case pool.Refuse:
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -101,7 +101,7 @@
 	now := timer.Boot()
 	q.endpoint = c.Endpoint.Instance.ID
 	q.line(n.log, zerolog.InfoLevel, event.RequestPlaced).Str("Endpoint", string(q.endpoint)).
-		Int("Running", c.Why.Running).Int("Limit", c.Why.Limit).Int("Missing", c.Why.Missing).Int("Fetched", c.Why.Fetched).Bool("Suspect", c.Why.Suspect).
+		Str("Keeper", string(c.Why.Keeper)).Int("Running", c.Why.Running).Int("Limit", c.Why.Limit).Int("Missing", c.Why.Missing).Int("Fetched", c.Why.Fetched).Bool("Suspect", c.Why.Suspect).
 		Dur("WaitedMs", c.Why.Waited).Dur("BeliefMs", n.beliefs.age(now)).Send()
 	n.meter.placed(q, now.Sub(q.start), c.Why)
 }
@@ -250,18 +250,14 @@
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			x.Finish()
+			n.begin(q, a, x)
 			n.done(q, x.Response.StatusCode)
 			return pool.Done, nil
 		}
 		if err != nil {
 			return n.broken(q, a, id, err)
 		}
-		if q.first.IsZero() {
-			q.first = timer.Boot()
-			platform.Deliver(q.w.Header(), x.Response.Header)
-			q.w.WriteHeader(x.Response.StatusCode)
-			a.Delivering()
-		}
+		n.begin(q, a, x)
 		q.resumed = events.Last()
 		_, err = q.w.Write(ev)
 		if err := errors.Join(err, control.Flush()); err != nil {
@@ -270,6 +266,17 @@
 	}
 }
 
+// begin sends the head of a stream, once.
+func (n *Node) begin(q *request, a *attempt.Attempt, x *connection.Exchange) {
+	if !q.first.IsZero() {
+		return
+	}
+	q.first = timer.Boot()
+	platform.Deliver(q.w.Header(), x.Response.Header)
+	q.w.WriteHeader(x.Response.StatusCode)
+	a.Delivering()
+}
+
 // position is the last event that the caller has: of this answer, or of one that it wants to go on.
 func (q *request) position() string {
 	if q.resumed != "" {
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -27,6 +27,7 @@
 	Ends    []End
 	Holds   []Hold
 	Crashes []Crash
+	Learned []Learned
 	// Probes, Confirms and Notices share what few hosts read of the platform.
 	Probes   []Probe
 	Confirms []Confirm
@@ -104,6 +105,38 @@
 	Parts    []Part
 }
 
+// Learned tells the hosts that would keep a service next what its endpoints' caches hold.
+type Learned struct {
+	_       struct{} `cbor:",toarray"`
+	Service site.ServiceName
+	Cached  []Cached
+}
+
+// Cached tells that an endpoint holds parts of prompts.
+type Cached struct {
+	_     struct{} `cbor:",toarray"`
+	ID    endpoint.ID
+	Parts []chat.PartID
+}
+
+// FromTell translates news for the wire.
+func FromTell(service site.ServiceName, cached []pool.Cached) Learned {
+	l := Learned{Service: service}
+	for _, c := range cached {
+		l.Cached = append(l.Cached, Cached{ID: c.ID, Parts: c.Parts})
+	}
+	return l
+}
+
+// Learned translates news from the wire.
+func (l Learned) Learned() pool.Learned {
+	e := pool.Learned{Service: l.Service}
+	for _, c := range l.Cached {
+		e.Cached = append(e.Cached, pool.Cached{ID: c.ID, Parts: c.Parts})
+	}
+	return e
+}
+
 // Crash tells that an endpoint was lost while it ran a request.
 type Crash struct {
 	_        struct{} `cbor:",toarray"`
--- a/fleet/catalogue/source.go
+++ b/fleet/catalogue/source.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"slices"
 	"time"
 
 	"balsamknot.org/fleet/host"
@@ -9,8 +10,6 @@
 // SourceConfig is what a Source is built from.
 type SourceConfig struct {
 	Self host.ID
-	// Direct is the age of the knowledge at which a host reads the platform itself, whatever its readers say.
-	Direct time.Duration
 	// Pause is how long a reader that failed is not asked, and how long the platform is left alone after a read that failed.
 	Pause time.Duration
 }
@@ -36,27 +35,20 @@
 	Wait time.Duration
 }
 
-// Next returns the next step of a host whose knowledge has the given age.
-func (s *Source) Next(now time.Time, readers []host.ID, age time.Duration) Step {
-	reads := len(readers) == 0
-	for _, id := range readers {
-		reads = reads || id == s.cfg.Self
-	}
-	for _, id := range readers {
-		if reads || age > s.cfg.Direct {
-			break
-		}
-		if now.Sub(s.failed[id]) >= s.cfg.Pause {
-			return Step{Reader: id}
-		}
-	}
-	if since := now.Sub(s.refused); !s.refused.IsZero() && since < s.cfg.Pause {
-		for _, id := range readers {
-			if id != s.cfg.Self && now.Sub(s.failed[id]) >= s.cfg.Pause {
-				return Step{Reader: id}
-			}
-		}
-		return Step{Wait: s.cfg.Pause - since}
+// Next returns the next step of a host. One that is not a reader reads the platform only when every reader failed it of
+// late: did not answer, or knew nothing new enough. A reader asks the others while it knows nothing itself, which spares the
+// platform many pages, and when the platform turns it away.
+func (s *Source) Next(now time.Time, readers []host.ID, known bool) Step {
+	others := slices.DeleteFunc(slices.Clone(readers), func(id host.ID) bool {
+		return id == s.cfg.Self || now.Sub(s.failed[id]) < s.cfg.Pause
+	})
+	reads := slices.Contains(readers, s.cfg.Self)
+	turnedAway := !s.refused.IsZero() && now.Sub(s.refused) < s.cfg.Pause
+	switch {
+	case len(others) > 0 && (!reads || !known || turnedAway):
+		return Step{Reader: others[0]}
+	case turnedAway:
+		return Step{Wait: s.cfg.Pause - now.Sub(s.refused)}
 	}
 	return Step{}
 }
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -57,6 +57,18 @@
 	Prompt  chat.Prompt
 }
 
+// Cached tells that an endpoint holds some parts of prompts, in order.
+type Cached struct {
+	ID    endpoint.ID
+	Parts []chat.PartID
+}
+
+// Learned is what another keeper of the service knows of its endpoints' caches.
+type Learned struct {
+	Service site.ServiceName
+	Cached  []Cached
+}
+
 // Ended tells that a request gave its place up.
 type Ended struct {
 	Ticket  Ticket
@@ -75,6 +87,7 @@
 func (EndpointGone) event() {}
 func (Asked) event()        {}
 func (Held) event()         {}
+func (Learned) event()      {}
 func (Ended) event()        {}
 func (HostLost) event()     {}
 func (Ticked) event()       {}
@@ -112,6 +125,8 @@
 
 // Why is what a keeper knew when it chose an endpoint.
 type Why struct {
+	// Keeper is the host that chose.
+	Keeper host.ID
 	// Running counts the requests at the endpoint before this one, and Limit is how many it may hold.
 	Running, Limit int
 	// Missing is how many tokens of shared parts the endpoint does not hold, and Fetched how many of them another has.
@@ -133,6 +148,13 @@
 	After time.Duration
 }
 
+// Tell has the hosts that would keep the service next told what its endpoints' caches hold since the last Tell.
+type Tell struct {
+	Service site.ServiceName
+	Cached  []Cached
+}
+
+func (Tell) command()   {}
 func (Place) command()  {}
 func (Queue) command()  {}
 func (Refuse) command() {}
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -46,6 +46,8 @@
 		return k.service(e.Service).end(now, e)
 	case Held:
 		k.service(e.Service).hold(now, e)
+	case Learned:
+		k.service(e.Service).learn(now, e)
 	case ServiceSeen:
 		k.service(e.Service.Name).configure(e.Service)
 	case EndpointSeen:
@@ -63,7 +65,7 @@
 func (k *Keeper) service(name site.ServiceName) *service {
 	s := k.services[name]
 	if s == nil {
-		s = newService(k.cfg)
+		s = newService(name, k.cfg)
 		k.services[name] = s
 	}
 	return s
--- a/fleet/pool/load_test.go
+++ b/fleet/pool/load_test.go
@@ -32,6 +32,7 @@
 	most             map[endpoint.ID]int
 	running          map[endpoint.ID]int
 	overBound        int
+	told             int
 }
 
 type end struct {
@@ -86,6 +87,8 @@
 			}
 			p.running[id]++
 			p.ends = append(p.ends, end{p.now.Add(p.stay[c.Ticket]), c.Ticket, id})
+		case Tell:
+			p.told += len(c.Cached)
 		case Refuse:
 			p.refused[p.waits[c.Ticket].Rank]++
 			delete(p.waits, c.Ticket)
@@ -260,3 +263,41 @@
 	require.Equal(t, 1, p.keeper.Running())
 	require.Zero(t, p.keeper.Waiting())
 }
+
+// The keeper is killed in the middle of a closing. Its deputy was told where each chat is cached, so nothing is read again.
+func TestADeputyTakesOverWithoutReadingAgain(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 9, 64)
+	deputy := newPlay(t, 9, 64)
+	for i := range 600 {
+		p.until(p.now.Add(time.Second / 60))
+		p.ask(1, prompt(i%36, 10000), time.Second, 5*time.Second)
+		for _, c := range p.keeper.Update(p.now, Ticked{}) {
+			if tell, ok := c.(Tell); ok {
+				deputy.keeper.Update(p.now, Learned(tell))
+			}
+		}
+	}
+	deputy.now = p.now
+	for i := range 360 {
+		deputy.until(deputy.now.Add(time.Second / 60))
+		deputy.ask(1, prompt(i%36, 10000), time.Second, 5*time.Second)
+	}
+	require.Less(t, deputy.missing, 36*10500/20)
+}
+
+func TestANewsIsToldOnceInAWhile(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 9, 64)
+	tells := 0
+	for i := range 600 {
+		p.until(p.now.Add(time.Second / 60))
+		p.number++
+		p.keeper.Update(p.now, Asked{Ticket: Ticket{"host", p.number}, Service: assistant, Prompt: prompt(i%36, 10000), Patience: time.Second})
+		p.keeper.Update(p.now, Ended{Ticket: Ticket{"host", p.number}, Service: assistant, Result: Done})
+		for _, c := range p.keeper.Update(p.now, Ticked{}) {
+			tells += len(c.(Tell).Cached)
+		}
+	}
+	require.LessOrEqual(t, tells, 3*36, "10 s: once, and once again")
+}
--- a/fleet/pool/seat.go
+++ b/fleet/pool/seat.go
@@ -64,8 +64,13 @@
 		if i == len(p.Parts)-1 && len(p.Parts) > 1 {
 			return
 		}
-		st.parts[part.ID] = now
+		st.hold(now, part.ID)
 	}
+}
+
+// hold notes that the endpoint has a part.
+func (st *seat) hold(now time.Time, part chat.PartID) {
+	st.parts[part] = now
 	if len(st.parts) > partLimit {
 		st.forgetParts(now)
 	}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -32,6 +32,7 @@
 
 // service is the state of one service's endpoints.
 type service struct {
+	name   site.ServiceName
 	cfg    Config
 	engine *site.Engine
 	seats  map[endpoint.ID]*seat
@@ -43,6 +44,9 @@
 	// queue is in order of due.
 	queue  []waiting
 	budget retryBudget
+	// told holds where each subject was last told to be, and news what is to be told next.
+	told map[chat.PartID]telling
+	news map[chat.PartID]Cached
 	// stay is the mean time that a request holds its place.
 	stay time.Duration
 }
@@ -63,9 +67,9 @@
 	until time.Time
 }
 
-func newService(cfg Config) *service {
+func newService(name site.ServiceName, cfg Config) *service {
 	return &service{
-		cfg: cfg, seats: make(map[endpoint.ID]*seat), holders: make(map[Ticket]*holder), stay: assumedStay,
+		name: name, cfg: cfg, told: make(map[chat.PartID]telling), news: make(map[chat.PartID]Cached), seats: make(map[endpoint.ID]*seat), holders: make(map[Ticket]*holder), stay: assumedStay,
 		budget: newRetryBudget(cfg),
 	}
 }
@@ -163,6 +167,7 @@
 		place.Fetch, place.Why.Fetched = c.source.record.Instance.ID, c.missing-c.sourceMissing
 	}
 	s.take(now, e.Ticket, c.seat, e.Prompt)
+	s.noteNews(now, c.seat.record.Instance.ID, e.Prompt)
 	return []Command{place}
 }
 
@@ -217,7 +222,7 @@
 		commands = append(commands, Refuse{w.ask.Ticket, NoRoom, clampReturn(s.expectedWait(len(s.queue)))})
 		return true
 	})
-	return append(commands, s.drain(now)...)
+	return append(append(commands, s.drain(now)...), s.tell(now)...)
 }
 
 // drain places who waits, in order, while there is room.
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -181,6 +181,15 @@
 	return slices.Compact(targets)
 }
 
+// Welcome returns a message for a host that has just come, so that it need not wait for a round.
+func (r *Roster) Welcome(id host.ID) (Message, bool) {
+	p := r.peers[id]
+	if p == nil {
+		return Message{}, false
+	}
+	return Message{To: p.beat.Address, Rows: r.rows()}, true
+}
+
 // rows returns this host's heartbeat and some of the others'.
 func (r *Roster) rows() []Heartbeat {
 	rows := []Heartbeat{r.cfg.Self}
@@ -238,6 +247,14 @@
 	return slices.DeleteFunc(live, func(id host.ID) bool { return r.cores(id) < strongShare*most })
 }
 
+// Seasoned reports whether a host has sent at least count heartbeats since its start, as far as this one knows.
+func (r *Roster) Seasoned(id host.ID, count uint64) bool {
+	if p := r.peers[id]; p != nil {
+		return p.beat.Count >= count
+	}
+	return id == r.cfg.Self.Host && r.cfg.Self.Count >= count
+}
+
 func (r *Roster) cores(id host.ID) float64 {
 	if p := r.peers[id]; p != nil {
 		return p.beat.Cores
