--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -248,7 +248,7 @@
 
 const (
 	// keeperCandidates bounds the hosts that keep a service in turn.
-	keeperCandidates = 6
+	keeperCandidates = 10
 	// seasonedBeats is how many heartbeats a host sends before it keeps places: longer than a keeper takes to tell its
 	// deputies all that it knows.
 	seasonedBeats = 30
--- a/entry/node/places.go
+++ b/entry/node/places.go
@@ -40,7 +40,9 @@
 const (
 	// askAgain is after how long an unanswered question is sent again; it is given up after askLimit.
 	askAgain = 15 * time.Millisecond
-	askLimit = 45 * time.Millisecond
+	askLimit = 40 * time.Millisecond
+	// keepersAsked is how many hosts are asked for a request's place before its own host decides.
+	keepersAsked = 2
 	// queueAgain is how often a host that waits for a place asks whether it still does, and queueLimit how long it goes
 	// without an answer.
 	queueAgain = 250 * time.Millisecond
@@ -203,14 +205,17 @@
 	e.Known = p.keeper.Knows(now, e.Service, e.Prompt)
 	p.mu.Unlock()
 	defer p.forget(e.Ticket)
-	keeper := p.n.members.keeper(now, e.Service)
-	if keeper != p.n.cfg.Host {
+	for range keepersAsked {
+		keeper := p.n.members.keeper(timer.Boot(), e.Service)
+		if keeper == p.n.cfg.Host {
+			return e.Ticket, p.decide(ctx, e, ch)
+		}
 		c := p.askKeeper(ctx, keeper, e, ch)
 		if c != nil || ctx.Err() != nil {
 			return e.Ticket, c
 		}
-		e.Share = 1 / float64(p.n.members.hosts())
 	}
+	e.Share = 1 / float64(p.n.members.hosts())
 	return e.Ticket, p.decide(ctx, e, ch)
 }
 
