Let few hosts read the store at start and in its trouble

Change: readers answer also when they know nothing yet; a host goes to the store itself by the age of its own knowledge, two backups sooner than the rest.

--- a/entry/node/beliefs.go
+++ b/entry/node/beliefs.go
@@ -29,6 +29,8 @@
 	// known is closed when the first set is in force.
 	known chan struct{}
 	once  sync.Once
+	// started is when the process started.
+	started time.Time
 
 	mu        sync.RWMutex
 	catalogue *catalogue.Catalogue
@@ -57,8 +59,17 @@
 	probeGap = 600 * time.Millisecond
 	// probeLimit is how long a reader has to answer.
 	probeLimit = 150 * time.Millisecond
-	// staleReader is the age from which on a reader's knowledge is no help.
+	// staleReader is the age from which on a reader's knowledge is little help.
 	staleReader = 2400 * time.Millisecond
+	// activeReaders is how many hosts of a region read the platform all the time.
+	activeReaders = 2
+	// backupAfter and directAfter are the ages of its knowledge at which a host reads the platform itself; see
+	// catalogue.SourceConfig. firstAfter is how long a new process waits for others.
+	backupAfter = 2600 * time.Millisecond
+	directAfter = 3400 * time.Millisecond
+	firstAfter  = 800 * time.Millisecond
+	// sourceAgain is the time to the next look while no source can be asked.
+	sourceAgain = 50 * time.Millisecond
 	// failurePause is how long a source that failed is left alone.
 	failurePause = 500 * time.Millisecond
 	// followerMemory is how long a host that asked hears of changes.
@@ -74,7 +85,11 @@
 			DialContext: n.dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: knowledgeIdle, DisableCompression: true,
 		}},
 		history: catalogue.NewHistory(),
-		source:  catalogue.NewSource(catalogue.SourceConfig{Self: n.cfg.Host, Pause: failurePause}),
+		source: catalogue.NewSource(catalogue.SourceConfig{
+			Self: n.cfg.Host, Readers: activeReaders, Backup: backupAfter, Direct: directAfter, First: firstAfter,
+			Pause: failurePause, Again: sourceAgain,
+		}),
+		started: timer.Boot(),
 		catalogue: catalogue.New(catalogue.Config{
 			Lease: n.cfg.RevokeLimit - leaseMargin, Return: returnGrace, Outage: outageAfter,
 		}),
@@ -133,10 +148,14 @@
 	for ctx.Err() == nil {
 		sent := timer.Boot()
 		b.mu.Lock()
-		step := b.source.Next(sent, b.n.members.readers(), b.catalogue.At() > 0)
+		known, age := b.catalogue.At() > 0, b.catalogue.Age(sent)
+		if !known {
+			age = sent.Sub(b.started)
+		}
+		step := b.source.Next(sent, b.n.members.readers(), known, age)
 		b.mu.Unlock()
 		if step.Wait > 0 {
-			timer.Sleep(ctx, step.Wait)
+			b.rest(ctx, step.Wait)
 			continue
 		}
 		gap, err := b.take(ctx, sent, step)
@@ -206,14 +225,18 @@
 		return err
 	}
 	age := time.Duration(c.AgeMs) * time.Millisecond
-	if age > staleReader {
-		return eris.Errorf("ask reader %s: its knowledge is %s old", reader, age)
-	}
-	if c.Newest <= at {
+	switch {
+	case c.AgeMs < 0:
+		return eris.Errorf("ask reader %s: it knows nothing yet", reader)
+	case c.Newest > at:
+		err = b.fetch(ctx, reader, at)
+	default:
 		b.confirm(sent.Add(-age))
-		return nil
 	}
-	return b.fetch(ctx, reader, at)
+	if err == nil && age > staleReader {
+		return eris.Errorf("ask reader %s: its knowledge is %s old", reader, age)
+	}
+	return err
 }
 
 func (b *beliefs) awaitConfirm(ctx context.Context, nonce uint64, reader host.ID) (peer.Confirm, error) {
@@ -265,12 +288,12 @@
 	for _, p := range d.Probes {
 		b.mu.Lock()
 		c := peer.Confirm{Nonce: p.Nonce, Newest: b.history.Newest(), AgeMs: b.catalogue.Age(now).Milliseconds() + 1}
-		known := b.history.At() > 0
+		if b.history.At() == 0 {
+			c.AgeMs = -1
+		}
 		b.followers[d.From] = now
 		b.mu.Unlock()
-		if known {
-			b.n.members.send(d.From, peer.Datagram{Confirms: []peer.Confirm{c}})
-		}
+		b.n.members.send(d.From, peer.Datagram{Confirms: []peer.Confirm{c}})
 	}
 	for _, c := range d.Confirms {
 		select {
--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -280,10 +280,10 @@
 	return max(len(m.live), 1)
 }
 
-// readersPerRegion is how many hosts of a region read the platform for the others.
-const readersPerRegion = 2
+// readersPerRegion is how many hosts of a region read the platform for the others, or would next.
+const readersPerRegion = 4
 
-// readers returns the hosts that read the platform for the others.
+// readers returns the hosts to learn from, in order.
 func (m *members) readers() []host.ID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/peer/knowledge.go
+++ b/entry/peer/knowledge.go
@@ -21,7 +21,8 @@
 	Nonce uint64
 }
 
-// Confirm answers a Probe: up to AgeMs before it was sent, the platform had nothing newer than Newest.
+// Confirm answers a Probe: up to AgeMs before it was sent, the platform had nothing newer than Newest. A negative age
+// says that the reader knows nothing yet.
 type Confirm struct {
 	_      struct{} `cbor:",toarray"`
 	Nonce  uint64
--- a/fleet/catalogue/source.go
+++ b/fleet/catalogue/source.go
@@ -10,12 +10,19 @@
 // SourceConfig is what a Source is built from.
 type SourceConfig struct {
 	Self host.ID
-	// Pause is how long a reader that failed is not asked, and how long the platform is left alone after a read that failed.
-	Pause time.Duration
+	// Readers is how many hosts, the first of the ranked ones, read the platform all the time.
+	Readers int
+	// Backup is the age of its knowledge at which another ranked host reads the platform itself, and Direct the age at
+	// which any host does, when no other host helps.
+	Backup, Direct time.Duration
+	// First is how long a new process that knows nothing waits for others before it reads the platform itself.
+	First time.Duration
+	// Pause is how long a source that failed is left alone, and Again the time to the next look when nothing can be done.
+	Pause, Again time.Duration
 }
 
 // Source decides from whom a host learns next. A few hosts read the platform; the others ask them, and read it themselves
-// when that does not keep their knowledge fresh.
+// only when that does not keep their knowledge fresh, so that an outage of the platform does not bring all of them to it.
 type Source struct {
 	cfg    SourceConfig
 	failed map[host.ID]time.Time
@@ -35,22 +42,34 @@
 	Wait time.Duration
 }
 
-// Next returns the next step of a host. One that is not a reader reads the platform only when every reader failed it of
-// late: did not answer, or knew nothing new enough. A reader asks the others while it knows nothing itself, which spares the
-// platform many pages, and when the platform turns it away.
-func (s *Source) Next(now time.Time, readers []host.ID, known bool) Step {
-	others := slices.DeleteFunc(slices.Clone(readers), func(id host.ID) bool {
-		return id == s.cfg.Self || now.Sub(s.failed[id]) < s.cfg.Pause
-	})
-	reads := slices.Contains(readers, s.cfg.Self)
+// Next returns the next step of a host. ranked are the hosts to learn from, in order; known is false while this one knows
+// nothing, and age says how old its knowledge is, or how old the process when it knows nothing.
+func (s *Source) Next(now time.Time, ranked []host.ID, known bool, age time.Duration) Step {
+	rank := slices.Index(ranked, s.cfg.Self)
+	reads := rank >= 0 && rank < s.cfg.Readers || len(ranked) == 0
 	turnedAway := !s.refused.IsZero() && now.Sub(s.refused) < s.cfg.Pause
+	if !reads || !known || turnedAway {
+		for _, id := range ranked {
+			if id != s.cfg.Self && now.Sub(s.failed[id]) >= s.cfg.Pause {
+				return Step{Reader: id}
+			}
+		}
+	}
+	if (reads || age >= s.patience(rank, known)) && !turnedAway {
+		return Step{}
+	}
+	return Step{Wait: s.cfg.Again}
+}
+
+// patience is the age of its knowledge up to which a host that no other helps leaves the platform alone.
+func (s *Source) patience(rank int, known bool) time.Duration {
 	switch {
-	case len(others) > 0 && (!reads || !known || turnedAway):
-		return Step{Reader: others[0]}
-	case turnedAway:
-		return Step{Wait: s.cfg.Pause - now.Sub(s.refused)}
+	case !known:
+		return s.cfg.First
+	case rank >= 0:
+		return s.cfg.Backup
 	}
-	return Step{}
+	return s.cfg.Direct
 }
 
 // Failed notes that a step brought nothing.
