--- a/entry/node/beliefs.go
+++ b/entry/node/beliefs.go
@@ -114,9 +114,13 @@
 	}
 }
 
+// age is how old the knowledge is; negative while there is none.
 func (b *beliefs) age(now time.Time) time.Duration {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
+	if b.catalogue.At() == 0 {
+		return -time.Millisecond
+	}
 	return b.catalogue.Age(now)
 }
 
@@ -227,7 +231,7 @@
 	age := time.Duration(c.AgeMs) * time.Millisecond
 	switch {
 	case c.AgeMs < 0:
-		return eris.Errorf("ask reader %s: it knows nothing yet", reader)
+		return eris.Wrapf(errReaderNew, "ask reader %s", reader)
 	case c.Newest > at:
 		err = b.fetch(ctx, reader, at)
 	default:
@@ -239,6 +243,9 @@
 	return err
 }
 
+// errReaderNew means that a reader has just started, too.
+var errReaderNew = errors.New("it knows nothing yet")
+
 func (b *beliefs) awaitConfirm(ctx context.Context, nonce uint64, reader host.ID) (peer.Confirm, error) {
 	t := time.NewTimer(probeLimit)
 	defer t.Stop()
@@ -302,9 +309,10 @@
 		}
 	}
 	for _, notice := range d.Notices {
-		b.mu.RLock()
+		b.mu.Lock()
 		news := notice.Newest > b.catalogue.At()
-		b.mu.RUnlock()
+		b.source.Done(catalogue.Step{Reader: d.From})
+		b.mu.Unlock()
 		if news {
 			b.wake()
 		}
@@ -371,6 +379,7 @@
 		b.n.meter.read(err)
 	}
 	switch {
+	case errors.Is(err, errReaderNew):
 	case err != nil && !b.lost:
 		b.lost = true
 		event.Note(b.n.log, zerolog.WarnLevel, event.PlatformLost).Str("Source", source).Dur("BeliefMs", b.age(now)).Err(err).Send()
