Take changed settings in, and stop requests that crash endpoints

The settings file is read again on SIGHUP and every two seconds; what can't be read changes nothing. Endpoints that fall at the same moment count once, and requests without a body are too alike to count. Test: twelve resends through two hosts reach four endpoints at most.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -21,6 +21,8 @@
 	NodeDraining       Number = 1003
 	NodeStopped        Number = 1004
 	NodePaused         Number = 1005
+	SettingsTaken      Number = 1006
+	SettingsRefused    Number = 1007
 	HostChanged        Number = 1101
 	PeerRejected       Number = 1102
 	DocumentAccepted   Number = 1201
@@ -69,6 +71,8 @@
 	{NodeDraining, "node draining", "A planned stop began: no new work, what runs finishes.", "Wait for BK1004."},
 	{NodeStopped, "node stopped", "Nothing was in flight when the process ended, unless InFlight says so.", "With InFlight above 0, raise DrainLimit."},
 	{NodePaused, "node was paused", "The process did not run for the time given; its view is refreshed before it acts.", "Look for overcommitted hosts if it returns."},
+	{SettingsTaken, "settings taken", "The settings file was read again; Changed names what differs. Addresses and names hold until the next start.", "None."},
+	{SettingsRefused, "settings refused", "The settings file can't be read or has faults; those in force stay.", "Mend the file; entry --check lists all faults."},
 	{HostChanged, "host changed state", "This node's view of a host moved.", "Suspect for long: check the host."},
 	{PeerRejected, "peer rejected", "A caller of the peer listener did not prove that it is a node of the fleet.", "Check FleetKey and who reaches the peer network."},
 	{DocumentAccepted, "document in force", "A higher revision of a document is in force on this node.", "None."},
--- a/entry/main.go
+++ b/entry/main.go
@@ -64,17 +64,18 @@
 		return exitDone
 	}
 	debug.SetGCPercent(collectAt)
-	if err := serve(cfg); err != nil {
+	if err := serve(*file, cfg); err != nil {
 		fmt.Fprintln(os.Stderr, "entry:", err)
 		return exitFailed
 	}
 	return exitDone
 }
 
-func serve(cfg settings.Host) error {
+func serve(file string, cfg settings.Host) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	timers := timer.New()
 	defer timers.Stop()
 	book := logbook.New(logbook.Config{
@@ -83,5 +84,15 @@
 	defer book.Close()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(book).With().Timestamp().Str("Host", string(cfg.Host)).Logger()
-	return node.New(node.Config{Settings: cfg, Log: log, Timers: timers}).Run(ctx)
+	n := node.New(node.Config{Settings: cfg, Log: log, Timers: timers})
+	go func() {
+		for range reloads {
+			n.Reload(settings.Load(file))
+		}
+	}()
+	defer timers.Every(settingsInterval, func(time.Time, time.Duration) { n.ReloadChanged(settings.Load(file)) })()
+	return n.Run(ctx)
 }
+
+// settingsInterval is how often the settings file is looked at, since it may change without a signal.
+const settingsInterval = 2 * time.Second
--- a/entry/node/beliefs.go
+++ b/entry/node/beliefs.go
@@ -139,6 +139,12 @@
 	return ok
 }
 
+func (b *beliefs) setLease(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.catalogue.SetLease(d)
+}
+
 func (b *beliefs) tick(now time.Time) {
 	b.mu.Lock()
 	change := b.catalogue.Tick(now)
@@ -428,6 +434,9 @@
 	for _, record := range change.Endpoints {
 		event.Note(b.n.log, zerolog.InfoLevel, event.EndpointSeen).Str("Endpoint", string(record.Instance.ID)).
 			Str("Service", string(record.Service)).Bool("Leaving", record.Leaving).Send()
+		if old, known := b.n.places.registered(record.Instance.ID); known && old != record.Instance {
+			b.n.crashes.lost(now, record.Instance.ID)
+		}
 		b.n.places.update(now, pool.EndpointSeen{Record: record})
 	}
 	for _, id := range change.Gone {
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -145,6 +145,11 @@
 	if !c.admit(q) || !c.readBody(q) || !c.fits(q) {
 		return
 	}
+	if c.n.crashes.condemned(q.start, q) {
+		q.cause = "the request crashed endpoints before"
+		c.n.refuse(q, http.StatusServiceUnavailable, 0)
+		return
+	}
 	c.n.serve(q)
 }
 
--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -73,7 +73,7 @@
 				Host: n.cfg.Host, Address: n.peerAddress(n.cfg.Address), DataCentre: n.cfg.DataCentre, Cores: n.cfg.Cores,
 				Started: time.Now().UnixMilli(),
 			},
-			Seeds: n.seedAddresses(), Fanout: beatFanout, Rows: beatRows,
+			Seeds: n.seedAddresses(n.cfg.Seeds), Fanout: beatFanout, Rows: beatRows,
 			Suspect: suspectAfter, SuspectPerHost: suspectPerHost, Forget: forgetAfter,
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
@@ -86,9 +86,9 @@
 }
 
 // seedAddresses turns the seeds into addresses for datagrams: the hosts are the same, the port is the hosts' own.
-func (n *Node) seedAddresses() []string {
+func (n *Node) seedAddresses(seeds []string) []string {
 	var addresses []string
-	for _, seed := range n.cfg.Seeds {
+	for _, seed := range seeds {
 		if ip, _, err := net.SplitHostPort(seed); err == nil {
 			addresses = append(addresses, n.peerAddress(ip))
 		}
@@ -96,6 +96,12 @@
 	return addresses
 }
 
+func (m *members) setSeeds(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.roster.SetSeeds(addresses)
+}
+
 func (m *members) listen(ctx context.Context) error {
 	socket, err := peer.Listen(ctx, m.n.peerAddress(m.n.cfg.Address))
 	m.socket = socket
@@ -120,6 +126,7 @@
 	}
 	m.n.places.handle(now, d)
 	m.n.beliefs.handle(now, d)
+	m.n.crashes.handle(d)
 }
 
 // welcome tells a host that has just come what is known of the others.
@@ -200,6 +207,18 @@
 	}
 }
 
+// broadcast sends a datagram to all other live hosts.
+func (m *members) broadcast(d peer.Datagram) {
+	m.mu.Lock()
+	live := slices.Clone(m.live)
+	m.mu.Unlock()
+	for _, id := range live {
+		if id != m.n.cfg.Host {
+			m.send(id, d)
+		}
+	}
+}
+
 func (m *members) sendTo(address string, d peer.Datagram) {
 	d.From = m.n.cfg.Host
 	size, err := m.socket.Send(address, d)
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -30,9 +30,11 @@
 
 // Node is one running entry host.
 type Node struct {
-	cfg    settings.Host
-	log    zerolog.Logger
-	timers *timer.Service
+	// cfg are the settings at the start, settings those in force.
+	cfg      settings.Host
+	settings atomic.Pointer[settings.Host]
+	log      zerolog.Logger
+	timers   *timer.Service
 
 	store    *platform.Store
 	beliefs  *beliefs
@@ -41,6 +43,7 @@
 	links    *connection.Pool
 	callers  *callers
 	meter    *meter
+	crashes  *crashes
 	draining atomic.Bool
 	// stops is when a draining process ends, in nanoseconds of the boot clock; 0 before.
 	stops atomic.Int64
@@ -76,6 +79,7 @@
 // New builds a node; Run starts it.
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, store: platform.NewStore(cfg.Settings.StoreAddress)}
+	n.settings.Store(&cfg.Settings)
 	n.links = connection.New(connection.Config{
 		DialLimit: dialLimit, Silence: linkSilence, Idle: linkIdle, IdlePerEndpoint: linksPerEndpoint,
 	})
@@ -84,6 +88,7 @@
 	n.beliefs = newBeliefs(n)
 	n.callers = newCallers(n)
 	n.meter = newMeter(n)
+	n.crashes = newCrashes(n)
 	return n
 }
 
@@ -134,7 +139,7 @@
 // drain ends a node as planned: the balancer hears it, what still comes is served, and what runs finishes.
 func (n *Node) drain() {
 	start := timer.Boot()
-	n.stops.Store(start.Add(n.cfg.DrainLimit - stopMargin).UnixNano())
+	n.stops.Store(start.Add(n.settings.Load().DrainLimit - stopMargin).UnixNano())
 	n.draining.Store(true)
 	n.members.leave()
 	event.Note(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.callers.flying.Load()).Send()
@@ -145,7 +150,7 @@
 		if spent >= drainLeast {
 			n.callers.closeIdle(now)
 		}
-		if spent >= n.cfg.DrainLimit-stopMargin || (spent >= drainLeast && n.callers.flying.Load() == 0) {
+		if spent >= n.settings.Load().DrainLimit-stopMargin || (spent >= drainLeast && n.callers.flying.Load() == 0) {
 			return
 		}
 	}
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/fleet/endpoint"
 )
 
 func text(t *testing.T, r *http.Response) string {
@@ -173,3 +175,54 @@
 	require.Contains(t, served, `entry_requests_total{service="plain",outcome="done"} 1`)
 	require.True(t, strings.Contains(served, "entry_first_byte_seconds_bucket"))
 }
+
+// A request crashes each endpoint that runs it, and its caller sends it again through every host.
+func TestARequestThatCrashesEndpointsIsStopped(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.publish(1, "k1")
+	ran := atomic.Int64{}
+	born := atomic.Int64{}
+	var endpoints []*standEndpoint
+	for _, id := range []string{"i-a", "i-b", "i-c", "i-d"} {
+		endpoints = append(endpoints, s.endpoint(id, "plain", func(_ http.ResponseWriter, r *http.Request) {
+			ran.Add(1)
+			panic(http.ErrAbortHandler)
+		}))
+	}
+	s.start(2, 20)
+	for i := range 12 {
+		n := s.nodes[i%2]
+		before := ran.Load()
+		r, err := http.NewRequest(http.MethodPost, "http://"+n.cfg.CallerAddress+"/once/x", strings.NewReader("poison"))
+		require.NoError(t, err)
+		r.Host = "a.example"
+		r.Header = http.Header{"Request-Id": {"id-" + string(rune('a'+i))}, "Deadline-Remaining": {"2000"}, "Credential": {"k1"}}
+		response, err := http.DefaultTransport.RoundTrip(r)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		if ran.Load() == before {
+			continue
+		}
+		// What it crashed starts anew.
+		for _, e := range endpoints {
+			if e.ran() > 0 {
+				entry := e.entry("plain", "ready")
+				now := born.Add(1) + 1
+				entry["born"] = now
+				s.store.put("servers/"+e.id, entry)
+				for _, node := range s.nodes {
+					require.Eventually(t, func() bool {
+						instance, _ := node.places.registered(endpoint.ID(e.id))
+						return instance.Born == now
+					}, time.Minute, time.Millisecond)
+				}
+				e.mu.Lock()
+				e.runs = nil
+				e.mu.Unlock()
+			}
+		}
+		time.Sleep(2 * crashGap)
+	}
+	require.LessOrEqual(t, ran.Load(), int64(4), "three crashes, and at most one on its way")
+}
--- a/entry/node/places.go
+++ b/entry/node/places.go
@@ -60,10 +60,7 @@
 func newPlaces(n *Node) *places {
 	return &places{
 		n: n, answers: make(map[uint64]chan pool.Command), held: make(map[pool.Ticket]holding),
-		keeper: pool.New(pool.Config{
-			LoadFactor: n.cfg.LoadFactor, RetryRatio: n.cfg.RetryRatio, RetrySlack: n.cfg.RetrySlack,
-			RetryWindow: n.cfg.RetryWindow,
-		}),
+		keeper: pool.New(poolConfig(n.cfg)),
 	}
 }
 
@@ -363,6 +360,13 @@
 	}
 }
 
+// registered returns the instance of an endpoint that is registered.
+func (p *places) registered(id endpoint.ID) (endpoint.Instance, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeper.Registered(id)
+}
+
 // address returns where an endpoint is reached; empty when it isn't registered.
 func (p *places) address(id endpoint.ID) string {
 	p.mu.Lock()
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -147,6 +147,7 @@
 			n.left(q)
 		}
 		q.cause = err.Error()
+		n.crashes.lost(timer.Boot(), id)
 		return pool.Broken, a.Update(timer.Boot(), attempt.Unreached{ID: id})
 	}
 	a.Sent(id)
@@ -169,6 +170,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && !now.Before(q.deadline.Add(-time.Millisecond)) {
 		return pool.Silent, a.Update(now, attempt.Expired{})
 	}
+	n.crashes.broke(now, id, q)
 	return pool.Broken, a.Update(now, attempt.Broken{ID: id})
 }
 
@@ -230,6 +232,7 @@
 // done notes an answer that was delivered whole.
 func (n *Node) done(q *request, status int) {
 	now := timer.Boot()
+	n.crashes.survived(q)
 	if q.first.IsZero() {
 		q.first = now
 	}
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -147,6 +147,9 @@
 	return change
 }
 
+// SetLease changes how long a confirmed set may be acted on.
+func (c *Catalogue) SetLease(d time.Duration) { c.cfg.Lease = d }
+
 // Set returns the set in force; nil before the first.
 func (c *Catalogue) Set() *site.Set { return c.set }
 
--- a/fleet/pool/budget.go
+++ b/fleet/pool/budget.go
@@ -17,7 +17,7 @@
 }
 
 func newRetryBudget(cfg Config) retryBudget {
-	return retryBudget{cfg: cfg, buckets: make([]budgetBucket, int(cfg.RetryWindow/time.Second)+1)}
+	return retryBudget{cfg: cfg, buckets: make([]budgetBucket, max(int(cfg.RetryWindow/time.Second), 1)+1)}
 }
 
 // take counts a request, and reports whether it may go on; only a repeat can be refused.
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -19,6 +19,9 @@
 // Event is something that a keeper learns.
 type Event interface{ event() }
 
+// Configured tells that the bounds changed.
+type Configured struct{ Config Config }
+
 // ServiceSeen tells what the set in force says of a service.
 type ServiceSeen struct{ Service site.Service }
 
@@ -82,6 +85,7 @@
 // Ticked is the passing of time.
 type Ticked struct{}
 
+func (Configured) event()   {}
 func (ServiceSeen) event()  {}
 func (EndpointSeen) event() {}
 func (EndpointGone) event() {}
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -48,6 +48,11 @@
 		k.service(e.Service).hold(now, e)
 	case Learned:
 		k.service(e.Service).learn(now, e)
+	case Configured:
+		k.cfg = e.Config
+		for _, s := range k.services {
+			s.cfg, s.budget.cfg = e.Config, e.Config
+		}
 	case ServiceSeen:
 		k.service(e.Service.Name).configure(e.Service)
 	case EndpointSeen:
@@ -99,25 +104,29 @@
 
 // Usable reports whether an endpoint may still get a request that was placed there: the instance is registered and not leaving.
 func (k *Keeper) Usable(instance endpoint.Instance) bool {
-	home, ok := k.homes[instance.ID]
-	if !ok {
-		return false
-	}
-	st := k.service(home).seats[instance.ID]
-	return st != nil && !st.record.Leaving && st.record.Instance == instance
+	record, ok := k.Record(instance)
+	return ok && !record.Leaving
 }
 
 // Record returns what an endpoint registered, if that instance is registered.
 func (k *Keeper) Record(instance endpoint.Instance) (endpoint.Record, bool) {
-	home, ok := k.homes[instance.ID]
-	if !ok {
+	if now, ok := k.Registered(instance.ID); !ok || now != instance {
 		return endpoint.Record{}, false
 	}
-	st := k.service(home).seats[instance.ID]
-	if st == nil || st.record.Instance != instance {
-		return endpoint.Record{}, false
+	return k.service(k.homes[instance.ID]).seats[instance.ID].record, true
+}
+
+// Registered returns the instance of an endpoint that is registered.
+func (k *Keeper) Registered(id endpoint.ID) (endpoint.Instance, bool) {
+	home, ok := k.homes[id]
+	if !ok {
+		return endpoint.Instance{}, false
+	}
+	st := k.service(home).seats[id]
+	if st == nil {
+		return endpoint.Instance{}, false
 	}
-	return st.record, true
+	return st.record.Instance, true
 }
 
 // Address returns where an endpoint is reached; empty when it isn't registered.
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -46,6 +46,9 @@
 	Random         *rand.Rand
 }
 
+// SetSeeds changes the addresses that are told while few hosts are known.
+func (r *Roster) SetSeeds(addresses []string) { r.cfg.Seeds = addresses }
+
 // Message is one round's heartbeats for one host.
 type Message struct {
 	To   string
