--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -102,7 +102,7 @@
 func (x *Exchange) readHead(r Request) error {
 	request := &http.Request{Method: r.Method}
 	for {
-		response, err := http.ReadResponse(x.link.reader, request)
+		response, err := http.ReadResponse(x.link.reader, request) //nolint:bodyclose // Finish and Abort end the exchange.
 		if err != nil {
 			return err
 		}
