--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -51,7 +51,7 @@
 
 // placed notes how long a request took to its place, and what its endpoint has to read again.
 func (m *meter) placed(q *request, after time.Duration, why pool.Why) {
-	m.set.GetOrCreateHistogram(`entry_place_seconds{service="` + label(q.service) + `"}`).Update(after.Seconds())
+	m.set.GetOrCreatePrometheusHistogram(`entry_place_seconds{service="` + label(q.service) + `"}`).Update(after.Seconds())
 	m.set.GetOrCreateCounter(`entry_missing_tokens_total{service="` + label(q.service) + `"}`).Add(why.Missing)
 }
 
@@ -65,8 +65,8 @@
 	if o != outcomeDone {
 		return
 	}
-	m.set.GetOrCreateHistogram(`entry_first_byte_seconds{service="` + label(q.service) + `"}`).Update(q.first.Sub(q.start).Seconds())
-	m.set.GetOrCreateHistogram(`entry_answer_seconds{service="` + label(q.service) + `"}`).Update(now().Sub(q.start).Seconds())
+	m.set.GetOrCreatePrometheusHistogram(`entry_first_byte_seconds{service="` + label(q.service) + `"}`).Update(q.first.Sub(q.start).Seconds())
+	m.set.GetOrCreatePrometheusHistogram(`entry_answer_seconds{service="` + label(q.service) + `"}`).Update(now().Sub(q.start).Seconds())
 }
 
 // read counts a read of the platform.
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -162,19 +164,39 @@
 	}
 }
 
+func scrape(t *testing.T, n *standNode) string {
+	r, err := http.Get("http://" + n.cfg.MetricsAddress + MetricsPath)
+	require.NoError(t, err)
+	defer r.Body.Close()
+	return text(t, r)
+}
+
 func TestMetricsAreServed(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
 	s.store.Publish(1, "k1")
 	s.endpoint("i-a", "plain", nil)
-	s.start(1, 18)
+	s.start(2, 18)
 	require.Equal(t, http.StatusOK, s.nodes[0].call(t, http.MethodGet, "/again/x", "id-1", "k1").StatusCode)
-	r, err := http.Get("http://" + s.nodes[0].cfg.MetricsAddress + MetricsPath)
+	var served string
+	require.Eventually(t, func() bool {
+		served = scrape(t, s.nodes[0])
+		return strings.Contains(served, `entry_requests_total{service="plain",outcome="done"} 1`)
+	}, time.Minute, 5*time.Millisecond)
+	raw, err := os.ReadFile("../../docs/METRICS.md")
 	require.NoError(t, err)
-	defer r.Body.Close()
-	served := text(t, r)
-	require.Contains(t, served, `entry_requests_total{service="plain",outcome="done"} 1`)
-	require.Contains(t, served, "entry_first_byte_seconds_bucket")
+	documented := map[string]bool{}
+	for _, row := range regexp.MustCompile(`(?m)^\| (entry_\w+)`).FindAllStringSubmatch(string(raw), -1) {
+		documented[row[1]] = true
+	}
+	for _, line := range regexp.MustCompile(`(?m)^(entry_\w+?)(?:_bucket|_sum|_count)?[ {]`).FindAllStringSubmatch(served, -1) {
+		require.True(t, documented[line[1]], "%s is not documented", line[1])
+	}
+	for name := range documented {
+		if name != "entry_repeats_total" { // nothing was repeated here
+			require.Contains(t, served, name)
+		}
+	}
 }
 
 // A request crashes each endpoint that runs it, and its caller sends it again through every host.
