--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -15,6 +15,7 @@
 	"balsamknot.org/fleet/attempt"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
 )
@@ -73,7 +74,8 @@
 	}
 	ticket, answer := n.places.ask(q.r.Context(), pool.Asked{
 		Service: q.service, Prompt: q.call.Prompt, Rank: q.set.Rank(q.route, q.workspace), Patience: left / 2,
-		Tried: ask.Tried, Repeat: ask.Repeat, DataCentre: n.cfg.DataCentre,
+		Tried: ask.Tried, Repeat: ask.Repeat, Once: q.route.Repeat == site.Never || a.Sends()+1 >= q.route.Endpoints,
+		DataCentre: n.cfg.DataCentre,
 	})
 	switch c := answer.(type) {
 	case pool.Place:
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -44,6 +44,7 @@
 	PatienceMs int64
 	Tried      []endpoint.ID
 	Repeat     bool
+	Once       bool
 	DataCentre host.DataCentre
 	Known      endpoint.ID
 }
@@ -166,7 +167,7 @@
 func FromAsked(e pool.Asked) Ask {
 	return Ask{
 		Number: e.Ticket.Number, Service: e.Service, Parts: fromPrompt(e.Prompt), Rank: e.Rank,
-		PatienceMs: e.Patience.Milliseconds(), Tried: e.Tried, Repeat: e.Repeat, DataCentre: e.DataCentre, Known: e.Known,
+		PatienceMs: e.Patience.Milliseconds(), Tried: e.Tried, Repeat: e.Repeat, Once: e.Once, DataCentre: e.DataCentre, Known: e.Known,
 	}
 }
 
@@ -174,7 +175,7 @@
 func (a Ask) Asked(from host.ID) pool.Asked {
 	return pool.Asked{
 		Ticket: pool.Ticket{Host: from, Number: a.Number}, Service: a.Service, Prompt: toPrompt(a.Parts), Rank: a.Rank,
-		Patience: time.Duration(a.PatienceMs) * time.Millisecond, Tried: a.Tried, Repeat: a.Repeat,
+		Patience: time.Duration(a.PatienceMs) * time.Millisecond, Tried: a.Tried, Repeat: a.Repeat, Once: a.Once,
 		DataCentre: a.DataCentre, Known: a.Known,
 	}
 }
--- a/fleet/pool/choice.go
+++ b/fleet/pool/choice.go
@@ -86,7 +86,7 @@
 // work is the request's cost at an endpoint: milliseconds at an engine, running requests at a plain service's runner.
 func (sc *scan) work(st *seat, missing int) float64 {
 	if sc.engine {
-		return st.engineCost(sc.now, missing, sc.subject)
+		return st.engineCost(sc.now, sc.ask, missing, sc.subject)
 	}
 	return st.runnerCost(sc.ask)
 }
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -44,6 +44,8 @@
 	Tried []endpoint.ID
 	// Repeat is true when another endpoint may have had the request before: it draws on the retry budget.
 	Repeat bool
+	// Once is true when the request may not go to another endpoint after it failed at one.
+	Once bool
 	// DataCentre is where the entry stands.
 	DataCentre host.DataCentre
 	// Known is the endpoint that the entry last saw serve the prompt's subject; empty when none.
--- a/fleet/pool/load_test.go
+++ b/fleet/pool/load_test.go
@@ -300,3 +300,38 @@
 	}
 	require.LessOrEqual(t, tells, 3*36, "10 s: once, and once again")
 }
+
+// Two of three engines fail two requests in five while they call themselves well. What can't be repeated goes to the sound one
+// as far as the bound lets it; what can be repeated stays with its parts.
+func TestWhatCannotBeRepeatedAvoidsFailingEngines(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 9, 64)
+	fails := func(id endpoint.ID) bool { return id >= engineID(3) && p.random.IntN(5) < 2 }
+	failed, asked := map[bool]int{}, map[bool]int{}
+	type run struct {
+		at     time.Time
+		ticket Ticket
+		id     endpoint.ID
+		once   bool
+	}
+	var runs []run
+	for i := range 2400 {
+		p.now = p.now.Add(time.Second / 40)
+		for len(runs) > 0 && !runs[0].at.After(p.now) {
+			r := runs[0]
+			runs = runs[1:]
+			result := Done
+			if fails(r.id) {
+				result = Failed
+				failed[r.once]++
+			}
+			p.keeper.Update(p.now, Ended{Ticket: r.ticket, Service: assistant, Result: result})
+		}
+		e := Asked{Ticket: Ticket{"host", uint64(i)}, Service: assistant, Prompt: prompt(i%36, 4000), Patience: time.Second, Once: i%2 == 0}
+		asked[e.Once]++
+		placed := p.keeper.Update(p.now, e)[0].(Place)
+		runs = append(runs, run{p.now.Add(2 * time.Second), e.Ticket, placed.Endpoint.Instance.ID, e.Once})
+	}
+	share := func(once bool) float64 { return float64(failed[once]) / float64(asked[once]) }
+	require.Less(t, share(true), share(false)/3)
+}
--- a/fleet/pool/seat.go
+++ b/fleet/pool/seat.go
@@ -135,11 +135,23 @@
 }
 
 // engineCost estimates, in milliseconds, what a prompt costs at this engine: parts to read, and requests beside it.
-func (st *seat) engineCost(now time.Time, missing int, subject uint64) float64 {
+func (st *seat) engineCost(now time.Time, e Asked, missing int, subject uint64) float64 {
 	return float64(missing)/readRate + neighbourCost*float64(st.running) + busyCost*st.load(now) +
-		failingCost*st.failures + spreadCost*st.spread(subject)
+		failingCost*st.risk(e) + spreadCost*st.spread(subject)
 }
 
+// risk is the endpoint's share of failures as it weighs for a request: one that can't go elsewhere after a failure leaves
+// the failing endpoints to those that can.
+func (st *seat) risk(e Asked) float64 {
+	if e.Once {
+		return st.failures
+	}
+	return repeatableWeight * st.failures
+}
+
+// repeatableWeight is how little a failure costs a request that may be repeated, against one that may not.
+const repeatableWeight = 0.3
+
 // run changes how many requests run.
 func (st *seat) run(now time.Time, change int) {
 	st.busy, st.changed = st.load(now), now
@@ -160,7 +172,7 @@
 
 // runnerCost orders runners of a plain service: the least busy, near ones first.
 func (st *seat) runnerCost(e Asked) float64 {
-	c := float64(st.running) + failureCost*st.failures
+	c := float64(st.running) + failureCost*st.risk(e)
 	if st.record.DataCentre != e.DataCentre {
 		c += farCost
 	}
