Pass over readers that can't read the store

Ruled out: a lost notice (the hosts that did read had version 6 at once). Change: a reader says whether its own last read succeeded, and tells its followers when one fails; they turn to the backups, which read as soon as no reader can. A reader that others help leaves the store alone for 2 s after a read that failed. Test: five hosts, both readers' way to the store shut; without the flag hosts that reach the store let their knowledge grow old (shown by setting it always), with it none does.

--- a/entry/node/beliefs.go
+++ b/entry/node/beliefs.go
@@ -42,6 +42,9 @@
 	// followers holds who asked lately, with the time.
 	followers map[host.ID]time.Time
 
+	// reads is when the last read of the platform itself that succeeded was sent.
+	reads time.Time
+
 	lost bool
 }
 
@@ -59,19 +62,22 @@
 	probeGap = 600 * time.Millisecond
 	// probeLimit is how long a reader has to answer.
 	probeLimit = 150 * time.Millisecond
+	// readsFor is how long after a read that succeeded a host counts as reading the platform.
+	readsFor = 2500 * time.Millisecond
 	// staleReader is the age from which on a reader's knowledge is little help.
 	staleReader = 2400 * time.Millisecond
 	// activeReaders is how many hosts of a region read the platform all the time.
 	activeReaders = 2
-	// backupAfter and directAfter are the ages of its knowledge at which a host reads the platform itself; see
-	// catalogue.SourceConfig. firstAfter is how long a new process waits for others.
-	backupAfter = 2600 * time.Millisecond
-	directAfter = 3400 * time.Millisecond
+	// directAfter is the age of its knowledge at which a host reads the platform itself when no reader can; firstAfter is
+	// how long a new process waits for others.
+	directAfter = 2400 * time.Millisecond
 	firstAfter  = 800 * time.Millisecond
 	// sourceAgain is the time to the next look while no source can be asked.
 	sourceAgain = 50 * time.Millisecond
 	// failurePause is how long a source that failed is left alone.
 	failurePause = 500 * time.Millisecond
+	// storeRetry is how long a reader that other hosts help leaves the store alone after a read that failed.
+	storeRetry = 2 * time.Second
 	// followerMemory is how long a host that asked hears of changes.
 	followerMemory = 3 * time.Second
 	// knowledgeIdle is how long connections between hosts are kept.
@@ -86,8 +92,8 @@
 		}},
 		history: catalogue.NewHistory(),
 		source: catalogue.NewSource(catalogue.SourceConfig{
-			Self: n.cfg.Host, Readers: activeReaders, Backup: backupAfter, Direct: directAfter, First: firstAfter,
-			Pause: failurePause, Again: sourceAgain,
+			Self: n.cfg.Host, Readers: activeReaders, Direct: directAfter, First: firstAfter,
+			Retry: storeRetry, Pause: failurePause, Again: sourceAgain,
 		}),
 		started: timer.Boot(),
 		catalogue: catalogue.New(catalogue.Config{
@@ -169,7 +175,7 @@
 			continue
 		}
 		gap, err := b.take(ctx, sent, step)
-		b.note(step, err)
+		b.note(sent, step, err)
 		if err == nil {
 			b.rest(ctx, gap-timer.Boot().Sub(sent))
 		}
@@ -243,12 +249,20 @@
 	default:
 		b.confirm(sent.Add(-age))
 	}
-	if err == nil && age > staleReader {
+	switch {
+	case err != nil:
+		return err
+	case age > staleReader:
 		return eris.Errorf("ask reader %s: its knowledge is %s old", reader, age)
+	case !c.Reads:
+		return eris.Wrapf(errReaderBlind, "ask reader %s", reader)
 	}
-	return err
+	return nil
 }
 
+// errReaderBlind means that a reader's knowledge is good, but will not stay so.
+var errReaderBlind = errors.New("it does not read the platform now")
+
 // errReaderNew means that a reader has just started, too.
 var errReaderNew = errors.New("it knows nothing yet")
 
@@ -304,6 +318,7 @@
 		if b.history.At() == 0 {
 			c.AgeMs = -1
 		}
+		c.Reads = now.Sub(b.reads) < readsFor
 		b.followers[d.From] = now
 		b.mu.Unlock()
 		b.n.members.send(d.From, peer.Datagram{Confirms: []peer.Confirm{c}})
@@ -316,8 +331,12 @@
 	}
 	for _, notice := range d.Notices {
 		b.mu.Lock()
-		news := notice.Newest > b.catalogue.At()
-		b.source.Done(catalogue.Step{Reader: d.From})
+		news := notice.Newest > b.catalogue.At() || notice.Blind
+		if notice.Blind {
+			b.source.Failed(now, catalogue.Step{Reader: d.From})
+		} else {
+			b.source.Done(catalogue.Step{Reader: d.From})
+		}
 		b.mu.Unlock()
 		if news {
 			b.wake()
@@ -332,8 +351,8 @@
 	}
 }
 
-// tell lets those who asked lately know that there is something new.
-func (b *beliefs) tell(now time.Time, newest catalogue.Position) {
+// tell gives a notice to those who asked lately.
+func (b *beliefs) tell(now time.Time, notice peer.Notice) {
 	b.mu.Lock()
 	var to []host.ID
 	for id, asked := range b.followers {
@@ -345,7 +364,7 @@
 	}
 	b.mu.Unlock()
 	for _, id := range to {
-		b.n.members.send(id, peer.Datagram{Notices: []peer.Notice{{Newest: newest}}})
+		b.n.members.send(id, peer.Datagram{Notices: []peer.Notice{notice}})
 	}
 }
 
@@ -370,7 +389,7 @@
 }
 
 // note remembers how a step ended, and logs when the platform is lost or back.
-func (b *beliefs) note(step catalogue.Step, err error) {
+func (b *beliefs) note(sent time.Time, step catalogue.Step, err error) {
 	now := timer.Boot()
 	b.mu.Lock()
 	if err != nil {
@@ -383,9 +402,10 @@
 	if step.Reader == "" {
 		source = "store"
 		b.n.meter.read(err)
+		b.noteOwnRead(now, sent, err)
 	}
 	switch {
-	case errors.Is(err, errReaderNew):
+	case errors.Is(err, errReaderNew), errors.Is(err, errReaderBlind):
 	case err != nil && !b.lost:
 		b.lost = true
 		event.Note(b.n.log, zerolog.WarnLevel, event.PlatformLost).Str("Source", source).Dur("BeliefMs", b.age(now)).Err(err).Send()
@@ -395,6 +415,21 @@
 	}
 }
 
+// noteOwnRead remembers when this host last read the platform, and tells its followers when it no longer can.
+func (b *beliefs) noteOwnRead(now, sent time.Time, err error) {
+	b.mu.Lock()
+	could := now.Sub(b.reads) < readsFor
+	if err == nil {
+		b.reads = sent
+	} else {
+		b.reads = time.Time{}
+	}
+	b.mu.Unlock()
+	if err != nil && could {
+		b.tell(now, peer.Notice{Blind: true})
+	}
+}
+
 // confirm notes that nothing changed up to a time.
 func (b *beliefs) confirm(sent time.Time) {
 	now := timer.Boot()
@@ -417,7 +452,7 @@
 	b.mu.Unlock()
 	b.publish(now, change)
 	if newest > before {
-		b.tell(now, newest)
+		b.tell(now, peer.Notice{Newest: newest})
 	}
 }
 
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/site"
 	"balsamknot.org/platform/standin"
 )
 
@@ -144,6 +147,55 @@
 	require.Equal(t, http.StatusOK, cut.call(t, http.MethodGet, "/again/x", "id-2", "k1").StatusCode)
 }
 
+// agedLine is a line of a host that lost its source of knowledge when that was two seconds old or more.
+const agedLine = `"Event":"BK1203".*"BeliefMs":[2-9]\d{3}`
+
+// Both hosts that read the store for the others are cut off from it, and still answer the others. A set that is published then
+// is in force on the hosts that reach the store before their knowledge grows old.
+func TestHostsPassOverReadersThatAreCutOffFromTheStore(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	s.endpoint("i-a", "plain", nil)
+	s.start(5, 22)
+	var readers []host.ID
+	require.Eventually(t, func() bool {
+		readers = s.nodes[0].members.readers()
+		return len(readers) == readersPerRegion
+	}, time.Minute, 5*time.Millisecond)
+	blind := readers[:activeReaders]
+	for _, n := range s.nodes {
+		if slices.Contains(blind, n.cfg.Host) {
+			n.door.Shut()
+		}
+	}
+	require.Eventually(t, func() bool {
+		for _, n := range s.nodes {
+			if !slices.Contains(blind, n.cfg.Host) && n.beliefs.reads.IsZero() && slices.Contains(readers, n.cfg.Host) {
+				return false
+			}
+		}
+		return true
+	}, time.Minute, 5*time.Millisecond, "the backups read")
+	old := map[host.ID]int{}
+	for _, n := range s.nodes {
+		old[n.cfg.Host] = n.log.count(agedLine)
+	}
+	for version := 2; version < 6; version++ {
+		time.Sleep(time.Second)
+		s.store.Publish(version, "k1")
+		for _, n := range s.nodes {
+			require.Eventually(t, func() bool { return n.beliefs.version() == site.Version(version) }, time.Minute, time.Millisecond)
+		}
+	}
+	for _, n := range s.nodes {
+		if slices.Contains(blind, n.cfg.Host) {
+			continue
+		}
+		require.Equal(t, old[n.cfg.Host], n.log.count(agedLine), "%s let its knowledge grow old", n.cfg.Host)
+	}
+}
+
 func TestWithoutTheStoreEveryHostStopsInTime(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
--- a/entry/peer/knowledge.go
+++ b/entry/peer/knowledge.go
@@ -28,12 +28,16 @@
 	Nonce  uint64
 	Newest catalogue.Position
 	AgeMs  int64
+	// Reads is true when the sender itself reads the platform and its last read succeeded. Without it the sender's
+	// knowledge comes from others, and will grow old.
+	Reads bool
 }
 
-// Notice tells those who asked lately that there is something new.
+// Notice tells those who asked lately that there is something new, or that the sender can't read the platform any more.
 type Notice struct {
 	_      struct{} `cbor:",toarray"`
 	Newest catalogue.Position
+	Blind  bool
 }
 
 // Knowledge is what a reader knows behind a position.
--- a/fleet/catalogue/source.go
+++ b/fleet/catalogue/source.go
@@ -12,12 +12,14 @@
 	Self host.ID
 	// Readers is how many hosts, the first of the ranked ones, read the platform all the time.
 	Readers int
-	// Backup is the age of its knowledge at which another ranked host reads the platform itself, and Direct the age at
-	// which any host does, when no other host helps.
-	Backup, Direct time.Duration
+	// Direct is the age of its knowledge at which a host that is not ranked reads the platform itself when no ranked host can.
+	// The other ranked hosts are backups: they read it as soon as no reader can.
+	Direct time.Duration
 	// First is how long a new process that knows nothing waits for others before it reads the platform itself.
 	First time.Duration
-	// Pause is how long a source that failed is left alone, and Again the time to the next look when nothing can be done.
+	// Retry is how long the platform is left alone after a read that failed while other hosts help.
+	Retry time.Duration
+	// Pause is how long a source that failed is left alone otherwise, and Again the time to the next look when nothing can be done.
 	Pause, Again time.Duration
 }
 
@@ -47,18 +49,27 @@
 func (s *Source) Next(now time.Time, ranked []host.ID, known bool, age time.Duration) Step {
 	rank := slices.Index(ranked, s.cfg.Self)
 	reads := rank >= 0 && rank < s.cfg.Readers || len(ranked) == 0
-	turnedAway := !s.refused.IsZero() && now.Sub(s.refused) < s.cfg.Pause
-	if !reads || !known || turnedAway {
+	turnedAway := s.refusedWithin(now, s.cfg.Pause)
+	if !reads || !known || s.refusedWithin(now, s.cfg.Retry) {
 		for _, id := range ranked {
 			if id != s.cfg.Self && now.Sub(s.failed[id]) >= s.cfg.Pause {
 				return Step{Reader: id}
 			}
 		}
 	}
-	if (reads || age >= s.patience(rank, known)) && !turnedAway {
-		return Step{}
+	if turnedAway || s.holdsOff(now, ranked, known, age) || (!reads && age < s.patience(rank, known)) {
+		return Step{Wait: s.cfg.Again}
 	}
-	return Step{Wait: s.cfg.Again}
+	return Step{}
+}
+
+// holdsOff reports whether a host waits for others a little longer, rather than ask a platform again that did not answer of late.
+func (s *Source) holdsOff(now time.Time, ranked []host.ID, known bool, age time.Duration) bool {
+	return known && age < s.cfg.Direct && len(ranked) > 1 && s.refusedWithin(now, s.cfg.Retry)
+}
+
+func (s *Source) refusedWithin(now time.Time, d time.Duration) bool {
+	return !s.refused.IsZero() && now.Sub(s.refused) < d
 }
 
 // patience is the age of its knowledge up to which a host that no other helps leaves the platform alone.
@@ -67,7 +78,7 @@
 	case !known:
 		return s.cfg.First
 	case rank >= 0:
-		return s.cfg.Backup
+		return 0
 	}
 	return s.cfg.Direct
 }
