--- a/entry/main.go
+++ b/entry/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/entry/node"
@@ -46,6 +47,7 @@
 func run(args []string) int {
 	flags := ff.NewFlagSet("entry")
 	file := flags.StringLong("settings", "", "settings file of this host (INI)")
+	level := flags.StringEnumLong("log-level", "least level of log lines", "info", "debug", "warn", "error")
 	check := flags.BoolLong("check", "check the settings and exit")
 	if err := ff.Parse(flags, args); err != nil {
 		fmt.Fprintln(os.Stderr, ffhelp.Flags(flags))
@@ -64,14 +66,18 @@
 		return exitDone
 	}
 	debug.SetGCPercent(collectAt)
-	if err := serve(*file, cfg); err != nil {
+	if err := serve(*file, *level, cfg); err != nil {
 		fmt.Fprintln(os.Stderr, "entry:", err)
 		return exitFailed
 	}
 	return exitDone
 }
 
-func serve(file string, cfg settings.Host) error {
+func serve(file, level string, cfg settings.Host) error {
+	least, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return eris.Wrap(err, "read the log level")
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	reloads := make(chan os.Signal, 1)
@@ -83,7 +89,7 @@
 	})
 	defer book.Close()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(book).With().Timestamp().Str("Host", string(cfg.Host)).Logger()
+	log := zerolog.New(book).Level(least).With().Timestamp().Str("Host", string(cfg.Host)).Logger()
 	n := node.New(node.Config{Settings: cfg, Log: log, Timers: timers})
 	go func() {
 		for range reloads {
