--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -88,11 +89,12 @@
 	b.WriteString(" HTTP/1.1\r\nHost: ")
 	b.WriteString(r.Host)
 	b.WriteString("\r\n")
-	header := r.Header
 	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		writeLength(&b, len(r.Body))
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
 	}
-	_ = header.Write(&b)
+	_ = r.Header.Write(&b)
 	b.WriteString("\r\n")
 	b.Write(r.Body)
 	return b.Bytes()
--- /dev/null
+++ b/entry/node/asking.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/timer"
+)
+
+// ask returns a place or a refusal; nil when ctx ended first.
+func (p *places) ask(ctx context.Context, e pool.Asked) (pool.Ticket, pool.Command) {
+	now := timer.Boot()
+	ch := make(chan pool.Command, answerRoom)
+	p.mu.Lock()
+	p.next++
+	e.Ticket = pool.Ticket{Host: p.n.cfg.Host, Number: p.next}
+	p.answers[e.Ticket.Number] = ch
+	e.Known = p.keeper.Knows(now, e.Service, e.Prompt)
+	p.mu.Unlock()
+	defer p.forget(e.Ticket)
+	for range keepersAsked {
+		keeper := p.n.members.keeper(timer.Boot(), e.Service)
+		if keeper == p.n.cfg.Host {
+			return e.Ticket, p.decide(ctx, e, ch)
+		}
+		c := p.askKeeper(ctx, keeper, e, ch)
+		if c != nil || ctx.Err() != nil {
+			return e.Ticket, c
+		}
+	}
+	e.Share = 1 / float64(p.n.members.hosts())
+	return e.Ticket, p.decide(ctx, e, ch)
+}
+
+func (p *places) forget(ticket pool.Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.answers, ticket.Number)
+}
+
+// askKeeper asks another host; nil means that it did not answer, or knows no endpoint.
+func (p *places) askKeeper(ctx context.Context, keeper host.ID, e pool.Asked, ch chan pool.Command) pool.Command {
+	question := peer.Datagram{Asks: []peer.Ask{peer.FromAsked(e)}}
+	p.n.members.send(keeper, question)
+	heard := timer.Boot()
+	again, limit := askAgain, askLimit
+	wait := time.NewTimer(again)
+	defer wait.Stop()
+	for {
+		select {
+		case c := <-ch:
+			switch c := c.(type) {
+			case pool.Place:
+				c.Why.Keeper = keeper
+				p.hold(e, c, keeper)
+				return c
+			case pool.Refuse:
+				if c.Reason == pool.NoEndpoint {
+					return nil
+				}
+				return c
+			}
+			heard, again, limit = timer.Boot(), queueAgain, queueLimit
+			wait.Reset(again)
+		case <-wait.C:
+			now := timer.Boot()
+			if now.Sub(heard) >= limit {
+				p.n.members.unanswered(now, keeper)
+				p.n.members.send(keeper, withdrawal(e))
+				event.Note(p.n.log, zerolog.WarnLevel, event.KeeperSilent).Str("Peer", string(keeper)).
+					Str("Service", string(e.Service)).Send()
+				return nil
+			}
+			p.n.members.send(keeper, question)
+			wait.Reset(again)
+		case <-ctx.Done():
+			p.n.members.send(keeper, withdrawal(e))
+			return nil
+		}
+	}
+}
+
+func withdrawal(e pool.Asked) peer.Datagram {
+	return peer.Datagram{Ends: []peer.End{{Number: e.Ticket.Number, Service: e.Service}}}
+}
+
+// decide lets this host's own keeper place a request.
+func (p *places) decide(ctx context.Context, e pool.Asked, ch chan pool.Command) pool.Command {
+	p.update(timer.Boot(), e)
+	for {
+		select {
+		case c := <-ch:
+			switch c := c.(type) {
+			case pool.Place:
+				c.Why.Keeper = p.n.cfg.Host
+				p.hold(e, c, p.n.cfg.Host)
+				return c
+			case pool.Refuse:
+				return c
+			}
+		case <-ctx.Done():
+			p.update(timer.Boot(), pool.Ended{Ticket: e.Ticket, Service: e.Service})
+			return nil
+		}
+	}
+}
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -9,6 +9,7 @@
 
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
+	"balsamknot.org/fleet/timer"
 )
 
 // outcome is how a request ended, as its label says.
@@ -38,7 +39,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	m.set.NewGauge("entry_requests_in_flight", func() float64 { return float64(n.callers.flying.Load()) })
-	m.set.NewGauge("entry_belief_age_seconds", func() float64 { return n.beliefs.age(now()).Seconds() })
+	m.set.NewGauge("entry_belief_age_seconds", func() float64 { return n.beliefs.age(timer.Boot()).Seconds() })
 	m.set.NewGauge("entry_set_version", func() float64 { return float64(n.beliefs.version()) })
 	m.set.NewGauge("entry_hosts_live", func() float64 { return float64(n.members.hosts()) })
 	m.set.NewGauge("entry_endpoint_connections_total", func() float64 { return float64(n.links.Dials()) })
@@ -66,7 +67,7 @@
 		return
 	}
 	m.set.GetOrCreatePrometheusHistogram(`entry_first_byte_seconds{service="` + label(q.service) + `"}`).Update(q.first.Sub(q.start).Seconds())
-	m.set.GetOrCreatePrometheusHistogram(`entry_answer_seconds{service="` + label(q.service) + `"}`).Update(now().Sub(q.start).Seconds())
+	m.set.GetOrCreatePrometheusHistogram(`entry_answer_seconds{service="` + label(q.service) + `"}`).Update(timer.Boot().Sub(q.start).Seconds())
 }
 
 // read counts a read of the platform.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -208,9 +208,6 @@
 	return mux
 }
 
-// now is the node's clock, which runs while the host is suspended.
-func now() time.Time { return timer.Boot() }
-
 func (n *Node) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -164,6 +164,3 @@
 func (c *Catalogue) Valid(now time.Time) bool {
 	return c.set != nil && now.Sub(c.confirmed) < c.cfg.Lease
 }
-
-// Endpoints returns how many endpoints are known.
-func (c *Catalogue) Endpoints() int { return len(c.endpoints) }
--- a/fleet/catalogue/catalogue_test.go
+++ b/fleet/catalogue/catalogue_test.go
@@ -56,7 +56,7 @@
 	c.Apply(at(returned+time.Second), Read{Sent: at(returned + time.Second), At: 3, Endpoints: []endpoint.Record{record("back", false)}})
 	require.Empty(t, c.Tick(at(returned+1900*time.Millisecond)).Gone)
 	require.Equal(t, []endpoint.ID{"lost"}, c.Tick(at(returned+2*time.Second)).Gone)
-	require.Equal(t, 1, c.Endpoints())
+	require.Len(t, c.endpoints, 1)
 }
 
 func TestWithoutAnOutageARemovalCountsAtOnce(t *testing.T) {
--- a/fleet/endpoint/endpoint.go
+++ b/fleet/endpoint/endpoint.go
@@ -33,8 +33,3 @@
 	// Cold is how much longer it is slow after its start.
 	Cold time.Duration
 }
-
-// Load is what an endpoint says of itself in an answer.
-type Load struct {
-	Running, Waiting, Places int
-}
