Give late places back, and number tickets anew in each process

Found by reading: a place that came after its request had gone was given back without its service, so it stayed for four seconds; and a process that started anew used the tickets of the one before, for which a keeper may still hold places. Counters without a service exist from the start: the metrics test failed once on a host that had not read the store yet.

--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -31,6 +31,14 @@
 	return outcomeDone
 }
 
+// Series without a service.
+const (
+	storeReadsDone   = `entry_store_reads_total{result="done"}`
+	storeReadsFailed = `entry_store_reads_total{result="failed"}`
+	datagramsSent    = "entry_datagrams_sent_total"
+	datagramBytes    = "entry_datagram_bytes_sent_total"
+)
+
 // meter counts what a node does.
 type meter struct {
 	set *metrics.Set
@@ -38,6 +46,10 @@
 
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
+	// Series without a service exist from the start, so that a zero is a zero.
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes} {
+		m.set.NewCounter(name)
+	}
 	m.set.NewGauge("entry_requests_in_flight", func() float64 { return float64(n.callers.flying.Load()) })
 	m.set.NewGauge("entry_belief_age_seconds", func() float64 { return n.beliefs.age(timer.Boot()).Seconds() })
 	m.set.NewGauge("entry_set_version", func() float64 { return float64(n.beliefs.version()) })
@@ -72,17 +84,17 @@
 
 // read counts a read of the platform.
 func (m *meter) read(err error) {
-	result := "done"
+	name := storeReadsDone
 	if err != nil {
-		result = "failed"
+		name = storeReadsFailed
 	}
-	m.set.GetOrCreateCounter(`entry_store_reads_total{result="` + result + `"}`).Inc()
+	m.set.GetOrCreateCounter(name).Inc()
 }
 
 // datagram counts a datagram to another host.
 func (m *meter) datagram(bytes int) {
-	m.set.GetOrCreateCounter(`entry_datagrams_sent_total`).Inc()
-	m.set.GetOrCreateCounter(`entry_datagram_bytes_sent_total`).Add(bytes)
+	m.set.GetOrCreateCounter(datagramsSent).Inc()
+	m.set.GetOrCreateCounter(datagramBytes).Add(bytes)
 }
 
 // label makes a service's name fit between quotes; an unknown service has none.
--- a/entry/node/places.go
+++ b/entry/node/places.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -55,7 +56,9 @@
 
 func newPlaces(n *Node) *places {
 	return &places{
-		n: n, answers: make(map[uint64]chan pool.Command), held: make(map[pool.Ticket]holding),
+		// The process before may have left places behind: its tickets must not come again.
+		next: rand.Uint64() >> 1,
+		n:    n, answers: make(map[uint64]chan pool.Command), held: make(map[pool.Ticket]holding),
 		keeper: pool.New(poolConfig(n.cfg)),
 	}
 }
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -74,7 +74,7 @@
 	Cached  []Cached
 }
 
-// Ended tells that a request gave its place up.
+// Ended tells that a request gave its place up. Service may be empty when only the ticket is known.
 type Ended struct {
 	Ticket  Ticket
 	Service site.ServiceName
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -43,6 +43,9 @@
 	case Asked:
 		return k.service(e.Service).ask(now, e)
 	case Ended:
+		if e.Service == "" {
+			return k.each(func(s *service) []Command { return s.end(now, e) })
+		}
 		return k.service(e.Service).end(now, e)
 	case Held:
 		k.service(e.Service).hold(now, e)
--- a/fleet/pool/load_test.go
+++ b/fleet/pool/load_test.go
@@ -335,3 +335,13 @@
 	share := func(once bool) float64 { return float64(failed[once]) / float64(asked[once]) }
 	require.Less(t, share(true), share(false)/3)
 }
+
+// A host that no longer waits for a place that was given to it knows only the ticket.
+func TestAPlaceIsGivenBackByItsTicketAlone(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 2, 64)
+	p.keeper.Update(p.now, Asked{Ticket: Ticket{"host", 1}, Service: assistant, Patience: time.Second})
+	require.Equal(t, 1, p.keeper.Running())
+	p.keeper.Update(p.now, Ended{Ticket: Ticket{"host", 1}})
+	require.Zero(t, p.keeper.Running())
+}
