Let backups read in an order, so that hosts learn in time while readers are turned away

Cause: when the platform turned both readers of a region away, the two backups asked each other: each saw the other read a moment ago, both stopped, and the others learnt nothing until that was noticed. Change: a backup asks only those before it in the order; eight hosts of a region are ranked in place of four. TestHostsLearnInTimeWhileReadersAreTurnedAway plays 40 hosts in virtual time. With it: beliefs.confirm is a call of apply, and the list of live hosts is made in one place. Conclusion: the time to learn is bounded by the count of ranked hosts that are turned away at once, not by the age of beliefs.

--- a/entry/node/beliefs.go
+++ b/entry/node/beliefs.go
@@ -290,13 +290,7 @@
 }
 
 // confirm notes that nothing changed up to a time.
-func (b *beliefs) confirm(sent time.Time) {
-	now := timer.Boot()
-	b.mu.Lock()
-	change := b.catalogue.Apply(now, catalogue.Read{Sent: sent})
-	b.mu.Unlock()
-	b.publish(now, change)
-}
+func (b *beliefs) confirm(sent time.Time) { b.apply(sent, nil, 0, false) }
 
 // apply takes in what was true at a time.
 func (b *beliefs) apply(sent time.Time, entries []catalogue.Entry, at catalogue.Position, whole bool) {
--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -70,7 +70,7 @@
 		n: n, avoided: make(map[host.ID]avoidance),
 		roster: roster.New(roster.Config{
 			Self: roster.Heartbeat{
-				Host: n.cfg.Host, Address: n.peerAddress(n.cfg.Address), DataCentre: n.cfg.DataCentre, Cores: n.cfg.Cores,
+				Host: n.cfg.Host, Address: n.peerAddress(cmp.Or(n.cfg.PublishedAddress, n.cfg.Address)), DataCentre: n.cfg.DataCentre, Cores: n.cfg.Cores,
 				Started: time.Now().UnixMilli(),
 			},
 			Seeds: n.seedAddresses(n.cfg.Seeds), Fanout: beatFanout, Rows: beatRows,
@@ -160,10 +160,13 @@
 // note keeps the list of live hosts at hand; mu is held.
 func (m *members) note(changes []roster.Change) {
 	if len(changes) > 0 {
-		m.live, m.strong = m.roster.Live(), m.roster.Strong()
+		m.relist()
 	}
 }
 
+// relist lists the live hosts anew; mu is held.
+func (m *members) relist() { m.live, m.strong = m.roster.Live(), m.roster.Strong() }
+
 func (m *members) act(now time.Time, changes []roster.Change) {
 	for _, c := range changes {
 		event.Note(m.n.log, zerolog.InfoLevel, event.HostChanged).Str("Peer", string(c.Host)).Bool("Live", c.Live).Send()
@@ -192,7 +195,7 @@
 func (m *members) leave() {
 	m.mu.Lock()
 	messages := m.roster.Leave()
-	m.live, m.strong = m.roster.Live(), m.roster.Strong()
+	m.relist()
 	m.mu.Unlock()
 	m.tell(messages)
 }
@@ -300,7 +303,7 @@
 }
 
 // readersPerRegion is how many hosts of a region read the platform for the others, or would next.
-const readersPerRegion = 4
+const readersPerRegion = 8
 
 // readers returns the hosts to learn from, in order.
 func (m *members) readers() []host.ID {
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -160,7 +160,7 @@
 	var readers []host.ID
 	require.Eventually(t, func() bool {
 		readers = s.nodes[0].members.readers()
-		return len(readers) == readersPerRegion
+		return len(readers) == min(readersPerRegion, len(s.nodes))
 	}, time.Minute, 5*time.Millisecond)
 	blind := readers[:activeReaders]
 	for _, n := range s.nodes {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -16,6 +16,8 @@
 	Region     host.Region
 	// Address is the host's own IP address.
 	Address string
+	// PublishedAddress is the IP address at which other hosts reach this one; Address if it is empty.
+	PublishedAddress string
 	// CallerAddress, ReadyAddress and PeerAddress are ip:port to listen on.
 	CallerAddress string
 	ReadyAddress  string
@@ -64,24 +66,25 @@
 
 func (h *Host) setters() map[string]inifile.Setter {
 	return map[string]inifile.Setter{
-		"Host":           inifile.Text(&h.Host),
-		"DataCentre":     inifile.Text(&h.DataCentre),
-		"Region":         inifile.Text(&h.Region),
-		"Address":        inifile.Text(&h.Address),
-		"CallerAddress":  inifile.Address(&h.CallerAddress),
-		"ReadyAddress":   inifile.Address(&h.ReadyAddress),
-		"PeerAddress":    inifile.Optional(inifile.Address(&h.PeerAddress)),
-		"MetricsAddress": inifile.Optional(inifile.Address(&h.MetricsAddress)),
-		"PeerPorts":      inifile.Ports(&h.FirstPort, &h.LastPort),
-		"Cores":          inifile.Optional(inifile.Number(&h.Cores, 0)),
-		"Seeds":          inifile.Optional(inifile.Addresses(&h.Seeds)),
-		"StoreAddress":   inifile.Address(&h.StoreAddress),
-		"DrainLimit":     inifile.Optional(inifile.Duration(&h.DrainLimit, time.Second)),
-		"RevokeLimit":    inifile.Optional(inifile.Duration(&h.RevokeLimit, time.Second)),
-		"RetryRatio":     inifile.Optional(inifile.Number(&h.RetryRatio, 0)),
-		"RetryWindow":    inifile.Optional(inifile.Duration(&h.RetryWindow, time.Second)),
-		"RetrySlack":     inifile.Optional(inifile.Number(&h.RetrySlack, 0)),
-		"LoadFactor":     inifile.Optional(inifile.Number(&h.LoadFactor, 1)),
+		"Host":             inifile.Text(&h.Host),
+		"DataCentre":       inifile.Text(&h.DataCentre),
+		"Region":           inifile.Text(&h.Region),
+		"Address":          inifile.Text(&h.Address),
+		"PublishedAddress": inifile.Optional(inifile.Text(&h.PublishedAddress)),
+		"CallerAddress":    inifile.Address(&h.CallerAddress),
+		"ReadyAddress":     inifile.Address(&h.ReadyAddress),
+		"PeerAddress":      inifile.Optional(inifile.Address(&h.PeerAddress)),
+		"MetricsAddress":   inifile.Optional(inifile.Address(&h.MetricsAddress)),
+		"PeerPorts":        inifile.Ports(&h.FirstPort, &h.LastPort),
+		"Cores":            inifile.Optional(inifile.Number(&h.Cores, 0)),
+		"Seeds":            inifile.Optional(inifile.Addresses(&h.Seeds)),
+		"StoreAddress":     inifile.Address(&h.StoreAddress),
+		"DrainLimit":       inifile.Optional(inifile.Duration(&h.DrainLimit, time.Second)),
+		"RevokeLimit":      inifile.Optional(inifile.Duration(&h.RevokeLimit, time.Second)),
+		"RetryRatio":       inifile.Optional(inifile.Number(&h.RetryRatio, 0)),
+		"RetryWindow":      inifile.Optional(inifile.Duration(&h.RetryWindow, time.Second)),
+		"RetrySlack":       inifile.Optional(inifile.Number(&h.RetrySlack, 0)),
+		"LoadFactor":       inifile.Optional(inifile.Number(&h.LoadFactor, 1)),
 	}
 }
 
--- a/fleet/catalogue/source.go
+++ b/fleet/catalogue/source.go
@@ -13,7 +13,7 @@
 	// Readers is how many hosts, the first of the ranked ones, read the platform all the time.
 	Readers int
 	// Direct is the age of its knowledge at which a host that is not ranked reads the platform itself when no ranked host can.
-	// The other ranked hosts are backups: they read it as soon as no reader can.
+	// The other ranked hosts are backups: they read it as soon as none before them can.
 	Direct time.Duration
 	// First is how long a new process that knows nothing waits for others before it reads the platform itself.
 	First time.Duration
@@ -49,20 +49,29 @@
 func (s *Source) Next(now time.Time, ranked []host.ID, known bool, age time.Duration) Step {
 	rank := slices.Index(ranked, s.cfg.Self)
 	reads := rank >= 0 && rank < s.cfg.Readers || len(ranked) == 0
-	turnedAway := s.refusedWithin(now, s.cfg.Pause)
-	if !reads || !known || s.refusedWithin(now, s.cfg.Retry) {
-		for _, id := range ranked {
-			if id != s.cfg.Self && now.Sub(s.failed[id]) >= s.cfg.Pause {
-				return Step{Reader: id}
-			}
+	for _, id := range s.helpers(now, ranked, rank, known) {
+		if id != s.cfg.Self && now.Sub(s.failed[id]) >= s.cfg.Pause {
+			return Step{Reader: id}
 		}
 	}
-	if turnedAway || s.holdsOff(now, ranked, known, age) || (!reads && age < s.patience(rank, known)) {
+	if s.refusedWithin(now, s.cfg.Pause) || s.holdsOff(now, ranked, known, age) || (!reads && age < s.patience(rank, known)) {
 		return Step{Wait: s.cfg.Again}
 	}
 	return Step{}
 }
 
+// helpers returns the hosts that one of this rank asks before it reads the platform itself. A backup asks those before it
+// only: two backups that asked each other would both stop reading, and the others would learn nothing until they noticed.
+func (s *Source) helpers(now time.Time, ranked []host.ID, rank int, known bool) []host.ID {
+	switch {
+	case rank < 0 || !known || s.refusedWithin(now, s.cfg.Retry):
+		return ranked
+	case rank < s.cfg.Readers:
+		return nil
+	}
+	return ranked[:rank]
+}
+
 // holdsOff reports whether a host waits for others a little longer, rather than ask a platform again that did not answer of late.
 func (s *Source) holdsOff(now time.Time, ranked []host.ID, known bool, age time.Duration) bool {
 	return known && age < s.cfg.Direct && len(ranked) > 1 && s.refusedWithin(now, s.cfg.Retry)
