Take reloads from the first moment of a process

Cause: the program listened for SIGHUP only after it had read its settings. A reload in the first milliseconds of a process ended it ("signal: hangup"). Ruled out: the reload itself, which runs only when the node does. Change: the signal is caught before the flags are parsed. Before: TestAReloadDuringTheStartEndsNothing, which holds the start up by a pipe in place of the settings file, fails with "signal: hangup". After: it passes.

--- a/entry/main.go
+++ b/entry/main.go
@@ -45,6 +45,9 @@
 }
 
 func run(args []string) int {
+	// Before anything else: until a process listens for it, SIGHUP ends it.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	flags := ff.NewFlagSet("entry")
 	file := flags.StringLong("settings", "", "settings file of this host (INI)")
 	level := flags.StringEnumLong("log-level", "least level of log lines", "info", "debug", "warn", "error")
@@ -66,22 +69,20 @@
 		return exitDone
 	}
 	debug.SetGCPercent(collectAt)
-	if err := serve(*file, *level, cfg); err != nil {
+	if err := serve(*file, *level, cfg, reloads); err != nil {
 		fmt.Fprintln(os.Stderr, "entry:", err)
 		return exitFailed
 	}
 	return exitDone
 }
 
-func serve(file, level string, cfg settings.Host) error {
+func serve(file, level string, cfg settings.Host, reloads <-chan os.Signal) error {
 	least, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return eris.Wrap(err, "read the log level")
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	timers := timer.New()
 	defer timers.Stop()
 	book := logbook.New(logbook.Config{
