Add a soak: entry hosts as processes, under random faults from outside

Change: soak/ starts entry hosts as processes, each with links from callers, to the store and from other hosts, and stand-ins of engines and runners behind links. soak/schedule draws a run's faults from its seed (kill, stop, pause, reload; links that are cut, slow, blocked one way, silent; endpoints that crash, leave, lapse, change address, answer wrongly; the store away or without history; sets published, keys taken away), in series that overlap. soak/promise judges what callers and endpoints see: once, refused means not run, whole answers, keys, routes, leaving endpoints, sets in force, late answers, work for callers who left, processes that end. The links of standin/network take faults that overlap, and pass on orderly ends one way at a time; a relay does the same for datagrams. That it can fail: run with programs broken on purpose.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Programs and checks of balsamknot. The README names the two commands that a newcomer needs: run and test.
 
-MODULES := fleet platform balsamknot entry standin load demo
+MODULES := fleet platform balsamknot entry standin load soak demo
 BIN := $(CURDIR)/.bin
 LINT_VERSION := v2.15.0
 ARGS ?=
@@ -8,7 +8,7 @@
 # The build line of deploy/system.toml, as the users' machines run it.
 DEPLOY := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 
-.PHONY: run test test-units test-scenarios build deploy names lint format generate events fleet measure bench fuzz
+.PHONY: run test test-units test-scenarios build deploy names lint format generate events fleet measure bench fuzz soak
 
 run: ## one process with a whole small site; ARGS=--once makes one round and exits
 	@go run ./demo $(ARGS)
@@ -22,8 +22,9 @@
 test-units: ## decisions, parts of the node, verbs
 	go test -timeout $(TEST_TIMEOUT) ./fleet/... ./platform/... ./balsamknot/... ./entry/... ./standin/... ./load/...
 
-test-scenarios: ## scripted sites of separate processes, run when nothing else does
+test-scenarios: ## sites of separate processes, run when nothing else does
 	go test -timeout $(TEST_TIMEOUT) -parallel 3 ./demo/...
+	go test -timeout $(TEST_TIMEOUT) ./soak/...
 
 build: ## the programs, into .bin
 	go build -o $(BIN)/ ./balsamknot ./standin ./load ./demo
@@ -59,5 +60,12 @@
 bench: ## slopes for docs/CAPACITY.md
 	go test -run '^$$' -bench . -benchmem $(MODULES:%=./%/...)
 
+SEED ?= 1
+MINUTES ?= 5
+
+soak: ## random faults on entry hosts that run as processes; SEED=n MINUTES=m, each run takes the next seed
+	go build -o $(BIN)/ ./entry ./soak
+	$(BIN)/soak --seed $(SEED) --minutes $(MINUTES) --program $(BIN)/entry $(ARGS)
+
 fuzz: ## each fuzz target for a bounded count of runs
 	scripts/fuzz
--- a/standin/network/link.go
+++ b/standin/network/link.go
@@ -1,5 +1,5 @@
-// Package network stands in for what lies between two processes: links that can be cut, or that lose track of the
-// connections that are open while new ones work.
+// Package network stands in for what lies between two processes: links that are cut, slow or silent for a while, or that
+// lose track of the connections that are open while new ones work.
 package network
 
 import (
@@ -8,27 +8,40 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // Link forwards TCP connections to one address.
 type Link struct {
-	target   string
 	listener net.Listener
+	faults   faults
 
-	mu    sync.Mutex
-	pairs map[*pair]struct{}
-	cut   bool
+	mu     sync.Mutex
+	target string
+	pairs  map[*pair]struct{}
+	cut    bool
 }
 
+// pair is one connection through a link: near is the side that opened it.
 type pair struct {
+	link      *Link
 	near, far net.Conn
 	mu        sync.Mutex
 	silent    bool
 }
 
+// bufferBytes is how much one read carries at most, and silencePoll how often a direction that carries nothing looks again.
+const (
+	bufferBytes = 32 << 10
+	silencePoll = 5 * time.Millisecond
+)
+
 // NewLink listens on a free port of loopback and forwards to target.
-func NewLink(target string) (*Link, error) {
-	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+func NewLink(target string) (*Link, error) { return NewLinkAt("127.0.0.1:0", target) }
+
+// NewLinkAt listens on address and forwards to target.
+func NewLinkAt(address, target string) (*Link, error) {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -40,6 +53,22 @@
 // Address returns where the link listens.
 func (l *Link) Address() string { return l.listener.Addr().String() }
 
+// SetTarget forwards new connections to another address.
+func (l *Link) SetTarget(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+}
+
+// Impair begins a fault, beside those that hold already; the function that it returns ends it.
+func (l *Link) Impair(f Fault) (mend func()) {
+	mend = l.faults.begin(f)
+	if f.Cut {
+		l.Break()
+	}
+	return mend
+}
+
 // Silence makes the open connections carry nothing more, without closing them.
 func (l *Link) Silence() {
 	l.mu.Lock()
@@ -98,35 +127,52 @@
 
 func (l *Link) join(near net.Conn) {
 	l.mu.Lock()
-	cut := l.cut
+	cut, target := l.cut || l.faults.now().Cut, l.target
 	l.mu.Unlock()
 	if cut {
-		_ = near.Close()
+		reset(near)
 		return
 	}
-	far, err := new(net.Dialer).DialContext(context.Background(), "tcp", l.target)
+	far, err := new(net.Dialer).DialContext(context.Background(), "tcp", target)
 	if err != nil {
 		_ = near.Close()
 		return
 	}
-	p := &pair{near: near, far: far}
+	p := &pair{link: l, near: near, far: far}
 	l.mu.Lock()
 	l.pairs[p] = struct{}{}
 	l.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copy(far, near) })
-	wg.Go(func() { p.copy(near, far) })
+	wg.Go(func() { p.copy(far, near, Onward) })
+	wg.Go(func() { p.copy(near, far, Back) })
 	wg.Wait()
+	_ = near.Close()
+	_ = far.Close()
 	l.mu.Lock()
 	delete(l.pairs, p)
 	l.mu.Unlock()
 }
 
-// copy carries bytes until either side ends. A silent pair swallows what it reads and keeps both sides open.
-func (p *pair) copy(to, from net.Conn) {
-	buffer := make([]byte, 32<<10)
+// reset closes a connection so that its other side sees a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// copy carries bytes until either side ends. A silent pair swallows what it reads and keeps both sides open; a direction
+// that is blocked holds what it read until the fault ends, as packets that are sent again do.
+func (p *pair) copy(to, from net.Conn, way Direction) {
+	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
+		if wait := p.link.faults.now().Delay; n > 0 && wait > 0 {
+			time.Sleep(wait)
+		}
+		for n > 0 && p.link.faults.now().blocks(way) && p.link.holds(p) {
+			time.Sleep(silencePoll)
+		}
 		p.mu.Lock()
 		silent := p.silent
 		p.mu.Unlock()
@@ -138,14 +184,32 @@
 		if err == nil {
 			continue
 		}
-		if !silent || !errors.Is(err, io.EOF) {
-			p.close()
-		}
+		p.end(to, err, silent)
 		return
 	}
 }
 
+// end passes on how a direction ended: an orderly end closes this direction only, anything else breaks the connection.
+func (p *pair) end(to net.Conn, err error, silent bool) {
+	tcp, ok := to.(*net.TCPConn)
+	switch {
+	case !ok || !errors.Is(err, io.EOF):
+		p.close()
+	case !silent:
+		_ = tcp.CloseWrite()
+	}
+}
+
+// holds reports whether a connection is still one of the link's.
+func (l *Link) holds(p *pair) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, held := l.pairs[p]
+	return held
+}
+
+// close breaks the connection.
 func (p *pair) close() {
-	_ = p.near.Close()
-	_ = p.far.Close()
+	reset(p.near)
+	reset(p.far)
 }
