Answer a repeated ask alike, and take no answer that is cut short for a whole one

Cause, first: a host whose answer from the keeper was lost asks again with the same ticket after 15 ms; the keeper answered with the endpoint alone, without the engine that it can fetch from, so that a prompt was read which lay in a neighbour's memory. Change: the keeper keeps what it told with the place. TestARepeatedAskHearsTheSameAnswer fails without it (Fetch empty). Cause, second: an endpoint's answer of more than 16 MiB was read up to that limit and passed on as if it were whole. Change: such an answer is none, and handled as one that broke off. TestAnAnswerThatIsTooLongIsNoAnswer: 200 before, 502 after.

--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -96,6 +96,15 @@
 	require.Equal(t, "seal-i-a", r.Header.Get(standin.SealHeader))
 }
 
+func TestAnAnswerThatIsTooLongIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	s.endpoint("i-a", "plain", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, answerLimit+1)) })
+	s.start(1, 23)
+	require.Equal(t, http.StatusBadGateway, s.nodes[0].call(t, http.MethodPost, "/once/x", "id-1", "k1").StatusCode)
+}
+
 func TestAnEndpointThatLeavesGetsNothingNew(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -189,15 +189,30 @@
 	case q.route.Streaming && status == http.StatusOK:
 		return n.stream(q, a, id, x)
 	}
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, answerLimit))
+	body, err := readAnswer(x)
 	if err != nil {
 		return n.broken(q, a, id, err)
 	}
-	x.Finish()
 	n.relay(q, x, body)
 	return pool.Done, nil
 }
 
+// errTooLong means that an answer is longer than one may be.
+var errTooLong = errors.New("the answer is too long")
+
+// readAnswer reads the whole answer of a plain service. An answer that is cut at the limit would look whole, so that it is none.
+func readAnswer(x *connection.Exchange) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, answerLimit+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > answerLimit:
+		return nil, errTooLong
+	}
+	x.Finish()
+	return body, nil
+}
+
 // drop reads a short body to its end, so that the connection can be used again.
 func drop(x *connection.Exchange) {
 	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, answerLimit)); err == nil {
@@ -207,11 +222,10 @@
 
 // failed passes an endpoint's own failure on, or tries another endpoint.
 func (n *Node) failed(q *request, a *attempt.Attempt, id endpoint.ID, x *connection.Exchange) (pool.Result, attempt.Command) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, answerLimit))
+	body, err := readAnswer(x)
 	if err != nil {
 		return n.broken(q, a, id, err)
 	}
-	x.Finish()
 	q.cause = "the endpoint failed: status " + strconv.Itoa(x.Response.StatusCode)
 	next := a.Update(timer.Boot(), attempt.Failed{ID: id})
 	if _, relay := next.(attempt.Relay); relay {
--- a/fleet/pool/load_test.go
+++ b/fleet/pool/load_test.go
@@ -345,3 +345,15 @@
 	p.keeper.Update(p.now, Ended{Ticket: Ticket{"host", 1}})
 	require.Zero(t, p.keeper.Running())
 }
+
+// The answer to a host was lost, so that it asks once more: it hears the same, also where the engine can fetch what it lacks.
+func TestARepeatedAskHearsTheSameAnswer(t *testing.T) {
+	t.Parallel()
+	p := newPlay(t, 3, 64)
+	first := Asked{Ticket: Ticket{"host", 1}, Service: assistant, Prompt: prompt(1, 4000), Patience: time.Second}
+	holder := p.keeper.Update(p.now, first)[0].(Place).Endpoint.Instance.ID
+	again := Asked{Ticket: Ticket{"host", 2}, Service: assistant, Prompt: prompt(1, 4000), Patience: time.Second, Tried: []endpoint.ID{holder}}
+	place := p.keeper.Update(p.now, again)[0].(Place)
+	require.Equal(t, holder, place.Fetch)
+	require.Equal(t, []Command{place}, p.keeper.Update(p.now, again))
+}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -52,7 +52,9 @@
 }
 
 type holder struct {
-	seat  *seat
+	seat *seat
+	// place is what the holder was told, in case that was lost.
+	place Place
 	since time.Time
 	// heard is when the holder last spoke of its place.
 	heard time.Time
@@ -107,8 +109,8 @@
 }
 
 // take gives a place at a seat, and give takes it back. A seat that is gone counts no more.
-func (s *service) take(now time.Time, t Ticket, st *seat, p chat.Prompt) {
-	s.holders[t] = &holder{seat: st, since: now, heard: now}
+func (s *service) take(now time.Time, place Place, st *seat, p chat.Prompt) {
+	s.holders[place.Ticket] = &holder{seat: st, place: place, since: now, heard: now}
 	st.take(now, p)
 	s.count(st, 1)
 }
@@ -129,7 +131,7 @@
 func (s *service) ask(now time.Time, e Asked) []Command {
 	if h := s.holders[e.Ticket]; h != nil {
 		h.heard = now
-		return []Command{Place{Ticket: e.Ticket, Endpoint: h.seat.record}}
+		return []Command{h.place}
 	}
 	if slices.ContainsFunc(s.queue, func(w waiting) bool { return w.ask.Ticket == e.Ticket }) {
 		return []Command{Queue{e.Ticket}}
@@ -166,7 +168,7 @@
 	if c.source != nil {
 		place.Fetch, place.Why.Fetched = c.source.record.Instance.ID, c.missing-c.sourceMissing
 	}
-	s.take(now, e.Ticket, c.seat, e.Prompt)
+	s.take(now, place, c.seat, e.Prompt)
 	s.noteNews(now, c.seat.record.Instance.ID, e.Prompt)
 	return []Command{place}
 }
@@ -181,7 +183,7 @@
 	if st == nil {
 		return
 	}
-	s.take(now, e.Ticket, st, e.Prompt)
+	s.take(now, Place{Ticket: e.Ticket, Endpoint: st.record}, st, e.Prompt)
 }
 
 func (s *service) end(now time.Time, e Ended) []Command {
