Let hosts that start together read the store at once

The log of every host: processes were up at 35.45 s, their first set was in force at 35.71 to 35.83 s, since a process waited up to 250 ms for other hosts, then asked hosts that had just started too and left each alone for 0.5 s, and read the store itself only after 0.8 s. Ruled out: the store (17 ms a read), the time to start (0.1 s), waits for a keeper (0 ms). Change: a process waits 60 ms for others; a host that knows nothing yet is asked again after 30 ms; one that reads the store anyway goes there after 30 ms, any other after 150 ms. TestHostsThatStartTogetherKnowAtOnce plays 40 hosts that start within 100 ms: all know within the 250 ms that a request waits for the first set (fails before), in at most 16 reads.

--- a/entry/node/beliefs.go
+++ b/entry/node/beliefs.go
@@ -70,9 +70,11 @@
 	// directAfter is the age of its knowledge at which a host reads the platform itself when no reader can; firstAfter is
 	// how long a new process waits for others.
 	directAfter = 2400 * time.Millisecond
-	firstAfter  = 800 * time.Millisecond
-	// sourceAgain is the time to the next look while no source can be asked.
-	sourceAgain = 50 * time.Millisecond
+	firstAfter  = 150 * time.Millisecond
+	// sourceAgain is the time to the next look while no source can be asked, and newAgain that to the next question to a host
+	// that has just started, too.
+	sourceAgain = 20 * time.Millisecond
+	newAgain    = 30 * time.Millisecond
 	// failurePause is how long a source that failed is left alone.
 	failurePause = 500 * time.Millisecond
 	// storeRetry is how long a reader that other hosts help leaves the store alone after a read that failed.
@@ -92,7 +94,7 @@
 		history: catalogue.NewHistory(),
 		source: catalogue.NewSource(catalogue.SourceConfig{
 			Self: n.cfg.Host, Readers: activeReaders, Direct: directAfter, First: firstAfter,
-			Retry: storeRetry, Pause: failurePause, Again: sourceAgain,
+			Retry: storeRetry, Pause: failurePause, Soon: newAgain, Again: sourceAgain,
 		}),
 		started: timer.Boot(),
 		catalogue: catalogue.New(catalogue.Config{
@@ -251,10 +253,13 @@
 func (b *beliefs) note(sent time.Time, step catalogue.Step, err error) {
 	now := timer.Boot()
 	b.mu.Lock()
-	if err != nil {
-		b.source.Failed(now, step)
-	} else {
+	switch {
+	case err == nil:
 		b.source.Done(step)
+	case errors.Is(err, errReaderNew):
+		b.source.New(now, step)
+	default:
+		b.source.Failed(now, step)
 	}
 	b.mu.Unlock()
 	source := string(step.Reader)
--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -60,9 +60,9 @@
 const (
 	// settleLimit bounds the wait of a new process for others, settleStep is how often it looks, and settleMore how long it
 	// goes on listening once it knows one.
-	settleLimit = 250 * time.Millisecond
-	settleStep  = 20 * time.Millisecond
-	settleMore  = 60 * time.Millisecond
+	settleLimit = 60 * time.Millisecond
+	settleStep  = 5 * time.Millisecond
+	settleMore  = 20 * time.Millisecond
 )
 
 func newMembers(n *Node) *members {
--- a/fleet/catalogue/catalogue_test.go
+++ b/fleet/catalogue/catalogue_test.go
@@ -70,7 +70,7 @@
 func newSource(self host.ID) *Source {
 	return NewSource(SourceConfig{
 		Self: self, Readers: 2, Direct: 3400 * time.Millisecond, First: time.Second,
-		Retry: 2 * time.Second, Pause: 500 * time.Millisecond, Again: 100 * time.Millisecond,
+		Retry: 2 * time.Second, Pause: 500 * time.Millisecond, Soon: 30 * time.Millisecond, Again: 100 * time.Millisecond,
 	})
 }
 
--- a/fleet/catalogue/source_test.go
+++ b/fleet/catalogue/source_test.go
@@ -15,14 +15,17 @@
 	hosts  []*learner
 	ranked []host.ID
 	now    time.Time
-	// changed is when the platform changed.
+	// changed is when the platform changed, and read counts reads of it that succeeded.
 	changed time.Time
+	read    int
 }
 
 type learner struct {
 	id     host.ID
 	source *Source
 	blind  bool
+	// known is true once it knows anything.
+	known bool
 	// knows is when it learnt of the change, confirmed up to when its knowledge is complete, and reads when it last read.
 	knows, confirmed, reads time.Time
 	// rests is until when it waits after a step, and watches since when it waits for the platform; zero for not.
@@ -35,6 +38,7 @@
 const (
 	playStep    = 10 * time.Millisecond
 	watchFor    = time.Second
+	readFor     = 20 * time.Millisecond
 	afterAsking = 600 * time.Millisecond
 	afterRead   = 300 * time.Millisecond
 	readsLately = 2500 * time.Millisecond
@@ -52,11 +56,11 @@
 			r.ranked = append(r.ranked, id)
 		}
 		r.hosts = append(r.hosts, &learner{
-			id: id, blind: i < blind, confirmed: at(0), followers: map[*learner]time.Time{},
+			id: id, blind: i < blind, known: true, confirmed: at(0), followers: map[*learner]time.Time{},
 			rests: at(time.Duration(i) * playStep),
 			source: NewSource(SourceConfig{
-				Self: id, Readers: 2, Direct: 2400 * time.Millisecond, First: 800 * time.Millisecond,
-				Retry: 2 * time.Second, Pause: 500 * time.Millisecond, Again: 50 * time.Millisecond,
+				Self: id, Readers: 2, Direct: 2400 * time.Millisecond, First: 150 * time.Millisecond,
+				Retry: 2 * time.Second, Pause: 500 * time.Millisecond, Soon: 30 * time.Millisecond, Again: 20 * time.Millisecond,
 			}),
 		})
 	}
@@ -79,7 +83,7 @@
 	if r.now.Before(l.rests) {
 		return
 	}
-	step := l.source.Next(r.now, r.ranked, true, r.now.Sub(l.confirmed))
+	step := l.source.Next(r.now, r.ranked, l.known, r.now.Sub(l.confirmed))
 	switch {
 	case step.Wait > 0:
 		l.rests = r.now.Add(step.Wait)
@@ -96,9 +100,12 @@
 // watch goes on with a read of the platform.
 func (r *region) watch(l *learner) {
 	news := !r.now.Before(r.changed) && l.knows.IsZero()
-	if !news && r.now.Sub(l.watches) < watchFor {
+	switch {
+	case !l.known && r.now.Sub(l.watches) < readFor, l.known && !news && r.now.Sub(l.watches) < watchFor:
 		return
 	}
+	r.read++
+	l.known = true
 	l.confirmed, l.reads = l.watches, l.watches
 	l.watches, l.rests = time.Time{}, r.now.Add(afterRead)
 	l.source.Done(Step{})
@@ -122,6 +129,11 @@
 		if reader.id != step.Reader {
 			continue
 		}
+		if !reader.known {
+			l.source.New(r.now, step)
+			return
+		}
+		l.known = true
 		reader.followers[l] = r.now
 		if reader.confirmed.After(l.confirmed) {
 			l.confirmed = reader.confirmed
@@ -154,3 +166,20 @@
 		}
 	}
 }
+
+// Power comes back, and every host starts within a moment. Each knows the set in the time that a request waits for one, and
+// most of them have it from others.
+func TestHostsThatStartTogetherKnowAtOnce(t *testing.T) {
+	t.Parallel()
+	const requestWaits = 250 * time.Millisecond
+	r := newRegion(0, time.Hour)
+	for i, l := range r.hosts {
+		l.known, l.rests = false, at(time.Duration(i*7%10)*playStep)
+		l.confirmed = l.rests
+	}
+	r.play(requestWaits)
+	for _, l := range r.hosts {
+		require.True(t, l.known, "host %s", l.id)
+	}
+	require.LessOrEqual(t, r.read, 2*playRanked)
+}
