--- a/balsamknot/node/suspects.go
+++ b/balsamknot/node/suspects.go
@@ -25,7 +25,7 @@
 }
 
 func newSuspects(n *Node) *suspects {
-	return &suspects{n: n, registry: fingerprint.NewRegistry()}
+	return &suspects{n: n, registry: fingerprint.NewRegistry(0)}
 }
 
 func (s *suspects) verdict(now time.Time, p fingerprint.Print) fingerprint.Verdict {
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -23,8 +23,6 @@
 	registry *fingerprint.Registry
 	// broken holds what ran at an endpoint when its answer broke off.
 	broken map[endpoint.ID][]brokenRun
-	// noted is when a print's latest crash was noted.
-	noted map[fingerprint.Print]time.Time
 }
 
 type brokenRun struct {
@@ -38,14 +36,11 @@
 	// crashGap is the least time between two crashes that count for one print: endpoints that fall at the same moment fall
 	// of something else.
 	crashGap = 400 * time.Millisecond
-	// notedLimit bounds the prints whose latest crash is remembered.
-	notedLimit = 1024
 )
 
 func newCrashes(n *Node) *crashes {
 	return &crashes{
-		n: n, registry: fingerprint.NewRegistry(), broken: make(map[endpoint.ID][]brokenRun),
-		noted: make(map[fingerprint.Print]time.Time),
+		n: n, registry: fingerprint.NewRegistry(crashGap), broken: make(map[endpoint.ID][]brokenRun),
 	}
 }
 
@@ -119,13 +114,6 @@
 
 // note takes a crash into the registry, and reports whether it counts; mu is held.
 func (c *crashes) note(now time.Time, p fingerprint.Print, crash fingerprint.Crash) bool {
-	if last, known := c.noted[p]; known && now.Sub(last) < crashGap {
-		return false
-	}
-	if len(c.noted) > notedLimit {
-		clear(c.noted)
-	}
-	c.noted[p] = now
 	if !c.registry.Lost(now, p, crash) {
 		return false
 	}
--- a/fleet/fingerprint/fingerprint.go
+++ b/fleet/fingerprint/fingerprint.go
@@ -57,6 +57,7 @@
 
 // Registry holds the suspicions of a node. It is not safe for concurrent use.
 type Registry struct {
+	gap      time.Duration
 	suspects map[Print]*suspect
 }
 
@@ -74,12 +75,13 @@
 	Alone bool
 }
 
-// NewRegistry returns a registry without suspicions.
-func NewRegistry() *Registry {
-	return &Registry{suspects: make(map[Print]*suspect)}
+// NewRegistry returns a registry without suspicions. gap is the least time between two losses that count for one print:
+// endpoints that fall at the same moment fall of something else. With 0 all count.
+func NewRegistry(gap time.Duration) *Registry {
+	return &Registry{gap: gap, suspects: make(map[Print]*suspect)}
 }
 
-// Lost notes that an endpoint was lost while the print ran on it, and reports whether that was news.
+// Lost notes that an endpoint was lost while the print ran on it, and reports whether that was news and counts.
 func (r *Registry) Lost(now time.Time, p Print, c Crash) bool {
 	s := r.suspects[p]
 	if s == nil {
@@ -89,6 +91,11 @@
 	if _, known := s.crashes[c]; known {
 		return false
 	}
+	for _, at := range s.crashes {
+		if now.Sub(at) < r.gap {
+			return false
+		}
+	}
 	s.crashes[c] = now
 	return true
 }
--- a/fleet/fingerprint/fingerprint_test.go
+++ b/fleet/fingerprint/fingerprint_test.go
@@ -11,7 +11,7 @@
 
 func TestSecondCrashCondemns(t *testing.T) {
 	t.Parallel()
-	r := NewRegistry()
+	r := NewRegistry(0)
 	p := Of("assistant", "POST", "/v1/chat/completions", []byte("poison"))
 	require.Equal(t, Clear, r.Verdict(start, p))
 	require.True(t, r.Lost(start, p, Crash{Engine: "e1", At: 1}))
@@ -28,7 +28,7 @@
 
 func TestInnocentIsCleared(t *testing.T) {
 	t.Parallel()
-	r := NewRegistry()
+	r := NewRegistry(0)
 	r.Lost(start, 7, Crash{Engine: "e1", At: 1})
 	r.Survived(7)
 	require.Equal(t, Clear, r.Verdict(start, 7))
@@ -37,7 +37,7 @@
 // A popular request, such as a list that everybody asks for, may run beside a culprit twice.
 func TestTwoLossesBesideOthersDontCondemn(t *testing.T) {
 	t.Parallel()
-	r := NewRegistry()
+	r := NewRegistry(0)
 	r.Lost(start, 7, Crash{Engine: "e1", At: 1})
 	r.Lost(start, 7, Crash{Engine: "e2", At: 2})
 	require.Equal(t, Alone, r.Verdict(start, 7))
@@ -45,6 +45,18 @@
 	require.Equal(t, Condemned, r.Verdict(start, 7))
 }
 
+// Several endpoints fall at one moment, beside the same request: that is one loss.
+func TestLossesWithinTheGapAreOne(t *testing.T) {
+	t.Parallel()
+	const gap = 400 * time.Millisecond
+	r := NewRegistry(gap)
+	require.True(t, r.Lost(start, 7, Crash{Engine: "e1", At: 1}))
+	require.False(t, r.Lost(start.Add(gap/2), 7, Crash{Engine: "e2", At: 2}))
+	require.False(t, r.Lost(start.Add(gap-1), 7, Crash{Engine: "e3", At: 3}))
+	require.True(t, r.Lost(start.Add(gap), 7, Crash{Engine: "e4", At: 4}))
+	require.Len(t, r.Crashes(7), 2)
+}
+
 func TestPartsOfARequestDontRunTogether(t *testing.T) {
 	t.Parallel()
 	require.NotEqual(t, Of("a", "bc", "d", nil), Of("ab", "c", "d", nil))
