Test the entry's settings and its first lists of engines with whole hosts

Cause: entry/settings had no test of its own, and the lists that a beginning keeper asks for were tested without a network only. Change: tests. The template of the users' machines is parsed line by line, faults are listed at once, defaults hold. Two hosts start beside two engines of which one says what it holds: twelve chats go there (without the lists the test fails: none is asked for). No change of the product.

--- a/entry/node/places_test.go
+++ b/entry/node/places_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"fmt"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 	"balsamknot.org/entry/settings"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/timer"
+	"balsamknot.org/platform/standin"
 )
 
 // A host starts anew while its keeper still holds a place for a request of the process before. The first requests of the new
@@ -29,3 +33,39 @@
 	before, after := ask(), ask()
 	require.NotEqual(t, before, after)
 }
+
+// A fleet starts before engines that worked before. The keeper asks them what they hold, and chats go back to where they were.
+func TestAKeeperThatBeginsFindsWhatEnginesHold(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	stream := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "id: 1\ndata: a\n\n") }
+	s.endpoint("i-a", "engines", stream)
+	holder := s.endpoint("i-b", "engines", stream)
+	const chats = 12
+	var parts []string
+	for i := range 2 * chats {
+		parts = append(parts, fmt.Sprintf("c%02d", i))
+	}
+	holder.Hold(parts...)
+	s.start(2, 24)
+	n := s.nodes[0]
+	ask := func(i int) {
+		id := fmt.Sprintf("id-%d", i)
+		r := n.call(t, http.MethodPost, "/stream/x", id, "k1", standin.PartsHeader, parts[i]+":10000,e"+parts[i]+":10")
+		require.Equal(t, http.StatusOK, r.StatusCode)
+		_ = text(t, r)
+	}
+	// The first requests of a young process may be placed before it takes itself for the keeper.
+	asked := 0
+	require.Eventually(t, func() bool {
+		ask(asked % chats)
+		asked++
+		return s.nodes[0].log.has(`"Event":"BK2004"`) || s.nodes[1].log.has(`"Event":"BK2004"`)
+	}, time.Minute, 10*time.Millisecond)
+	before := holder.Ran()
+	for i := chats; i < 2*chats; i++ {
+		ask(i)
+	}
+	require.Equal(t, chats, holder.Ran()-before)
+}
--- /dev/null
+++ b/entry/settings/settings_test.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/fleet/inifile"
+)
+
+const least = `[Host]
+Host = host-1
+DataCentre = z1
+Region = r1
+Address = 10.0.0.1
+CallerAddress = 10.0.0.1:8101
+ReadyAddress = 10.0.0.1:8102
+PeerPorts = 7080-7089
+StoreAddress = 10.9.0.1:8106
+`
+
+func TestWhatIsNotSetHasItsDefault(t *testing.T) {
+	t.Parallel()
+	h, err := Parse("host.ini", []byte(least))
+	require.NoError(t, err)
+	want := Default()
+	want.Host, want.DataCentre, want.Region, want.Address = "host-1", "z1", "r1", "10.0.0.1"
+	want.CallerAddress, want.ReadyAddress, want.StoreAddress = "10.0.0.1:8101", "10.0.0.1:8102", "10.9.0.1:8106"
+	want.FirstPort, want.LastPort = 7080, 7089
+	require.Equal(t, want, h)
+}
+
+func TestEveryFaultIsListedAtOnce(t *testing.T) {
+	t.Parallel()
+	_, err := Parse("host.ini", []byte("[Host]\nHost = host-1\nCores = many\nRevokeLimit = 10ms\nColour = red\n"))
+	var faults inifile.Faults
+	require.ErrorAs(t, err, &faults)
+	found := map[string]bool{}
+	for _, f := range faults {
+		found[f.Key] = true
+	}
+	for _, key := range append([]string{"Cores", "RevokeLimit", "Colour"}, required[1:]...) {
+		require.True(t, found[key], "%s is not listed in %s", key, err)
+	}
+}
+
+// The template that the users' machines render is read by this package: each line of it is a setting that is known.
+func TestTheTemplateIsReadable(t *testing.T) {
+	t.Parallel()
+	raw, err := os.ReadFile("../../platform/host.ini.template")
+	require.NoError(t, err)
+	values := map[string]string{
+		"CallerAddress": "10.0.0.1:8101", "ReadyAddress": "10.0.0.1:8102", "PeerAddress": "10.0.0.1:7000", "MetricsAddress": "10.0.0.1:9464",
+		"PeerPorts": "7080-7089", "Cores": "0.5", "Seeds": "10.0.0.2:7000,10.0.0.3:7000", "StoreAddress": "10.9.0.1:8106",
+		"DrainLimit": "8s", "RevokeLimit": "5000ms", "RetryRatio": "0.2", "RetryWindow": "10s", "RetrySlack": "204", "LoadFactor": "2",
+	}
+	var rendered strings.Builder
+	for line := range strings.Lines(string(raw)) {
+		key, _, isKey := strings.Cut(line, " = ")
+		value, fixed := values[key]
+		switch {
+		case !isKey:
+			rendered.WriteString(line)
+		case fixed:
+			rendered.WriteString(key + " = " + value + "\n")
+		default:
+			rendered.WriteString(key + " = text\n")
+		}
+	}
+	h, err := Parse("host.ini", []byte(rendered.String()))
+	require.NoError(t, err)
+	require.Equal(t, 8*time.Second, h.DrainLimit)
+	require.Len(t, h.Seeds, 2)
+}
