Bound the lists that a beginning keeper asks for

Change: ten engines are asked at the same time, and none after 0.5 s; the others are found out by use. The answer counts before its log line, so that the test can wait for the line. Seen on the way: the first form ended the time for all lists when the last engine was handed out, which cut off the last answers; TestAKeeperThatBeginsFindsWhatEnginesHold found it (never satisfied), and passes now.

--- a/entry/node/places.go
+++ b/entry/node/places.go
@@ -7,9 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
@@ -101,18 +98,6 @@
 	}
 }
 
-// list asks an engine what its cache holds.
-func (p *places) list(c pool.List) {
-	parts, err := p.n.engines.Held(p.life, c.Endpoint.Instance, c.Endpoint.Address)
-	level := zerolog.InfoLevel
-	if err != nil {
-		level = zerolog.WarnLevel
-	}
-	event.Note(p.n.log, level, event.CacheListed).Str("Endpoint", string(c.Endpoint.Instance.ID)).Str("Service", string(c.Service)).
-		Int("Parts", len(parts)).Err(err).Send()
-	p.update(timer.Boot(), pool.Listed{Service: c.Service, Instance: c.Endpoint.Instance, Parts: parts})
-}
-
 // tell lets the hosts that would keep a service next know what its endpoints' caches hold.
 func (p *places) tell(t pool.Tell) {
 	ranked := p.n.members.keepers(t.Service)
--- a/entry/node/places_test.go
+++ b/entry/node/places_test.go
@@ -56,12 +56,13 @@
 		require.Equal(t, http.StatusOK, r.StatusCode)
 		_ = text(t, r)
 	}
-	// The first requests of a young process may be placed before it takes itself for the keeper.
+	// The first requests of a young process may be placed before it takes itself for the keeper, and before the lists are there.
+	listed := fmt.Sprintf(`"Endpoint":"i-b","Service":"engines","Parts":%d`, 2*chats)
 	asked := 0
 	require.Eventually(t, func() bool {
 		ask(asked % chats)
 		asked++
-		return s.nodes[0].log.has(`"Event":"BK2004"`) || s.nodes[1].log.has(`"Event":"BK2004"`)
+		return s.nodes[0].log.has(listed) || s.nodes[1].log.has(listed)
 	}, time.Minute, 10*time.Millisecond)
 	before := holder.Ran()
 	for i := chats; i < 2*chats; i++ {
--- a/fleet/pool/list.go
+++ b/fleet/pool/list.go
@@ -8,10 +8,10 @@
 	"balsamknot.org/fleet/site"
 )
 
-// List asks an engine what its cache holds; a Listed answers it.
+// List asks the engines of a service what their caches hold; a Listed answers for each.
 type List struct {
-	Service  site.ServiceName
-	Endpoint endpoint.Record
+	Service   site.ServiceName
+	Endpoints []endpoint.Record
 }
 
 // Listed is what an engine says that its cache holds. Parts is empty when it did not answer.
@@ -42,12 +42,12 @@
 		return nil
 	}
 	s.listing = listing{begun: true, until: now.Add(listWait)}
-	var commands []Command
+	list := List{Service: s.name}
 	for _, st := range s.order {
-		commands = append(commands, List{Service: s.name, Endpoint: st.record})
+		list.Endpoints = append(list.Endpoints, st.record)
 	}
-	s.listing.open = len(commands)
-	return commands
+	s.listing.open = len(list.Endpoints)
+	return []Command{list}
 }
 
 // listed takes in an engine's list, and places who waited once the last one is there.
--- a/fleet/pool/load_test.go
+++ b/fleet/pool/load_test.go
@@ -32,7 +32,7 @@
 	running          map[endpoint.ID]int
 	overBound        int
 	told             int
-	lists            []List
+	lists            []endpoint.Record
 }
 
 type end struct {
@@ -95,7 +95,7 @@
 			p.running[id]++
 			p.ends = append(p.ends, end{p.now.Add(p.stay[c.Ticket]), c.Ticket, id})
 		case List:
-			p.lists = append(p.lists, c)
+			p.lists = append(p.lists, c.Endpoints...)
 		case Tell:
 			p.told += len(c.Cached)
 		case Refuse:
@@ -377,10 +377,10 @@
 		caches := map[endpoint.ID][]chat.PartID{}
 		ask := func(i int) {
 			p.ask(0, prompt(i%36, 4000), time.Second, time.Second)
-			for _, l := range p.lists {
-				listed := Listed{Service: assistant, Instance: l.Endpoint.Instance}
+			for _, e := range p.lists {
+				listed := Listed{Service: assistant, Instance: e.Instance}
 				if answers {
-					listed.Parts = caches[l.Endpoint.Instance.ID]
+					listed.Parts = caches[e.Instance.ID]
 				}
 				p.carry(p.keeper.Update(p.now, listed))
 			}
