--- a/entry/node/asking.go
+++ b/entry/node/asking.go
@@ -27,7 +27,7 @@
 	for range keepersAsked {
 		keeper := p.n.members.keeper(timer.Boot(), e.Service)
 		if keeper == p.n.cfg.Host {
-			e.Alone = timer.Boot().Sub(p.started) < aloneFor
+			e.Alone = p.young()
 			return e.Ticket, p.decide(ctx, e, ch)
 		}
 		c := p.askKeeper(ctx, keeper, e, ch)
@@ -40,9 +40,12 @@
 	return e.Ticket, p.decide(ctx, e, ch)
 }
 
-// aloneFor is how long after its start a process may take itself for a keeper because it knows few of the other hosts. Until
-// then only what others ask makes it one.
-const aloneFor = 300 * time.Millisecond
+// youngFor is how long after its start a process may be taken for a keeper, by itself or by others, since few of the other
+// hosts are known yet.
+const youngFor = 300 * time.Millisecond
+
+// young reports whether this process has just started.
+func (p *places) young() bool { return timer.Boot().Sub(p.started) < youngFor }
 
 func (p *places) forget(ticket pool.Ticket) {
 	p.mu.Lock()
--- a/entry/node/members.go
+++ b/entry/node/members.go
@@ -45,6 +45,9 @@
 const (
 	// beatInterval is the time between rounds of heartbeats.
 	beatInterval = 300 * time.Millisecond
+	// firstBeats is how many rounds a new process makes at firstInterval, so that hosts that start together know each other soon.
+	firstBeats    = 8
+	firstInterval = 60 * time.Millisecond
 	// beatFanout is how many hosts get each round, and beatRows how many heartbeats each message holds.
 	beatFanout = 3
 	beatRows   = 24
@@ -157,6 +160,16 @@
 	}
 }
 
+// greet makes the first rounds of heartbeats of a new process.
+func (m *members) greet(ctx context.Context) {
+	for range firstBeats {
+		m.tick(timer.Boot())
+		if !timer.Sleep(ctx, firstInterval) {
+			return
+		}
+	}
+}
+
 // note keeps the list of live hosts at hand; mu is held.
 func (m *members) note(changes []roster.Change) {
 	if len(changes) > 0 {
@@ -271,9 +284,9 @@
 const (
 	// keeperCandidates bounds the hosts that keep a service in turn.
 	keeperCandidates = 10
-	// seasonedBeats is how many heartbeats a host sends before it keeps places: longer than a keeper takes to tell its
-	// deputies all that it knows.
-	seasonedBeats = 30
+	// seasonedBeats is how many heartbeats a host sends before it keeps places: its first ones, and then longer than a keeper
+	// takes to tell its deputies all that it knows.
+	seasonedBeats = firstBeats + 30
 )
 
 // unanswered notes that a host did not answer, and answered that it did.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -103,7 +103,7 @@
 	}
 	event.Note(n.log, zerolog.InfoLevel, event.NodeStarted).Str("Callers", n.cfg.CallerAddress).Send()
 	n.work.Go(n.members.serve)
-	n.members.tick(timer.Boot())
+	n.work.Go(func() { n.members.greet(work) })
 	n.work.Go(func() { n.beliefs.follow(work) })
 	cancels := []func(){
 		n.timers.Every(tickInterval, func(time.Time, time.Duration) { n.tick() }),
--- a/entry/node/places.go
+++ b/entry/node/places.go
@@ -147,7 +147,9 @@
 // handle takes what other hosts say of places.
 func (p *places) handle(now time.Time, d peer.Datagram) {
 	for _, ask := range d.Asks {
-		p.update(now, ask.Asked(d.From))
+		e := ask.Asked(d.From)
+		e.Alone = p.young()
+		p.update(now, e)
 	}
 	for _, end := range d.Ends {
 		p.update(now, pool.Ended{Ticket: pool.Ticket{Host: d.From, Number: end.Number}, Service: end.Service, Result: end.Result})
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -50,7 +50,7 @@
 	DataCentre host.DataCentre
 	// Known is the endpoint that the entry last saw serve the prompt's subject; empty when none.
 	Known endpoint.ID
-	// Alone is true when the entry decides for itself, and is not the service's keeper.
+	// Alone is true when the host that decides is not the service's keeper, or may not be.
 	Alone bool
 	// Share is the part of the retry budget that may be spent; 0 is all of it, for asks of the service's one keeper.
 	Share float64
