Excuse in the soak what happened while the soak itself stood still

The hosts' logs have no line from any of them for 1.0 to 2.0 s before that moment, nor did a caller hear anything: the machine stood still. The soak notices a stall, but only after the callers had told of their answers. Ruled out: a host or link at fault (all five hosts at once, with none of their faults in common), a keeper (each host has its own silence at the same time). Change: a stall takes back judgements with a time limit from its beginning on; what must hold at any time stays judged. TestAStallExcusesWhatHasATimeLimit.

--- a/soak/promise/event.go
+++ b/soak/promise/event.go
@@ -84,8 +84,8 @@
 // EndpointCalmed ends a fault of an endpoint.
 type EndpointCalmed struct{ Endpoint string }
 
-// Stalled is a time in which the soak itself did not run as it should.
-type Stalled struct{}
+// Stalled tells that the soak itself did not run as it should since a time.
+type Stalled struct{ Since Time }
 
 // ProcessEnded is a host's process that ended without being told to, or not when it should have.
 type ProcessEnded struct {
--- a/soak/promise/promise.go
+++ b/soak/promise/promise.go
@@ -134,9 +134,18 @@
 		end(j.endpoints, e.Endpoint, now)
 	case Stalled:
 		j.stalled = now
+		j.excuse(e.Since)
 	}
 }
 
+// excuse takes back what was judged by times in which the soak itself stood still.
+func (j *Judge) excuse(since Time) {
+	inStall := func(b Breach) bool { return b.At >= since }
+	j.late = slices.DeleteFunc(j.late, inStall)
+	j.gone = slices.DeleteFunc(j.gone, inStall)
+	j.breaches = slices.DeleteFunc(j.breaches, func(b Breach) bool { return inStall(b) && slices.Contains(timedPromises, b.Promise) })
+}
+
 func begin[K comparable](all map[K]*trouble, who K) {
 	if all[who] == nil {
 		all[who] = &trouble{}
--- a/soak/promise/promise_test.go
+++ b/soak/promise/promise_test.go
@@ -85,3 +85,23 @@
 		require.Empty(t, j.Breaches(false))
 	}
 }
+
+// The machine stood still: callers of every host are served late at the same moment, before the soak notices. That is no
+// finding; what ran twice in that time is one.
+func TestAStallExcusesWhatHasATimeLimit(t *testing.T) {
+	t.Parallel()
+	j := New()
+	j.Update(second, sent(Once, "/x", "k"))
+	j.Update(second, Published{Keys: []string{"k"}})
+	for i := range fewLate + 1 {
+		id := string(rune('a' + i))
+		j.Update(second, Sent{Request: id, Kind: Again, Path: "/x", Key: "k", Deadline: 2 * second})
+		j.Update(4*second, Answered{Request: id, Status: 504})
+	}
+	j.Update(4*second, ran("a", "/x"))
+	j.Update(4*second, ran("a", "/x"))
+	require.Len(t, j.Breaches(true), fewLate+2)
+	j.Update(4*second+1, Stalled{Since: 3 * second})
+	require.Len(t, j.Breaches(true), 1)
+	require.Equal(t, "TWICE", j.Breaches(true)[0].Promise)
+}
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -47,9 +47,10 @@
 
 	// operator orders what is published, so that the judge hears of it in the store's order.
 	operator sync.Mutex
-	version  int
-	keys     int
-	moved    int
+	// version is the newest set's, keys the number of the oldest key that is good, and moved how often the route moved.
+	version int
+	keys    int
+	moved   int
 	// outages counts the faults that keep the store away.
 	outages int
 	// newest is the number of the newest key.
@@ -178,7 +179,7 @@
 	for timer.Sleep(ctx, stallInterval) {
 		now := s.Now()
 		if now-last > stallLimit {
-			s.tell(promise.Stalled{})
+			s.tell(promise.Stalled{Since: last})
 		}
 		last = now
 	}
