Log and count interrupted runs, and say who recorded a crash

Logs could not tell whether a crash was never recorded, not known on the host that sent the request, or recorded and lost again.

No decision changes.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -49,6 +49,9 @@
 	ClaimVoided            Number = 1504
 	RequestSuspected       Number = 1601
 	RequestBlocked         Number = 1602
+	RunInterrupted         Number = 1603
+	InterruptionDropped    Number = 1604
+	CrashesCleared         Number = 1605
 	HandlerPanicked        Number = 1901
 	LogLinesDropped        Number = 1902
 	RegistrationUnreadable Number = 2001
@@ -101,6 +104,9 @@
 	{ClaimVoided, "claim voided", "The key was refused as not run and can never run.", "None."},
 	{RequestSuspected, "request suspected", "An endpoint was lost while it ran this fingerprint.", "None yet."},
 	{RequestBlocked, "request condemned", "The fingerprint cost two endpoints and is refused everywhere.", "Find the caller by workspace and fingerprint."},
+	{RunInterrupted, "run interrupted", "An endpoint's answer to this fingerprint is missing or incomplete; the endpoint may have crashed.", "None."},
+	{InterruptionDropped, "interruption dropped", "No crash of the endpoint was recorded for an interrupted run; Reason says why.", "None."},
+	{CrashesCleared, "crashes cleared", "The request ran to its end, so that the crashes recorded for its fingerprint no longer count.", "None."},
 	{HandlerPanicked, "handler recovered", "A request handler panicked; the process goes on.", "Report the stack as a defect."},
 	{LogLinesDropped, "log lines dropped", "More lines than the log's budget, or a reader that does not read; counted by event.", "Read the log faster, or look at the counters."},
 	{RegistrationUnreadable, "registration unreadable", "A registration in the platform's store can't be read and names no endpoint.", "Find who wrote it."},
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -11,6 +11,7 @@
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/fingerprint"
+	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -70,8 +71,14 @@
 	if c.registry.Len() == 0 {
 		return
 	}
-	if fp, ok := q.fingerprint(); ok {
-		c.registry.RecordCompletion(fp)
+	fp, ok := q.fingerprint()
+	if !ok {
+		return
+	}
+	crashes := len(c.registry.Crashes(fp))
+	c.registry.RecordCompletion(fp)
+	if crashes > 0 && len(c.registry.Crashes(fp)) == 0 {
+		q.logEvent(c.n.log, zerolog.InfoLevel, event.CrashesCleared).Uint64("Fingerprint", uint64(fp)).Int("Crashes", crashes).Send()
 	}
 }
 
@@ -84,12 +91,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted[id] = append(c.recentInterruptions(now, id), interruptedRun{fp, now})
+	c.n.meter.recordInterruption()
+	q.logEvent(c.n.log, zerolog.WarnLevel, event.RunInterrupted).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(id)).
+		Str("Cause", q.cause).Send()
 }
 
 // recentInterruptions returns the interruptions at an endpoint within crashWindow. mu must be held.
 func (c *crashTracker) recentInterruptions(now time.Time, id endpoint.ID) []interruptedRun {
 	runs := c.interrupted[id]
 	for len(runs) > 0 && now.Sub(runs[0].at) > crashWindow {
+		event.LogText(c.n.log, zerolog.InfoLevel, event.InterruptionDropped).Uint64("Fingerprint", uint64(runs[0].fingerprint)).
+			Str("Endpoint", string(id)).Str("Reason", "no sign of a crash in time").Send()
 		runs = runs[1:]
 	}
 	return runs
@@ -102,7 +114,7 @@
 	var recorded []peer.Crash
 	for _, run := range c.recentInterruptions(now, id) {
 		crash := fingerprint.Crash{Engine: engine.ID(id), AtMs: run.at.UnixMilli()}
-		if c.recordCrash(now, run.fingerprint, crash) {
+		if c.recordCrash(now, c.n.cfg.Host, run.fingerprint, crash) {
 			recorded = append(recorded, peer.Crash{Fingerprint: run.fingerprint, Endpoint: id, AtMs: crash.AtMs})
 		}
 	}
@@ -113,8 +125,8 @@
 	}
 }
 
-// recordCrash records and logs a crash, and returns false if the registry ignores it. mu must be held.
-func (c *crashTracker) recordCrash(now time.Time, fp fingerprint.Fingerprint, crash fingerprint.Crash) bool {
+// recordCrash records and logs a crash that the host from observed, and returns false if the registry ignores it. mu must be held.
+func (c *crashTracker) recordCrash(now time.Time, from host.ID, fp fingerprint.Fingerprint, crash fingerprint.Crash) bool {
 	if !c.registry.RecordCrash(now, fp, crash) {
 		return false
 	}
@@ -122,7 +134,9 @@
 	if c.registry.Verdict(now, fp) == fingerprint.Blocked {
 		number = event.RequestBlocked
 	}
-	event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(crash.Engine)).Send()
+	event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(crash.Engine)).
+		Str("From", string(from)).Send()
+	c.n.meter.recordCrash(from == c.n.cfg.Host)
 	return true
 }
 
@@ -135,6 +149,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, crash := range d.Crashes {
-		c.recordCrash(now, crash.Fingerprint, fingerprint.Crash{Engine: engine.ID(crash.Endpoint), AtMs: crash.AtMs, Alone: crash.Alone})
+		c.recordCrash(now, d.From, crash.Fingerprint, fingerprint.Crash{Engine: engine.ID(crash.Endpoint), AtMs: crash.AtMs, Alone: crash.Alone})
 	}
 }
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -37,6 +37,10 @@
 	storeReadsFailed = `entry_store_reads_total{result="failed"}`
 	datagramsSent    = "entry_datagrams_sent_total"
 	datagramBytes    = "entry_datagram_bytes_sent_total"
+	interruptedRuns  = "entry_interrupted_runs_total"
+	crashesObserved  = `entry_crashes_total{source="observed"}`
+	crashesReceived  = `entry_crashes_total{source="received"}`
+	blockedRequests  = "entry_blocked_requests_total"
 )
 
 // meter holds the metrics of a node.
@@ -47,7 +51,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests} {
 		m.set.NewCounter(name)
 	}
 	m.set.NewGauge("entry_requests_in_flight", func() float64 { return float64(n.callers.inFlight.Load()) })
@@ -92,6 +96,21 @@
 	m.set.GetOrCreateCounter(name).Inc()
 }
 
+// recordInterruption counts a run whose answer was missing or incomplete.
+func (m *meter) recordInterruption() { m.set.GetOrCreateCounter(interruptedRuns).Inc() }
+
+// recordCrash counts a crash recorded for a fingerprint, by whether this host observed it or another one reported it.
+func (m *meter) recordCrash(observedHere bool) {
+	name := crashesReceived
+	if observedHere {
+		name = crashesObserved
+	}
+	m.set.GetOrCreateCounter(name).Inc()
+}
+
+// recordBlocked counts a request that was refused because its fingerprint is blocked.
+func (m *meter) recordBlocked() { m.set.GetOrCreateCounter(blockedRequests).Inc() }
+
 // recordDatagram counts a datagram to another host and its size in bytes.
 func (m *meter) recordDatagram(bytes int) {
 	m.set.GetOrCreateCounter(datagramsSent).Inc()
