Reproduce: a request that has crashed three endpoints reaches others again

The test sends one request through hosts to endpoints that really go down: listener and connections closed, back at the same address after 0.05, 1 or 5 s, under the same or another ID, after a removal, or never; silent; a stream that ends like a complete one. It allows the users' three retries, 3 s after the third crash.

--- /dev/null
+++ b/entry/node/crash_request_test.go
@@ -0,0 +1,250 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/platform/standin"
+)
+
+const (
+	// stableTime is the time after which a host without faults must know what happened in the fleet, and allowedRetries how
+	// often a request that has crashed three endpoints may still reach one after that time. Both are the users' limits.
+	stableTime     = 3 * time.Second
+	allowedRetries = 3
+	// registrationLifetime is the time after which the registration of an endpoint that crashed is removed.
+	registrationLifetime = 3600 * time.Millisecond
+	// crashesToBlock is the number of crashes that must block a request.
+	crashesToBlock = 3
+)
+
+var poison = []byte("poison")
+
+// poisonSite is a site whose endpoints crash when they run the request with the body poison.
+type poisonSite struct {
+	*testSite
+	// runs is how often the request reached an endpoint, and crashes how many endpoints it has crashed.
+	runs, crashes atomic.Int64
+	wg            sync.WaitGroup
+	sent          int
+}
+
+// ending is what an endpoint does after it began to run the request that crashes it.
+type ending func(s *poisonSite, e *standin.Endpoint, w http.ResponseWriter)
+
+// poisonCase is one way in which endpoints end and the request comes again.
+type poisonCase struct {
+	end           ending
+	path, method  string
+	service       string
+	body          []byte
+	hosts         int
+	newHostsAfter int
+	// failEvery, if above 0, makes each failEvery-th run end with status 500 and no crash.
+	failEvery int64
+	// keys are the API keys that the caller uses in turn.
+	keys []string
+	// otherService, if not empty, is the service to which the route /moved/ moves after the third crash.
+	otherService string
+}
+
+func (s *poisonSite) isPoison(r *http.Request, body, poisonBody []byte) bool {
+	return r.Method != http.MethodHead && r.URL.Query().Get("innocent") == "" && bytes.Equal(body, poisonBody)
+}
+
+func newPoisonSite(t *testing.T, c poisonCase, endpoints int) *poisonSite {
+	s := &poisonSite{testSite: newSite(t)}
+	s.store.Publish(1, "k1", "k2")
+	for i := range endpoints {
+		service := c.service
+		if c.otherService != "" && i%2 > 0 {
+			service = c.otherService
+		}
+		var e *standin.Endpoint
+		ready := make(chan struct{})
+		e = s.addEndpoint(fmt.Sprintf("i-%d", i), service, func(w http.ResponseWriter, r *http.Request) {
+			<-ready
+			body, _ := io.ReadAll(r.Body)
+			if !s.isPoison(r, body, c.body) {
+				time.Sleep(5 * time.Millisecond)
+				_, _ = io.WriteString(w, "answer")
+				return
+			}
+			run := s.runs.Add(1)
+			if c.failEvery > 0 && run%c.failEvery == 0 {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			s.crashes.Add(1)
+			c.end(s, e, w)
+			panic(http.ErrAbortHandler)
+		})
+		close(ready)
+	}
+	t.Cleanup(s.wg.Wait)
+	return s
+}
+
+// later runs f after d, beside the test.
+func (s *poisonSite) later(d time.Duration, f func()) {
+	s.wg.Go(func() {
+		time.Sleep(d)
+		f()
+	})
+}
+
+func (s *poisonSite) comeBack(e *standin.Endpoint, id string) {
+	if err := e.ComeBackAs(id); err != nil {
+		s.t.Error(err)
+	}
+}
+
+// returns makes an endpoint crash and come back under its ID after d.
+func returns(d time.Duration) ending {
+	return func(s *poisonSite, e *standin.Endpoint, _ http.ResponseWriter) {
+		s.wg.Go(e.Crash)
+		s.later(d, func() { s.comeBack(e, e.ID) })
+	}
+}
+
+// returnsAfterRemoval is returns with a removal of the registration meanwhile.
+func returnsAfterRemoval(s *poisonSite, e *standin.Endpoint, _ http.ResponseWriter) {
+	s.wg.Go(e.Crash)
+	s.later(registrationLifetime, func() {
+		e.Deregister()
+		time.Sleep(time.Second)
+		s.comeBack(e, e.ID)
+	})
+}
+
+// returnsAsAnother makes an endpoint crash and come back under another ID.
+func returnsAsAnother(s *poisonSite, e *standin.Endpoint, _ http.ResponseWriter) {
+	s.wg.Go(e.Crash)
+	id := fmt.Sprintf("%s-%d", e.ID, s.runs.Load())
+	s.later(time.Second, func() { s.comeBack(e, id) })
+}
+
+// staysAway makes an endpoint crash for good.
+func staysAway(s *poisonSite, e *standin.Endpoint, _ http.ResponseWriter) {
+	s.wg.Go(e.Crash)
+	s.later(registrationLifetime, e.Deregister)
+}
+
+// fallsSilent makes an endpoint keep its connections and answer nothing any more; its registration is removed.
+func fallsSilent(s *poisonSite, e *standin.Endpoint, _ http.ResponseWriter) {
+	s.later(registrationLifetime, e.Deregister)
+	time.Sleep(registrationLifetime)
+}
+
+// endsUnframedAnswer makes an endpoint crash after the headers of an answer whose end only the end of the connection marks.
+func endsUnframedAnswer(s *poisonSite, e *standin.Endpoint, w http.ResponseWriter) {
+	conn, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nid: 1\ndata: a\n\n", standin.RequestIDHeader, w.Header().Get(standin.RequestIDHeader))
+	_ = buffer.Flush()
+	_ = conn.Close()
+	returns(time.Second)(s, e, w)
+}
+
+// send sends the request that crashes endpoints through a host and returns the status; 0 if there was no answer.
+func (s *poisonSite) send(c poisonCase, n *testNode) int {
+	s.sent++
+	r := standin.NewCall(n.cfg.CallerAddress, c.method, c.path, fmt.Sprintf("poison-%d", s.sent), c.keys[s.sent%len(c.keys)], bytes.NewReader(c.body))
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+// logCrashEvents logs how often each host logged each event about requests that crash endpoints.
+func (s *poisonSite) logCrashEvents() {
+	for _, n := range s.nodes {
+		counts := ""
+		for _, number := range []event.Number{event.RunInterrupted, event.InterruptionDropped, event.RequestSuspected, event.RequestBlocked, event.CrashesCleared} {
+			counts += fmt.Sprintf(" %s %d", number, n.log.count(`"Event":"`+number.String()+`"`))
+		}
+		s.t.Logf("%s:%s", n.cfg.Host, counts)
+	}
+}
+
+// sendGap is the time between two copies of the request.
+const sendGap = 600 * time.Millisecond
+
+// checkRetriesAfterThirdCrash sends the request until it has crashed three endpoints, through the hosts in turn, and then counts
+// how often it still reaches endpoints.
+func checkRetriesAfterThirdCrash(t *testing.T, c poisonCase, subnet int) {
+	const endpoints = 9
+	s := newPoisonSite(t, c, endpoints)
+	s.startNodes(c.hosts, subnet)
+	for i := 0; s.crashes.Load() < crashesToBlock; i++ {
+		require.Less(t, i, 4*endpoints, "the request reaches no endpoints")
+		s.send(c, s.nodes[i%len(s.nodes)])
+		time.Sleep(sendGap)
+	}
+	if c.otherService != "" {
+		s.store.PublishMoved(2, c.otherService, "k1", "k2")
+	}
+	s.addNodes(c.newHostsAfter, subnet)
+	time.Sleep(stableTime)
+	before := s.runs.Load()
+	for i := range 8 {
+		s.send(c, s.nodes[(len(s.nodes)-1+i)%len(s.nodes)])
+		time.Sleep(sendGap)
+	}
+	s.logCrashEvents()
+	require.LessOrEqual(t, s.runs.Load()-before, int64(allowedRetries), "the request had reached %d endpoints before", before)
+}
+
+func TestRequestStaysBlockedHoweverItsEndpointsEnd(t *testing.T) {
+	t.Parallel()
+	base := poisonCase{method: http.MethodPost, path: "/once/x", service: "plain", body: poison, hosts: 3, keys: []string{"k1"}}
+	with := func(change func(c *poisonCase)) poisonCase {
+		c := base
+		change(&c)
+		return c
+	}
+	subnet := 40
+	for name, c := range map[string]poisonCase{
+		"return at once":                   with(func(c *poisonCase) { c.end = returns(50 * time.Millisecond) }),
+		"return after 1 s":                 with(func(c *poisonCase) { c.end = returns(time.Second) }),
+		"return after 5 s":                 with(func(c *poisonCase) { c.end = returns(5 * time.Second) }),
+		"return after their removal":       with(func(c *poisonCase) { c.end = returnsAfterRemoval }),
+		"return as other endpoints":        with(func(c *poisonCase) { c.end = returnsAsAnother }),
+		"stay away":                        with(func(c *poisonCase) { c.end = staysAway }),
+		"fall silent":                      with(func(c *poisonCase) { c.end = fallsSilent }),
+		"end a stream that looks complete": with(func(c *poisonCase) { c.end, c.path, c.service = endsUnframedAnswer, "/stream/x", "engines" }),
+		"an idempotent request":            with(func(c *poisonCase) { c.end, c.path = returns(time.Second), "/again/x" }),
+		"a resumable stream":               with(func(c *poisonCase) { c.end, c.path, c.service = returns(time.Second), "/stream/x", "engines" }),
+		"a request without a body": with(func(c *poisonCase) {
+			c.end, c.method, c.path, c.body = returns(time.Second), http.MethodGet, "/again/x", nil
+		}),
+		"a caller with several keys":         with(func(c *poisonCase) { c.end, c.keys = returns(time.Second), []string{"k1", "k2"} }),
+		"through hosts that start afterward": with(func(c *poisonCase) { c.end, c.newHostsAfter = returns(time.Second), 2 }),
+		"on a route that moves": with(func(c *poisonCase) {
+			c.end, c.path, c.otherService = returns(time.Second), "/moved/x", "full"
+		}),
+		"beside answers with status 500": with(func(c *poisonCase) { c.end, c.failEvery, c.hosts = returns(time.Second), 2, 1 }),
+		"through one host":               with(func(c *poisonCase) { c.end, c.hosts = returns(time.Second), 1 }),
+	} {
+		subnet++
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkRetriesAfterThirdCrash(t, c, subnet)
+		})
+	}
+}
--- a/entry/node/site_test.go
+++ b/entry/node/site_test.go
@@ -26,6 +26,8 @@
 	t     *testing.T
 	store *standin.Store
 	nodes []*testNode
+	// firstPort is the first port of every node.
+	firstPort int
 	// nodeWithoutStore is the index of a node that can't connect to the store; 0 means none.
 	nodeWithoutStore int
 }
@@ -77,6 +79,13 @@
 	return found
 }
 
+// count returns how often the log contains text.
+func (l *logBuffer) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.buf.String(), text)
+}
+
 func (l *logBuffer) contains(text string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -98,9 +107,16 @@
 // startNodes starts n nodes, with the addresses 127.0.<subnet>.1 and up, and waits until all are ready and have discovered each
 // other. Each test needs its own subnet, since tests run in parallel.
 func (s *testSite) startNodes(n, subnet int) {
-	firstPort := findFreePort(s.t)
+	s.firstPort = findFreePort(s.t)
+	s.addNodes(n, subnet)
+}
+
+// addNodes starts n more nodes and waits until all are ready and have discovered each other.
+func (s *testSite) addNodes(n, subnet int) {
+	firstPort := s.firstPort
 	seed := fmt.Sprintf("127.0.%d.1:%d", subnet, firstPort)
-	for i := range n {
+	first := len(s.nodes)
+	for i := first; i < first+n; i++ {
 		ip := fmt.Sprintf("127.0.%d.%d", subnet, i+1)
 		cfg := settings.Default()
 		cfg.Host = host.ID(fmt.Sprintf("host-%d", i+1))
@@ -119,7 +135,7 @@
 		s.runNode(cfg, frontend)
 	}
 	for _, node := range s.nodes {
-		require.Eventually(s.t, func() bool { return node.Ready() && node.membership.liveCount() == n }, time.Minute, 5*time.Millisecond)
+		require.Eventually(s.t, func() bool { return node.Ready() && node.membership.liveCount() == len(s.nodes) }, time.Minute, 5*time.Millisecond)
 	}
 }
 
