Attribute crashes to the request that accounts for most of them, and each incarnation's crash once

Copies of one request that crashed several endpoints at once counted as one crash, so that several such groups were needed to block it.

Cause: a crash counts fully against every request that ran on the endpoint; records are told apart by the time at which some host saw them; one within 0.4 s of another, by the time of recording, is thrown away.

Change: a crash is identified by the endpoint's incarnation, whoever reports it. Suspects are taken in order of their crashes, and a crash for which a stronger one accounts does not count against others (greedy set cover; ties by the shorter run). A completion has a time: earlier crashes do not count, also if they are reported later, and it frees a blocked request that never was the only one. At most 1024 fingerprints are held.

--- a/balsamknot/node/crashes.go
+++ b/balsamknot/node/crashes.go
@@ -38,10 +38,10 @@
 // recordEndpointLost records that an endpoint crashed while it ran the requests with these fingerprints, and adds the crashes
 // to gossip.
 func (t *crashTracker) recordEndpointLost(now time.Time, id engine.ID, fingerprints []fingerprint.Fingerprint) {
-	c := fingerprint.Crash{Engine: id, AtMs: now.UnixMilli(), Alone: len(fingerprints) == 1}
+	c := fingerprint.Crash{Engine: id, Incarnation: now.UnixMilli(), Alone: len(fingerprints) == 1}
 	for _, fp := range fingerprints {
 		t.recordCrash(now, fp, c)
-		row := gossip.Row{Origin: t.n.self.ID, Key: fingerprint.RowKey(fp, id), Version: uint64(c.AtMs), At: now, A: c.AtMs}
+		row := gossip.Row{Origin: t.n.self.ID, Key: fingerprint.RowKey(fp, id), Version: uint64(c.Incarnation), At: now, A: c.Incarnation}
 		if c.Alone {
 			row.B = 1
 		}
@@ -58,7 +58,7 @@
 // recordRow records a crash that a peer reported by gossip. A row with a malformed key is ignored.
 func (t *crashTracker) recordRow(now time.Time, row gossip.Row) {
 	if fp, id, ok := fingerprint.ParseRowKey(row.Key); ok {
-		t.recordCrash(now, fp, fingerprint.Crash{Engine: id, AtMs: row.A, Alone: row.B == 1})
+		t.recordCrash(now, fp, fingerprint.Crash{Engine: id, Incarnation: row.A, Alone: row.B == 1})
 	}
 }
 
@@ -81,7 +81,7 @@
 func (t *crashTracker) recordCrashes(fp fingerprint.Fingerprint, crashes []*wire.Crash) {
 	now := t.n.timers.Now()
 	for _, c := range crashes {
-		t.recordCrash(now, fp, fingerprint.Crash{Engine: engine.ID(c.GetEngine()), AtMs: c.GetAtMs(), Alone: c.GetAlone()})
+		t.recordCrash(now, fp, fingerprint.Crash{Engine: engine.ID(c.GetEngine()), Incarnation: c.GetAtMs(), Alone: c.GetAlone()})
 	}
 }
 
@@ -91,7 +91,7 @@
 	defer t.mu.Unlock()
 	var crashes []*wire.Crash
 	for _, c := range t.registry.Crashes(fp) {
-		crashes = append(crashes, &wire.Crash{Engine: string(c.Engine), AtMs: c.AtMs, Alone: c.Alone})
+		crashes = append(crashes, &wire.Crash{Engine: string(c.Engine), AtMs: c.Incarnation, Alone: c.Alone})
 	}
 	return crashes
 }
@@ -100,7 +100,7 @@
 func (t *crashTracker) recordCompletion(fp fingerprint.Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.registry.RecordCompletion(fp)
+	t.registry.RecordCompletion(t.n.timers.Now(), fp)
 }
 
 // retries holds the retry budgets of the workspaces. It is safe for concurrent use.
--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -158,17 +158,16 @@
 	returns(time.Second)(s, e, w)
 }
 
-// send sends the request that crashes endpoints through a host and returns the status; 0 if there was no answer.
-func (s *poisonSite) send(c poisonCase, n *testNode) int {
+// send sends the request that crashes endpoints through a host and waits for the end of the answer, if there is one.
+func (s *poisonSite) send(c poisonCase, n *testNode) {
 	s.sent++
 	r := standin.NewCall(n.cfg.CallerAddress, c.method, c.path, fmt.Sprintf("poison-%d", s.sent), c.keys[s.sent%len(c.keys)], bytes.NewReader(c.body))
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		return 0
+		return
 	}
 	defer response.Body.Close()
 	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode
 }
 
 // logCrashEvents logs how often each host logged each event about requests that crash endpoints.
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -75,9 +75,7 @@
 	if !ok {
 		return
 	}
-	crashes := len(c.registry.Crashes(fp))
-	c.registry.RecordCompletion(fp)
-	if crashes > 0 && len(c.registry.Crashes(fp)) == 0 {
+	if crashes := c.registry.RecordCompletion(timer.BootClock(), fp); crashes > 0 {
 		q.logEvent(c.n.log, zerolog.InfoLevel, event.CrashesCleared).Uint64("Fingerprint", uint64(fp)).Int("Crashes", crashes).Send()
 	}
 }
@@ -113,9 +111,9 @@
 	c.mu.Lock()
 	var recorded []peer.Crash
 	for _, run := range c.recentInterruptions(now, id) {
-		crash := fingerprint.Crash{Engine: engine.ID(id), AtMs: run.at.UnixMilli()}
+		crash := fingerprint.Crash{Engine: engine.ID(id), Incarnation: run.at.UnixMilli()}
 		if c.recordCrash(now, c.n.cfg.Host, run.fingerprint, crash) {
-			recorded = append(recorded, peer.Crash{Fingerprint: run.fingerprint, Endpoint: id, AtMs: crash.AtMs})
+			recorded = append(recorded, peer.Crash{Fingerprint: run.fingerprint, Endpoint: id, AtMs: crash.Incarnation})
 		}
 	}
 	delete(c.interrupted, id)
@@ -149,6 +147,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, crash := range d.Crashes {
-		c.recordCrash(now, d.From, crash.Fingerprint, fingerprint.Crash{Engine: engine.ID(crash.Endpoint), AtMs: crash.AtMs, Alone: crash.Alone})
+		c.recordCrash(now, d.From, crash.Fingerprint, fingerprint.Crash{Engine: engine.ID(crash.Endpoint), Incarnation: crash.AtMs, Alone: crash.Alone})
 	}
 }
--- /dev/null
+++ b/fleet/fingerprint/registry.go
@@ -0,0 +1,206 @@
+package fingerprint
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"balsamknot.org/fleet/engine"
+)
+
+const (
+	// crashLifetime is how long a crash is remembered.
+	crashLifetime = 10 * time.Minute
+	// blockAfterIsolated is how many crashes block a request that ran alone in at least one of them.
+	blockAfterIsolated = 2
+	// blockAfterShared is how many crashes block a request that never ran alone. It is higher, because a request that callers
+	// send often may by chance run beside the one that causes the crashes.
+	blockAfterShared = 3
+	// maxFingerprints limits the fingerprints that are remembered; one with the fewest crashes is deleted.
+	maxFingerprints = 1024
+)
+
+// Crash is one crash of an endpoint while a request ran on it.
+type Crash struct {
+	Engine engine.ID
+	// Incarnation distinguishes two crashes of one endpoint: when its keeper observed the crash, in milliseconds of Unix time
+	// (balsamknot), or the start time of the incarnation that crashed (entry). It is not compared with local clocks.
+	Incarnation int64
+	// Alone is true when no other request ran on the endpoint, as its keeper knows in balsamknot.
+	Alone bool
+	// Ran is how long the request had run, as its host observed it; 0 when unknown. Requests with as many crashes are ordered
+	// by it, since a request that crashes endpoints does so soon after its start.
+	Ran time.Duration
+}
+
+// Registry holds the crashes that a host knows of, by fingerprint. It is not safe for concurrent use.
+type Registry struct {
+	minInterval time.Duration
+	histories   map[Fingerprint]*history
+	// judged is false when crashes changed after the verdicts were computed, and expiry when the oldest of the crashes that
+	// count expires.
+	judged bool
+	expiry time.Time
+}
+
+// history is what is known of one fingerprint.
+type history struct {
+	crashes map[incident]record
+	// completedAt is when a request with this fingerprint last ran to its end. Earlier crashes do not count.
+	completedAt time.Time
+	verdict     Verdict
+	// charged is how many crashes are attributed to the fingerprint, and shared is true if another one ran during each of them.
+	charged int
+	shared  bool
+}
+
+// incident identifies a crash: an incarnation of an endpoint crashes once.
+type incident struct {
+	engine      engine.ID
+	incarnation int64
+}
+
+// record is a crash with its time by the local clock.
+type record struct {
+	crash Crash
+	at    time.Time
+}
+
+// NewRegistry returns an empty registry. Crashes of one fingerprint block it only if they span minInterval: endpoints that fail at
+// the same moment have another cause than the request. 0 makes no such condition.
+func NewRegistry(minInterval time.Duration) *Registry {
+	return &Registry{minInterval: minInterval, histories: make(map[Fingerprint]*history)}
+}
+
+// RecordCrash records that an endpoint crashed at time at while the request with this fingerprint ran on it. It returns false if
+// the crash is already known, or if the request ran to its end after it.
+func (r *Registry) RecordCrash(at time.Time, fp Fingerprint, c Crash) bool {
+	h := r.history(fp)
+	if !at.After(h.completedAt) {
+		return false
+	}
+	key := incident{c.Engine, c.Incarnation}
+	known, recorded := h.crashes[key]
+	if recorded {
+		// The earliest report is closest to the crash.
+		if at.Before(known.at) {
+			known.at = at
+			h.crashes[key] = known
+		}
+		return false
+	}
+	h.crashes[key] = record{c, at}
+	r.judged = false
+	return true
+}
+
+func (r *Registry) history(fp Fingerprint) *history {
+	h := r.histories[fp]
+	if h == nil {
+		if len(r.histories) >= maxFingerprints {
+			r.deleteOldest()
+		}
+		h = &history{crashes: make(map[incident]record)}
+		r.histories[fp] = h
+	}
+	return h
+}
+
+// deleteOldest deletes the fingerprint that changed longest ago, of those with the fewest crashes.
+func (r *Registry) deleteOldest() {
+	first := true
+	var oldest Fingerprint
+	var fewest int
+	var oldestAt time.Time
+	for fp, h := range r.histories {
+		crashes, at := len(h.crashes), h.lastChange()
+		if first || crashes < fewest || (crashes == fewest && at.Before(oldestAt)) {
+			first, oldest, fewest, oldestAt = false, fp, crashes, at
+		}
+	}
+	delete(r.histories, oldest)
+	r.judged = false
+}
+
+// lastChange returns the time of the last crash or completion.
+func (h *history) lastChange() time.Time {
+	last := h.completedAt
+	for _, rec := range h.crashes {
+		if rec.at.After(last) {
+			last = rec.at
+		}
+	}
+	return last
+}
+
+// RecordCompletion records that a request with this fingerprint ran to its end at time at, so that earlier crashes no longer
+// count, and returns how many it deleted. A blocked fingerprint stays blocked if it was the only one that ran during one of its
+// crashes: the copy that completed may have started before, or at an endpoint of another kind.
+func (r *Registry) RecordCompletion(at time.Time, fp Fingerprint) int {
+	h := r.histories[fp]
+	if h == nil || !at.After(h.completedAt) {
+		return 0
+	}
+	r.judge(at)
+	if h.verdict == Blocked && !h.shared {
+		return 0
+	}
+	h.completedAt = at
+	deleted := 0
+	for key, rec := range h.crashes {
+		if !rec.at.After(at) {
+			delete(h.crashes, key)
+			deleted++
+		}
+	}
+	if deleted > 0 {
+		r.judged = false
+	}
+	return deleted
+}
+
+// Crashes returns the crashes recorded for a fingerprint, ordered by incarnation. balsamknot's hosts send them with the request, so
+// that the host that handles it next has them too, even if gossip has not reached it.
+func (r *Registry) Crashes(fp Fingerprint) []Crash {
+	h := r.histories[fp]
+	if h == nil {
+		return nil
+	}
+	var crashes []Crash
+	for _, rec := range h.crashes {
+		crashes = append(crashes, rec.crash)
+	}
+	slices.SortFunc(crashes, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Engine, b.Engine))
+	})
+	return crashes
+}
+
+// Verdict returns whether and how a request with this fingerprint may run at time now. It deletes crashes that are too old.
+func (r *Registry) Verdict(now time.Time, fp Fingerprint) Verdict {
+	if len(r.histories) == 0 {
+		return Allowed
+	}
+	r.judge(now)
+	if h := r.histories[fp]; h != nil {
+		return h.verdict
+	}
+	return Allowed
+}
+
+// Blocked returns the blocked fingerprints in ascending order.
+func (r *Registry) Blocked(now time.Time) []Fingerprint {
+	r.judge(now)
+	var blocked []Fingerprint
+	for fp, h := range r.histories {
+		if h.verdict == Blocked {
+			blocked = append(blocked, fp)
+		}
+	}
+	slices.Sort(blocked)
+	return blocked
+}
+
+// Len returns how many fingerprints have crashes or completions recorded. Those that are too old are included until Verdict
+// deletes them.
+func (r *Registry) Len() int { return len(r.histories) }
--- /dev/null
+++ b/fleet/fingerprint/verdict.go
@@ -0,0 +1,139 @@
+package fingerprint
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// suspect is a fingerprint with enough crashes to be blocked.
+type suspect struct {
+	fp        Fingerprint
+	h         *history
+	incidents []incident
+	ran       time.Duration
+}
+
+// judge computes the verdicts of all fingerprints if crashes changed or expired.
+//
+// Each crash was recorded for all requests that ran on the endpoint. The suspects are taken in order of their number of crashes; a
+// crash that a stronger suspect accounts for does not count against the weaker ones. This is the greedy approximation of the
+// smallest set of requests that accounts for all crashes.
+//
+// Source: Chvátal, "A Greedy Heuristic for the Set-Covering Problem", 1979.
+func (r *Registry) judge(now time.Time) {
+	if r.judged && !now.After(r.expiry) {
+		return
+	}
+	r.deleteExpired(now)
+	running := make(map[incident]int)
+	for _, h := range r.histories {
+		for key := range h.crashes {
+			running[key]++
+		}
+	}
+	explained := make(map[incident]bool)
+	suspects := r.suspects()
+	for len(suspects) > 0 {
+		// Suspects of equal strength can't be told apart, so that none accounts for the crashes of another.
+		equal := 1
+		for equal < len(suspects) && compareSuspects(suspects[0], suspects[equal]) == 0 {
+			equal++
+		}
+		var blocked []suspect
+		for _, s := range suspects[:equal] {
+			if r.blocks(s.h, explained) {
+				blocked = append(blocked, s)
+			}
+		}
+		for _, s := range blocked {
+			s.h.verdict = Blocked
+			for _, key := range s.incidents {
+				explained[key] = true
+			}
+		}
+		suspects = suspects[equal:]
+	}
+	for _, h := range r.histories {
+		h.charge(explained, running)
+	}
+	r.judged = true
+}
+
+// deleteExpired deletes the crashes and completions that are too old, resets the verdicts, and sets the time of the next expiry.
+func (r *Registry) deleteExpired(now time.Time) {
+	r.expiry = now.Add(crashLifetime)
+	for fp, h := range r.histories {
+		for key, rec := range h.crashes {
+			if now.Sub(rec.at) > crashLifetime {
+				delete(h.crashes, key)
+			} else if end := rec.at.Add(crashLifetime); end.Before(r.expiry) {
+				r.expiry = end
+			}
+		}
+		h.verdict = Allowed
+		if len(h.crashes) == 0 && now.Sub(h.completedAt) > crashLifetime {
+			delete(r.histories, fp)
+		}
+	}
+}
+
+// suspects returns the fingerprints with enough crashes to be blocked, the strongest suspects first.
+func (r *Registry) suspects() []suspect {
+	var suspects []suspect
+	for fp, h := range r.histories {
+		if !r.blocks(h, nil) {
+			continue
+		}
+		s := suspect{fp: fp, h: h}
+		for key, rec := range h.crashes {
+			s.incidents = append(s.incidents, key)
+			s.ran += rec.crash.Ran
+		}
+		suspects = append(suspects, s)
+	}
+	slices.SortFunc(suspects, func(a, b suspect) int { return cmp.Or(compareSuspects(a, b), cmp.Compare(a.fp, b.fp)) })
+	return suspects
+}
+
+// compareSuspects orders a before b if more crashes are recorded for it or, with as many, if it had run for less time.
+func compareSuspects(a, b suspect) int {
+	return cmp.Or(cmp.Compare(len(b.incidents), len(a.incidents)), cmp.Compare(a.ran, b.ran))
+}
+
+// blocks reports whether the crashes that are not explained suffice to block the fingerprint.
+func (r *Registry) blocks(h *history, explained map[incident]bool) bool {
+	count, alone := 0, false
+	var first, last time.Time
+	for key, rec := range h.crashes {
+		if explained[key] {
+			continue
+		}
+		count++
+		alone = alone || rec.crash.Alone
+		if first.IsZero() || rec.at.Before(first) {
+			first = rec.at
+		}
+		if rec.at.After(last) {
+			last = rec.at
+		}
+	}
+	enough := count >= blockAfterShared || (alone && count >= blockAfterIsolated)
+	return enough && last.Sub(first) >= r.minInterval
+}
+
+// charge counts the crashes that are attributed to the fingerprint, and completes its verdict.
+func (h *history) charge(explained map[incident]bool, running map[incident]int) {
+	h.charged, h.shared = 0, true
+	for key, rec := range h.crashes {
+		if h.verdict == Blocked || !explained[key] {
+			h.charged++
+		}
+		if running[key] == 1 || rec.crash.Alone {
+			h.shared = false
+		}
+	}
+	if h.verdict == Allowed && h.charged > 0 {
+		h.verdict = Isolated
+	}
+}
--- /dev/null
+++ b/fleet/interruption/interruption.go
@@ -0,0 +1,328 @@
+// Package interruption decides whether an endpoint crashed while it ran a request whose answer is missing or incomplete.
+//
+// A broken connection has many causes. The package attributes it to a crash only on evidence that the endpoint ended after the
+// request was sent: nothing listens at its address, another incarnation or another endpoint registers, or its registration is
+// removed although it was not leaving. It rules a crash out when a connection from before the interruption still carries answers.
+package interruption
+
+import (
+	"slices"
+	"time"
+
+	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/fingerprint"
+)
+
+const (
+	// window is how long after an interruption evidence of a crash is attributed to it. It exceeds the lifetime of a
+	// registration without heartbeats by more than a short outage of the platform.
+	window = 15 * time.Second
+	// endedMemory is how long an ended incarnation is remembered, for runs that break off or time out after its end.
+	endedMemory = time.Minute
+	// maxRunsPerEndpoint limits the runs that are remembered for one incarnation; the oldest are dropped.
+	maxRunsPerEndpoint = 256
+	// refusalsOfLostEndpoint is how many probes in a row nothing must answer for the endpoint to be lost. One alone may be an
+	// endpoint that briefly accepts no more connections.
+	refusalsOfLostEndpoint = 2
+)
+
+// probeDelays are the times of the probes after an interruption. Several are made, since a process that ends may close its
+// connections before its listener.
+var probeDelays = []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, time.Second}
+
+// Run is a run of a request whose answer is missing or incomplete.
+type Run struct {
+	Fingerprint fingerprint.Fingerprint
+	Endpoint    endpoint.Instance
+	// StartedAt is when the request was sent, and EndedAt when the run ended.
+	StartedAt, EndedAt time.Time
+}
+
+// Event is something that a host learned about an endpoint.
+type Event interface{ event() }
+
+// Interrupted means that a run ended without a complete answer. Broken is true if the endpoint closed or reset the connection,
+// and false after a time-out or the disconnection of the caller.
+type Interrupted struct {
+	Run    Run
+	Broken bool
+}
+
+// Answered means that the endpoint sent an answer to its end over a connection that was established at ConnectedAt.
+type Answered struct {
+	Endpoint    endpoint.Instance
+	ConnectedAt time.Time
+}
+
+// Probed is the result of a connection attempt. Refused is true if nothing listens at the address.
+type Probed struct {
+	Endpoint endpoint.Instance
+	Refused  bool
+}
+
+// Registered means that an endpoint is registered with the platform, anew or with other values.
+type Registered struct{ Record endpoint.Record }
+
+// Removed means that an endpoint is no longer registered.
+type Removed struct{ ID endpoint.ID }
+
+// ReportedLost means that another host has evidence that the endpoint crashed.
+type ReportedLost struct{ Endpoint endpoint.Instance }
+
+// Tick lets the tracker start probes that are due and drop what is too old.
+type Tick struct{}
+
+func (Interrupted) event()  {}
+func (Answered) event()     {}
+func (Probed) event()       {}
+func (Registered) event()   {}
+func (Removed) event()      {}
+func (ReportedLost) event() {}
+func (Tick) event()         {}
+
+// Command is a conclusion or a task for the caller of Update.
+type Command interface{ command() }
+
+// Probe requests an attempt to connect to an endpoint. Its result is to be reported as Probed.
+type Probe struct {
+	Endpoint endpoint.Instance
+	// Address is ip:port.
+	Address string
+}
+
+// Crashed means that the endpoint crashed while it ran the request.
+type Crashed struct{ Run Run }
+
+// Dropped means that the run is no longer considered, for the Reason given.
+type Dropped struct {
+	Run    Run
+	Reason string
+}
+
+func (Probe) command()   {}
+func (Crashed) command() {}
+func (Dropped) command() {}
+
+// Reasons of Dropped.
+const (
+	reasonAnswered = "the endpoint still answers"
+	reasonExpired  = "no evidence of a crash in time"
+	reasonLeaving  = "the endpoint was leaving"
+	reasonUnknown  = "the endpoint is not known"
+	reasonTooMany  = "too many runs"
+)
+
+// Tracker holds the interrupted runs of one host until their cause is known. It is not safe for concurrent use.
+type Tracker struct {
+	incarnations map[endpoint.Instance]*incarnation
+	// registered holds the incarnation that is registered now, by endpoint, and byAddress the one that registered last at an
+	// address.
+	registered map[endpoint.ID]endpoint.Instance
+	byAddress  map[string]endpoint.Instance
+	// active lists the incarnations with interrupted runs, and ended those that ended, in that order.
+	active, ended []endpoint.Instance
+	pending       int
+}
+
+// incarnation is the state of one run of an endpoint, from its registration until endedMemory after its end.
+type incarnation struct {
+	record endpoint.Record
+	// endedAt is when another incarnation took its place or its registration was removed; zero before.
+	endedAt time.Time
+	runs    []Run
+	// probes holds the times of the probes that are still to be made, and refusals counts those in a row that were refused.
+	probes   []time.Time
+	refusals int
+}
+
+// NewTracker returns a tracker that knows no endpoint.
+func NewTracker() *Tracker {
+	return &Tracker{
+		incarnations: make(map[endpoint.Instance]*incarnation), registered: make(map[endpoint.ID]endpoint.Instance),
+		byAddress: make(map[string]endpoint.Instance),
+	}
+}
+
+// Pending returns the number of runs whose cause is not known yet.
+func (t *Tracker) Pending() int { return t.pending }
+
+// Update applies one event at time now and returns the commands that follow from it. It does no I/O.
+func (t *Tracker) Update(now time.Time, event Event) []Command {
+	switch e := event.(type) {
+	case Interrupted:
+		return t.interrupted(now, e)
+	case Answered:
+		return t.answered(now, e)
+	case Probed:
+		return t.probed(e)
+	case Registered:
+		return t.register(now, e.Record)
+	case Removed:
+		return t.end(now, t.registered[e.ID])
+	case ReportedLost:
+		return t.lost(e.Endpoint)
+	case Tick:
+		return t.tick(now)
+	}
+	return nil
+}
+
+func (t *Tracker) interrupted(now time.Time, e Interrupted) []Command {
+	in := t.incarnations[e.Run.Endpoint]
+	switch {
+	case in == nil:
+		return []Command{Dropped{e.Run, reasonUnknown}}
+	case in.record.Leaving:
+		return []Command{Dropped{e.Run, reasonLeaving}}
+	case !in.endedAt.IsZero():
+		return []Command{Crashed{e.Run}}
+	}
+	var commands []Command
+	if len(in.runs) >= maxRunsPerEndpoint {
+		commands = append(commands, Dropped{in.runs[0], reasonTooMany})
+		in.runs = in.runs[1:]
+		t.pending--
+	}
+	if len(in.runs) == 0 && !slices.Contains(t.active, e.Run.Endpoint) {
+		t.active = append(t.active, e.Run.Endpoint)
+	}
+	in.runs = append(in.runs, e.Run)
+	t.pending++
+	if e.Broken && len(in.probes) == 0 {
+		in.refusals = 0
+		for _, delay := range probeDelays {
+			in.probes = append(in.probes, now.Add(delay))
+		}
+	}
+	return commands
+}
+
+// answered drops the runs that ended while the connection was open: the endpoint still runs.
+func (t *Tracker) answered(now time.Time, e Answered) []Command {
+	in := t.incarnations[e.Endpoint]
+	if in == nil {
+		return nil
+	}
+	return t.drop(in, reasonAnswered, func(run Run) bool { return run.EndedAt.After(e.ConnectedAt) && run.EndedAt.Before(now) })
+}
+
+func (t *Tracker) probed(e Probed) []Command {
+	in := t.incarnations[e.Endpoint]
+	switch {
+	case in == nil || len(in.runs) == 0:
+		return nil
+	case !e.Refused:
+		in.refusals = 0
+		return nil
+	}
+	if in.refusals++; in.refusals < refusalsOfLostEndpoint {
+		return nil
+	}
+	return t.lost(e.Endpoint)
+}
+
+// register notes a registration. It ends the earlier incarnation of the endpoint and any other endpoint at the same address.
+func (t *Tracker) register(now time.Time, r endpoint.Record) []Command {
+	var commands []Command
+	if earlier, known := t.registered[r.Instance.ID]; known && earlier != r.Instance {
+		commands = append(commands, t.end(now, earlier)...)
+	}
+	if other, known := t.byAddress[r.Address]; known && other != r.Instance {
+		commands = append(commands, t.end(now, other)...)
+	}
+	if in := t.incarnations[r.Instance]; in != nil {
+		in.record, in.endedAt = r, time.Time{}
+	} else {
+		t.incarnations[r.Instance] = &incarnation{record: r}
+	}
+	t.registered[r.Instance.ID], t.byAddress[r.Address] = r.Instance, r.Instance
+	return commands
+}
+
+// end notes that an incarnation is no longer registered. It does nothing for one that is not registered.
+func (t *Tracker) end(now time.Time, instance endpoint.Instance) []Command {
+	in := t.incarnations[instance]
+	if in == nil || t.registered[instance.ID] != instance {
+		return nil
+	}
+	delete(t.registered, instance.ID)
+	if t.byAddress[in.record.Address] == instance {
+		delete(t.byAddress, in.record.Address)
+	}
+	in.endedAt = now
+	t.ended = append(t.ended, instance)
+	return t.lost(instance)
+}
+
+// lost attributes the end of an incarnation to the runs that were interrupted there, unless it was leaving.
+func (t *Tracker) lost(instance endpoint.Instance) []Command {
+	in := t.incarnations[instance]
+	if in == nil {
+		return nil
+	}
+	if in.record.Leaving {
+		return t.drop(in, reasonLeaving, func(Run) bool { return true })
+	}
+	var commands []Command
+	for _, run := range in.runs {
+		commands = append(commands, Crashed{run})
+	}
+	t.pending -= len(in.runs)
+	in.runs, in.probes, in.refusals = nil, nil, 0
+	return commands
+}
+
+// drop removes the runs that match and ends the probes if none is left.
+func (t *Tracker) drop(in *incarnation, reason string, match func(Run) bool) []Command {
+	var commands []Command
+	kept := in.runs[:0]
+	for _, run := range in.runs {
+		if match(run) {
+			commands = append(commands, Dropped{run, reason})
+			continue
+		}
+		kept = append(kept, run)
+	}
+	t.pending -= len(in.runs) - len(kept)
+	if in.runs = kept; len(kept) == 0 {
+		in.probes, in.refusals = nil, 0
+	}
+	return commands
+}
+
+func (t *Tracker) tick(now time.Time) []Command {
+	var commands []Command
+	active := t.active[:0]
+	for _, instance := range t.active {
+		in := t.incarnations[instance]
+		if in == nil {
+			continue
+		}
+		commands = append(commands, t.drop(in, reasonExpired, func(run Run) bool { return now.Sub(run.EndedAt) > window })...)
+		if len(in.runs) == 0 {
+			continue
+		}
+		active = append(active, instance)
+		if len(in.probes) > 0 && !now.Before(in.probes[0]) {
+			in.probes = in.probes[1:]
+			commands = append(commands, Probe{Endpoint: instance, Address: in.record.Address})
+		}
+	}
+	t.active = active
+	t.forgetEnded(now)
+	return commands
+}
+
+// forgetEnded deletes the incarnations that ended more than endedMemory ago.
+func (t *Tracker) forgetEnded(now time.Time) {
+	for len(t.ended) > 0 {
+		in := t.incarnations[t.ended[0]]
+		if in != nil && !in.endedAt.IsZero() {
+			if now.Sub(in.endedAt) <= endedMemory {
+				return
+			}
+			delete(t.incarnations, t.ended[0])
+		}
+		t.ended = t.ended[1:]
+	}
+}
