Look for evidence that an endpoint ended when an answer breaks off

What callers saw: a request under which three endpoints had ended was run again and again (BUDGET).

Cause: a host recorded a crash only if, within 3 s of the broken answer, another request of its own happened to find the endpoint unreachable, or the endpoint registered again under the same ID with another start time. The keeper keeps requests away from a failed endpoint for 0.5 to 4 s, a runner is back later than that, a registration lives for 3.6 s, and most incarnations have a new ID: so most crashes were never recorded. A silent end was a time-out, which was not looked at.

Change: package interruption holds each run without a complete answer for 15 s. The host itself probes an endpoint that broke off, at 0.05, 0.25 and 1 s; two refusals in a row are a crash. So are another incarnation, another endpoint at the address, the removal of an endpoint that was not leaving, and another host's evidence. An answer over a connection from before the interruption rules a crash out. Time-outs and disconnected callers count as runs too, without probes.

Why it works: evidence no longer depends on whether another request tries the endpoint, nor on the name under which it returns.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -129,6 +130,15 @@
 	}
 }
 
+// ConnectedAt returns when the exchange's connection was established, by timer.BootClock.
+func (x *Exchange) ConnectedAt() time.Time { return x.conn.connectedAt }
+
+// EndMarked reports whether the answer itself says where it ends. Otherwise the end of the connection does, which looks the same
+// when the endpoint crashes.
+func (x *Exchange) EndMarked() bool {
+	return x.Response.ContentLength >= 0 || slices.Contains(x.Response.TransferEncoding, "chunked")
+}
+
 // SetReadDeadline sets the time after which reads of the answer's body fail.
 func (x *Exchange) SetReadDeadline(t time.Time) { _ = x.conn.SetReadDeadline(t) }
 
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -15,6 +15,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"balsamknot.org/fleet/timer"
 )
 
 // Config holds the time-outs and limits of a pool.
@@ -54,8 +56,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	// answered is true once the connection has carried a complete answer.
-	answered bool
+	// connectedAt is when the connection was established, by timer.BootClock.
+	connectedAt time.Time
 	// expires is the time from which the connection is not used again, because the endpoint may be closing it.
 	expires time.Time
 }
@@ -126,7 +128,7 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	return &pooledConn{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readerSize)}, nil
+	return &pooledConn{Conn: conn, address: address, connectedAt: timer.BootClock(), reader: bufio.NewReaderSize(conn, readerSize)}, nil
 }
 
 // silentWhileIdle reports whether nothing was received while the connection was idle: no stray bytes, no end of stream, no error.
@@ -164,7 +166,6 @@
 		lifetime = idle - idleMargin
 	}
 	_ = c.SetDeadline(time.Time{})
-	c.answered = true
 	c.expires = time.Now().Add(lifetime)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -197,6 +198,17 @@
 	}
 }
 
+// Listening reports whether something listens at an address (ip:port). It closes the connection that it opens. known is false if
+// neither a connection nor a refusal came in time.
+func (p *Pool) Listening(ctx context.Context, address string) (listening, known bool) {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return true, true
+}
+
 // Dials returns the number of connections established since New.
 func (p *Pool) Dials() int64 {
 	p.mu.Lock()
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -118,6 +118,9 @@
 	lastEventID string
 	// endpoint is the endpoint of the latest slot that the request got; empty before the first.
 	endpoint endpoint.ID
+	// instance is the incarnation of the endpoint to which the request was sent last, and sentAt when that was.
+	instance endpoint.Instance
+	sentAt   time.Time
 	// cause is why the latest attempt failed or the request was refused, for the log.
 	cause string
 	// firstByteAt is when the headers of a streamed answer were sent to the caller, or when an answer that is not streamed was
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -1,48 +1,41 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/entry/connection"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/interruption"
 	"balsamknot.org/fleet/timer"
 )
 
-// crashTracker finds requests that crash the endpoints that run them. A request is suspected when its answer was interrupted and
-// its endpoint was then unreachable or had restarted.
+// crashTracker finds requests that crash the endpoints that run them. Package interruption decides which interrupted runs were
+// crashes, and package fingerprint which requests are blocked for them. It is safe for concurrent use.
 type crashTracker struct {
 	n *Node
 
-	mu       sync.Mutex
-	registry *fingerprint.Registry
-	// interrupted holds the requests whose answers were interrupted, by endpoint, oldest first.
-	interrupted map[endpoint.ID][]interruptedRun
+	mu            sync.Mutex
+	registry      *fingerprint.Registry
+	interruptions *interruption.Tracker
 }
 
-type interruptedRun struct {
-	fingerprint fingerprint.Fingerprint
-	at          time.Time
-}
-
-const (
-	// crashWindow is how long after the interruption of an answer the loss of its endpoint is attributed to the request.
-	crashWindow = 3 * time.Second
-	// minCrashInterval is the least time between two crashes that are recorded for one fingerprint: endpoints that fail at the
-	// same moment have another cause than the request.
-	minCrashInterval = 400 * time.Millisecond
-)
+// minCrashInterval is the time that the crashes of a blocked request must span: endpoints that fail at the same moment have
+// another cause than the request.
+const minCrashInterval = 400 * time.Millisecond
 
 func newCrashTracker(n *Node) *crashTracker {
-	return &crashTracker{
-		n: n, registry: fingerprint.NewRegistry(minCrashInterval), interrupted: make(map[endpoint.ID][]interruptedRun),
-	}
+	return &crashTracker{n: n, registry: fingerprint.NewRegistry(minCrashInterval), interruptions: interruption.NewTracker()}
 }
 
 // fingerprint returns the request's fingerprint. ok is false for requests without a body, which are too similar to be told apart.
@@ -64,7 +57,17 @@
 	return c.registry.Verdict(now, fp) == fingerprint.Blocked
 }
 
-// recordCompletion deletes the crashes recorded for a request that ran to its end, unless it is blocked.
+// recordAnswer records that an endpoint's answer to a request was read to its end.
+func (c *crashTracker) recordAnswer(q *request, x *connection.Exchange) {
+	now := timer.BootClock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interruptions.Pending() > 0 {
+		c.execute(now, c.interruptions.Update(now, interruption.Answered{Endpoint: q.instance, ConnectedAt: x.ConnectedAt()}))
+	}
+}
+
+// recordCompletion deletes the crashes recorded for a request that ran to its end.
 func (c *crashTracker) recordCompletion(q *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -80,73 +83,108 @@
 	}
 }
 
-// recordInterruption records that an endpoint's answer to a request was interrupted.
-func (c *crashTracker) recordInterruption(now time.Time, id endpoint.ID, q *request) {
+// recordInterruption records a run of a request at its current endpoint whose answer is missing or incomplete. broken is true if the
+// endpoint closed or reset the connection.
+func (c *crashTracker) recordInterruption(now time.Time, q *request, broken bool) {
 	fp, ok := q.fingerprint()
 	if !ok {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.interrupted[id] = append(c.recentInterruptions(now, id), interruptedRun{fp, now})
 	c.n.meter.recordInterruption()
-	q.logEvent(c.n.log, zerolog.WarnLevel, event.RunInterrupted).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(id)).
-		Str("Cause", q.cause).Send()
-}
-
-// recentInterruptions returns the interruptions at an endpoint within crashWindow. mu must be held.
-func (c *crashTracker) recentInterruptions(now time.Time, id endpoint.ID) []interruptedRun {
-	runs := c.interrupted[id]
-	for len(runs) > 0 && now.Sub(runs[0].at) > crashWindow {
-		event.LogText(c.n.log, zerolog.InfoLevel, event.InterruptionDropped).Uint64("Fingerprint", uint64(runs[0].fingerprint)).
-			Str("Endpoint", string(id)).Str("Reason", "no sign of a crash in time").Send()
-		runs = runs[1:]
+	level := zerolog.InfoLevel
+	if broken {
+		level = zerolog.WarnLevel
 	}
-	return runs
+	q.logEvent(c.n.log, level, event.RunInterrupted).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(q.instance.ID)).
+		Int64("StartedAt", q.instance.StartedAt).Bool("Broken", broken).Dur("RanMs", now.Sub(q.sentAt)).Str("Cause", q.cause).Send()
+	run := interruption.Run{Fingerprint: fp, Endpoint: q.instance, StartedAt: q.sentAt, EndedAt: now}
+	c.update(now, interruption.Interrupted{Run: run, Broken: broken})
 }
 
-// endpointLost handles an endpoint that is unreachable or has restarted: it records a crash for each request that was recently
-// interrupted there, and sends the recorded crashes to the other hosts.
-func (c *crashTracker) endpointLost(now time.Time, id endpoint.ID) {
+// update passes an event about an endpoint to the state machine and executes the resulting commands.
+func (c *crashTracker) update(now time.Time, e interruption.Event) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.execute(now, c.interruptions.Update(now, e))
+}
+
+func (c *crashTracker) tick(now time.Time) { c.update(now, interruption.Tick{}) }
+
+// execute carries out commands. mu must be held.
+func (c *crashTracker) execute(now time.Time, commands []interruption.Command) {
 	var recorded []peer.Crash
-	for _, run := range c.recentInterruptions(now, id) {
-		crash := fingerprint.Crash{Engine: engine.ID(id), Incarnation: run.at.UnixMilli()}
-		if c.recordCrash(now, c.n.cfg.Host, run.fingerprint, crash) {
-			recorded = append(recorded, peer.Crash{Fingerprint: run.fingerprint, Endpoint: id, AtMs: crash.Incarnation})
+	for _, command := range commands {
+		switch command := command.(type) {
+		case interruption.Probe:
+			c.n.wg.Go(func() { c.probe(command) })
+		case interruption.Dropped:
+			event.LogText(c.n.log, zerolog.InfoLevel, event.InterruptionDropped).Uint64("Fingerprint", uint64(command.Run.Fingerprint)).
+				Str("Endpoint", string(command.Run.Endpoint.ID)).Str("Reason", command.Reason).Send()
+		case interruption.Crashed:
+			row := crashRow(now, command.Run)
+			if c.merge(now, c.n.cfg.Host, row) {
+				recorded = append(recorded, peer.FromCrashRow(row))
+			}
 		}
 	}
-	delete(c.interrupted, id)
-	c.mu.Unlock()
 	if len(recorded) > 0 {
 		c.n.membership.broadcast(peer.Datagram{Crashes: recorded})
 	}
 }
 
-// recordCrash records and logs a crash that the host from observed, and returns false if the registry ignores it. mu must be held.
-func (c *crashTracker) recordCrash(now time.Time, from host.ID, fp fingerprint.Fingerprint, crash fingerprint.Crash) bool {
-	if !c.registry.RecordCrash(now, fp, crash) {
+func crashRow(now time.Time, run interruption.Run) fingerprint.Row {
+	return fingerprint.Row{
+		Fingerprint: run.Fingerprint, Age: now.Sub(run.EndedAt),
+		Crash: fingerprint.Crash{
+			Engine: engine.ID(run.Endpoint.ID), Incarnation: run.Endpoint.StartedAt, Ran: run.EndedAt.Sub(run.StartedAt),
+		},
+	}
+}
+
+// probe checks whether an endpoint still listens.
+func (c *crashTracker) probe(p interruption.Probe) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	listening, known := c.n.endpointConns.Listening(ctx, p.Address)
+	if known {
+		c.update(timer.BootClock(), interruption.Probed{Endpoint: p.Endpoint, Refused: !listening})
+	}
+}
+
+// recordUnreachable records that a request could not connect to an endpoint.
+func (c *crashTracker) recordUnreachable(now time.Time, instance endpoint.Instance, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.update(now, interruption.Probed{Endpoint: instance, Refused: true})
+	}
+}
+
+// merge records a crash that the host from observed, and logs it. It returns false if the crash is already known. mu must be held.
+func (c *crashTracker) merge(now time.Time, from host.ID, row fingerprint.Row) bool {
+	if !c.registry.Merge(now, row) {
 		return false
 	}
 	number := event.RequestSuspected
-	if c.registry.Verdict(now, fp) == fingerprint.Blocked {
+	if c.registry.Verdict(now, row.Fingerprint) == fingerprint.Blocked {
 		number = event.RequestBlocked
 	}
-	event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(crash.Engine)).
-		Str("From", string(from)).Send()
+	event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(row.Fingerprint)).Str("Endpoint", string(row.Crash.Engine)).
+		Int64("StartedAt", row.Crash.Incarnation).Dur("RanMs", row.Crash.Ran).Str("From", string(from)).Send()
 	c.n.meter.recordCrash(from == c.n.cfg.Host)
 	return true
 }
 
-// handle records the crashes in a datagram from another host.
-func (c *crashTracker) handle(d peer.Datagram) {
+// handle records the crashes in a datagram from another host. They are also evidence for the runs that were interrupted here.
+func (c *crashTracker) handle(now time.Time, d peer.Datagram) {
 	if len(d.Crashes) == 0 {
 		return
 	}
-	now := timer.BootClock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, crash := range d.Crashes {
-		c.recordCrash(now, d.From, crash.Fingerprint, fingerprint.Crash{Engine: engine.ID(crash.Endpoint), Incarnation: crash.AtMs, Alone: crash.Alone})
+		row := crash.ToRow()
+		if c.merge(now, d.From, row) {
+			lost := endpoint.Instance{ID: endpoint.ID(row.Crash.Engine), StartedAt: row.Crash.Incarnation}
+			c.execute(now, c.interruptions.Update(now, interruption.ReportedLost{Endpoint: lost}))
+		}
 	}
 }
--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -140,7 +140,7 @@
 	}
 	m.n.slots.handle(now, d)
 	m.n.storeView.handle(now, d)
-	m.n.crashes.handle(d)
+	m.n.crashes.handle(now, d)
 }
 
 // sendJoinMessage sends known heartbeats to the sender of a message if changes say that it became live, by its start or after it
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -135,6 +135,7 @@
 	now := timer.BootClock()
 	n.storeView.tick(now)
 	n.slots.tick(now)
+	n.crashes.tick(now)
 }
 
 func (n *Node) sweep() {
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -145,6 +145,7 @@
 		Workspace: string(q.workspace), Instance: target.Instance, TimeLeft: timeLeft, Priority: q.set.Priority(q.route, q.workspace),
 		LastEventID: q.position(), Fetch: n.slots.endpointAddress(grant.Fetch),
 	})
+	q.instance, q.sentAt = target.Instance, now
 	x, err := n.endpointConns.Do(q.r.Context(), target.Address, connection.Request{
 		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
 	}, time.Now().Add(timeLeft))
@@ -153,7 +154,7 @@
 			n.endDisconnected(q)
 		}
 		q.cause = err.Error()
-		n.crashes.endpointLost(timer.BootClock(), id)
+		n.crashes.recordUnreachable(timer.BootClock(), target.Instance, err)
 		return pool.ConnectionFailed, a.Update(timer.BootClock(), attempt.Unreachable{ID: id})
 	}
 	a.Sent(id)
@@ -166,18 +167,18 @@
 	return n.deliver(q, a, id, x)
 }
 
-// interrupted handles an answer that is missing or incomplete. A time-out at the request's deadline is not recorded as an
-// interruption that may have been a crash of the endpoint.
+// interrupted handles an answer that is missing or incomplete.
 func (n *Node) interrupted(q *request, a *attempt.Attempt, id endpoint.ID, err error) (pool.Result, attempt.Command) {
-	if q.disconnected() {
-		n.endDisconnected(q)
-	}
 	now := timer.BootClock()
 	q.cause = err.Error()
-	if errors.Is(err, os.ErrDeadlineExceeded) && !now.Before(q.deadline.Add(-time.Millisecond)) {
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded) && !now.Before(q.deadline.Add(-time.Millisecond))
+	n.crashes.recordInterruption(now, q, !timedOut && !q.disconnected())
+	switch {
+	case q.disconnected():
+		n.endDisconnected(q)
+	case timedOut:
 		return pool.TimedOut, a.Update(now, attempt.DeadlineExceeded{})
 	}
-	n.crashes.recordInterruption(now, id, q)
 	return pool.ConnectionFailed, a.Update(now, attempt.Interrupted{ID: id})
 }
 
@@ -188,6 +189,7 @@
 	switch {
 	case x.Answer.NotRun:
 		discardBody(x)
+		n.crashes.recordAnswer(q, x)
 		q.cause = "endpoint did not run the request: status " + strconv.Itoa(status)
 		return pool.Rejected, a.Update(timer.BootClock(), attempt.NotExecuted{ID: id})
 	case status >= http.StatusInternalServerError:
@@ -249,13 +251,15 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	q.w.WriteHeader(x.Response.StatusCode)
 	_, _ = q.w.Write(body)
-	n.recordCompletion(q, x.Response.StatusCode)
+	n.recordCompletion(q, x)
 }
 
 // recordCompletion logs and counts an endpoint's answer that was delivered in full, and clears the crashes recorded for the
 // request.
-func (n *Node) recordCompletion(q *request, status int) {
+func (n *Node) recordCompletion(q *request, x *connection.Exchange) {
 	now := timer.BootClock()
+	status := x.Response.StatusCode
+	n.crashes.recordAnswer(q, x)
 	n.crashes.recordCompletion(q)
 	if q.firstByteAt.IsZero() {
 		q.firstByteAt = now
@@ -279,7 +283,7 @@
 		if errors.Is(err, io.EOF) {
 			x.Finish()
 			n.startStream(q, a, x)
-			n.recordCompletion(q, x.Response.StatusCode)
+			n.recordCompletion(q, x)
 			return pool.Completed, nil
 		}
 		if err != nil {
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -13,6 +13,7 @@
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/catalogue"
 	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/interruption"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -339,13 +340,12 @@
 	for _, record := range change.Endpoints {
 		event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRegistered).Str("Endpoint", string(record.Instance.ID)).
 			Str("Service", string(record.Service)).Bool("Leaving", record.Leaving).Send()
-		if old, known := v.n.slots.registeredInstance(record.Instance.ID); known && old != record.Instance {
-			v.n.crashes.endpointLost(now, record.Instance.ID)
-		}
+		v.n.crashes.update(now, interruption.Registered{Record: record})
 		v.n.slots.update(now, pool.EndpointRegistered{Record: record})
 	}
 	for _, id := range change.Removed {
 		event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRemoved).Str("Endpoint", string(id)).Send()
+		v.n.crashes.update(now, interruption.Removed{ID: id})
 		v.n.slots.update(now, pool.EndpointRemoved{ID: id})
 	}
 }
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -17,6 +17,7 @@
 
 	"balsamknot.org/fleet/chat"
 	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
@@ -150,17 +151,32 @@
 	return e
 }
 
-// Crash reports that an endpoint became unreachable or restarted shortly after its answer to a request was interrupted. Hosts
-// broadcast it to find requests that crash endpoints.
+// Crash is a crash of an endpoint during a request with this fingerprint or, if Endpoint is empty, the completion of such a request.
+// Hosts exchange both to find requests that crash endpoints; see fingerprint.Row.
 type Crash struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint fingerprint.Fingerprint
 	Endpoint    endpoint.ID
-	// AtMs is when the answer was interrupted, in milliseconds since the boot of the sender's machine. It distinguishes crashes
-	// of one endpoint and is not compared with local clocks.
-	AtMs int64
-	// Alone is true when no other request ran on the endpoint. Entry hosts do not track this and send false.
-	Alone bool
+	// StartedAt distinguishes instances of an endpoint, as in endpoint.Instance.
+	StartedAt int64
+	// AgeMs is the time since the crash or completion when the datagram was sent, and RanMs how long the request had run.
+	AgeMs, RanMs int64
+}
+
+// FromCrashRow converts a row to a message.
+func FromCrashRow(row fingerprint.Row) Crash {
+	return Crash{
+		Fingerprint: row.Fingerprint, Endpoint: endpoint.ID(row.Crash.Engine), StartedAt: row.Crash.Incarnation,
+		AgeMs: row.Age.Milliseconds(), RanMs: row.Crash.Ran.Milliseconds(),
+	}
+}
+
+// ToRow converts the message to a row.
+func (c Crash) ToRow() fingerprint.Row {
+	return fingerprint.Row{
+		Fingerprint: c.Fingerprint, Age: time.Duration(c.AgeMs) * time.Millisecond,
+		Crash: fingerprint.Crash{Engine: engine.ID(c.Endpoint), Incarnation: c.StartedAt, Ran: time.Duration(c.RanMs) * time.Millisecond},
+	}
 }
 
 // Encode returns the datagram as CBOR.
