Recognise a request that crashes endpoints after its route has moved

What callers saw: a request that three endpoints had ended under was run by the endpoints of another service (BUDGET).

Cause: the service was part of the fingerprint. A configuration that moves the route, or splits it by weights, gives the same request another fingerprint, whose crashes are counted from zero.

Change: the fingerprint has the route's host, the workspace, the method, the path with the query, and the body.

--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -43,7 +44,8 @@
 	if len(q.body) == 0 {
 		return 0, false
 	}
-	return fingerprint.Of(string(q.service)+" "+string(q.workspace), q.r.Method, q.r.RequestURI, q.body), true
+	scope := strings.ToLower(q.route.Host) + " " + string(q.workspace)
+	return fingerprint.Of(scope, q.r.Method, q.r.RequestURI, q.body), true
 }
 
 // blocked reports whether a request has crashed so many endpoints that it must not run again.
