Recognise requests without a body by their path, and test that innocent ones are not blocked

Cause: it had no fingerprint, since requests without a body were taken to be too similar to be told apart.

Change: it has one, of its host, workspace, method and path. What protects those that are sent often is evidence, not this exception: one that runs to its end clears the crashes recorded for its fingerprint.

--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -57,8 +57,9 @@
 	otherService string
 }
 
-func (s *poisonSite) isPoison(r *http.Request, body, poisonBody []byte) bool {
-	return r.Method != http.MethodHead && r.URL.Query().Get("innocent") == "" && bytes.Equal(body, poisonBody)
+// crashes reports whether a request is the one that crashes endpoints.
+func (c poisonCase) crashes(r *http.Request, body []byte) bool {
+	return r.Method == c.method && r.URL.Path == c.path && bytes.Equal(body, c.body)
 }
 
 func newPoisonSite(t *testing.T, c poisonCase, endpoints int) *poisonSite {
@@ -74,8 +75,11 @@
 		e = s.addEndpoint(fmt.Sprintf("i-%d", i), service, func(w http.ResponseWriter, r *http.Request) {
 			<-ready
 			body, _ := io.ReadAll(r.Body)
-			if !s.isPoison(r, body, c.body) {
+			if !c.crashes(r, body) {
 				time.Sleep(5 * time.Millisecond)
+				if string(body) == slowBody {
+					time.Sleep(slowTime)
+				}
 				_, _ = io.WriteString(w, "answer")
 				return
 			}
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -39,24 +39,17 @@
 	return &crashTracker{n: n, registry: fingerprint.NewRegistry(minCrashInterval), interruptions: interruption.NewTracker()}
 }
 
-// fingerprint returns the request's fingerprint. ok is false for requests without a body, which are too similar to be told apart.
-func (q *request) fingerprint() (fp fingerprint.Fingerprint, ok bool) {
-	if len(q.body) == 0 {
-		return 0, false
-	}
+// fingerprint returns the request's fingerprint.
+func (q *request) fingerprint() fingerprint.Fingerprint {
 	scope := strings.ToLower(q.route.Host) + " " + string(q.workspace)
-	return fingerprint.Of(scope, q.r.Method, q.r.RequestURI, q.body), true
+	return fingerprint.Of(scope, q.r.Method, q.r.RequestURI, q.body)
 }
 
 // blocked reports whether a request has crashed so many endpoints that it must not run again.
 func (c *crashTracker) blocked(now time.Time, q *request) bool {
-	fp, ok := q.fingerprint()
-	if !ok {
-		return false
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.registry.Verdict(now, fp) == fingerprint.Blocked
+	return c.registry.Len() > 0 && c.registry.Verdict(now, q.fingerprint()) == fingerprint.Blocked
 }
 
 // recordAnswer records that an endpoint's answer to a request was read to its end.
@@ -76,10 +69,7 @@
 	if c.registry.Len() == 0 {
 		return
 	}
-	fp, ok := q.fingerprint()
-	if !ok {
-		return
-	}
+	fp := q.fingerprint()
 	if crashes := c.registry.RecordCompletion(timer.BootClock(), fp); crashes > 0 {
 		q.logEvent(c.n.log, zerolog.InfoLevel, event.CrashesCleared).Uint64("Fingerprint", uint64(fp)).Int("Crashes", crashes).Send()
 	}
@@ -88,10 +78,7 @@
 // recordInterruption records a run of a request at its current endpoint whose answer is missing or incomplete. broken is true if the
 // endpoint closed or reset the connection.
 func (c *crashTracker) recordInterruption(now time.Time, q *request, broken bool) {
-	fp, ok := q.fingerprint()
-	if !ok {
-		return
-	}
+	fp := q.fingerprint()
 	c.n.meter.recordInterruption()
 	level := zerolog.InfoLevel
 	if broken {
