Check for a block before each send, not only at a request's arrival

Cause: the block was looked up once, when the request arrived. A retry at another endpoint, and a request that waited for a slot meanwhile, were sent all the same.

Change: the block is looked up again right before each send. The answer is 503 if no endpoint can have run the request, else 502.

Evidence: the test queues the request behind others, blocks it and frees the slots: sent before (status 200), 503 and no run after.

--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -153,8 +153,6 @@
 		return
 	}
 	if c.n.crashes.blocked(q.start, q) {
-		q.cause = "request blocked: it crashed several endpoints"
-		c.n.meter.recordBlocked()
 		c.n.refuse(q, http.StatusServiceUnavailable, 0)
 		return
 	}
--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -13,6 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/fingerprint"
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform/standin"
 )
 
@@ -251,3 +254,55 @@
 		})
 	}
 }
+
+// blockAtOnce records three crashes of a request at a node, as if other hosts had reported them.
+func (n *testNode) blockAtOnce(fp fingerprint.Fingerprint) {
+	var crashes []peer.Crash
+	for i := range int64(crashesToBlock) {
+		crashes = append(crashes, peer.Crash{Fingerprint: fp, Endpoint: "i-other", StartedAt: i, AgeMs: 1000 * i})
+	}
+	n.crashes.handle(timer.BootClock(), peer.Datagram{From: "host-other", Crashes: crashes})
+}
+
+// post sends a request through the node and returns the status; 0 if there was no answer.
+func (n *testNode) post(path, id string, body []byte) int {
+	response, err := http.DefaultTransport.RoundTrip(standin.NewCall(n.cfg.CallerAddress, http.MethodPost, path, id, "k1", bytes.NewReader(body)))
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func TestRequestThatIsBlockedWhileItWaitsForASlotIsNotSent(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	release := make(chan struct{})
+	var poisonRuns atomic.Int64
+	s.addEndpoint("i-a", "full", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if bytes.Equal(body, poison) {
+			poisonRuns.Add(1)
+		}
+		<-release
+		_, _ = io.WriteString(w, "answer")
+	})
+	s.startNodes(1, 30)
+	n := s.nodes[0]
+	waiting := func() int { _, waiting := n.slots.counts(); return waiting }
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := 0; waiting() == 0; i++ {
+		wg.Go(func() { n.post("/full/x", fmt.Sprintf("holder-%d", i), []byte("holder")) })
+		time.Sleep(20 * time.Millisecond)
+	}
+	before := waiting()
+	status := make(chan int, 1)
+	go func() { status <- n.post("/full/x", "poison", poison) }()
+	require.Eventually(t, func() bool { return waiting() > before }, time.Minute, time.Millisecond)
+	n.blockAtOnce(fingerprint.Of(standin.Host+" "+standin.Workspace, http.MethodPost, "/full/x", poison))
+	close(release)
+	require.Equal(t, http.StatusServiceUnavailable, <-status)
+	require.Zero(t, poisonRuns.Load())
+}
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -45,11 +45,16 @@
 	return fingerprint.Of(scope, q.r.Method, q.r.RequestURI, q.body)
 }
 
-// blocked reports whether a request has crashed so many endpoints that it must not run again.
+// blocked reports whether a request has crashed so many endpoints that it must not run again. It then sets the request's cause.
 func (c *crashTracker) blocked(now time.Time, q *request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.registry.Len() > 0 && c.registry.Verdict(now, q.fingerprint()) == fingerprint.Blocked
+	if c.registry.Len() == 0 || c.registry.Verdict(now, q.fingerprint()) != fingerprint.Blocked {
+		return false
+	}
+	q.cause = "request blocked: it crashed several endpoints"
+	c.n.meter.recordBlocked()
+	return true
 }
 
 // recordAnswer records that an endpoint's answer to a request was read to its end.
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -136,6 +136,8 @@
 	case !n.stillAllowed(now, q):
 		q.cause = "key no longer allowed, or set not confirmed in time"
 		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: notReadyRetryAfter})
+	case n.crashes.blocked(now, q):
+		return pool.Unknown, a.Update(now, attempt.NotAllowed{})
 	case !n.slots.usable(target.Instance):
 		q.cause = "endpoint is leaving or was removed"
 		return pool.Unknown, a.Update(now, attempt.Unreachable{ID: id})
--- a/fleet/attempt/attempt.go
+++ b/fleet/attempt/attempt.go
@@ -72,8 +72,8 @@
 // DeadlineExceeded means that the deadline passed, or that the keeper did not answer in time.
 type DeadlineExceeded struct{}
 
-// NotAllowed means that the caller's key is no longer valid for the request, or that the local copy of the configuration set
-// is too old to check it.
+// NotAllowed means that the caller's key is no longer valid for the request, that the local copy of the configuration set is too
+// old to check it, or that the request is blocked because it crashed endpoints.
 type NotAllowed struct{ RetryAfter time.Duration }
 
 func (SlotRefused) event()      {}
