Take only a success with a marked end for a request that ran to its end, and tell all hosts

Cause: every answer that was passed on deleted the crashes of its request: errors too, and answers whose end only the end of the connection marks, which a crash ends as well. A completion was known on one host only.

Change: a status below 300 with Content-Length or chunks is a completion; hosts tell it each other. An answer without a marked end is an interrupted run that only a later end of the endpoint turns into a crash. Any other complete answer shows that the endpoint runs.

--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -152,17 +152,19 @@
 	time.Sleep(registrationLifetime)
 }
 
-// endsUnframedAnswer makes an endpoint crash after the headers of an answer whose end only the end of the connection marks.
-func endsUnframedAnswer(s *poisonSite, e *standin.Endpoint, w http.ResponseWriter) {
-	conn, buffer, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		s.t.Error(err)
-		return
+// withUnmarkedEnd makes an endpoint crash, as end does, in an answer whose end only the end of the connection marks.
+func withUnmarkedEnd(end ending) ending {
+	return func(s *poisonSite, e *standin.Endpoint, w http.ResponseWriter) {
+		conn, buffer, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			s.t.Error(err)
+			return
+		}
+		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nid: 1\ndata: a\n\n", standin.RequestIDHeader, w.Header().Get(standin.RequestIDHeader))
+		_ = buffer.Flush()
+		_ = conn.Close()
+		end(s, e, w)
 	}
-	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nid: 1\ndata: a\n\n", standin.RequestIDHeader, w.Header().Get(standin.RequestIDHeader))
-	_ = buffer.Flush()
-	_ = conn.Close()
-	returns(time.Second)(s, e, w)
 }
 
 // send sends the request that crashes endpoints through a host and waits for the end of the answer, if there is one.
@@ -226,16 +228,20 @@
 	}
 	subnet := 40
 	for name, c := range map[string]poisonCase{
-		"return at once":                   with(func(c *poisonCase) { c.end = returns(50 * time.Millisecond) }),
-		"return after 1 s":                 with(func(c *poisonCase) { c.end = returns(time.Second) }),
-		"return after 5 s":                 with(func(c *poisonCase) { c.end = returns(5 * time.Second) }),
-		"return after their removal":       with(func(c *poisonCase) { c.end = returnsAfterRemoval }),
-		"return as other endpoints":        with(func(c *poisonCase) { c.end = returnsAsAnother }),
-		"stay away":                        with(func(c *poisonCase) { c.end = staysAway }),
-		"fall silent":                      with(func(c *poisonCase) { c.end = fallsSilent }),
-		"end a stream that looks complete": with(func(c *poisonCase) { c.end, c.path, c.service = endsUnframedAnswer, "/stream/x", "engines" }),
-		"an idempotent request":            with(func(c *poisonCase) { c.end, c.path = returns(time.Second), "/again/x" }),
-		"a resumable stream":               with(func(c *poisonCase) { c.end, c.path, c.service = returns(time.Second), "/stream/x", "engines" }),
+		"return at once":             with(func(c *poisonCase) { c.end = returns(50 * time.Millisecond) }),
+		"return after 1 s":           with(func(c *poisonCase) { c.end = returns(time.Second) }),
+		"return after 5 s":           with(func(c *poisonCase) { c.end = returns(5 * time.Second) }),
+		"return after their removal": with(func(c *poisonCase) { c.end = returnsAfterRemoval }),
+		"return as other endpoints":  with(func(c *poisonCase) { c.end = returnsAsAnother }),
+		"stay away":                  with(func(c *poisonCase) { c.end = staysAway }),
+		"fall silent":                with(func(c *poisonCase) { c.end = fallsSilent }),
+		"end a stream that looks complete": with(func(c *poisonCase) {
+			c.end, c.path, c.service = withUnmarkedEnd(returns(time.Second)), "/stream/x", "engines"
+		}),
+		"end an answer that looks complete": with(func(c *poisonCase) { c.end = withUnmarkedEnd(returns(5 * time.Second)) }),
+		"end it and stay away":              with(func(c *poisonCase) { c.end = withUnmarkedEnd(staysAway) }),
+		"an idempotent request":             with(func(c *poisonCase) { c.end, c.path = returns(time.Second), "/again/x" }),
+		"a resumable stream":                with(func(c *poisonCase) { c.end, c.path, c.service = returns(time.Second), "/stream/x", "engines" }),
 		"a request without a body": with(func(c *poisonCase) {
 			c.end, c.method, c.path, c.body = returns(time.Second), http.MethodGet, "/again/x", nil
 		}),
@@ -306,3 +312,30 @@
 	require.Equal(t, http.StatusServiceUnavailable, <-status)
 	require.Zero(t, poisonRuns.Load())
 }
+
+// A request has crashes recorded at every host and runs to its end through one of them.
+func TestCompletionThroughOneHostClearsCrashesOnAll(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	s.addEndpoint("i-a", "plain", nil)
+	s.startNodes(3, 31)
+	body := []byte("innocent")
+	fp := fingerprint.Of(standin.Host+" "+standin.Workspace, http.MethodPost, "/once/x", body)
+	for _, n := range s.nodes {
+		n.crashes.handle(timer.BootClock(), peer.Datagram{From: "host-other", Crashes: []peer.Crash{
+			{Fingerprint: fp, Endpoint: "i-x", StartedAt: 1}, {Fingerprint: fp, Endpoint: "i-y", StartedAt: 1},
+		}})
+		require.Equal(t, 2, n.recordedCrashes(fp))
+	}
+	require.Equal(t, http.StatusOK, s.nodes[0].post("/once/x", "id-1", body))
+	for _, n := range s.nodes {
+		require.Eventually(t, func() bool { return n.recordedCrashes(fp) == 0 }, time.Minute, time.Millisecond, "%s", n.cfg.Host)
+	}
+}
+
+func (n *testNode) recordedCrashes(fp fingerprint.Fingerprint) int {
+	n.crashes.mu.Lock()
+	defer n.crashes.mu.Unlock()
+	return len(n.crashes.registry.Crashes(fp))
+}
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -57,27 +58,34 @@
 	return true
 }
 
-// recordAnswer records that an endpoint's answer to a request was read to its end.
+// recordAnswer records that an endpoint's answer to a request was read to its end. A success clears the crashes recorded for the
+// request, on all hosts, if the answer itself marks its end: otherwise the endpoint may have crashed there.
 func (c *crashTracker) recordAnswer(q *request, x *connection.Exchange) {
 	now := timer.BootClock()
+	if !x.EndMarked() {
+		q.cause = "the answer does not mark its end"
+		c.recordInterruption(now, q, false)
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.interruptions.Pending() > 0 {
 		c.execute(now, c.interruptions.Update(now, interruption.Answered{Endpoint: q.instance, ConnectedAt: x.ConnectedAt()}))
 	}
+	if c.registry.Len() > 0 && x.Response.StatusCode < http.StatusMultipleChoices {
+		c.recordCompletion(now, q)
+	}
 }
 
-// recordCompletion deletes the crashes recorded for a request that ran to its end.
-func (c *crashTracker) recordCompletion(q *request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.registry.Len() == 0 {
-		return
-	}
+// recordCompletion clears the crashes recorded for a request that ran to its end, and tells the other hosts. mu must be held.
+func (c *crashTracker) recordCompletion(now time.Time, q *request) {
 	fp := q.fingerprint()
-	if crashes := c.registry.RecordCompletion(timer.BootClock(), fp); crashes > 0 {
-		q.logEvent(c.n.log, zerolog.InfoLevel, event.CrashesCleared).Uint64("Fingerprint", uint64(fp)).Int("Crashes", crashes).Send()
+	crashes := c.registry.RecordCompletion(now, fp)
+	if crashes == 0 {
+		return
 	}
+	q.logEvent(c.n.log, zerolog.InfoLevel, event.CrashesCleared).Uint64("Fingerprint", uint64(fp)).Int("Crashes", crashes).Send()
+	c.n.membership.broadcast(peer.Datagram{Crashes: []peer.Crash{peer.FromCrashRow(fingerprint.Row{Fingerprint: fp})}})
 }
 
 // recordInterruption records a run of a request at its current endpoint whose answer is missing or incomplete. broken is true if the
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -262,7 +262,6 @@
 	now := timer.BootClock()
 	status := x.Response.StatusCode
 	n.crashes.recordAnswer(q, x)
-	n.crashes.recordCompletion(q)
 	if q.firstByteAt.IsZero() {
 		q.firstByteAt = now
 	}
