Repeat recorded crashes to other hosts, and send them to a host that joins

Cause: a crash was told once, with one datagram to each host that was live at that moment.

A host that joins, or is reachable again, gets up to 256 at once.

--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -339,3 +339,25 @@
 	defer n.crashes.mu.Unlock()
 	return len(n.crashes.registry.Crashes(fp))
 }
+
+// isBlocked reports whether the node would refuse a request with this fingerprint.
+func (n *testNode) isBlocked(fp fingerprint.Fingerprint) bool {
+	n.crashes.mu.Lock()
+	defer n.crashes.mu.Unlock()
+	return n.crashes.registry.Verdict(timer.BootClock(), fp) == fingerprint.Blocked
+}
+
+// Two hosts have blocked a request. One that starts afterwards, and one that missed the message, must block it too.
+func TestHostsThatMissedTheCrashesLearnThem(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	s.startNodes(3, 32)
+	const fp = fingerprint.Fingerprint(7)
+	s.nodes[0].blockAtOnce(fp)
+	require.True(t, s.nodes[0].isBlocked(fp))
+	s.addNodes(2, 32)
+	for _, n := range s.nodes {
+		require.Eventually(t, func() bool { return n.isBlocked(fp) }, 20*time.Second, time.Millisecond, "%s", n.cfg.Host)
+	}
+}
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,12 +31,23 @@
 	mu            sync.Mutex
 	registry      *fingerprint.Registry
 	interruptions *interruption.Tracker
+	// nextRow is the index of the first row that the next gossip message contains.
+	nextRow int
 }
 
 // minCrashInterval is the time that the crashes of a blocked request must span: endpoints that fail at the same moment have
 // another cause than the request.
 const minCrashInterval = 400 * time.Millisecond
 
+const (
+	// crashGossipInterval is the time between two messages about crashes to a random host.
+	crashGossipInterval = 300 * time.Millisecond
+	// maxCrashesPerDatagram limits the crashes and completions in one datagram.
+	maxCrashesPerDatagram = 16
+	// maxCrashesPerJoin limits those that a host sends to one that has just joined.
+	maxCrashesPerJoin = 256
+)
+
 func newCrashTracker(n *Node) *crashTracker {
 	return &crashTracker{n: n, registry: fingerprint.NewRegistry(minCrashInterval), interruptions: interruption.NewTracker()}
 }
@@ -129,8 +141,38 @@
 			}
 		}
 	}
-	if len(recorded) > 0 {
-		c.n.membership.broadcast(peer.Datagram{Crashes: recorded})
+	for chunk := range slices.Chunk(recorded, maxCrashesPerDatagram) {
+		c.n.membership.broadcast(peer.Datagram{Crashes: chunk})
+	}
+}
+
+// gossip sends some of the recorded crashes and completions to a random host, so that hosts to which a broadcast was lost get them.
+func (c *crashTracker) gossip(now time.Time) {
+	c.mu.Lock()
+	rows := c.registry.Rows(now, true)
+	var crashes []peer.Crash
+	for range min(len(rows), maxCrashesPerDatagram) {
+		crashes = append(crashes, peer.FromCrashRow(rows[c.nextRow%len(rows)]))
+		c.nextRow++
+	}
+	c.mu.Unlock()
+	if len(crashes) > 0 {
+		c.n.membership.sendToRandomHost(peer.Datagram{Crashes: crashes})
+	}
+}
+
+// sendTo sends the recorded crashes and completions to a host that has just joined. Rows beyond maxCrashesPerJoin, those of
+// requests with the fewest crashes, are left to gossip.
+func (c *crashTracker) sendTo(to host.ID) {
+	c.mu.Lock()
+	rows := c.registry.Rows(timer.BootClock(), false)
+	c.mu.Unlock()
+	var crashes []peer.Crash
+	for _, row := range rows[:min(len(rows), maxCrashesPerJoin)] {
+		crashes = append(crashes, peer.FromCrashRow(row))
+	}
+	for chunk := range slices.Chunk(crashes, maxCrashesPerDatagram) {
+		c.n.membership.send(to, peer.Datagram{Crashes: chunk})
 	}
 }
 
--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -143,8 +143,8 @@
 	m.n.crashes.handle(now, d)
 }
 
-// sendJoinMessage sends known heartbeats to the sender of a message if changes say that it became live, by its start or after it
-// was unreachable, so that it need not wait for the next round.
+// sendJoinMessage sends known heartbeats and crashes to the sender of a message if changes say that it became live, by its start or
+// after it was unreachable, so that it need not wait for the next round.
 func (m *membership) sendJoinMessage(from host.ID, changes []roster.Change) {
 	for _, c := range changes {
 		if c.Host == from && c.Live {
@@ -153,6 +153,7 @@
 			m.mu.Unlock()
 			if known {
 				m.sendHeartbeats([]roster.Message{message})
+				m.n.crashes.sendTo(from)
 			}
 			return
 		}
@@ -253,6 +254,16 @@
 	}
 }
 
+// sendToRandomHost sends a datagram to another live host, if there is one.
+func (m *membership) sendToRandomHost(d peer.Datagram) {
+	m.mu.Lock()
+	others := slices.DeleteFunc(slices.Clone(m.live), func(id host.ID) bool { return id == m.n.cfg.Host })
+	m.mu.Unlock()
+	if len(others) > 0 {
+		m.send(others[rand.IntN(len(others))], d)
+	}
+}
+
 // sendTo sends a datagram to ip:port and counts it.
 func (m *membership) sendTo(address string, d peer.Datagram) {
 	d.From = m.n.cfg.Host
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -112,6 +112,7 @@
 	cancels := []func(){
 		n.timers.Every(tickInterval, func(time.Time, time.Duration) { n.tick() }),
 		n.timers.Every(heartbeatInterval, func(time.Time, time.Duration) { n.membership.tick(timer.BootClock()) }),
+		n.timers.Every(crashGossipInterval, func(time.Time, time.Duration) { n.crashes.gossip(timer.BootClock()) }),
 		n.timers.Every(slotRenewalInterval, func(time.Time, time.Duration) { n.slots.renewSlots(timer.BootClock()) }),
 		n.timers.Every(sweepInterval, func(time.Time, time.Duration) { n.sweep() }),
 	}
