balsamknot: repeat recorded crashes to peers, and take only a success for a completion

A row about a crash lived for 5 s in gossip, so that a host that started later knew no blocked request; of two crashes of one engine it got the later one only. An answer with status 500, or one that ends with its connection, deleted the crashes of its request; a completion was known on one host, so that innocent requests stayed isolated or blocked on others.

Change: each message to a peer repeats up to eight recorded crashes and completions, with their ages; they are applied whatever the gossip table holds. A completion needs a status below 300 and a marked end. A block is lifted by a completion unless the request ran alone in one of its crashes, as its keeper knows; the rule no longer depends on who else is known to have run, in which hosts can differ.

--- a/balsamknot/node/admission.go
+++ b/balsamknot/node/admission.go
@@ -109,7 +109,9 @@
 	var sendErr sendError
 	switch {
 	case err == nil:
-		n.crashes.recordCompletion(fingerprint.Fingerprint(call.GetFingerprint()))
+		if frames.succeeded {
+			n.crashes.recordCompletion(fingerprint.Fingerprint(call.GetFingerprint()))
+		}
 		return nil
 	case errors.As(err, &sendErr):
 		return sendErr.error
--- a/balsamknot/node/crashes.go
+++ b/balsamknot/node/crashes.go
@@ -12,19 +12,22 @@
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/gossip"
+	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/wire"
 )
 
-// crashKeyPrefix is the prefix of the keys of gossip rows about crashes.
-const crashKeyPrefix = fingerprint.KeyPrefix
-
 // crashTracker records, by fingerprint, the requests during which endpoints crashed, and shares these crashes with peers.
 type crashTracker struct {
 	n        *Node
 	mu       sync.Mutex
 	registry *fingerprint.Registry
+	// nextRow is the index of the first row that the next message repeats.
+	nextRow int
 }
 
+// maxRepeatedCrashes limits the crashes and completions that a message to a peer repeats.
+const maxRepeatedCrashes = 8
+
 func newCrashTracker(n *Node) *crashTracker {
 	return &crashTracker{n: n, registry: fingerprint.NewRegistry(0)}
 }
@@ -41,11 +44,7 @@
 	c := fingerprint.Crash{Engine: id, Incarnation: now.UnixMilli(), Alone: len(fingerprints) == 1}
 	for _, fp := range fingerprints {
 		t.recordCrash(now, fp, c)
-		row := gossip.Row{Origin: t.n.self.ID, Key: fingerprint.RowKey(fp, id), Version: uint64(c.Incarnation), At: now, A: c.Incarnation}
-		if c.Alone {
-			row.B = 1
-		}
-		t.n.members.publish(row)
+		t.n.members.publish(crashRow(t.n.self.ID, fp, c, now))
 	}
 }
 
@@ -55,23 +54,60 @@
 	t.n.members.broadcast(context.Background(), maxBroadcastPeers)
 }
 
-// recordRow records a crash that a peer reported by gossip. A row with a malformed key is ignored.
-func (t *crashTracker) recordRow(now time.Time, row gossip.Row) {
+// recordRow records a crash, or the completion of a request, that a peer reported. It ignores other rows and malformed keys.
+func (t *crashTracker) recordRow(row gossip.Row) {
 	if fp, id, ok := fingerprint.ParseRowKey(row.Key); ok {
-		t.recordCrash(now, fp, fingerprint.Crash{Engine: id, Incarnation: row.A, Alone: row.B == 1})
+		t.recordCrash(row.At, fp, fingerprint.Crash{Engine: id, Incarnation: row.A, Alone: row.B == 1})
+		return
+	}
+	if fp, ok := fingerprint.ParseCompletionKey(row.Key); ok {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.registry.Merge(row.At, fingerprint.Row{Fingerprint: fp})
+	}
+}
+
+// nextRows returns up to maxRepeatedCrashes of the recorded crashes and completions, others at each call. Each message to a peer
+// repeats some, so that peers that started after a crash, or missed its row, get it too.
+func (t *crashTracker) nextRows(now time.Time) []gossip.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	recorded := t.registry.Rows(now, false)
+	var rows []gossip.Row
+	for range min(len(recorded), maxRepeatedCrashes) {
+		rows = append(rows, t.toGossip(now, recorded[t.nextRow%len(recorded)]))
+		t.nextRow++
+	}
+	return rows
+}
+
+func (t *crashTracker) toGossip(now time.Time, row fingerprint.Row) gossip.Row {
+	at := now.Add(-row.Age)
+	if row.IsCompletion() {
+		return gossip.Row{Origin: t.n.self.ID, Key: fingerprint.CompletionKey(row.Fingerprint), Version: uint64(at.UnixMilli()), At: at}
+	}
+	return crashRow(t.n.self.ID, row.Fingerprint, row.Crash, at)
+}
+
+// crashRow returns the gossip row about a crash that occurred at time at.
+func crashRow(origin host.ID, fp fingerprint.Fingerprint, c fingerprint.Crash, at time.Time) gossip.Row {
+	row := gossip.Row{Origin: origin, Key: fingerprint.RowKey(fp, c.Engine), Version: uint64(c.Incarnation), At: at, A: c.Incarnation}
+	if c.Alone {
+		row.B = 1
 	}
+	return row
 }
 
-// recordCrash records a crash, and logs it if it was not known yet.
-func (t *crashTracker) recordCrash(now time.Time, fp fingerprint.Fingerprint, c fingerprint.Crash) {
+// recordCrash records a crash that occurred at time at, and logs it if it was not known yet.
+func (t *crashTracker) recordCrash(at time.Time, fp fingerprint.Fingerprint, c fingerprint.Crash) {
 	t.mu.Lock()
-	isNew := t.registry.RecordCrash(now, fp, c)
+	isNew := t.registry.RecordCrash(at, fp, c)
 	t.mu.Unlock()
 	if !isNew {
 		return
 	}
 	number := event.RequestSuspected
-	if t.verdict(now, fp) == fingerprint.Blocked {
+	if t.verdict(t.n.timers.Now(), fp) == fingerprint.Blocked {
 		number = event.RequestBlocked
 	}
 	event.Log(t.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(c.Engine)).Msg(event.Text(number))
@@ -96,7 +132,7 @@
 	return crashes
 }
 
-// recordCompletion deletes the crashes of a request that ran to its end, unless it is blocked.
+// recordCompletion deletes the crashes of a request that ran to its end. The messages to peers then contain the completion.
 func (t *crashTracker) recordCompletion(fp fingerprint.Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/balsamknot/node/endpoint.go
+++ b/balsamknot/node/endpoint.go
@@ -56,6 +56,8 @@
 	// position is the position of the last part that was written, see answer.Position.
 	position uint64
 	headSent bool
+	// succeeded is true once the headers of an answer were received that has a status below 300 and marks its own end.
+	succeeded bool
 	// load is the endpoint's average load when the request was admitted, see keeper.Keeper.AverageLoad.
 	load float64
 }
@@ -65,6 +67,7 @@
 		return nil
 	}
 	f.headSent = true
+	f.succeeded = response.StatusCode < http.StatusMultipleChoices && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
 	head := &wire.Head{Status: int32(response.StatusCode), Engine: f.engineID, Keeper: f.keeperID, Load: float32(f.load)}
 	for name, values := range response.Header {
 		if unforwardedHeaders[name] {
--- a/balsamknot/node/members.go
+++ b/balsamknot/node/members.go
@@ -28,7 +28,7 @@
 	maxGossipBytes = 1100
 	rowLifetime    = 5 * time.Second
 	// Prefixes of the keys of gossip rows. After the prefix comes the ID of a host that did not answer (suspect), of an endpoint
-	// whose load the row holds, or of an endpoint that is down. Rows about crashes have crashKeyPrefix.
+	// whose load the row holds, or of an endpoint that is down. Rows about crashes have the prefixes of package fingerprint.
 	suspectKeyPrefix = "suspect/"
 	loadKeyPrefix    = "load/"
 	downKeyPrefix    = "down/"
@@ -153,7 +153,7 @@
 		Host: string(m.n.self.ID), Incarnation: string(m.n.incarnation), Leaving: m.leaving,
 		Documents: m.n.documents.documentMarks(),
 	}
-	for _, row := range m.table.NextBatch(now, len(m.view.Peers())+1) {
+	for _, row := range append(m.table.NextBatch(now, len(m.view.Peers())+1), m.n.crashes.nextRows(now)...) {
 		message.Rows = append(message.Rows, &wire.Row{
 			Origin: string(row.Origin), Key: row.Key, Version: row.Version,
 			AgeMs: uint32(max(0, now.Sub(row.At).Milliseconds())), A: row.A, B: row.B, C: row.C,
@@ -186,18 +186,21 @@
 	for _, row := range updated {
 		m.applyRow(now, row)
 	}
+	// Of two crashes of one endpoint, the table keeps the later one.
+	for _, row := range rows {
+		m.n.crashes.recordRow(row)
+	}
 	m.n.documents.fetchNewer(from, message.GetDocuments())
 }
 
-// applyRow applies a gossip row that is new or updated. Load rows stay in the table, where gossipLoads reads them.
+// applyRow applies a gossip row that is new or updated. Load rows stay in the table, where gossipLoads reads them; rows about crashes
+// are applied by receive.
 func (m *members) applyRow(now time.Time, row gossip.Row) {
 	switch {
 	case strings.HasPrefix(row.Key, suspectKeyPrefix):
 		m.update(now, host.UnreachableReported{ID: host.ID(strings.TrimPrefix(row.Key, suspectKeyPrefix))})
 	case strings.HasPrefix(row.Key, downKeyPrefix):
 		m.n.keeper.recordDown(engine.ID(strings.TrimPrefix(row.Key, downKeyPrefix)), row.At)
-	case strings.HasPrefix(row.Key, crashKeyPrefix):
-		m.n.crashes.recordRow(now, row)
 	}
 }
 
--- a/fleet/fingerprint/fingerprint.go
+++ b/fleet/fingerprint/fingerprint.go
@@ -49,17 +49,33 @@
 	Blocked
 )
 
-// KeyPrefix is the prefix of the gossip keys of crashes; see RowKey.
-const KeyPrefix = "crash/"
+// keyPrefix is the prefix of the gossip keys of crashes, see RowKey, and completionKeyPrefix that of completions, see CompletionKey.
+const (
+	keyPrefix           = "crash/"
+	completionKeyPrefix = "completed/"
+)
 
 // RowKey returns the gossip key under which a host publishes a crash of endpoint id: the prefix, 16 hex digits and the ID.
 func RowKey(fp Fingerprint, id engine.ID) string {
-	return fmt.Sprintf("%s%016x/%s", KeyPrefix, uint64(fp), id)
+	return fmt.Sprintf("%s%016x/%s", keyPrefix, uint64(fp), id)
 }
 
 // ParseRowKey returns the parts of a key made by RowKey, and false if the key is malformed.
 func ParseRowKey(key string) (Fingerprint, engine.ID, bool) {
-	hex, id, ok := strings.Cut(strings.TrimPrefix(key, KeyPrefix), "/")
+	rest, isCrash := strings.CutPrefix(key, keyPrefix)
+	hex, id, _ := strings.Cut(rest, "/")
+	n, err := strconv.ParseUint(hex, 16, 64)
+	return Fingerprint(n), engine.ID(id), isCrash && id != "" && err == nil
+}
+
+// CompletionKey returns the gossip key under which a host publishes that a request ran to its end: the prefix and 16 hex digits.
+func CompletionKey(fp Fingerprint) string {
+	return fmt.Sprintf("%s%016x", completionKeyPrefix, uint64(fp))
+}
+
+// ParseCompletionKey returns the fingerprint of a key made by CompletionKey, and false if the key is malformed.
+func ParseCompletionKey(key string) (Fingerprint, bool) {
+	hex, isCompletion := strings.CutPrefix(key, completionKeyPrefix)
 	n, err := strconv.ParseUint(hex, 16, 64)
-	return Fingerprint(n), engine.ID(id), ok && err == nil
+	return Fingerprint(n), isCompletion && err == nil
 }
--- a/fleet/fingerprint/fingerprint_test.go
+++ b/fleet/fingerprint/fingerprint_test.go
@@ -107,7 +107,7 @@
 }
 
 // Requests 7 and 8 can't be told apart by their crashes until one of them runs to its end.
-func TestCompletionFreesARequestThatNeverRanAlone(t *testing.T) {
+func TestCompletionFreesABlockedRequestThatNeverRanAlone(t *testing.T) {
 	t.Parallel()
 	r := NewRegistry(0)
 	for i := range int64(3) {
@@ -178,4 +178,7 @@
 	require.True(t, ok)
 	require.Equal(t, Fingerprint(42), fp)
 	require.EqualValues(t, "engine-1", id)
+	fp, ok = ParseCompletionKey(CompletionKey(42))
+	require.True(t, ok)
+	require.Equal(t, Fingerprint(42), fp)
 }
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -49,9 +49,6 @@
 	// completedAt is when a request with this fingerprint last ran to its end. Earlier crashes do not count.
 	completedAt time.Time
 	verdict     Verdict
-	// charged is how many crashes are attributed to the fingerprint, and shared is true if another one ran during each of them.
-	charged int
-	shared  bool
 }
 
 // incident identifies a crash: an incarnation of an endpoint crashes once.
@@ -134,15 +131,15 @@
 }
 
 // RecordCompletion records that a request with this fingerprint ran to its end at time at, so that earlier crashes no longer
-// count, and returns how many it deleted. A blocked fingerprint stays blocked if it was the only one that ran during one of its
-// crashes: the copy that completed may have started before, or at an endpoint of another kind.
+// count, and returns how many it deleted. A blocked fingerprint stays blocked if it ran alone during one of its crashes: the copy
+// that completed may have started before.
 func (r *Registry) RecordCompletion(at time.Time, fp Fingerprint) int {
 	h := r.histories[fp]
 	if h == nil || !at.After(h.completedAt) {
 		return 0
 	}
 	r.judge(at)
-	if h.verdict == Blocked && !h.shared {
+	if h.verdict == Blocked && h.ranAlone() {
 		return 0
 	}
 	h.completedAt = at
@@ -159,6 +156,16 @@
 	return deleted
 }
 
+// ranAlone reports whether the request ran alone during one of its crashes.
+func (h *history) ranAlone() bool {
+	for _, rec := range h.crashes {
+		if rec.crash.Alone {
+			return true
+		}
+	}
+	return false
+}
+
 // Crashes returns the crashes recorded for a fingerprint, ordered by incarnation. balsamknot's hosts send them with the request, so
 // that the host that handles it next has them too, even if gossip has not reached it.
 func (r *Registry) Crashes(fp Fingerprint) []Crash {
--- a/fleet/fingerprint/verdict.go
+++ b/fleet/fingerprint/verdict.go
@@ -26,12 +26,6 @@
 		return
 	}
 	r.deleteExpired(now)
-	running := make(map[incident]int)
-	for _, h := range r.histories {
-		for key := range h.crashes {
-			running[key]++
-		}
-	}
 	explained := make(map[incident]bool)
 	suspects := r.suspects()
 	for len(suspects) > 0 {
@@ -55,7 +49,9 @@
 		suspects = suspects[equal:]
 	}
 	for _, h := range r.histories {
-		h.charge(explained, running)
+		if h.verdict == Allowed && h.anyUnexplained(explained) {
+			h.verdict = Isolated
+		}
 	}
 	r.judged = true
 }
@@ -122,18 +118,12 @@
 	return enough && last.Sub(first) >= r.minInterval
 }
 
-// charge counts the crashes that are attributed to the fingerprint, and completes its verdict.
-func (h *history) charge(explained map[incident]bool, running map[incident]int) {
-	h.charged, h.shared = 0, true
-	for key, rec := range h.crashes {
-		if h.verdict == Blocked || !explained[key] {
-			h.charged++
-		}
-		if running[key] == 1 || rec.crash.Alone {
-			h.shared = false
+// anyUnexplained reports whether a crash counts against the fingerprint.
+func (h *history) anyUnexplained(explained map[incident]bool) bool {
+	for key := range h.crashes {
+		if !explained[key] {
+			return true
 		}
 	}
-	if h.verdict == Allowed && h.charged > 0 {
-		h.verdict = Isolated
-	}
+	return false
 }
