Soak: send requests that crash endpoints, and check how often they reach one afterwards

Guarantee BUDGET: at most three copies reach an endpoint later than 3 s after the third crash, through hosts without a fault.

--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -15,6 +15,7 @@
 //     caller with another status.
 //   - LATE: more than allowedLate requests end, with a response or without one, more than lateTolerance after their deadlines.
 //   - GONE: more than allowedOrphaned requests are executed for more than cancelLimit after their callers disconnected.
+//   - BUDGET: a request that has crashed poisonCrashes endpoints is executed more than allowedPoisonRetries times after that.
 //   - RUNNING: the process of a host exits without being stopped, does not exit after SIGTERM, or does not start.
 //   - RECOVER: requests fail, or hosts are not ready, RecoverLimit after the last fault.
 //
@@ -50,6 +51,11 @@
 	// allowedLate and allowedOrphaned are how many requests of a run may exceed lateTolerance and cancelLimit.
 	allowedLate     = 7
 	allowedOrphaned = 5
+	// poisonCrashes is the number of endpoints that a request may crash. After knowledgeLimit, allowedPoisonRetries further
+	// copies of it may be executed.
+	poisonCrashes        = 3
+	knowledgeLimit       = 3 * time.Second
+	allowedPoisonRetries = 3
 	// RecoverLimit is the time after the last fault within which hosts must serve all requests again.
 	RecoverLimit = 15 * time.Second
 )
@@ -76,6 +82,8 @@
 	revokedAt     map[string]Time
 	validKeys     []string
 	drainingSince map[string]Time
+	// poisons holds the requests that crash endpoints, by RequestSent.Poison.
+	poisons map[string]*poison
 	// movedService is the service of MovedPath since movedSince. allowedMovedServices holds each service that a configuration
 	// of this run has had for the path.
 	movedService                      string
@@ -92,8 +100,19 @@
 // Counts are the numbers of requests of a run, by result. Served have a status below 300. Refused have status 429, or 503
 // from a host; Denied have another status below 500 from a host, and Failed any other status. Cut requests got no
 // complete response: the connection ended or the caller stopped waiting. The callers of Left requests disconnected on purpose
-// before that.
-type Counts struct{ Sent, Served, Denied, Refused, Failed, Cut, Left int }
+// before that. PoisonRuns counts the endpoints that RequestSent.Poison crashed, and PoisonRetries those that the guarantee BUDGET
+// limits.
+type Counts struct {
+	Sent, Served, Denied, Refused, Failed, Cut, Left int
+	PoisonRuns, PoisonRetries                        int
+}
+
+// poison is a request that crashes each endpoint that executes it. thirdCrash is when it crashed the poisonCrashes-th one, and
+// retries how often a host without faults sent it to an endpoint more than knowledgeLimit after that.
+type poison struct {
+	crashes, retries int
+	thirdCrash       Time
+}
 
 type request struct {
 	RequestSent
@@ -117,7 +136,7 @@
 	return &Checker{
 		requests: make(map[string]*request), hosts: make(map[int]*faultState), endpoints: make(map[string]*faultState),
 		revokedAt: make(map[string]Time), drainingSince: make(map[string]Time), allowedMovedServices: make(map[string]bool),
-		lastStall: -stabilityWindow,
+		poisons: make(map[string]*poison), lastStall: -stabilityWindow,
 	}
 }
 
@@ -230,6 +249,28 @@
 	}
 	c.checkKey(now, e, r)
 	c.checkPlacement(now, e, r)
+	if r.Poison != "" {
+		c.checkPoison(now, e, r)
+	}
+}
+
+func (c *Checker) checkPoison(now Time, e ExecutionStarted, r *request) {
+	p := c.poisons[r.Poison]
+	if p == nil {
+		p = &poison{}
+		c.poisons[r.Poison] = p
+	}
+	p.crashes++
+	c.counts.PoisonRuns++
+	switch {
+	case p.crashes == poisonCrashes:
+		p.thirdCrash = now
+	case p.crashes > poisonCrashes && r.sentAt > p.thirdCrash+knowledgeLimit && c.hostStable(now, r.Host):
+		c.counts.PoisonRetries++
+		if p.retries++; p.retries > allowedPoisonRetries {
+			c.addViolation(now, "BUDGET", "%s is executed at %s, the %d. endpoint that it crashes, through host %d", r.Request, e.Endpoint, p.crashes, r.Host)
+		}
+	}
 }
 
 func (c *Checker) checkKey(now Time, e ExecutionStarted, r *request) {
@@ -338,7 +379,7 @@
 func (c *Checker) Counts() Counts { return c.counts }
 
 // timedGuarantees have time limits that a slow machine can exceed although the hosts work correctly.
-var timedGuarantees = []string{"DRAIN", "CONFIG", "RECOVER"}
+var timedGuarantees = []string{"DRAIN", "CONFIG", "BUDGET", "RECOVER"}
 
 // Violations returns the violations recorded so far, with late responses (LATE) and orphaned executions (GONE) only if there
 // are more than a run may have. If timed is false, it leaves out these and the violations of timedGuarantees.
--- a/soak/checker/checker_test.go
+++ b/soak/checker/checker_test.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -107,3 +108,34 @@
 	require.Len(t, checker.Violations(true), 1)
 	require.Equal(t, "TWICE", checker.Violations(true)[0].Guarantee)
 }
+
+// A request crashes each endpoint that executes it. Copies sent within the limit after its third crash do not count, and neither do
+// those of a host with a fault.
+func TestCheckerLimitsRetriesOfRequestThatCrashesEndpoints(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		gap   time.Duration
+		fault bool
+		want  int
+	}{
+		"within the limit":  {100 * time.Millisecond, false, 0},
+		"after the limit":   {2 * second, false, 1},
+		"host with a fault": {2 * second, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checker := New()
+			checker.Record(0, ConfigPublished{Keys: []string{"k"}, MovedService: "a"})
+			if c.fault {
+				checker.Record(0, HostFaultStarted{1})
+			}
+			const copies = poisonCrashes + 1 + allowedPoisonRetries + 1
+			for i := range copies {
+				id, at := fmt.Sprint(i), time.Duration(i)*c.gap+5*second
+				checker.Record(at, RequestSent{Request: id, Host: 1, Kind: NonIdempotent, Path: "/x", Key: "k", Poison: "p"})
+				checker.Record(at, ExecutionStarted{Request: id, Endpoint: "e", Service: "a", Path: "/x", Workspace: "w"})
+			}
+			require.Len(t, checker.Violations(true), c.want)
+		})
+	}
+}
--- a/soak/checker/event.go
+++ b/soak/checker/event.go
@@ -31,6 +31,8 @@
 	Path     string
 	Key      string
 	Deadline Time
+	// Poison is the same for all copies of a request that crashes endpoints; empty for other requests.
+	Poison string
 }
 
 // ExecutionStarted records that an endpoint starts to execute a request.
--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -43,13 +43,15 @@
 	// MoveRoute publishes a configuration in which a route has another service, and RevokeKey one without the oldest API key.
 	MoveRoute
 	RevokeKey
+	// SendPoison sends a request again and again that crashes each endpoint that executes it.
+	SendPoison
 )
 
 var actionNames = map[Action]string{
 	KillHost: "KillHost", StopHost: "StopHost", PauseHost: "PauseHost", ReloadHost: "ReloadHost", ImpairLink: "ImpairLink",
 	BreakLink: "BreakLink", SilenceLink: "SilenceLink", CrashEndpoint: "CrashEndpoint", LeaveEndpoint: "LeaveEndpoint",
 	LapseEndpoint: "LapseEndpoint", SwapEndpoint: "SwapEndpoint", SickenEndpoint: "SickenEndpoint", StopStore: "StopStore",
-	ForgetHistory: "ForgetHistory", MoveRoute: "MoveRoute", RevokeKey: "RevokeKey",
+	ForgetHistory: "ForgetHistory", MoveRoute: "MoveRoute", RevokeKey: "RevokeKey", SendPoison: "SendPoison",
 }
 
 func (a Action) String() string { return actionNames[a] }
@@ -124,6 +126,9 @@
 	minLongDuration   = 4 * time.Second
 	maxDuration       = 9 * time.Second
 	longShare         = 0.3
+	// poisonDuration is how long a request that crashes endpoints is sent, and maxPoisons the largest number of such requests.
+	poisonDuration = 12 * time.Second
+	maxPoisons     = 3
 	// revokeShare is the probability that a key is also revoked during a fault that delays the delivery of configurations to
 	// hosts.
 	revokeShare = 0.3
@@ -144,6 +149,7 @@
 	{CrashEndpoint, LeaveEndpoint, LapseEndpoint, SwapEndpoint, SickenEndpoint},
 	{StopStore, ForgetHistory},
 	{MoveRoute, RevokeKey},
+	{SendPoison},
 }
 
 // maxGroups is the largest number of groups that a run uses.
@@ -154,6 +160,8 @@
 	cfg     Config
 	random  *rand.Rand
 	actions []Action
+	// poisons is the number of requests that crash endpoints so far.
+	poisons int
 	// targetHosts are the numbers that Fault.Host may have. Fault.Peer may be any host.
 	targetHosts []int
 }
@@ -190,7 +198,7 @@
 	sameTarget := g.random.IntN(2) == 0
 	for range 1 + g.random.IntN(maxBurst) {
 		f := g.newFault(at, action, host, endpoint)
-		if f.At+f.For <= g.cfg.Length {
+		if f.At+f.For <= g.cfg.Length && g.takePoison(f) {
 			faults = append(faults, f)
 			faults = append(faults, g.keyRevocation(f)...)
 		}
@@ -204,6 +212,14 @@
 	return faults
 }
 
+// takePoison counts a fault if its action is SendPoison, and returns false if there are enough of them.
+func (g *generator) takePoison(f Fault) bool {
+	if f.Action == SendPoison {
+		g.poisons++
+	}
+	return f.Action != SendPoison || g.poisons <= maxPoisons
+}
+
 // keyRevocation returns, for some of the faults that delay the delivery of configurations to hosts, a key revocation during
 // the fault.
 func (g *generator) keyRevocation(f Fault) []Fault {
@@ -226,6 +242,8 @@
 		if f.Place == PeerLink && g.random.IntN(2) == 0 {
 			f.Peer = g.random.IntN(g.cfg.Hosts)
 		}
+	case SendPoison:
+		f.For = poisonDuration
 	case SickenEndpoint:
 		f.Sickness = Misbehaviour(1 + g.random.IntN(int(MismatchRequestID)))
 	default:
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -34,6 +34,10 @@
 	cancelRun context.CancelFunc
 	// drainFaults is the number of active faults that keep the endpoint from being registered as ready.
 	drainFaults int
+	// crashFaults is the number of active faults that keep the endpoint from listening, and restarts how often it has
+	// restarted.
+	crashFaults, restarts int
+	closed                bool
 }
 
 const (
@@ -60,15 +64,21 @@
 
 func (e *endpoint) close() {
 	e.crash()
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
 	e.link.Close()
 	e.CloseClientConnections()
 	e.Close()
 }
 
-// crash aborts all requests that are being executed. It does not change the registration.
+// crash closes the listener and all connections and aborts all requests that are being executed, until restart is called as often.
+// It does not change the registration.
 func (e *endpoint) crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.crashFaults++
+	e.link.Refuse()
 	e.cancelRun()
 	e.runCtx, e.cancelRun = context.WithCancel(context.Background())
 }
@@ -91,11 +101,23 @@
 	}
 }
 
-// restart gives the endpoint a new start time and registers it as ready, unless a fault prevents that.
+// restart ends a crash. The endpoint listens again with a new start time, every other time under a new id, and is registered as ready
+// unless another fault prevents that.
 func (e *endpoint) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.crashFaults--; e.crashFaults > 0 || e.closed {
+		return
+	}
+	if err := e.link.Listen(); err != nil {
+		e.site.record(checker.ProcessFailed{Host: checker.AllHosts, Reason: err.Error()})
+		return
+	}
 	e.Restart()
+	if e.restarts++; e.restarts%2 == 0 {
+		e.Deregister()
+		e.Rename(fmt.Sprintf("%s-%d", e.name, e.restarts))
+	}
 	if e.drainFaults == 0 {
 		e.RegisterReady()
 	}
@@ -112,10 +134,14 @@
 		return
 	}
 	// The body is read first, because net/http detects that the other side disconnected only after the body has been read.
-	_, _ = io.Copy(io.Discard, r.Body)
+	requestBody, _ := io.ReadAll(r.Body)
 	id := r.Header.Get(standin.RequestIDHeader)
 	e.site.record(checker.ExecutionStarted{Request: id, Endpoint: e.name, Service: e.service, Path: r.URL.Path, Workspace: r.Header.Get(standin.WorkspaceHeader)})
 	defer e.site.record(checker.ExecutionEnded{Request: id, Endpoint: e.name})
+	if isPoison(requestBody) {
+		e.crashForPoison()
+		panic(http.ErrAbortHandler)
+	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(runCtx, cancel)()
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -48,10 +48,9 @@
 		s.disruptLink(f, wait)
 	case schedule.CrashEndpoint:
 		defer s.startEndpointFault(e.name)()
-		defer e.restart()
-		defer e.link.Impair(network.Fault{Cut: true})()
 		e.crash()
 		wait()
+		e.restart()
 	case schedule.LeaveEndpoint:
 		defer e.startDraining(e.RegisterDraining)()
 		wait()
@@ -69,6 +68,8 @@
 		e.misbehaviour.Store(int64(f.Sickness))
 		defer e.misbehaviour.Store(0)
 		wait()
+	case schedule.SendPoison:
+		s.sendPoison(ctx, f)
 	default:
 		s.applyToStore(f, wait)
 	}
--- a/standin/network/link.go
+++ b/standin/network/link.go
@@ -49,12 +49,16 @@
 		return nil, err
 	}
 	l := &Link{target: target, listener: listener, conns: make(map[*proxiedConn]struct{})}
-	go l.accept()
+	go l.accept(listener)
 	return l, nil
 }
 
 // Address returns the host:port address on which the link listens.
-func (l *Link) Address() string { return l.listener.Addr().String() }
+func (l *Link) Address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listener.Addr().String()
+}
 
 // SetTarget changes the address to which new connections are forwarded. Open connections are not affected.
 func (l *Link) SetTarget(target string) {
@@ -99,6 +103,28 @@
 	l.resetAll()
 }
 
+// Refuse closes the listener and resets every open connection, as the end of the target's process does. Listen ends it.
+func (l *Link) Refuse() {
+	l.mu.Lock()
+	listener := l.listener
+	l.mu.Unlock()
+	_ = listener.Close()
+	l.Break()
+}
+
+// Listen listens again at the same address after Refuse. It does nothing if the address is in use.
+func (l *Link) Listen() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", l.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
+}
+
 // Restore ends the effect of Cut. Faults added by Impair and silenced connections stay as they are.
 func (l *Link) Restore() {
 	l.mu.Lock()
@@ -107,10 +133,7 @@
 }
 
 // Close stops listening and resets every open connection.
-func (l *Link) Close() {
-	_ = l.listener.Close()
-	l.Break()
-}
+func (l *Link) Close() { l.Refuse() }
 
 func (l *Link) resetAll() {
 	for p := range l.conns {
@@ -119,9 +142,9 @@
 	}
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	for {
-		client, err := l.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
