Cut off an endpoint's bytes that are no answer and never end

Cause: nothing limited the status line and headers of an answer, the number and size of answers that were skipped before a request's own, the length of a stream, or the time for the rest of an answer that is not needed. Bytes that are no event were passed on in a stream. A connection was given back after 16 MiB of an unneeded body, with the rest unread.

Change: 64 KiB for a head, 16 skipped answers, 1 MiB and 0.1 s for a body that is discarded, else the connection is closed; 256 KiB for an event, 16 MiB for a stream; a line of a stream must begin with a field name. A line longer than the read buffer is one line: before, a later part of it was read as a field of its own.

--- a/entry/connection/event.go
+++ b/entry/connection/event.go
@@ -13,12 +13,22 @@
 	// lastID is the id of the newest complete event.
 	lastID string
 	buf    []byte
+	// total is the size of the events so far.
+	total int
 }
 
-// maxEventSize is the largest event accepted, in bytes. It limits the memory that a stream without blank lines can take.
-const maxEventSize = 1 << 20
+const (
+	// maxEventSize is the largest event accepted, in bytes. It limits the memory that a stream without blank lines can take.
+	maxEventSize = 256 << 10
+	// maxStreamSize is the largest total size of the events of a stream, in bytes. It ends a stream of events without end.
+	maxStreamSize = 16 << 20
+)
 
-var errEventTooLong = errors.New("event exceeds the size limit")
+var (
+	errEventTooLong  = errors.New("event exceeds the size limit")
+	errStreamTooLong = errors.New("stream exceeds the size limit")
+	errNoEvent       = errors.New("stream has bytes that are no event")
+)
 
 // NewEventReader returns a reader of the events in r, which it buffers.
 func NewEventReader(r io.Reader) *EventReader {
@@ -30,9 +40,10 @@
 func (e *EventReader) Next() ([]byte, error) {
 	e.buf = e.buf[:0]
 	id := e.lastID
+	lineStart := 0
 	for {
-		line, err := e.r.ReadSlice('\n')
-		e.buf = append(e.buf, line...)
+		read, err := e.r.ReadSlice('\n')
+		e.buf = append(e.buf, read...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			if len(e.buf) > maxEventSize {
@@ -44,11 +55,18 @@
 		case err != nil:
 			return nil, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(e.buf[lineStart:], "\r\n")
+		lineStart = len(e.buf)
 		if len(line) == 0 {
+			if e.total += len(e.buf); e.total > maxStreamSize {
+				return nil, errStreamTooLong
+			}
 			e.lastID = id
 			return e.buf, nil
 		}
+		if !isEventLine(line) {
+			return nil, errNoEvent
+		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
@@ -58,5 +76,18 @@
 	}
 }
 
+// isEventLine reports whether a line, without its end, is a comment or begins with the name of a field. Names that are not known are
+// allowed.
+func isEventLine(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	for _, c := range name {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !letter && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
 // LastEventID returns the id of the newest event that Next returned, or of the last one before it that had an id; empty if none.
 func (e *EventReader) LastEventID() string { return e.lastID }
--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -41,8 +41,7 @@
 	releaseOnce sync.Once
 }
 
-// Do sends a request and reads the status and headers of its answer. The deadline also applies to the body, unless
-// SetReadDeadline replaces it. The connection is closed when ctx ends before Do returns. The error is ErrNotSent when no
+// Do sends a request and reads the status and headers of its answer. The deadline also applies to the body. The connection is closed when ctx ends before Do returns. The error is ErrNotSent when no
 // connection could be established, and ErrIncomplete otherwise.
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (*Exchange, error) {
 	c, err := p.get(ctx, address)
@@ -108,11 +107,13 @@
 // other requests. An error status without a request ID is accepted as the answer.
 func (x *Exchange) readHead(r Request) error {
 	request := &http.Request{Method: r.Method}
-	for {
+	for range maxSkippedAnswers + 1 {
+		x.conn.limited.left = maxHeadBytes
 		response, err := http.ReadResponse(x.conn.reader, request) //nolint:bodyclose // Finish and Abort end the exchange.
 		if err != nil {
 			return err
 		}
+		x.conn.limited.left = unlimited
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -124,10 +125,39 @@
 		if response.Close {
 			return eris.Errorf("answer belongs to request %q, which also ends the connection", answer.ID)
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return eris.Wrapf(err, "discard the answer to request %q", answer.ID)
+		if !readToEnd(response.Body) {
+			return eris.Errorf("the answer to request %q, which was skipped, broke off or is too long", answer.ID)
 		}
 	}
+	return eris.Errorf("more than %d other answers came first", maxSkippedAnswers)
+}
+
+const (
+	// maxHeadBytes limits the status line and the headers of an answer.
+	maxHeadBytes = 64 << 10
+	// maxSkippedAnswers limits the informational answers and those to other requests that are skipped before a request's own.
+	maxSkippedAnswers = 16
+	// maxDiscardedBytes limits how much of the body of an answer is read only to reuse the connection, and maxDiscardTime for
+	// how long.
+	maxDiscardedBytes = 1 << 20
+	maxDiscardTime    = 100 * time.Millisecond
+)
+
+// readToEnd discards a body and reports whether it ended within maxDiscardedBytes.
+func readToEnd(body io.Reader) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes+1))
+	return err == nil && n <= maxDiscardedBytes
+}
+
+// Discard ends the exchange without the rest of the answer. It reads on for a short time, so that the connection can be used again,
+// and closes it if the answer has not ended then.
+func (x *Exchange) Discard() {
+	_ = x.conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	if readToEnd(x.Response.Body) {
+		x.Finish()
+		return
+	}
+	x.Abort()
 }
 
 // ConnectedAt returns when the exchange's connection was established, by timer.BootClock.
@@ -139,9 +169,6 @@
 	return x.Response.ContentLength >= 0 || slices.Contains(x.Response.TransferEncoding, "chunked")
 }
 
-// SetReadDeadline sets the time after which reads of the answer's body fail.
-func (x *Exchange) SetReadDeadline(t time.Time) { _ = x.conn.SetReadDeadline(t) }
-
 // AbortOnDone aborts the exchange when ctx ends, unless stop is called before.
 func (x *Exchange) AbortOnDone(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, x.Abort)
--- a/entry/connection/exchange_test.go
+++ b/entry/connection/exchange_test.go
@@ -260,6 +260,19 @@
 	require.Equal(t, "2", r.LastEventID(), "the id of an incomplete event is ignored")
 }
 
+// A line that is longer than the read buffer is one line, whatever its later parts begin with.
+func TestEventReaderReadsLongLines(t *testing.T) {
+	t.Parallel()
+	for length := 2000; length < 2100; length++ {
+		event := "data: " + strings.Repeat("x", length) + "id: 7 {\"a\": 1}\nid: 3\n\n"
+		r := NewEventReader(strings.NewReader(event))
+		ev, err := r.Next()
+		require.NoError(t, err)
+		require.Equal(t, event, string(ev))
+		require.Equal(t, "3", r.LastEventID())
+	}
+}
+
 func FuzzEventReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n")
 	f.Fuzz(func(t *testing.T, in string) {
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -8,6 +8,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -55,7 +57,9 @@
 type pooledConn struct {
 	net.Conn
 	address string
+	// reader buffers what limited reads from the connection.
 	reader  *bufio.Reader
+	limited *limitedReader
 	// connectedAt is when the connection was established, by timer.BootClock.
 	connectedAt time.Time
 	// expires is the time from which the connection is not used again, because the endpoint may be closing it.
@@ -128,7 +132,31 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	return &pooledConn{Conn: conn, address: address, connectedAt: timer.BootClock(), reader: bufio.NewReaderSize(conn, readerSize)}, nil
+	limited := &limitedReader{r: conn, left: unlimited}
+	return &pooledConn{
+		Conn: conn, address: address, connectedAt: timer.BootClock(), reader: bufio.NewReaderSize(limited, readerSize), limited: limited,
+	}, nil
+}
+
+// limitedReader reads at most left bytes of r and then fails with errHeadTooLong.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+// unlimited is the value of limitedReader.left without a limit.
+const unlimited = math.MaxInt64
+
+var errHeadTooLong = errors.New("the status line and headers exceed the size limit")
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
 }
 
 // silentWhileIdle reports whether nothing was received while the connection was idle: no stray bytes, no end of stream, no error.
