Limit the memory of answers that are held until they are complete

Cause: an answer that is not streamed is held back up to 16 MiB, each for itself: a few endless bodies at once exceed a host's memory.

Change: beyond 256 KiB, all such answers of a host share 32 MiB; small ones need none of it. An answer that gets no memory fails like one that is too large.

--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -79,16 +79,23 @@
 		c.recordInterruption(now, q, false)
 		return
 	}
+	c.recordSignOfLife(now, q, x)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.interruptions.Pending() > 0 {
-		c.execute(now, c.interruptions.Update(now, interruption.Answered{Endpoint: q.instance, ConnectedAt: x.ConnectedAt()}))
-	}
 	if c.registry.Len() > 0 && x.Response.StatusCode < http.StatusMultipleChoices {
 		c.recordCompletion(now, q)
 	}
 }
 
+// recordSignOfLife records that an endpoint answered: it did not crash while the connection was open.
+func (c *crashTracker) recordSignOfLife(now time.Time, q *request, x *connection.Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interruptions.Pending() > 0 {
+		c.execute(now, c.interruptions.Update(now, interruption.Answered{Endpoint: q.instance, ConnectedAt: x.ConnectedAt()}))
+	}
+}
+
 // recordCompletion clears the crashes recorded for a request that ran to its end, and tells the other hosts. mu must be held.
 func (c *crashTracker) recordCompletion(now time.Time, q *request) {
 	fp := q.fingerprint()
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -48,6 +48,7 @@
 	callers       *callerHandler
 	meter         *meter
 	crashes       *crashTracker
+	answerMemory  answerMemory
 	draining      atomic.Bool
 	// stopAt is when a draining process ends at the latest, in nanoseconds of the boot clock; 0 before the drain.
 	stopAt atomic.Int64
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -20,12 +20,8 @@
 	"balsamknot.org/platform"
 )
 
-const (
-	// minTimeLeft is the time that must be left before the deadline for another endpoint to be tried.
-	minTimeLeft = 50 * time.Millisecond
-	// maxAnswerBytes is the maximum size of an answer that is not streamed.
-	maxAnswerBytes = 16 << 20
-)
+// minTimeLeft is the time that must be left before the deadline for another endpoint to be tried.
+const minTimeLeft = 50 * time.Millisecond
 
 // serve acquires a slot for a request, forwards the request to the slot's endpoint and delivers the answer. It repeats this with
 // other endpoints as far as package attempt allows, and otherwise responds with an error or closes the connection.
@@ -190,8 +186,8 @@
 	status := x.Response.StatusCode
 	switch {
 	case x.Answer.NotRun:
-		discardBody(x)
-		n.crashes.recordAnswer(q, x)
+		x.Discard()
+		n.crashes.recordSignOfLife(timer.BootClock(), q, x)
 		q.cause = "endpoint did not run the request: status " + strconv.Itoa(status)
 		return pool.Rejected, a.Update(timer.BootClock(), attempt.NotExecuted{ID: id})
 	case status >= http.StatusInternalServerError:
@@ -199,44 +195,22 @@
 	case q.route.Streaming && status == http.StatusOK:
 		return n.streamEvents(q, a, id, x)
 	}
-	body, err := readAnswerBody(x)
+	body, err := n.readAnswerBody(x)
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
+	defer body.Release()
 	n.relay(q, x, body)
 	return pool.Completed, nil
 }
 
-// errAnswerTooLarge means that an answer has more than maxAnswerBytes.
-var errAnswerTooLarge = errors.New("answer exceeds the size limit")
-
-// readAnswerBody reads the whole body of an answer that is not streamed. A body above maxAnswerBytes is an error, since a
-// truncated one would look complete to the caller.
-func readAnswerBody(x *connection.Exchange) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxAnswerBytes+1))
-	switch {
-	case err != nil:
-		return nil, err
-	case len(body) > maxAnswerBytes:
-		return nil, errAnswerTooLarge
-	}
-	x.Finish()
-	return body, nil
-}
-
-// discardBody reads a body of at most maxAnswerBytes to its end, so that the connection can be reused.
-func discardBody(x *connection.Exchange) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxAnswerBytes)); err == nil {
-		x.Finish()
-	}
-}
-
 // endpointFailed handles an answer with a status of 500 or above: it is passed on, unless another endpoint is to be tried.
 func (n *Node) endpointFailed(q *request, a *attempt.Attempt, id endpoint.ID, x *connection.Exchange) (pool.Result, attempt.Command) {
-	body, err := readAnswerBody(x)
+	body, err := n.readAnswerBody(x)
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
+	defer body.Release()
 	q.cause = "the endpoint failed: status " + strconv.Itoa(x.Response.StatusCode)
 	next := a.Update(timer.BootClock(), attempt.Failed{ID: id})
 	if _, relay := next.(attempt.RelayFailure); relay {
@@ -247,12 +221,12 @@
 }
 
 // relay responds with an endpoint's status, headers and whole body.
-func (n *Node) relay(q *request, x *connection.Exchange, body []byte) {
+func (n *Node) relay(q *request, x *connection.Exchange, body *answerBody) {
 	h := q.w.Header()
 	platform.CopyAnswerHeaders(h, x.Response.Header)
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Content-Length", strconv.Itoa(body.buf.Len()))
 	q.w.WriteHeader(x.Response.StatusCode)
-	_, _ = q.w.Write(body)
+	_, _ = q.w.Write(body.buf.Bytes())
 	n.recordCompletion(q, x)
 }
 
