balsamknot, soak: limit endless answers, and send them in the soak

Now 1 MiB, 8 MiB in all and 256 KiB an event, and 64 KiB. Whole answers of 8 MiB each have no common limit there; left open.

The soak's endpoints may now answer with a head or a body that never ends.

--- a/balsamknot/node/endpoint.go
+++ b/balsamknot/node/endpoint.go
@@ -23,8 +23,9 @@
 	// silenceTimeout is how long an endpoint's connection may send no data before it is replaced by a new one. The first
 	// connection of an unkeyed call to a plain service is replaced if its whole answer takes longer.
 	silenceTimeout = 3 * time.Second
-	// maxAnswerBytes limits the size of an answer that is not streamed, and of a single event of a stream.
+	// maxAnswerBytes limits the size of an answer, and maxEventBytes that of a single event of a stream.
 	maxAnswerBytes = 8 << 20
+	maxEventBytes  = 256 << 10
 	// maxBatchParts limits the number of parts in one frame.
 	maxBatchParts = 64
 )
@@ -33,7 +34,7 @@
 	// errEndpointLost means that the endpoint failed, and with it the requests that it ran.
 	errEndpointLost = errors.New("the endpoint is lost")
 	// errAnswerTooLarge means that an answer exceeds maxAnswerBytes.
-	errAnswerTooLarge = errors.New("the answer is over 8 MiB")
+	errAnswerTooLarge = errors.New("the answer is over 8 MiB, or an event of it over 256 KiB")
 	// errConnectionSilent means that the watchdog cancelled a connection after silenceTimeout.
 	errConnectionSilent = errors.New("the connection fell silent")
 	// errTruncated means that an answer ended without its end marker.
@@ -227,8 +228,15 @@
 // forwardEvents forwards a stream of server-sent events. Each event is a part; events that arrived together share a frame.
 func forwardEvents(body io.Reader, frames *frameWriter) error {
 	reader := bufio.NewReaderSize(body, 64<<10)
+	size := 0
 	for {
 		parts, done, err := readBatch(reader)
+		for _, part := range parts {
+			size += len(part)
+		}
+		if size > maxAnswerBytes {
+			return errAnswerTooLarge
+		}
 		if sendErr := frames.writeParts(parts); sendErr != nil {
 			return sendError{sendErr}
 		}
@@ -238,6 +246,8 @@
 				return sendError{err}
 			}
 			return nil
+		case errors.Is(err, errAnswerTooLarge):
+			return err
 		case err != nil:
 			return fmt.Errorf("%w: %w", errTruncated, err)
 		}
@@ -277,7 +287,7 @@
 		case len(line) == 1 && len(event) > 1:
 			return event, nil
 		}
-		if len(event) > maxAnswerBytes {
+		if len(event) > maxEventBytes {
 			return nil, errAnswerTooLarge
 		}
 	}
--- a/balsamknot/node/keeper.go
+++ b/balsamknot/node/keeper.go
@@ -68,11 +68,13 @@
 	}
 }
 
-// Limits of the idle connections to one endpoint. They are closed after endpointIdleTimeout, because the endpoint may have
+// Limits of the connections to one endpoint. Idle ones are closed after endpointIdleTimeout, because the endpoint may have
 // disappeared without closing them.
 const (
 	endpointIdleTimeout  = 10 * time.Second
 	maxIdleEndpointConns = 256
+	// maxAnswerHeaderBytes limits the status line and the headers of an answer.
+	maxAnswerHeaderBytes = 64 << 10
 )
 
 // endpointTransport returns a transport for requests to endpoints. With singleUse every request gets a new connection: it can't
@@ -85,6 +87,8 @@
 		MaxIdleConnsPerHost:   maxIdleEndpointConns,
 		IdleConnTimeout:       endpointIdleTimeout,
 		ExpectContinueTimeout: time.Second,
+
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 }
 
--- a/balsamknot/node/probe.go
+++ b/balsamknot/node/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -82,10 +83,13 @@
 	defer response.Body.Close()
 	var report loadReport
 	counted := &countingReader{r: response.Body}
-	err = json.NewDecoder(counted).Decode(&report)
+	err = json.NewDecoder(io.LimitReader(counted, maxLoadReportBytes)).Decode(&report)
 	k.n.meter.countRead(probeOverheadBytes + counted.n)
 	return report, err
 }
 
+// maxLoadReportBytes limits the size of an endpoint's load report with its cache events.
+const maxLoadReportBytes = 1 << 20
+
 // probeOverheadBytes is the size of a probe's request line and of the headers of request and reply.
 const probeOverheadBytes = 260
--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -82,6 +82,10 @@
 	// NeverRespond executes the request without sending a response. MismatchRequestID responds with the id of another request.
 	NeverRespond
 	MismatchRequestID
+	// EndlessHead and EndlessBody respond with bytes without end, in the status line or in the body.
+	EndlessHead
+	EndlessBody
+	lastMisbehaviour = EndlessBody
 )
 
 // Fault is one scheduled fault. Its fields are written to case files under their own names. An action ignores the fields that
@@ -245,7 +249,7 @@
 	case SendPoison:
 		f.For = poisonDuration
 	case SickenEndpoint:
-		f.Sickness = Misbehaviour(1 + g.random.IntN(int(MismatchRequestID)))
+		f.Sickness = Misbehaviour(1 + g.random.IntN(int(lastMisbehaviour)))
 	default:
 	}
 	return f
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -153,6 +154,12 @@
 	case schedule.NeverRespond:
 		<-ctx.Done()
 		panic(http.ErrAbortHandler)
+	case schedule.EndlessHead:
+		e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
+		sendEndlessly(ctx, w, "HTTP/1.1 200 ")
+	case schedule.EndlessBody:
+		e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
+		sendEndlessly(ctx, w, "HTTP/1.1 200 OK\r\n"+standin.RequestIDHeader+": "+id+"\r\n\r\n")
 	case schedule.MismatchRequestID:
 		w.Header().Set(standin.RequestIDHeader, id+"-other")
 	case schedule.FailRequest:
@@ -181,6 +188,22 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// sendEndlessly sends start and then bytes without end, until ctx ends or the connection is closed. It does not return.
+func sendEndlessly(ctx context.Context, w http.ResponseWriter, start string) {
+	defer panic(http.ErrAbortHandler)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	_, err = io.WriteString(conn, start)
+	const blockBytes = 64 << 10
+	for block := strings.Repeat("x", blockBytes); err == nil; {
+		_, err = io.WriteString(conn, block)
+	}
+}
+
 // serveStream sends the events after the position in the request's headers, from the first one if there is none. A host sends
 // a position when it resumes an interrupted stream at another endpoint.
 func (e *endpoint) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, misbehaviour schedule.Misbehaviour) {
