Attribute an end to an interrupted run only while the endpoint may have ended then

What innocent requests would have met: a run that a network reset or a time-out had interrupted was held against its request if the endpoint ended for another reason up to 15 s later.

Change: after a probe found something listening, another incarnation counts for 5 s only and a removal not at all; after a time-out any answer of the endpoint, on any connection, drops the run.

--- a/fleet/interruption/interruption.go
+++ b/fleet/interruption/interruption.go
@@ -1,8 +1,9 @@
 // Package interruption decides whether an endpoint crashed while it ran a request whose answer is missing or incomplete.
 //
-// A broken connection has many causes. The package attributes it to a crash only on evidence that the endpoint ended after the
-// request was sent: nothing listens at its address, another incarnation or another endpoint registers, or its registration is
-// removed although it was not leaving. It rules a crash out when a connection from before the interruption still carries answers.
+// A broken connection has many causes. The package attributes it to a crash only on evidence that the endpoint ended at that time:
+// nothing listens at its address, another incarnation or another endpoint registers, or its registration is removed although it was
+// not leaving. It rules a crash out when a connection from before the interruption still carries answers and, after a time-out, when
+// any does.
 package interruption
 
 import (
@@ -17,6 +18,9 @@
 	// window is how long after an interruption evidence of a crash is attributed to it. It exceeds the lifetime of a
 	// registration without heartbeats by more than a short outage of the platform.
 	window = 15 * time.Second
+	// listeningWindow is how long after a probe found something listening the registration of another incarnation is still
+	// attributed to the interruption: a process that started before the probe has registered by then.
+	listeningWindow = 5 * time.Second
 	// endedMemory is how long an ended incarnation is remembered, for runs that break off or time out after its end.
 	endedMemory = time.Minute
 	// maxRunsPerEndpoint limits the runs that are remembered for one incarnation; the oldest are dropped.
@@ -106,6 +110,7 @@
 // Reasons of Dropped.
 const (
 	reasonAnswered = "the endpoint still answers"
+	reasonListens  = "the endpoint still listened when its registration was removed"
 	reasonExpired  = "no evidence of a crash in time"
 	reasonLeaving  = "the endpoint was leaving"
 	reasonUnknown  = "the endpoint is not known"
@@ -129,12 +134,21 @@
 	record endpoint.Record
 	// endedAt is when another incarnation took its place or its registration was removed; zero before.
 	endedAt time.Time
-	runs    []Run
+	runs    []pendingRun
 	// probes holds the times of the probes that are still to be made, and refusals counts those in a row that were refused.
 	probes   []time.Time
 	refusals int
 }
 
+// pendingRun is a run whose cause is not known yet.
+type pendingRun struct {
+	Run
+	// broken is Interrupted.Broken, and listening is true once a probe found something listening at the address.
+	broken, listening bool
+	// until is when the run is dropped.
+	until time.Time
+}
+
 // NewTracker returns a tracker that knows no endpoint.
 func NewTracker() *Tracker {
 	return &Tracker{
@@ -154,11 +168,11 @@
 	case Answered:
 		return t.answered(now, e)
 	case Probed:
-		return t.probed(e)
+		return t.probed(now, e)
 	case Registered:
 		return t.register(now, e.Record)
 	case Removed:
-		return t.end(now, t.registered[e.ID])
+		return t.remove(now, t.registered[e.ID])
 	case ReportedLost:
 		return t.lost(e.Endpoint)
 	case Tick:
@@ -179,14 +193,14 @@
 	}
 	var commands []Command
 	if len(in.runs) >= maxRunsPerEndpoint {
-		commands = append(commands, Dropped{in.runs[0], reasonTooMany})
+		commands = append(commands, Dropped{in.runs[0].Run, reasonTooMany})
 		in.runs = in.runs[1:]
 		t.pending--
 	}
 	if len(in.runs) == 0 && !slices.Contains(t.active, e.Run.Endpoint) {
 		t.active = append(t.active, e.Run.Endpoint)
 	}
-	in.runs = append(in.runs, e.Run)
+	in.runs = append(in.runs, pendingRun{Run: e.Run, broken: e.Broken, until: e.Run.EndedAt.Add(window)})
 	t.pending++
 	if e.Broken && len(in.probes) == 0 {
 		in.refusals = 0
@@ -197,22 +211,26 @@
 	return commands
 }
 
-// answered drops the runs that ended while the connection was open: the endpoint still runs.
+// answered drops the runs that did not end in a crash: those that ended while the connection was open and, if they only timed out,
+// all that ended before.
 func (t *Tracker) answered(now time.Time, e Answered) []Command {
 	in := t.incarnations[e.Endpoint]
 	if in == nil {
 		return nil
 	}
-	return t.drop(in, reasonAnswered, func(run Run) bool { return run.EndedAt.After(e.ConnectedAt) && run.EndedAt.Before(now) })
+	return t.drop(in, reasonAnswered, func(run pendingRun) bool {
+		return run.EndedAt.Before(now) && (!run.broken || run.EndedAt.After(e.ConnectedAt))
+	})
 }
 
-func (t *Tracker) probed(e Probed) []Command {
+func (t *Tracker) probed(now time.Time, e Probed) []Command {
 	in := t.incarnations[e.Endpoint]
 	switch {
 	case in == nil || len(in.runs) == 0:
 		return nil
 	case !e.Refused:
 		in.refusals = 0
+		in.noteListening(now)
 		return nil
 	}
 	if in.refusals++; in.refusals < refusalsOfLostEndpoint {
@@ -221,6 +239,17 @@
 	return t.lost(e.Endpoint)
 }
 
+// noteListening notes that something listens at the address, the endpoint or one that took its place meanwhile.
+func (in *incarnation) noteListening(now time.Time) {
+	for i := range in.runs {
+		run := &in.runs[i]
+		if until := now.Add(listeningWindow); !run.listening && until.Before(run.until) {
+			run.until = until
+		}
+		run.listening = true
+	}
+}
+
 // register notes a registration. It ends the earlier incarnation of the endpoint and any other endpoint at the same address.
 func (t *Tracker) register(now time.Time, r endpoint.Record) []Command {
 	var commands []Command
@@ -254,6 +283,16 @@
 	return t.lost(instance)
 }
 
+// remove notes the removal of a registration. It is no evidence against an endpoint that still listened after the interruption.
+func (t *Tracker) remove(now time.Time, instance endpoint.Instance) []Command {
+	in := t.incarnations[instance]
+	if in == nil {
+		return nil
+	}
+	commands := t.drop(in, reasonListens, func(run pendingRun) bool { return run.listening })
+	return append(commands, t.end(now, instance)...)
+}
+
 // lost attributes the end of an incarnation to the runs that were interrupted there, unless it was leaving.
 func (t *Tracker) lost(instance endpoint.Instance) []Command {
 	in := t.incarnations[instance]
@@ -261,11 +300,11 @@
 		return nil
 	}
 	if in.record.Leaving {
-		return t.drop(in, reasonLeaving, func(Run) bool { return true })
+		return t.drop(in, reasonLeaving, func(pendingRun) bool { return true })
 	}
 	var commands []Command
 	for _, run := range in.runs {
-		commands = append(commands, Crashed{run})
+		commands = append(commands, Crashed{run.Run})
 	}
 	t.pending -= len(in.runs)
 	in.runs, in.probes, in.refusals = nil, nil, 0
@@ -273,12 +312,12 @@
 }
 
 // drop removes the runs that match and ends the probes if none is left.
-func (t *Tracker) drop(in *incarnation, reason string, match func(Run) bool) []Command {
+func (t *Tracker) drop(in *incarnation, reason string, match func(pendingRun) bool) []Command {
 	var commands []Command
 	kept := in.runs[:0]
 	for _, run := range in.runs {
 		if match(run) {
-			commands = append(commands, Dropped{run, reason})
+			commands = append(commands, Dropped{run.Run, reason})
 			continue
 		}
 		kept = append(kept, run)
@@ -298,7 +337,7 @@
 		if in == nil {
 			continue
 		}
-		commands = append(commands, t.drop(in, reasonExpired, func(run Run) bool { return now.Sub(run.EndedAt) > window })...)
+		commands = append(commands, t.drop(in, reasonExpired, func(run pendingRun) bool { return now.After(run.until) })...)
 		if len(in.runs) == 0 {
 			continue
 		}
--- a/fleet/interruption/interruption_test.go
+++ b/fleet/interruption/interruption_test.go
@@ -41,21 +41,24 @@
 		events []Event
 		want   []Command
 	}{
-		"two refused probes":                     {[]Event{interrupted, Probed{instance("a", 1), true}, Probed{instance("a", 1), true}}, crashed},
-		"one refused probe":                      {[]Event{interrupted, Probed{instance("a", 1), true}}, nil},
-		"refused probes with one accepted":       {[]Event{interrupted, Probed{instance("a", 1), true}, Probed{instance("a", 1), false}, Probed{instance("a", 1), true}}, nil},
-		"another incarnation":                    {[]Event{interrupted, Registered{record("a", 2, "10.0.0.1:80")}}, crashed},
-		"another endpoint at the address":        {[]Event{interrupted, Registered{record("b", 1, "10.0.0.1:80")}}, crashed},
-		"another endpoint elsewhere":             {[]Event{interrupted, Registered{record("b", 1, "10.0.0.2:80")}}, nil},
-		"removal":                                {[]Event{interrupted, Removed{"a"}}, crashed},
-		"removal of a leaving endpoint":          {[]Event{interrupted, Registered{leaving}, Removed{"a"}}, []Command{Dropped{run(start), reasonLeaving}}},
-		"a report of another host":               {[]Event{interrupted, ReportedLost{instance("a", 1)}}, crashed},
-		"interruption after removal":             {[]Event{Removed{"a"}, interrupted}, crashed},
-		"interruption after another incarnation": {[]Event{Registered{record("a", 2, "10.0.0.1:80")}, interrupted}, crashed},
-		"interruption of a leaving endpoint":     {[]Event{Registered{leaving}, interrupted}, []Command{Dropped{run(start), reasonLeaving}}},
-		"an answer on an older connection":       {[]Event{interrupted, Answered{instance("a", 1), start.Add(-time.Second)}, Removed{"a"}}, []Command{Dropped{run(start), reasonAnswered}}},
-		"an answer on a newer connection":        {[]Event{interrupted, Answered{instance("a", 1), start.Add(time.Millisecond)}, Removed{"a"}}, crashed},
-		"the same registration again":            {[]Event{interrupted, Registered{record("a", 1, "10.0.0.1:80")}}, nil},
+		"two refused probes":                         {[]Event{interrupted, Probed{instance("a", 1), true}, Probed{instance("a", 1), true}}, crashed},
+		"one refused probe":                          {[]Event{interrupted, Probed{instance("a", 1), true}}, nil},
+		"refused probes with one accepted":           {[]Event{interrupted, Probed{instance("a", 1), true}, Probed{instance("a", 1), false}, Probed{instance("a", 1), true}}, nil},
+		"another incarnation":                        {[]Event{interrupted, Registered{record("a", 2, "10.0.0.1:80")}}, crashed},
+		"another endpoint at the address":            {[]Event{interrupted, Registered{record("b", 1, "10.0.0.1:80")}}, crashed},
+		"another endpoint elsewhere":                 {[]Event{interrupted, Registered{record("b", 1, "10.0.0.2:80")}}, nil},
+		"removal":                                    {[]Event{interrupted, Removed{"a"}}, crashed},
+		"removal of a leaving endpoint":              {[]Event{interrupted, Registered{leaving}, Removed{"a"}}, []Command{Dropped{run(start), reasonLeaving}}},
+		"a report of another host":                   {[]Event{interrupted, ReportedLost{instance("a", 1)}}, crashed},
+		"interruption after removal":                 {[]Event{Removed{"a"}, interrupted}, crashed},
+		"interruption after another incarnation":     {[]Event{Registered{record("a", 2, "10.0.0.1:80")}, interrupted}, crashed},
+		"interruption of a leaving endpoint":         {[]Event{Registered{leaving}, interrupted}, []Command{Dropped{run(start), reasonLeaving}}},
+		"an answer on an older connection":           {[]Event{interrupted, Answered{instance("a", 1), start.Add(-time.Second)}, Removed{"a"}}, []Command{Dropped{run(start), reasonAnswered}}},
+		"an answer on a newer connection":            {[]Event{interrupted, Answered{instance("a", 1), start.Add(time.Millisecond)}, Removed{"a"}}, crashed},
+		"removal of an endpoint that still listened": {[]Event{interrupted, Probed{instance("a", 1), false}, Removed{"a"}}, []Command{Dropped{run(start), reasonListens}}},
+		"another incarnation after it listened":      {[]Event{interrupted, Probed{instance("a", 1), false}, Registered{record("a", 2, "10.0.0.1:80")}}, crashed},
+		"any answer after a time-out":                {[]Event{Interrupted{Run: run(start)}, Answered{instance("a", 1), start.Add(time.Millisecond)}, Removed{"a"}}, []Command{Dropped{run(start), reasonAnswered}}},
+		"the same registration again":                {[]Event{interrupted, Registered{record("a", 1, "10.0.0.1:80")}}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -81,6 +84,17 @@
 	require.Zero(t, tracker.Pending())
 }
 
+// An endpoint that listened right after an interruption and starts again much later did not crash then.
+func TestLaterRestartIsNotAttributedToAnInterruptionThatTheEndpointSurvived(t *testing.T) {
+	t.Parallel()
+	tracker := newTracker()
+	tracker.Update(start, Interrupted{Run: run(start), Broken: true})
+	tracker.Update(start.Add(time.Second), Probed{instance("a", 1), false})
+	late := start.Add(time.Second + listeningWindow + time.Millisecond)
+	require.Equal(t, []Command{Dropped{run(start), reasonExpired}}, tracker.Update(late, Tick{}))
+	require.Empty(t, tracker.Update(late, Registered{record("a", 2, "10.0.0.1:80")}))
+}
+
 func TestTimeOutIsNotProbed(t *testing.T) {
 	t.Parallel()
 	tracker := newTracker()
