Give each case of the crash test its own subnet, and the ports of test nodes a range of their own

Seen once, beside two soak runs: 'listen udp4 127.0.58.1:39533: address already in use', the site of case 'a resumable stream' did not start.

The ports also lie below the kernel's range for outgoing sockets now, and differ by process.

--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -254,9 +254,10 @@
 		"through one host":               with(func(c *poisonCase) { c.end, c.hosts = returns(time.Second), 1 }),
 	} {
 		subnet++
+		ownSubnet := subnet
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			checkRetriesAfterThirdCrash(t, c, subnet)
+			checkRetriesAfterThirdCrash(t, c, ownSubnet)
 		})
 	}
 }
--- a/entry/node/site_test.go
+++ b/entry/node/site_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -107,7 +108,7 @@
 // startNodes starts n nodes, with the addresses 127.0.<subnet>.1 and up, and waits until all are ready and have discovered each
 // other. Each test needs its own subnet, since tests run in parallel.
 func (s *testSite) startNodes(n, subnet int) {
-	s.firstPort = findFreePort(s.t)
+	s.firstPort = firstNodePort()
 	s.addNodes(n, subnet)
 }
 
@@ -161,12 +162,11 @@
 	s.nodes = append(s.nodes, node)
 }
 
-// findFreePort returns a free port of 127.0.0.1, or 60000 if that is lower, since the ports after it are used as well.
-func findFreePort(t *testing.T) int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return min(listener.Addr().(*net.TCPAddr).Port, 60000)
+// firstNodePort returns the first port of the nodes of this process. It lies below the ports from which the kernel chooses those of
+// outgoing sockets, any of which may be in use on all addresses.
+func firstNodePort() int {
+	const lowest, count, perNode = 10000, 2000, 8
+	return lowest + os.Getpid()%count*perNode
 }
 
 // call sends a request without a body to the node; headers are pairs of name and value.
