--- a/entry/node/operations_test.go
+++ b/entry/node/operations_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/platform/standin"
 )
 
@@ -61,7 +62,7 @@
 	require.Contains(t, logged[len(logged)-1]["Cause"], want.cause)
 }
 
-// The three failures of docs/OPERATIONS.md are caused on a node, whose log must lead to the cause that the page states. The log
+// The four failures of docs/OPERATIONS.md are caused on a node, whose log must lead to the cause that the page states. The log
 // lines are printed by: go test -v -run OperationsPage ./entry/node
 func TestLogsMatchOperationsPage(t *testing.T) {
 	t.Parallel()
@@ -77,6 +78,10 @@
 	n.call(t, http.MethodPost, "/once/x", "lost-1", "k1")
 	p.checkSection(t, "A non-idempotent call whose runner was lost", n.log, "lost-1")
 
+	n.blockAtOnce(fingerprint.Of(standin.Host+" "+standin.Workspace, http.MethodPost, "/once/x", poison))
+	require.Equal(t, http.StatusServiceUnavailable, n.post("/once/x", "blocked-1", poison))
+	p.checkSection(t, "A request that is blocked because it crashed endpoints", n.log, "blocked-1")
+
 	responses := make(chan *http.Response, 2*surgeSize)
 	for i := range surgeSize {
 		go func() {
