Tell the caller of a blocked request when the block ends

What callers saw: 503 without Retry-After, so that a caller repeated a blocked request at once.

Change: Retry-After is the time until too few of its crashes are young enough to block it, ten minutes at most.

--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -152,8 +152,8 @@
 	if !c.admit(q) || !c.readBody(q) || !c.streamFits(q) {
 		return
 	}
-	if c.n.crashes.blocked(q.start, q) {
-		c.n.refuse(q, http.StatusServiceUnavailable, 0)
+	if blockedFor := c.n.crashes.blockedFor(q.start, q); blockedFor > 0 {
+		c.n.refuse(q, http.StatusServiceUnavailable, blockedFor)
 		return
 	}
 	c.n.serve(q)
--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -281,6 +282,20 @@
 	return response.StatusCode
 }
 
+func TestBlockedRequestIsToldWhenTheBlockEnds(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	s.startNodes(1, 33)
+	n := s.nodes[0]
+	n.blockAtOnce(fingerprint.Of(standin.Host+" "+standin.Workspace, http.MethodPost, "/once/x", poison))
+	response := roundTrip(t, standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/once/x", "id-1", "k1", bytes.NewReader(poison)))
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	seconds, err := strconv.ParseFloat(response.Header.Get(standin.RetryAfterHeader), 64)
+	require.NoError(t, err)
+	require.Greater(t, seconds, 60.0)
+}
+
 func TestRequestThatIsBlockedWhileItWaitsForASlotIsNotSent(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -58,16 +58,19 @@
 	return fingerprint.Of(scope, q.r.Method, q.r.RequestURI, q.body)
 }
 
-// blocked reports whether a request has crashed so many endpoints that it must not run again. It then sets the request's cause.
-func (c *crashTracker) blocked(now time.Time, q *request) bool {
+// blockedFor returns how long a request stays blocked because it crashed several endpoints, and sets its cause; 0 if it may run.
+func (c *crashTracker) blockedFor(now time.Time, q *request) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.registry.Len() == 0 || c.registry.Verdict(now, q.fingerprint()) != fingerprint.Blocked {
-		return false
+	if c.registry.Len() == 0 {
+		return 0
 	}
-	q.cause = "request blocked: it crashed several endpoints"
-	c.n.meter.recordBlocked()
-	return true
+	d := c.registry.BlockedFor(now, q.fingerprint())
+	if d > 0 {
+		q.cause = "request blocked: it crashed several endpoints"
+		c.n.meter.recordBlocked()
+	}
+	return d
 }
 
 // recordAnswer records that an endpoint's answer to a request was read to its end. A success clears the crashes recorded for the
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -128,12 +128,13 @@
 	now := timer.BootClock()
 	target := grant.Endpoint
 	id := target.Instance.ID
+	if blockedFor := n.crashes.blockedFor(now, q); blockedFor > 0 {
+		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: blockedFor})
+	}
 	switch {
 	case !n.stillAllowed(now, q):
 		q.cause = "key no longer allowed, or set not confirmed in time"
 		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: notReadyRetryAfter})
-	case n.crashes.blocked(now, q):
-		return pool.Unknown, a.Update(now, attempt.NotAllowed{})
 	case !n.slots.usable(target.Instance):
 		q.cause = "endpoint is leaving or was removed"
 		return pool.Unknown, a.Update(now, attempt.Unreachable{ID: id})
--- a/fleet/fingerprint/fingerprint_test.go
+++ b/fleet/fingerprint/fingerprint_test.go
@@ -158,6 +158,21 @@
 	require.Empty(t, r.Rows(start.Add(crashLifetime+time.Second), false))
 }
 
+func TestBlockEndsWhenTooFewCrashesAreLeft(t *testing.T) {
+	t.Parallel()
+	r := NewRegistry(0)
+	require.Zero(t, r.BlockedFor(start, 7))
+	var now time.Time
+	for i := range int64(5) {
+		now = start.Add(time.Duration(i) * time.Second)
+		r.RecordCrash(now, 7, Crash{Engine: "e1", Incarnation: i})
+	}
+	blockedFor := r.BlockedFor(now, 7)
+	require.Equal(t, crashLifetime-2*time.Second, blockedFor, "the third crash from the end counts")
+	require.Equal(t, Blocked, r.Verdict(now.Add(blockedFor), 7))
+	require.Equal(t, Isolated, r.Verdict(now.Add(blockedFor+time.Millisecond), 7))
+}
+
 func TestRegistryIsBounded(t *testing.T) {
 	t.Parallel()
 	r := NewRegistry(0)
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -195,6 +195,24 @@
 	return Allowed
 }
 
+// BlockedFor returns how long a fingerprint stays blocked unless more is recorded for it; 0 if it is not blocked.
+func (r *Registry) BlockedFor(now time.Time, fp Fingerprint) time.Duration {
+	if r.Verdict(now, fp) != Blocked {
+		return 0
+	}
+	h := r.histories[fp]
+	needed := blockAfterShared
+	if h.ranAlone() {
+		needed = blockAfterIsolated
+	}
+	times := make([]time.Time, 0, len(h.crashes))
+	for _, rec := range h.crashes {
+		times = append(times, rec.at)
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[min(needed, len(times))-1].Add(crashLifetime).Sub(now)
+}
+
 // Blocked returns the blocked fingerprints in ascending order.
 func (r *Registry) Blocked(now time.Time) []Fingerprint {
 	r.judge(now)
