Take an answer to HEAD for one that marks its end

It has no body, so that the end of the connection says nothing. It was taken for an interrupted run. Evidence: TestEndOfAnswerIsMarkedByLengthChunksOrMethod, its case of HEAD failed before.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -166,7 +166,8 @@
 // EndMarked reports whether the answer itself says where it ends. Otherwise the end of the connection does, which looks the same
 // when the endpoint crashes.
 func (x *Exchange) EndMarked() bool {
-	return x.Response.ContentLength >= 0 || slices.Contains(x.Response.TransferEncoding, "chunked")
+	hasNoBody := x.Response.Request.Method == http.MethodHead
+	return hasNoBody || x.Response.ContentLength >= 0 || slices.Contains(x.Response.TransferEncoding, "chunked")
 }
 
 // AbortOnDone aborts the exchange when ctx ends, unless stop is called before.
--- a/entry/connection/exchange_test.go
+++ b/entry/connection/exchange_test.go
@@ -194,6 +194,35 @@
 	require.Empty(t, p.idle[s.address()])
 }
 
+func TestEndOfAnswerIsMarkedByLengthChunksOrMethod(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		method, rest string
+		want         bool
+	}{
+		"length":                {http.MethodGet, "Content-Length: 3\r\n\r\nall", true},
+		"chunks":                {http.MethodGet, "Transfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n", true},
+		"answer to HEAD":        {http.MethodHead, "\r\n", true},
+		"end of the connection": {http.MethodGet, "\r\nall", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startScriptedServer(t, func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+				s.read(r)
+				_, _ = io.WriteString(conn, answerStart+c.rest)
+			})
+			p := newPool()
+			defer p.Close()
+			r := request("1")
+			r.Method, r.Body = c.method, nil
+			x, err := p.Do(context.Background(), s.address(), r, time.Now().Add(10*time.Second))
+			require.NoError(t, err)
+			require.Equal(t, c.want, x.EndMarked())
+			_ = readBody(t, x)
+		})
+	}
+}
+
 // An endpoint may reject a request before it has read the whole body. Another request on that connection would be read as a part
 // of the body.
 func TestConnectionIsNotReusedAfterAnswerBeforeEndOfRequest(t *testing.T) {
