Test requests that crash endpoints and are sent in quick succession; one case is red

Ten copies a second through three hosts: endpoints that return after 1 s, under another ID or not at all pass. Those that fall silent without closing their connections fail, 9 runs too late (3 allowed): their end is known when their registration is removed, 3.6 s later.

--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -263,6 +263,47 @@
 	}
 }
 
+// Copies of the request are sent ten times a second and do not wait for each other.
+func TestRequestSentInQuickSuccessionStaysBlocked(t *testing.T) {
+	t.Parallel()
+	subnet := 80
+	for name, end := range map[string]ending{
+		"return after 1 s":          returns(time.Second),
+		"return as other endpoints": returnsAsAnother,
+		"stay away":                 staysAway,
+		"fall silent":               fallsSilent,
+	} {
+		subnet++
+		ownSubnet := subnet
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const endpoints, gap, observed = 40, 100 * time.Millisecond, 4 * time.Second
+			c := poisonCase{method: http.MethodPost, path: "/once/x", service: "plain", body: poison, hosts: 3, keys: []string{"k1"}, end: end}
+			s := newPoisonSite(t, c, endpoints)
+			s.startNodes(c.hosts, ownSubnet)
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			copies := 0
+			sendFor := func(d time.Duration) {
+				for start := time.Now(); time.Since(start) < d; copies++ {
+					id := fmt.Sprintf("poison-%d", copies)
+					n := s.nodes[copies%len(s.nodes)]
+					wg.Go(func() { n.post(c.path, id, poison) })
+					time.Sleep(gap)
+				}
+			}
+			for s.crashes.Load() < crashesToBlock {
+				sendFor(gap)
+			}
+			sendFor(stableTime)
+			before := s.runs.Load()
+			sendFor(observed)
+			s.logCrashEvents()
+			require.LessOrEqual(t, s.runs.Load()-before, int64(allowedRetries), "the request had reached %d endpoints before", before)
+		})
+	}
+}
+
 // blockAtOnce records three crashes of a request at a node, as if other hosts had reported them.
 func (n *testNode) blockAtOnce(fp fingerprint.Fingerprint) {
 	var crashes []peer.Crash
