--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -125,37 +125,38 @@
 	}
 	r := standin.NewCall(c.site.hosts[c.host].callerLinks.tcpLinks[0].Address(), spec.method, spec.path, spec.id, spec.key, body).WithContext(ctx)
 	c.site.record(checker.RequestSent{Request: spec.id, Host: c.host, Kind: spec.kind, Path: spec.path, Key: spec.key, Deadline: c.site.Now() + callerDeadline})
-	result := c.exchange(r, spec)
+	result, pause := c.exchange(r, spec)
 	if result.Status == 0 && disconnects && ctx.Err() != nil {
 		c.site.record(checker.CallerDisconnected{Request: spec.id})
 		return true
 	}
 	c.site.record(result)
+	timer.Sleep(ctx, pause)
 	return result.Status > 0 && result.Status < http.StatusInternalServerError
 }
 
-// exchange sends a request, reads the response and checks it. After status 503 or 401 it waits before it returns.
-func (c *caller) exchange(r *http.Request, spec requestSpec) checker.RequestCompleted {
-	result := checker.RequestCompleted{Request: spec.id}
+// exchange sends a request, reads the response and checks it. It also returns how long the caller waits before its next request.
+func (c *caller) exchange(r *http.Request, spec requestSpec) (result checker.RequestCompleted, pause time.Duration) {
+	result.Request = spec.id
 	response, err := c.transport.RoundTrip(r)
 	if err != nil {
-		return result
+		return result, 0
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return result
+		return result, 0
 	}
 	result.Status, result.Seal = response.StatusCode, response.Header.Get(standin.SealHeader)
 	switch response.StatusCode {
 	case http.StatusOK:
 		result.Defect = c.defect(spec, result.Seal, string(body))
 	case http.StatusServiceUnavailable:
-		c.waitRetryAfter(r.Context(), response.Header.Get(standin.RetryAfterHeader))
+		pause = retryAfter(response.Header)
 	case http.StatusUnauthorized:
-		timer.Sleep(r.Context(), deniedPause)
+		pause = deniedPause
 	}
-	return result
+	return result, pause
 }
 
 // defect describes what is wrong with a response of status 200; it is empty if the response is correct. The seal is the value of
@@ -174,9 +175,11 @@
 	return ""
 }
 
-// waitRetryAfter waits for the number of seconds in a Retry-After header, or not at all if there is none.
-func (c *caller) waitRetryAfter(ctx context.Context, retryAfter string) {
-	if seconds, err := strconv.ParseFloat(retryAfter, 64); err == nil {
-		timer.Sleep(ctx, time.Duration(seconds*float64(time.Second)))
+// retryAfter returns the time in a Retry-After header, given in seconds; 0 if there is none.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get(standin.RetryAfterHeader), 64)
+	if err != nil {
+		return 0
 	}
+	return time.Duration(seconds * float64(time.Second))
 }
