Correct the comment on the memory of large answers, and wrap one

Cause, found when reading the change again: the comment said that two answers of the maximum size fit. An answer of exactly 16 MiB takes 31.75 of the 32 MiB, since memory is taken as the buffer doubles.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -41,8 +41,8 @@
 	releaseOnce sync.Once
 }
 
-// Do sends a request and reads the status and headers of its answer. The deadline also applies to the body. The connection is closed when ctx ends before Do returns. The error is ErrNotSent when no
-// connection could be established, and ErrIncomplete otherwise.
+// Do sends a request and reads the status and headers of its answer. The deadline also applies to the body. The connection is closed
+// when ctx ends before Do returns. The error is ErrNotSent when no connection could be established, and ErrIncomplete otherwise.
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (*Exchange, error) {
 	c, err := p.get(ctx, address)
 	if err != nil {
--- a/entry/node/answer_body.go
+++ b/entry/node/answer_body.go
@@ -14,8 +14,8 @@
 	maxAnswerBytes = 16 << 20
 	// freeAnswerBytes is the size up to which an answer takes nothing of the memory for large answers.
 	freeAnswerBytes = 256 << 10
-	// maxLargeAnswerBytes is the memory for the parts of answers above freeAnswerBytes, of all requests together. Two answers of
-	// the maximum size fit.
+	// maxLargeAnswerBytes is the memory for the parts of answers above freeAnswerBytes, of all requests together. An answer takes
+	// from it as its buffer doubles, so that one of the maximum size fits.
 	maxLargeAnswerBytes = 2 * maxAnswerBytes
 )
 
