--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -218,8 +218,11 @@
 		return false
 	}
 	number := event.RequestSuspected
-	if c.registry.Verdict(now, row.Fingerprint) == fingerprint.Blocked {
+	switch {
+	case c.registry.Verdict(now, row.Fingerprint) == fingerprint.Blocked:
 		number = event.RequestBlocked
+	case c.registry.Limited(now, row.Fingerprint):
+		number = event.RequestLimited
 	}
 	event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(row.Fingerprint)).Str("Endpoint", string(row.Crash.Engine)).
 		Int64("StartedAt", row.Crash.Incarnation).Dur("RanMs", row.Crash.Ran).Str("From", string(from)).Send()
--- a/fleet/fingerprint/fingerprint_test.go
+++ b/fleet/fingerprint/fingerprint_test.go
@@ -197,3 +197,19 @@
 	require.True(t, ok)
 	require.Equal(t, Fingerprint(42), fp)
 }
+
+func TestEnoughCrashesAtOneMomentLimitARequest(t *testing.T) {
+	t.Parallel()
+	const minInterval = 400 * time.Millisecond
+	r := NewRegistry(minInterval)
+	for i := range int64(3) {
+		require.False(t, r.Limited(start, 7))
+		r.RecordCrash(start, 7, Crash{Engine: "e1", Incarnation: i})
+	}
+	require.True(t, r.Limited(start, 7))
+	r.RecordCrash(start.Add(minInterval), 7, Crash{Engine: "e1", Incarnation: 3})
+	require.Equal(t, Blocked, r.Verdict(start.Add(minInterval), 7))
+	require.False(t, r.Limited(start.Add(minInterval), 7))
+	r.RecordCrash(start, 8, Crash{Engine: "e2", Incarnation: 1})
+	require.False(t, r.Limited(start, 8))
+}
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -49,6 +49,8 @@
 	// completedAt is when a request with this fingerprint last ran to its end. Earlier crashes do not count.
 	completedAt time.Time
 	verdict     Verdict
+	// limited is true if the crashes would block the fingerprint but came at one moment.
+	limited bool
 }
 
 // incident identifies a crash: an incarnation of an endpoint crashes once.
@@ -195,6 +197,17 @@
 	return Allowed
 }
 
+// Limited reports whether a fingerprint has enough crashes to be blocked which all came at one moment: the request may have caused
+// them, or ran by chance where several endpoints failed together.
+func (r *Registry) Limited(now time.Time, fp Fingerprint) bool {
+	if len(r.histories) == 0 {
+		return false
+	}
+	r.judge(now)
+	h := r.histories[fp]
+	return h != nil && h.limited
+}
+
 // BlockedFor returns how long a fingerprint stays blocked unless more is recorded for it; 0 if it is not blocked.
 func (r *Registry) BlockedFor(now time.Time, fp Fingerprint) time.Duration {
 	if r.Verdict(now, fp) != Blocked {
--- a/fleet/fingerprint/verdict.go
+++ b/fleet/fingerprint/verdict.go
@@ -49,7 +49,12 @@
 		suspects = suspects[equal:]
 	}
 	for _, h := range r.histories {
-		if h.verdict == Allowed && h.anyUnexplained(explained) {
+		if h.verdict == Blocked {
+			continue
+		}
+		t := h.unexplained(explained)
+		h.limited = t.suffices()
+		if t.count > 0 {
 			h.verdict = Isolated
 		}
 	}
@@ -67,7 +72,7 @@
 				r.expiry = end
 			}
 		}
-		h.verdict = Allowed
+		h.verdict, h.limited = Allowed, false
 		if len(h.crashes) == 0 && now.Sub(h.completedAt) > crashLifetime {
 			delete(r.histories, fp)
 		}
@@ -99,31 +104,38 @@
 
 // blocks reports whether the crashes that are not explained suffice to block the fingerprint.
 func (r *Registry) blocks(h *history, explained map[incident]bool) bool {
-	count, alone := 0, false
-	var first, last time.Time
+	t := h.unexplained(explained)
+	return t.suffices() && t.last.Sub(t.first) >= r.minInterval
+}
+
+// tally sums up the crashes that count against a fingerprint.
+type tally struct {
+	count int
+	// alone is true if the request ran alone during one of them.
+	alone       bool
+	first, last time.Time
+}
+
+// unexplained returns the tally of the crashes for which no blocked fingerprint accounts.
+func (h *history) unexplained(explained map[incident]bool) tally {
+	var t tally
 	for key, rec := range h.crashes {
 		if explained[key] {
 			continue
 		}
-		count++
-		alone = alone || rec.crash.Alone
-		if first.IsZero() || rec.at.Before(first) {
-			first = rec.at
+		t.count++
+		t.alone = t.alone || rec.crash.Alone
+		if t.first.IsZero() || rec.at.Before(t.first) {
+			t.first = rec.at
 		}
-		if rec.at.After(last) {
-			last = rec.at
+		if rec.at.After(t.last) {
+			t.last = rec.at
 		}
 	}
-	enough := count >= blockAfterShared || (alone && count >= blockAfterIsolated)
-	return enough && last.Sub(first) >= r.minInterval
+	return t
 }
 
-// anyUnexplained reports whether a crash counts against the fingerprint.
-func (h *history) anyUnexplained(explained map[incident]bool) bool {
-	for key := range h.crashes {
-		if !explained[key] {
-			return true
-		}
-	}
-	return false
+// suffices reports whether the crashes block the fingerprint unless they came at one moment.
+func (t tally) suffices() bool {
+	return t.count >= blockAfterShared || (t.alone && t.count >= blockAfterIsolated)
 }
