--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -40,6 +40,47 @@
 	runs, crashes atomic.Int64
 	wg            sync.WaitGroup
 	sent          int
+
+	mu sync.Mutex
+	// crashTimes and runTimes hold when the request crashed and reached endpoints, in order.
+	crashTimes, runTimes []time.Time
+	// ended holds the endpoints that crashed and did not come back.
+	ended map[*standin.Endpoint]bool
+}
+
+// beginEnd reports whether an endpoint is to end now: a second run that crashes it does not end it again.
+func (s *poisonSite) beginEnd(e *standin.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !s.ended[e]
+	s.ended[e] = true
+	return first
+}
+
+func (s *poisonSite) endedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.ended)
+}
+
+// record appends the current time to one of the lists.
+func (s *poisonSite) record(times *[]time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*times = append(*times, time.Now())
+}
+
+// lateRuns returns how often the request reached an endpoint later than stableTime after the n-th crash.
+func (s *poisonSite) lateRuns(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := 0
+	for _, at := range s.runTimes {
+		if len(s.crashTimes) >= n && at.Sub(s.crashTimes[n-1]) > stableTime {
+			late++
+		}
+	}
+	return late
 }
 
 // ending is what an endpoint does after it began to run the request that crashes it.
@@ -67,7 +108,7 @@
 }
 
 func newPoisonSite(t *testing.T, c poisonCase, endpoints int) *poisonSite {
-	s := &poisonSite{testSite: newSite(t)}
+	s := &poisonSite{testSite: newSite(t), ended: map[*standin.Endpoint]bool{}}
 	s.store.Publish(1, "k1", "k2")
 	for i := range endpoints {
 		service := c.service
@@ -88,12 +129,16 @@
 				return
 			}
 			run := s.runs.Add(1)
+			s.record(&s.runTimes)
 			if c.failEvery > 0 && run%c.failEvery == 0 {
 				w.WriteHeader(http.StatusInternalServerError)
 				return
 			}
-			s.crashes.Add(1)
-			c.end(s, e, w)
+			if s.beginEnd(e) {
+				c.end(s, e, w)
+				s.crashes.Add(1)
+				s.record(&s.crashTimes)
+			}
 			panic(http.ErrAbortHandler)
 		})
 		close(ready)
@@ -111,6 +156,9 @@
 }
 
 func (s *poisonSite) comeBack(e *standin.Endpoint, id string) {
+	s.mu.Lock()
+	delete(s.ended, e)
+	s.mu.Unlock()
 	if err := e.ComeBackAs(id); err != nil {
 		s.t.Error(err)
 	}
@@ -134,11 +182,13 @@
 	})
 }
 
-// returnsAsAnother makes an endpoint crash and come back under another ID.
-func returnsAsAnother(s *poisonSite, e *standin.Endpoint, _ http.ResponseWriter) {
-	s.wg.Go(e.Crash)
-	id := fmt.Sprintf("%s-%d", e.ID, s.runs.Load())
-	s.later(time.Second, func() { s.comeBack(e, id) })
+// returnsAsAnother makes an endpoint crash and come back under another ID after d.
+func returnsAsAnother(d time.Duration) ending {
+	return func(s *poisonSite, e *standin.Endpoint, _ http.ResponseWriter) {
+		s.wg.Go(e.Crash)
+		id := fmt.Sprintf("%s-%d", e.ID, s.runs.Load())
+		s.later(d, func() { s.comeBack(e, id) })
+	}
 }
 
 // staysAway makes an endpoint crash for good.
@@ -191,6 +241,19 @@
 	}
 }
 
+// logTimes logs when the request reached endpoints and crashed them.
+func (s *poisonSite) logTimes() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, times := range map[string][]time.Time{"runs": s.runTimes, "crashes": s.crashTimes} {
+		text := name + " at"
+		for _, at := range times {
+			text += " " + at.Sub(s.runTimes[0]).Round(time.Millisecond).String()
+		}
+		s.t.Log(text)
+	}
+}
+
 // sendGap is the time between two copies of the request.
 const sendGap = 600 * time.Millisecond
 
@@ -233,7 +296,7 @@
 		"return after 1 s":           with(func(c *poisonCase) { c.end = returns(time.Second) }),
 		"return after 5 s":           with(func(c *poisonCase) { c.end = returns(5 * time.Second) }),
 		"return after their removal": with(func(c *poisonCase) { c.end = returnsAfterRemoval }),
-		"return as other endpoints":  with(func(c *poisonCase) { c.end = returnsAsAnother }),
+		"return as other endpoints":  with(func(c *poisonCase) { c.end = returnsAsAnother(time.Second) }),
 		"stay away":                  with(func(c *poisonCase) { c.end = staysAway }),
 		"fall silent":                with(func(c *poisonCase) { c.end = fallsSilent }),
 		"end a stream that looks complete": with(func(c *poisonCase) {
@@ -269,7 +332,7 @@
 	subnet := 80
 	for name, end := range map[string]ending{
 		"return after 1 s":          returns(time.Second),
-		"return as other endpoints": returnsAsAnother,
+		"return as other endpoints": returnsAsAnother(time.Second),
 		"stay away":                 staysAway,
 		"fall silent":               fallsSilent,
 	} {
