Run copies of a request one after another when crashes at one moment suffice to block it

Callers saw a pool of a plain service that was gone for seconds, again and again: cert-lookup and cert-register refused at 10 to 11 s and at 13 to 15 s of the users' record, while one request reached every runner that came back.

Cause: crashes that span less than 0.4 s do not block, since endpoints that fail together mostly have another cause. One request and its retries end a small pool within that time; it is back 3.5 s later, and copies reach all of it before the first new crash is known.

Fix: such a request is neither free nor blocked. Its slot requests carry a SerialKey, and the keeper of the service, through which every slot request goes, grants one at a time, and none for 2 s after a run without an answer. The next copy either gets its whole answer, which clears the crashes on all hosts, or crashes one endpoint at another moment, which blocks the request. An innocent request that ran on a pool that failed together is served again with its first answer.

TestRequestThatRanOnAPoolThatFailedIsServedAgain covers the innocent one.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -108,7 +108,7 @@
 	{RunInterrupted, "run interrupted", "An endpoint's answer to this fingerprint is missing or incomplete; the endpoint may have crashed.", "None."},
 	{InterruptionDropped, "interruption dropped", "No crash of the endpoint was recorded for an interrupted run; Reason says why.", "None."},
 	{CrashesCleared, "crashes cleared", "The request ran to its end, so that the crashes recorded for its fingerprint no longer count.", "None."},
-	{RequestLimited, "crashes at one moment", "The fingerprint has enough crashes to be blocked, but they came at one moment: the request may have caused them, or ran by chance where several endpoints failed together.", "None yet."},
+	{RequestLimited, "crashes at one moment", "The fingerprint has enough crashes to be blocked, but they came at one moment: the request may have caused them, or ran by chance where several endpoints failed together. Its copies run one after another until one gets its whole answer or crashes an endpoint.", "None yet."},
 	{HandlerPanicked, "handler recovered", "A request handler panicked; the process goes on.", "Report the stack as a defect."},
 	{LogLinesDropped, "log lines dropped", "More lines than the log's budget, or a reader that does not read; counted by event.", "Read the log faster, or look at the counters."},
 	{RegistrationUnreadable, "registration unreadable", "A registration in the platform's store can't be read and names no endpoint.", "Find who wrote it."},
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -16,6 +16,7 @@
 
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
@@ -121,6 +122,8 @@
 	// instance is the incarnation of the endpoint to which the request was sent last, and sentAt when that was.
 	instance endpoint.Instance
 	sentAt   time.Time
+	// serial is the SerialKey of the latest slot that was requested.
+	serial pool.SerialKey
 	// cause is why the latest attempt failed or the request was refused, for the log.
 	cause string
 	// firstByteAt is when the headers of a streamed answer were sent to the caller, or when an answer that is not streamed was
--- a/entry/node/crash_pool_test.go
+++ b/entry/node/crash_pool_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/fleet/fingerprint"
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform/standin"
 )
 
@@ -69,3 +73,59 @@
 		})
 	}
 }
+
+// A machine fails with the whole pool, while copies of an innocent request run on each endpoint.
+func TestRequestThatRanOnAPoolThatFailedIsServedAgain(t *testing.T) {
+	t.Parallel()
+	const endpoints = 4
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	var running atomic.Int64
+	var pool []*standin.Endpoint
+	for i := range endpoints {
+		pool = append(pool, s.addEndpoint(fmt.Sprintf("i-%d", i), "plain", func(w http.ResponseWriter, _ *http.Request) {
+			running.Add(1)
+			defer running.Add(-1)
+			time.Sleep(slowTime)
+			_, _ = io.WriteString(w, "answer")
+		}))
+	}
+	s.startNodes(3, 116)
+	fp := fingerprint.Of(standin.Host+" "+standin.Workspace, http.MethodPost, "/again/x", []byte("innocent"))
+	var wg sync.WaitGroup
+	var ids []string
+	post := func(n *testNode) {
+		id := fmt.Sprintf("innocent-%d", len(ids))
+		ids = append(ids, id)
+		wg.Go(func() { n.post("/again/x", id, []byte("innocent")) })
+	}
+	for running.Load() < 2*endpoints {
+		post(s.nodes[len(ids)%len(s.nodes)])
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, e := range pool {
+		wg.Go(e.Crash)
+	}
+	wg.Wait()
+	for _, n := range s.nodes {
+		require.Eventually(t, func() bool { return n.isLimited(fp) }, time.Minute, time.Millisecond, "%s", n.cfg.Host)
+	}
+	for _, e := range pool {
+		require.NoError(t, e.ComeBackAs(e.ID))
+	}
+	for _, n := range s.nodes {
+		require.Eventually(t, func() bool {
+			return n.post("/again/x", "again-"+string(n.cfg.Host), []byte("innocent")) == http.StatusOK
+		},
+			time.Minute, 50*time.Millisecond, "%s", n.cfg.Host)
+		require.Eventually(t, func() bool { return n.recordedCrashes(fp) == 0 }, time.Minute, time.Millisecond, "%s", n.cfg.Host)
+	}
+	require.Empty(t, s.blockedIDs(ids))
+}
+
+// isLimited reports whether copies of a request run one after another.
+func (n *testNode) isLimited(fp fingerprint.Fingerprint) bool {
+	n.crashes.mu.Lock()
+	defer n.crashes.mu.Unlock()
+	return n.crashes.registry.Limited(timer.BootClock(), fp)
+}
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -20,6 +20,7 @@
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/interruption"
+	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -73,6 +74,20 @@
 	return d
 }
 
+// serialKey returns the key under which a request must run with no copy of it at the endpoints, because several endpoints crashed
+// under it at one moment; 0 for other requests.
+func (c *crashTracker) serialKey(now time.Time, q *request) pool.SerialKey {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.registry.Len() == 0 {
+		return 0
+	}
+	if fp := q.fingerprint(); c.registry.Limited(now, fp) {
+		return pool.SerialKey(fp)
+	}
+	return 0
+}
+
 // recordAnswer records that an endpoint's answer to a request was read to its end. A success clears the crashes recorded for the
 // request, on all hosts, if the answer itself marks its end: otherwise the endpoint may have crashed there.
 func (c *crashTracker) recordAnswer(q *request, x *connection.Exchange) {
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -23,6 +23,9 @@
 // minTimeLeft is the time that must be left before the deadline for another endpoint to be tried.
 const minTimeLeft = 50 * time.Millisecond
 
+// serialRetryAfter is the retry-after time of a request that must be sent with a SerialKey, for which its slot was not requested.
+const serialRetryAfter = 500 * time.Millisecond
+
 // serve acquires a slot for a request, forwards the request to the slot's endpoint and delivers the answer. It repeats this with
 // other endpoints as far as package attempt allows, and otherwise responds with an error or closes the connection.
 func (n *Node) serve(q *request) {
@@ -71,10 +74,11 @@
 		q.cause = "deadline passed before a slot was requested"
 		return a.Update(now, attempt.DeadlineExceeded{})
 	}
+	q.serial = n.crashes.serialKey(now, q)
 	ticket, reply := n.slots.acquire(q.r.Context(), pool.SlotRequested{
 		Service: q.service, Prompt: q.call.Prompt, Priority: q.set.Priority(q.route, q.workspace), TimeLeft: timeLeft / 2,
 		Tried: acquire.Tried, Retry: acquire.Retry, LastTry: q.route.RetryMode == site.NonIdempotent || a.Sends()+1 >= q.route.MaxEndpoints,
-		DataCentre: n.cfg.DataCentre,
+		DataCentre: n.cfg.DataCentre, Serial: q.serial,
 	})
 	switch c := reply.(type) {
 	case pool.Grant:
@@ -131,6 +135,10 @@
 	if blockedFor := n.crashes.blockedFor(now, q); blockedFor > 0 {
 		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: blockedFor})
 	}
+	if serial := n.crashes.serialKey(now, q); serial != 0 && serial != q.serial {
+		q.cause = "crashes at one moment were recorded for the request while it waited for a slot"
+		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: serialRetryAfter})
+	}
 	switch {
 	case !n.stillAllowed(now, q):
 		q.cause = "key no longer allowed, or set not confirmed in time"
--- a/entry/node/slot_manager.go
+++ b/entry/node/slot_manager.go
@@ -216,7 +216,7 @@
 // if it has to decide when the service's keeper is unreachable.
 func (s *slotManager) addSlot(request pool.SlotRequested, grant pool.Grant, keeper host.ID) {
 	held := heldSlot{keeper: keeper, slot: pool.SlotHeld{
-		Ticket: request.Ticket, Service: request.Service, ID: grant.Endpoint.Instance.ID, Prompt: request.Prompt,
+		Ticket: request.Ticket, Service: request.Service, ID: grant.Endpoint.Instance.ID, Prompt: request.Prompt, Serial: request.Serial,
 	}}
 	s.mu.Lock()
 	s.heldSlots[request.Ticket] = held
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -55,6 +55,7 @@
 	LastTry      bool
 	DataCentre   host.DataCentre
 	LastEndpoint endpoint.ID
+	Serial       pool.SerialKey
 }
 
 // Part is a part of a prompt, with its length in tokens.
@@ -117,6 +118,7 @@
 	Service  site.ServiceName
 	Endpoint endpoint.ID
 	Parts    []Part
+	Serial   pool.SerialKey
 }
 
 // CacheUpdate sends the known contents of a service's engine caches to its standbys, the hosts that take over from its keeper.
@@ -199,7 +201,7 @@
 func FromSlotRequested(e pool.SlotRequested) SlotRequest {
 	return SlotRequest{
 		Number: e.Ticket.Number, Service: e.Service, Parts: fromPrompt(e.Prompt), Priority: e.Priority,
-		TimeLeftMs: e.TimeLeft.Milliseconds(), Tried: e.Tried, Retry: e.Retry, LastTry: e.LastTry, DataCentre: e.DataCentre, LastEndpoint: e.LastEndpoint,
+		TimeLeftMs: e.TimeLeft.Milliseconds(), Tried: e.Tried, Retry: e.Retry, LastTry: e.LastTry, DataCentre: e.DataCentre, LastEndpoint: e.LastEndpoint, Serial: e.Serial,
 	}
 }
 
@@ -208,19 +210,19 @@
 	return pool.SlotRequested{
 		Ticket: pool.Ticket{Host: from, Number: r.Number}, Service: r.Service, Prompt: toPrompt(r.Parts), Priority: r.Priority,
 		TimeLeft: time.Duration(r.TimeLeftMs) * time.Millisecond, Tried: r.Tried, Retry: r.Retry, LastTry: r.LastTry,
-		DataCentre: r.DataCentre, LastEndpoint: r.LastEndpoint,
+		DataCentre: r.DataCentre, LastEndpoint: r.LastEndpoint, Serial: r.Serial,
 	}
 }
 
 // FromSlotHeld converts a held slot to a message.
 func FromSlotHeld(e pool.SlotHeld) HeldSlot {
-	return HeldSlot{Number: e.Ticket.Number, Service: e.Service, Endpoint: e.ID, Parts: fromPrompt(e.Prompt)}
+	return HeldSlot{Number: e.Ticket.Number, Service: e.Service, Endpoint: e.ID, Parts: fromPrompt(e.Prompt), Serial: e.Serial}
 }
 
 // ToPool converts the message of a host to the keeper's event.
 func (h HeldSlot) ToPool(from host.ID) pool.SlotHeld {
 	return pool.SlotHeld{
-		Ticket: pool.Ticket{Host: from, Number: h.Number}, Service: h.Service, ID: h.Endpoint, Prompt: toPrompt(h.Parts),
+		Ticket: pool.Ticket{Host: from, Number: h.Number}, Service: h.Service, ID: h.Endpoint, Prompt: toPrompt(h.Parts), Serial: h.Serial,
 	}
 }
 
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -58,6 +58,8 @@
 	// BudgetShare is the fraction of RetrySlack that the host which processes the event may use; 0 means all of it, for
 	// requests to the service's only keeper.
 	BudgetShare float64
+	// Serial is above 0 if no other request with the same Serial may be at the service's endpoints meanwhile.
+	Serial SerialKey
 }
 
 // SlotHeld reports a slot that a request holds. It renews the slot, or adds it at a keeper that did not grant it.
@@ -66,6 +68,8 @@
 	Service site.ServiceName
 	ID      endpoint.ID
 	Prompt  chat.Prompt
+	// Serial is that of the request.
+	Serial SerialKey
 }
 
 // CachedParts lists parts of a prompt that an endpoint caches, in the order of the prompt.
@@ -186,6 +190,8 @@
 	NoRoom
 	// NoBudget means that the retry budget is exhausted.
 	NoBudget
+	// AwaitsCopy means that another request with the same SerialKey has a slot, or has ended without an answer a short time ago.
+	AwaitsCopy
 )
 
 // String returns the reason as it is written to logs.
@@ -197,6 +203,8 @@
 		return "NoRoom"
 	case NoBudget:
 		return "NoBudget"
+	case AwaitsCopy:
+		return "AwaitsCopy"
 	}
 	return "Unknown"
 }
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -45,6 +45,7 @@
 	// queue is in ascending order of sortKey.
 	queue  []queuedRequest
 	budget retryBudget
+	serial serialRuns
 	// sent holds the newest cache update for the standbys by shared prefix, and pending the updates to be sent at the
 	// next tick.
 	sent    map[chat.PartID]sentUpdate
@@ -62,6 +63,7 @@
 	grantedAt time.Time
 	// renewedAt is when the holder last requested or reported the slot.
 	renewedAt time.Time
+	serial    SerialKey
 }
 
 type queuedRequest struct {
@@ -76,7 +78,7 @@
 func newService(name site.ServiceName, cfg Config) *service {
 	return &service{
 		name: name, cfg: cfg, sent: make(map[chat.PartID]sentUpdate), pending: make(map[chat.PartID]CachedParts), endpoints: make(map[endpoint.ID]*endpointState), heldSlots: make(map[Ticket]*heldSlot), meanHoldTime: initialHoldTime,
-		budget: newRetryBudget(cfg),
+		budget: newRetryBudget(cfg), serial: make(serialRuns),
 	}
 }
 
@@ -124,8 +126,9 @@
 }
 
 // acquireSlot records a slot as held.
-func (s *service) acquireSlot(now time.Time, grant Grant, st *endpointState, p chat.Prompt) {
-	s.heldSlots[grant.Ticket] = &heldSlot{endpoint: st, grant: grant, grantedAt: now, renewedAt: now}
+func (s *service) acquireSlot(now time.Time, grant Grant, st *endpointState, p chat.Prompt, serial SerialKey) {
+	s.heldSlots[grant.Ticket] = &heldSlot{endpoint: st, grant: grant, grantedAt: now, renewedAt: now, serial: serial}
+	s.serial.begin(serial, grant.Ticket)
 	st.start(now, p)
 	s.addRunning(st, 1)
 }
@@ -133,6 +136,7 @@
 // releaseSlot frees a held slot and records the result of the request at the endpoint.
 func (s *service) releaseSlot(now time.Time, t Ticket, h *heldSlot, r Result) {
 	delete(s.heldSlots, t)
+	s.serial.end(now, h.serial, t, r)
 	h.endpoint.finish(now, r)
 	s.addRunning(h.endpoint, -1)
 }
@@ -151,9 +155,12 @@
 		h.renewedAt = now
 		return []Command{h.grant}
 	}
-	if slices.ContainsFunc(s.queue, func(q queuedRequest) bool { return q.request.Ticket == e.Ticket }) {
+	if s.isQueued(e.Ticket) {
 		return []Command{Queue{e.Ticket}}
 	}
+	if wait := s.serialWait(now, e.Serial); wait > 0 {
+		return []Command{Refuse{e.Ticket, AwaitsCopy, wait}}
+	}
 	if !s.budget.allow(now, e) {
 		return []Command{Refuse{e.Ticket, NoBudget, maxRetryAfter}}
 	}
@@ -173,9 +180,14 @@
 	q := queuedRequest{request: e, queuedAt: now, sortKey: now.Add(time.Duration(e.Priority) * priorityDelay), deadline: now.Add(e.TimeLeft)}
 	at, _ := slices.BinarySearchFunc(s.queue, q, func(a, b queuedRequest) int { return a.sortKey.Compare(b.sortKey) })
 	s.queue = slices.Insert(s.queue, at, q)
+	s.serial.begin(e.Serial, e.Ticket)
 	return append(append(commands, Queue{e.Ticket}), s.drainQueue(now)...)
 }
 
+func (s *service) isQueued(ticket Ticket) bool {
+	return slices.ContainsFunc(s.queue, func(q queuedRequest) bool { return q.request.Ticket == ticket })
+}
+
 // assumedRetryAfter returns the retry delay to suggest when no endpoint is available, so that no wait can be estimated.
 func assumedRetryAfter(e SlotRequested) time.Duration { return clampRetryAfter(e.TimeLeft / 4) }
 
@@ -188,7 +200,7 @@
 	if c.source != nil {
 		grant.Fetch, grant.Decision.FetchedTokens = c.source.record.Instance.ID, c.missingTokens-c.sourceMissingTokens
 	}
-	s.acquireSlot(now, grant, c.target, e.Prompt)
+	s.acquireSlot(now, grant, c.target, e.Prompt, e.Serial)
 	s.recordCacheUpdate(now, c.target.record.Instance.ID, e.Prompt)
 	return []Command{grant}
 }
@@ -203,7 +215,7 @@
 	if st == nil {
 		return
 	}
-	s.acquireSlot(now, Grant{Ticket: e.Ticket, Endpoint: st.record}, st, e.Prompt)
+	s.acquireSlot(now, Grant{Ticket: e.Ticket, Endpoint: st.record}, st, e.Prompt, e.Serial)
 }
 
 // release frees the slot of a ticket, or removes its request from the queue.
@@ -238,6 +250,7 @@
 			s.releaseSlot(now, ticket, h, Unknown)
 		}
 	}
+	s.deleteEndedSerialRuns(now)
 	var commands []Command
 	s.queue = slices.DeleteFunc(s.queue, func(q queuedRequest) bool {
 		if now.Before(q.deadline) {
