Suspect endpoints that fall silent, and run copies of their requests one after another

Cause: between its last byte and its removal an endpoint counted as alive. Fix: a run whose endpoint has sent this host nothing for 1.5 s since the request was sent is told to all hosts as an unconfirmed crash. Unconfirmed crashes never block, and expire after 15 s; with three of them the keeper grants one copy at a time.

TestSlowRequestIsServedWhileItsEndpointsSendNothing: 12 of 12 served.

--- a/entry/node/crash_innocent_test.go
+++ b/entry/node/crash_innocent_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,3 +121,34 @@
 		})
 	}
 }
+
+// A request takes longer than an endpoint that ended is silent, and nothing else is answered meanwhile. Once a copy of it was answered
+// through each host, the hosts know that it is slow.
+func TestSlowRequestIsServedWhileItsEndpointsSendNothing(t *testing.T) {
+	t.Parallel()
+	const answerTime, copies = 1700 * time.Millisecond, 12
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	for i := range 4 {
+		s.addEndpoint(fmt.Sprintf("i-%d", i), "plain", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(answerTime)
+			_, _ = io.WriteString(w, "answer")
+		})
+	}
+	s.startNodes(3, 117)
+	for _, n := range s.nodes {
+		require.Equal(t, http.StatusOK, n.post("/once/x", "first-"+string(n.cfg.Host), []byte("slow")))
+	}
+	var wg sync.WaitGroup
+	var served atomic.Int64
+	for i := range copies {
+		wg.Go(func() {
+			if s.nodes[i%len(s.nodes)].post("/once/x", fmt.Sprintf("copy-%d", i), []byte("slow")) == http.StatusOK {
+				served.Add(1)
+			}
+		})
+		time.Sleep(answerTime / 10)
+	}
+	wg.Wait()
+	require.EqualValues(t, copies, served.Load())
+}
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -100,7 +100,7 @@
 	c.recordSignOfLife(now, q, x)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.registry.Len() > 0 && x.Response.StatusCode < http.StatusMultipleChoices {
+	if x.Response.StatusCode < http.StatusMultipleChoices {
 		c.recordCompletion(now, q)
 	}
 }
@@ -136,10 +136,21 @@
 	}
 	q.logEvent(c.n.log, level, event.RunInterrupted).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(q.instance.ID)).
 		Int64("StartedAt", q.instance.StartedAt).Bool("Broken", broken).Dur("RanMs", now.Sub(q.sentAt)).Str("Cause", q.cause).Send()
-	run := interruption.Run{Fingerprint: fp, Endpoint: q.instance, StartedAt: q.sentAt, EndedAt: now}
+	run := q.run()
+	run.EndedAt = now
 	c.update(now, interruption.Interrupted{Run: run, Broken: broken})
 }
 
+// run returns the run of the request at its current endpoint.
+func (q *request) run() interruption.Run {
+	return interruption.Run{Request: q.call.ID, Fingerprint: q.fingerprint(), Endpoint: q.instance, StartedAt: q.sentAt}
+}
+
+// recordReceived records that the current endpoint sent a part of its answer.
+func (c *crashTracker) recordReceived(q *request) {
+	c.update(timer.BootClock(), interruption.Received{Request: q.call.ID, Endpoint: q.instance})
+}
+
 // update passes an event about an endpoint to the state machine and executes the resulting commands.
 func (c *crashTracker) update(now time.Time, e interruption.Event) {
 	c.mu.Lock()
@@ -160,10 +171,13 @@
 			event.LogText(c.n.log, zerolog.InfoLevel, event.InterruptionDropped).Uint64("Fingerprint", uint64(command.Run.Fingerprint)).
 				Str("Endpoint", string(command.Run.Endpoint.ID)).Str("Reason", command.Reason).Send()
 		case interruption.Crashed:
-			row := crashRow(now, command.Run)
-			if c.merge(now, c.n.cfg.Host, row) {
-				recorded = append(recorded, peer.FromCrashRow(row))
-			}
+			recorded = c.record(now, crashRow(now, command.Run), recorded)
+		case interruption.Silent:
+			silent := command.Run
+			silent.EndedAt = now
+			row := crashRow(now, silent)
+			row.Crash.Unconfirmed = true
+			recorded = c.record(now, row, recorded)
 		}
 	}
 	for chunk := range slices.Chunk(recorded, maxCrashesPerDatagram) {
@@ -171,6 +185,14 @@
 	}
 }
 
+// record merges a crash that this host observed and appends it to those to be sent if it is new. mu must be held.
+func (c *crashTracker) record(now time.Time, row fingerprint.Row, recorded []peer.Crash) []peer.Crash {
+	if !c.merge(now, c.n.cfg.Host, row) {
+		return recorded
+	}
+	return append(recorded, peer.FromCrashRow(row))
+}
+
 // gossip sends some of the recorded crashes and completions to a random host, so that hosts to which a broadcast was lost get them.
 func (c *crashTracker) gossip(now time.Time) {
 	c.mu.Lock()
@@ -221,7 +243,9 @@
 }
 
 // recordUnreachable records that a request could not connect to an endpoint.
-func (c *crashTracker) recordUnreachable(now time.Time, instance endpoint.Instance, err error) {
+func (c *crashTracker) recordUnreachable(now time.Time, q *request, err error) {
+	instance := q.instance
+	c.update(now, interruption.Withdrawn{Request: q.call.ID, Endpoint: instance})
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.update(now, interruption.Probed{Endpoint: instance, Refused: true})
 	}
@@ -240,7 +264,7 @@
 		number = event.RequestLimited
 	}
 	event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(row.Fingerprint)).Str("Endpoint", string(row.Crash.Engine)).
-		Int64("StartedAt", row.Crash.Incarnation).Dur("RanMs", row.Crash.Ran).Str("From", string(from)).Send()
+		Int64("StartedAt", row.Crash.Incarnation).Dur("RanMs", row.Crash.Ran).Bool("Unconfirmed", row.Crash.Unconfirmed).Str("From", string(from)).Send()
 	c.n.meter.recordCrash(from == c.n.cfg.Host)
 	return true
 }
@@ -254,7 +278,7 @@
 	defer c.mu.Unlock()
 	for _, crash := range d.Crashes {
 		row := crash.ToRow()
-		if c.merge(now, d.From, row) {
+		if c.merge(now, d.From, row) && !row.Crash.Unconfirmed {
 			lost := endpoint.Instance{ID: endpoint.ID(row.Crash.Engine), StartedAt: row.Crash.Incarnation}
 			c.execute(now, c.interruptions.Update(now, interruption.ReportedLost{Endpoint: lost}))
 		}
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -14,6 +14,7 @@
 	"balsamknot.org/entry/connection"
 	"balsamknot.org/fleet/attempt"
 	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/interruption"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -153,21 +154,23 @@
 		LastEventID: q.position(), Fetch: n.slots.endpointAddress(grant.Fetch),
 	})
 	q.instance, q.sentAt = target.Instance, now
+	n.crashes.update(now, interruption.Sent{Run: q.run()})
 	x, err := n.endpointConns.Do(q.r.Context(), target.Address, connection.Request{
 		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
 	}, time.Now().Add(timeLeft))
 	if errors.Is(err, connection.ErrNotSent) {
+		n.crashes.recordUnreachable(timer.BootClock(), q, err)
 		if q.disconnected() {
 			n.endDisconnected(q)
 		}
 		q.cause = err.Error()
-		n.crashes.recordUnreachable(timer.BootClock(), target.Instance, err)
 		return pool.ConnectionFailed, a.Update(timer.BootClock(), attempt.Unreachable{ID: id})
 	}
 	a.Sent(id)
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
+	n.crashes.recordReceived(q)
 	stop := x.AbortOnDone(q.r.Context())
 	defer stop()
 	defer x.Abort()
@@ -273,6 +276,7 @@
 		if err != nil {
 			return n.interrupted(q, a, id, err)
 		}
+		n.crashes.recordReceived(q)
 		n.startStream(q, a, x)
 		q.lastEventID = events.LastEventID()
 		_, err = q.w.Write(ev)
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -163,13 +163,15 @@
 	StartedAt int64
 	// AgeMs is the time since the crash or completion when the datagram was sent, and RanMs how long the request had run.
 	AgeMs, RanMs int64
+	// Unconfirmed is true if the endpoint only fell silent.
+	Unconfirmed bool
 }
 
 // FromCrashRow converts a row to a message.
 func FromCrashRow(row fingerprint.Row) Crash {
 	return Crash{
 		Fingerprint: row.Fingerprint, Endpoint: endpoint.ID(row.Crash.Engine), StartedAt: row.Crash.Incarnation,
-		AgeMs: row.Age.Milliseconds(), RanMs: row.Crash.Ran.Milliseconds(),
+		AgeMs: row.Age.Milliseconds(), RanMs: row.Crash.Ran.Milliseconds(), Unconfirmed: row.Crash.Unconfirmed,
 	}
 }
 
@@ -177,7 +179,9 @@
 func (c Crash) ToRow() fingerprint.Row {
 	return fingerprint.Row{
 		Fingerprint: c.Fingerprint, Age: time.Duration(c.AgeMs) * time.Millisecond,
-		Crash: fingerprint.Crash{Engine: engine.ID(c.Endpoint), Incarnation: c.StartedAt, Ran: time.Duration(c.RanMs) * time.Millisecond},
+		Crash: fingerprint.Crash{
+			Engine: engine.ID(c.Endpoint), Incarnation: c.StartedAt, Ran: time.Duration(c.RanMs) * time.Millisecond, Unconfirmed: c.Unconfirmed,
+		},
 	}
 }
 
--- a/fleet/fingerprint/fingerprint_test.go
+++ b/fleet/fingerprint/fingerprint_test.go
@@ -213,3 +213,39 @@
 	r.RecordCrash(start, 8, Crash{Engine: "e2", Incarnation: 1})
 	require.False(t, r.Limited(start, 8))
 }
+
+func TestUnconfirmedCrashesLimitButDoNotBlock(t *testing.T) {
+	t.Parallel()
+	r := NewRegistry(0)
+	for i := range int64(4) {
+		r.RecordCrash(start, 7, Crash{Engine: "e1", Incarnation: i, Unconfirmed: true})
+	}
+	require.Equal(t, Allowed, r.Verdict(start, 7))
+	require.True(t, r.Limited(start, 7))
+	require.False(t, r.RecordCrash(start, 7, Crash{Engine: "e1", Incarnation: 0, Unconfirmed: true}))
+	for i := range int64(3) {
+		require.True(t, r.RecordCrash(start, 7, Crash{Engine: "e1", Incarnation: i}), "confirmed")
+	}
+	require.Equal(t, Blocked, r.Verdict(start, 7))
+	require.False(t, r.RecordCrash(start, 7, Crash{Engine: "e1", Incarnation: 0, Unconfirmed: true}))
+	require.Equal(t, Blocked, r.Verdict(start, 7), "a late report does not unconfirm a crash")
+
+	r.RecordCrash(start, 8, Crash{Engine: "e1", Incarnation: 9, Unconfirmed: true})
+	r.RecordCrash(start, 8, Crash{Engine: "e2", Incarnation: 9, Unconfirmed: true})
+	r.RecordCrash(start, 8, Crash{Engine: "e3", Incarnation: 9, Unconfirmed: true})
+	require.True(t, r.Limited(start, 8))
+	require.False(t, r.Limited(start.Add(unconfirmedLifetime+time.Millisecond), 8))
+}
+
+// A slow request that runs to its end now and then must not be taken for one whose endpoints fall silent.
+func TestRequestThatRanToItsEndHasNoUnconfirmedCrashes(t *testing.T) {
+	t.Parallel()
+	r := NewRegistry(0)
+	r.RecordCompletion(start, 7)
+	require.False(t, r.RecordCrash(start.Add(time.Minute), 7, Crash{Engine: "e1", Unconfirmed: true}))
+	for fp := range Fingerprint(3 * maxCompletions) {
+		r.RecordCompletion(start, fp+100)
+	}
+	require.True(t, r.RecordCrash(start.Add(time.Minute), 7, Crash{Engine: "e1", Unconfirmed: true}), "forgotten")
+	require.LessOrEqual(t, len(r.completions.current)+len(r.completions.previous), 2*maxCompletions)
+}
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -11,6 +11,9 @@
 const (
 	// crashLifetime is how long a crash is remembered.
 	crashLifetime = 10 * time.Minute
+	// unconfirmedLifetime is how long an unconfirmed crash is remembered. The registration of an endpoint that ended is removed
+	// well within it.
+	unconfirmedLifetime = 15 * time.Second
 	// blockAfterIsolated is how many crashes block a request that ran alone in at least one of them.
 	blockAfterIsolated = 2
 	// blockAfterShared is how many crashes block a request that never ran alone. It is higher, because a request that callers
@@ -31,12 +34,16 @@
 	// Ran is how long the request had run, as its host observed it; 0 when unknown. Requests with as many crashes are ordered
 	// by it, since a request that crashes endpoints does so soon after its start.
 	Ran time.Duration
+	// Unconfirmed is true if the endpoint only fell silent. Such a crash does not block the request, but runs its copies one after
+	// another until it is confirmed, withdrawn by a completion or older than unconfirmedLifetime.
+	Unconfirmed bool
 }
 
 // Registry holds the crashes that a host knows of, by fingerprint. It is not safe for concurrent use.
 type Registry struct {
 	minInterval time.Duration
 	histories   map[Fingerprint]*history
+	completions completionMemory
 	// judged is false when crashes changed after the verdicts were computed, and expiry when the oldest of the crashes that
 	// count expires.
 	judged bool
@@ -49,7 +56,7 @@
 	// completedAt is when a request with this fingerprint last ran to its end. Earlier crashes do not count.
 	completedAt time.Time
 	verdict     Verdict
-	// limited is true if the crashes would block the fingerprint but came at one moment.
+	// limited is true if the crashes would block the fingerprint but came at one moment or are unconfirmed.
 	limited bool
 }
 
@@ -65,22 +72,34 @@
 	at    time.Time
 }
 
+// expiresAt returns when the crash no longer counts.
+func (rec record) expiresAt() time.Time {
+	if rec.crash.Unconfirmed {
+		return rec.at.Add(unconfirmedLifetime)
+	}
+	return rec.at.Add(crashLifetime)
+}
+
 // NewRegistry returns an empty registry. Crashes of one fingerprint block it only if they span minInterval: endpoints that fail at
 // the same moment have another cause than the request. 0 makes no such condition.
 func NewRegistry(minInterval time.Duration) *Registry {
-	return &Registry{minInterval: minInterval, histories: make(map[Fingerprint]*history)}
+	return &Registry{minInterval: minInterval, histories: make(map[Fingerprint]*history), completions: newCompletionMemory()}
 }
 
 // RecordCrash records that an endpoint crashed at time at while the request with this fingerprint ran on it. It returns false if
-// the crash is already known, or if the request ran to its end after it.
+// the crash is already known, or if the request ran to its end after it. An unconfirmed crash is not recorded for a request that ran
+// to its end here before: that one is slow.
 func (r *Registry) RecordCrash(at time.Time, fp Fingerprint, c Crash) bool {
+	if c.Unconfirmed && !r.completions.last(fp).IsZero() {
+		return false
+	}
 	h := r.history(fp)
 	if !at.After(h.completedAt) {
 		return false
 	}
 	key := incident{c.Engine, c.Incarnation}
 	known, recorded := h.crashes[key]
-	if recorded {
+	if recorded && (!known.crash.Unconfirmed || c.Unconfirmed) {
 		// The earliest report is closest to the crash.
 		if at.Before(known.at) {
 			known.at = at
@@ -136,6 +155,7 @@
 // count, and returns how many it deleted. A blocked fingerprint stays blocked if it ran alone during one of its crashes: the copy
 // that completed may have started before.
 func (r *Registry) RecordCompletion(at time.Time, fp Fingerprint) int {
+	r.completions.note(at, fp)
 	h := r.histories[fp]
 	if h == nil || !at.After(h.completedAt) {
 		return 0
@@ -197,8 +217,8 @@
 	return Allowed
 }
 
-// Limited reports whether a fingerprint has enough crashes to be blocked which all came at one moment: the request may have caused
-// them, or ran by chance where several endpoints failed together.
+// Limited reports whether a fingerprint has enough crashes to be blocked, but all came at one moment or some are unconfirmed: the
+// request may have caused them, or ran by chance where several endpoints failed together.
 func (r *Registry) Limited(now time.Time, fp Fingerprint) bool {
 	if len(r.histories) == 0 {
 		return false
@@ -220,7 +240,9 @@
 	}
 	times := make([]time.Time, 0, len(h.crashes))
 	for _, rec := range h.crashes {
-		times = append(times, rec.at)
+		if !rec.crash.Unconfirmed {
+			times = append(times, rec.at)
+		}
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
 	return times[min(needed, len(times))-1].Add(crashLifetime).Sub(now)
--- a/fleet/fingerprint/verdict.go
+++ b/fleet/fingerprint/verdict.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		t := h.unexplained(explained)
-		h.limited = t.suffices()
+		h.limited = t.suffices() || t.count+t.unconfirmed >= blockAfterShared
 		if t.count > 0 {
 			h.verdict = Isolated
 		}
@@ -66,9 +66,9 @@
 	r.expiry = now.Add(crashLifetime)
 	for fp, h := range r.histories {
 		for key, rec := range h.crashes {
-			if now.Sub(rec.at) > crashLifetime {
+			if end := rec.expiresAt(); now.After(end) {
 				delete(h.crashes, key)
-			} else if end := rec.at.Add(crashLifetime); end.Before(r.expiry) {
+			} else if end.Before(r.expiry) {
 				r.expiry = end
 			}
 		}
@@ -88,6 +88,9 @@
 		}
 		s := suspect{fp: fp, h: h}
 		for key, rec := range h.crashes {
+			if rec.crash.Unconfirmed {
+				continue
+			}
 			s.incidents = append(s.incidents, key)
 			s.ran += rec.crash.Ran
 		}
@@ -110,7 +113,7 @@
 
 // tally sums up the crashes that count against a fingerprint.
 type tally struct {
-	count int
+	count, unconfirmed int
 	// alone is true if the request ran alone during one of them.
 	alone       bool
 	first, last time.Time
@@ -123,6 +126,10 @@
 		if explained[key] {
 			continue
 		}
+		if rec.crash.Unconfirmed {
+			t.unconfirmed++
+			continue
+		}
 		t.count++
 		t.alone = t.alone || rec.crash.Alone
 		if t.first.IsZero() || rec.at.Before(t.first) {
@@ -135,7 +142,7 @@
 	return t
 }
 
-// suffices reports whether the crashes block the fingerprint unless they came at one moment.
+// suffices reports whether the confirmed crashes block the fingerprint unless they came at one moment.
 func (t tally) suffices() bool {
 	return t.count >= blockAfterShared || (t.alone && t.count >= blockAfterIsolated)
 }
--- a/fleet/interruption/interruption.go
+++ b/fleet/interruption/interruption.go
@@ -36,6 +36,8 @@
 
 // Run is a run of a request whose answer is missing or incomplete.
 type Run struct {
+	// Request is the request's ID.
+	Request     string
 	Fingerprint fingerprint.Fingerprint
 	Endpoint    endpoint.Instance
 	// StartedAt is when the request was sent, and EndedAt when the run ended.
@@ -124,6 +126,8 @@
 	// address.
 	registered map[endpoint.ID]endpoint.Instance
 	byAddress  map[string]endpoint.Instance
+	// awaited holds the incarnations with runs whose answer has not begun.
+	awaited map[endpoint.Instance]bool
 	// active lists the incarnations with interrupted runs, and ended those that ended, in that order.
 	active, ended []endpoint.Instance
 	pending       int
@@ -138,6 +142,9 @@
 	// probes holds the times of the probes that are still to be made, and refusals counts those in a row that were refused.
 	probes   []time.Time
 	refusals int
+	// waiting holds the runs whose answer has not begun, by request, and aliveAt is when the endpoint last sent something.
+	waiting map[string]waitingRun
+	aliveAt time.Time
 }
 
 // pendingRun is a run whose cause is not known yet.
@@ -153,7 +160,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		incarnations: make(map[endpoint.Instance]*incarnation), registered: make(map[endpoint.ID]endpoint.Instance),
-		byAddress: make(map[string]endpoint.Instance),
+		byAddress: make(map[string]endpoint.Instance), awaited: make(map[endpoint.Instance]bool),
 	}
 }
 
@@ -163,7 +170,14 @@
 // Update applies one event at time now and returns the commands that follow from it. It does no I/O.
 func (t *Tracker) Update(now time.Time, event Event) []Command {
 	switch e := event.(type) {
+	case Sent:
+		t.sent(e)
+	case Received:
+		t.received(now, e)
+	case Withdrawn:
+		t.stopWaiting(e.Endpoint, e.Request)
 	case Interrupted:
+		t.stopWaiting(e.Run.Endpoint, e.Run.Request)
 		return t.interrupted(now, e)
 	case Answered:
 		return t.answered(now, e)
@@ -348,6 +362,7 @@
 		}
 	}
 	t.active = active
+	commands = append(commands, t.reportSilence(now)...)
 	t.forgetEnded(now)
 	return commands
 }
--- /dev/null
+++ b/fleet/interruption/silence.go
@@ -0,0 +1,92 @@
+package interruption
+
+import (
+	"time"
+
+	"balsamknot.org/fleet/endpoint"
+)
+
+// silentAfter is how long a run may wait for the first byte of its answer at an endpoint that sends this host nothing else either,
+// before the endpoint is suspected to have ended. It leaves the hosts as long to tell each other before they must know.
+const silentAfter = 1500 * time.Millisecond
+
+// Sent means that a request was sent to an endpoint. Run.EndedAt is zero. One of Received, Withdrawn and Interrupted must follow.
+type Sent struct{ Run Run }
+
+// Received means that an endpoint sent the first or a further part of its answer to a request.
+type Received struct {
+	Request  string
+	Endpoint endpoint.Instance
+}
+
+// Withdrawn means that a request could not be sent after all.
+type Withdrawn struct {
+	Request  string
+	Endpoint endpoint.Instance
+}
+
+func (Sent) event()      {}
+func (Received) event()  {}
+func (Withdrawn) event() {}
+
+// Silent means that an endpoint has sent nothing since it was sent the request. It may have ended without closing its connections.
+type Silent struct{ Run Run }
+
+func (Silent) command() {}
+
+// waitingRun is a run whose answer has not begun. reported is true after Silent.
+type waitingRun struct {
+	Run
+	reported bool
+}
+
+func (t *Tracker) sent(e Sent) {
+	in := t.incarnations[e.Run.Endpoint]
+	if in == nil {
+		return
+	}
+	if in.waiting == nil {
+		in.waiting = make(map[string]waitingRun)
+	}
+	in.waiting[e.Run.Request] = waitingRun{Run: e.Run}
+	t.awaited[e.Run.Endpoint] = true
+}
+
+func (t *Tracker) received(now time.Time, e Received) {
+	if in := t.incarnations[e.Endpoint]; in != nil {
+		in.aliveAt = now
+	}
+	t.stopWaiting(e.Endpoint, e.Request)
+}
+
+// stopWaiting removes a run from those whose answer has not begun.
+func (t *Tracker) stopWaiting(instance endpoint.Instance, request string) {
+	in := t.incarnations[instance]
+	if in == nil {
+		return
+	}
+	if delete(in.waiting, request); len(in.waiting) == 0 {
+		delete(t.awaited, instance)
+	}
+}
+
+// reportSilence returns the runs that have waited for silentAfter at endpoints which sent nothing meanwhile, each once.
+func (t *Tracker) reportSilence(now time.Time) []Command {
+	var commands []Command
+	for instance := range t.awaited {
+		in := t.incarnations[instance]
+		if in == nil {
+			delete(t.awaited, instance)
+			continue
+		}
+		for request, run := range in.waiting {
+			if run.reported || now.Sub(run.StartedAt) < silentAfter || in.aliveAt.After(run.StartedAt) {
+				continue
+			}
+			run.reported = true
+			in.waiting[request] = run
+			commands = append(commands, Silent{run.Run})
+		}
+	}
+	return commands
+}
