--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -135,12 +136,22 @@
 		level = zerolog.WarnLevel
 	}
 	q.logEvent(c.n.log, level, event.RunInterrupted).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(q.instance.ID)).
-		Int64("StartedAt", q.instance.StartedAt).Bool("Broken", broken).Dur("RanMs", now.Sub(q.sentAt)).Str("Cause", q.cause).Send()
+		Int64("StartedAt", q.instance.StartedAt).Bool("Broken", broken).Dur("RanMs", now.Sub(q.sentAt)).
+		Strs("Parts", q.sharedParts()).Str("Cause", q.cause).Send()
 	run := q.run()
 	run.EndedAt = now
 	c.update(now, interruption.Interrupted{Run: run, Broken: broken})
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests may share, in hexadecimal.
+func (q *request) sharedParts() []string {
+	var ids []string
+	for _, part := range q.call.Prompt.SharedParts() {
+		ids = append(ids, strconv.FormatUint(uint64(part.ID), 16))
+	}
+	return ids
+}
+
 // run returns the run of the request at its current endpoint.
 func (q *request) run() interruption.Run {
 	return interruption.Run{Request: q.call.ID, Fingerprint: q.fingerprint(), Endpoint: q.instance, StartedAt: q.sentAt}
--- a/fleet/chat/prompt.go
+++ b/fleet/chat/prompt.go
@@ -34,6 +34,14 @@
 	return PartID(xxhash.Sum64String(name))
 }
 
+// SharedParts returns the parts that other prompts may share: all but the last.
+func (p Prompt) SharedParts() []Part {
+	if len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
 // SharedPrefix returns the ID of the last part that a prompt may share with others, which stands for the whole shared
 // prefix; 0 when there is none.
 func (p Prompt) SharedPrefix() PartID {
