Find the part of a prompt that crashes engines, and block it after five crashes

Cause: evidence was collected for whole requests. No two were alike, so that each had one crash. Evidence: BK1601 for each of the requests, each with one crash, no BK1602; BK1603 shows one part in all of them.

Fix: each shared part of a prompt, never the last, has a fingerprint of its own (its ID, whatever the request), and crashes are recorded for the request and for its parts. Three crashes block a request, five a part; the greedy cover of all crashes takes the request where both account for as many. An answer that ran to its end clears all parts of its prompt on all hosts, and a host remembers the completions of a short time, so that a part that is in use is not the suspect. A part that occurred in the same requests as the cause may be blocked with it: requests with both are refused, and one at a time without any other suspect is let through as a trial, whose answer clears the part and whose crash settles it. Nothing is known of engines, keys or routes: sound requests go on with the first attempt.

--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -16,6 +16,7 @@
 
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -122,8 +123,12 @@
 	// instance is the incarnation of the endpoint to which the request was sent last, and sentAt when that was.
 	instance endpoint.Instance
 	sentAt   time.Time
-	// serial is the SerialKey of the latest slot that was requested.
+	// fps holds the fingerprints of the request and of the parts of its prompt; see fingerprints.
+	fps []fingerprint.Fingerprint
+	// serial is the SerialKey of the latest slot that was requested, and trial the part of the prompt that the request tries out there;
+	// 0 if there is none.
 	serial pool.SerialKey
+	trial  fingerprint.Fingerprint
 	// cause is why the latest attempt failed or the request was refused, for the log.
 	cause string
 	// firstByteAt is when the headers of a streamed answer were sent to the caller, or when an answer that is not streamed was
@@ -155,8 +160,8 @@
 	if !c.admit(q) || !c.readBody(q) || !c.streamFits(q) {
 		return
 	}
-	if blockedFor := c.n.crashes.blockedFor(q.start, q); blockedFor > 0 {
-		c.n.refuse(q, http.StatusServiceUnavailable, blockedFor)
+	if d := c.n.crashes.decide(q.start, q); d.BlockedFor > 0 {
+		c.n.refuse(q, http.StatusServiceUnavailable, d.BlockedFor)
 		return
 	}
 	c.n.serve(q)
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,12 +20,11 @@
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/interruption"
-	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/timer"
 )
 
-// crashTracker finds requests that crash the endpoints that run them. Package interruption decides which interrupted runs were
-// crashes, and package fingerprint which requests are blocked for them. It is safe for concurrent use.
+// crashTracker finds requests and parts of prompts that crash the endpoints that run them. Package interruption decides which
+// interrupted runs were crashes, and package fingerprint what is blocked for them. It is safe for concurrent use.
 type crashTracker struct {
 	n *Node
 
@@ -54,43 +52,38 @@
 	return &crashTracker{n: n, registry: fingerprint.NewRegistry(minCrashInterval), interruptions: interruption.NewTracker()}
 }
 
-// fingerprint returns the request's fingerprint.
-func (q *request) fingerprint() fingerprint.Fingerprint {
-	scope := strings.ToLower(q.route.Host) + " " + string(q.workspace)
-	return fingerprint.Of(scope, q.r.Method, q.r.RequestURI, q.body)
+// fingerprints returns the request's fingerprint, followed by those of the parts of its prompt that other requests may share.
+func (q *request) fingerprints() []fingerprint.Fingerprint {
+	if q.fps == nil {
+		scope := strings.ToLower(q.route.Host) + " " + string(q.workspace)
+		q.fps = append(q.fps, fingerprint.Of(scope, q.r.Method, q.r.RequestURI, q.body))
+		for _, part := range q.call.Prompt.SharedParts() {
+			q.fps = append(q.fps, fingerprint.OfPart(part.ID))
+		}
+	}
+	return q.fps
 }
 
-// blockedFor returns how long a request stays blocked because it crashed several endpoints, and sets its cause; 0 if it may run.
-func (c *crashTracker) blockedFor(now time.Time, q *request) time.Duration {
+// decide returns whether and how a request may run, and sets the cause of its refusal.
+func (c *crashTracker) decide(now time.Time, q *request) fingerprint.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.registry.Len() == 0 {
-		return 0
+		return fingerprint.Decision{}
 	}
-	d := c.registry.BlockedFor(now, q.fingerprint())
-	if d > 0 {
+	d := c.registry.Decide(now, q.fingerprints())
+	if d.BlockedFor > 0 {
 		q.cause = "request blocked: it crashed several endpoints"
+		if d.Blocked.IsPart() {
+			q.cause = "request blocked: part " + d.Blocked.PartName() + " of its prompt crashed several endpoints"
+		}
 		c.n.meter.recordBlocked()
 	}
 	return d
 }
 
-// serialKey returns the key under which a request must run with no copy of it at the endpoints, because several endpoints crashed
-// under it at one moment; 0 for other requests.
-func (c *crashTracker) serialKey(now time.Time, q *request) pool.SerialKey {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.registry.Len() == 0 {
-		return 0
-	}
-	if fp := q.fingerprint(); c.registry.Limited(now, fp) {
-		return pool.SerialKey(fp)
-	}
-	return 0
-}
-
 // recordAnswer records that an endpoint's answer to a request was read to its end. A success clears the crashes recorded for the
-// request, on all hosts, if the answer itself marks its end: otherwise the endpoint may have crashed there.
+// request and the parts of its prompt, on all hosts, if the answer itself marks its end: otherwise the endpoint may have crashed there.
 func (c *crashTracker) recordAnswer(q *request, x *connection.Exchange) {
 	now := timer.BootClock()
 	if !x.EndMarked() {
@@ -102,7 +95,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if x.Response.StatusCode < http.StatusMultipleChoices {
-		c.recordCompletion(now, q)
+		c.recordCompletion(now, q.run())
 	}
 }
 
@@ -115,27 +108,43 @@
 	}
 }
 
-// recordCompletion clears the crashes recorded for a request that ran to its end, and tells the other hosts. mu must be held.
-func (c *crashTracker) recordCompletion(now time.Time, q *request) {
-	fp := q.fingerprint()
-	crashes := c.registry.RecordCompletion(now, fp)
-	if crashes == 0 {
-		return
+// recordCompletion clears the crashes recorded for a request that ran to its end at time at and for the parts of its prompt, and tells
+// the other hosts. mu must be held.
+func (c *crashTracker) recordCompletion(at time.Time, run interruption.Run) {
+	var cleared []peer.Crash
+	for _, fp := range fingerprintsOf(run) {
+		crashes := c.registry.RecordCompletion(at, fp)
+		if crashes == 0 {
+			continue
+		}
+		event.LogText(c.n.log, zerolog.InfoLevel, event.CrashesCleared).Str("Request", run.Request).Uint64("Fingerprint", uint64(fp)).
+			Str("Part", fp.PartName()).Int("Crashes", crashes).Send()
+		cleared = append(cleared, peer.FromCrashRow(fingerprint.Row{Fingerprint: fp, Age: timer.BootClock().Sub(at)}))
 	}
-	q.logEvent(c.n.log, zerolog.InfoLevel, event.CrashesCleared).Uint64("Fingerprint", uint64(fp)).Int("Crashes", crashes).Send()
-	c.n.membership.broadcast(peer.Datagram{Crashes: []peer.Crash{peer.FromCrashRow(fingerprint.Row{Fingerprint: fp})}})
+	c.broadcast(cleared)
+}
+
+// broadcast sends crashes and completions to all hosts.
+func (c *crashTracker) broadcast(crashes []peer.Crash) {
+	for chunk := range slices.Chunk(crashes, maxCrashesPerDatagram) {
+		c.n.membership.broadcast(peer.Datagram{Crashes: chunk})
+	}
+}
+
+// fingerprintsOf returns the fingerprints of the request of a run and of the parts of its prompt.
+func fingerprintsOf(run interruption.Run) []fingerprint.Fingerprint {
+	return append([]fingerprint.Fingerprint{run.Fingerprint}, run.Parts...)
 }
 
 // recordInterruption records a run of a request at its current endpoint whose answer is missing or incomplete. broken is true if the
 // endpoint closed or reset the connection.
 func (c *crashTracker) recordInterruption(now time.Time, q *request, broken bool) {
-	fp := q.fingerprint()
 	c.n.meter.recordInterruption()
 	level := zerolog.InfoLevel
 	if broken {
 		level = zerolog.WarnLevel
 	}
-	q.logEvent(c.n.log, level, event.RunInterrupted).Uint64("Fingerprint", uint64(fp)).Str("Endpoint", string(q.instance.ID)).
+	q.logEvent(c.n.log, level, event.RunInterrupted).Uint64("Fingerprint", uint64(q.fingerprints()[0])).Str("Endpoint", string(q.instance.ID)).
 		Int64("StartedAt", q.instance.StartedAt).Bool("Broken", broken).Dur("RanMs", now.Sub(q.sentAt)).
 		Strs("Parts", q.sharedParts()).Str("Cause", q.cause).Send()
 	run := q.run()
@@ -143,18 +152,21 @@
 	c.update(now, interruption.Interrupted{Run: run, Broken: broken})
 }
 
-// sharedParts returns the IDs of the parts of the prompt that other requests may share, in hexadecimal.
+// sharedParts returns the names of the parts of the prompt that other requests may share.
 func (q *request) sharedParts() []string {
-	var ids []string
-	for _, part := range q.call.Prompt.SharedParts() {
-		ids = append(ids, strconv.FormatUint(uint64(part.ID), 16))
+	var names []string
+	for _, fp := range q.fingerprints()[1:] {
+		names = append(names, fp.PartName())
 	}
-	return ids
+	return names
 }
 
 // run returns the run of the request at its current endpoint.
 func (q *request) run() interruption.Run {
-	return interruption.Run{Request: q.call.ID, Fingerprint: q.fingerprint(), Endpoint: q.instance, StartedAt: q.sentAt}
+	fps := q.fingerprints()
+	return interruption.Run{
+		Request: q.call.ID, Fingerprint: fps[0], Parts: fps[1:], Trial: q.trial, Endpoint: q.instance, StartedAt: q.sentAt,
+	}
 }
 
 // recordReceived records that the current endpoint sent a part of its answer.
@@ -182,26 +194,32 @@
 			event.LogText(c.n.log, zerolog.InfoLevel, event.InterruptionDropped).Uint64("Fingerprint", uint64(command.Run.Fingerprint)).
 				Str("Endpoint", string(command.Run.Endpoint.ID)).Str("Reason", command.Reason).Send()
 		case interruption.Crashed:
-			recorded = c.record(now, crashRow(now, command.Run), recorded)
+			recorded = c.record(now, command.Run, false, recorded)
 		case interruption.Silent:
 			silent := command.Run
 			silent.EndedAt = now
-			row := crashRow(now, silent)
-			row.Crash.Unconfirmed = true
-			recorded = c.record(now, row, recorded)
+			recorded = c.record(now, silent, true, recorded)
 		}
 	}
-	for chunk := range slices.Chunk(recorded, maxCrashesPerDatagram) {
-		c.n.membership.broadcast(peer.Datagram{Crashes: chunk})
-	}
+	c.broadcast(recorded)
 }
 
-// record merges a crash that this host observed and appends it to those to be sent if it is new. mu must be held.
-func (c *crashTracker) record(now time.Time, row fingerprint.Row, recorded []peer.Crash) []peer.Crash {
-	if !c.merge(now, c.n.cfg.Host, row) {
-		return recorded
+// record merges a crash that this host observed, for the request and for the parts of its prompt, and appends what is new to recorded.
+// mu must be held.
+func (c *crashTracker) record(now time.Time, run interruption.Run, unconfirmed bool, recorded []peer.Crash) []peer.Crash {
+	for _, fp := range fingerprintsOf(run) {
+		row := fingerprint.Row{
+			Fingerprint: fp, Age: now.Sub(run.EndedAt),
+			Crash: fingerprint.Crash{
+				Engine: engine.ID(run.Endpoint.ID), Incarnation: run.Endpoint.StartedAt, Ran: run.EndedAt.Sub(run.StartedAt),
+				Alone: fp.IsPart() && (run.Trial == fp || c.registry.OnlySuspect(now, fp, run.Parts)), Unconfirmed: unconfirmed,
+			},
+		}
+		if c.merge(now, c.n.cfg.Host, row) {
+			recorded = append(recorded, peer.FromCrashRow(row))
+		}
 	}
-	return append(recorded, peer.FromCrashRow(row))
+	return recorded
 }
 
 // gossip sends some of the recorded crashes and completions to a random host, so that hosts to which a broadcast was lost get them.
@@ -234,15 +252,6 @@
 	}
 }
 
-func crashRow(now time.Time, run interruption.Run) fingerprint.Row {
-	return fingerprint.Row{
-		Fingerprint: run.Fingerprint, Age: now.Sub(run.EndedAt),
-		Crash: fingerprint.Crash{
-			Engine: engine.ID(run.Endpoint.ID), Incarnation: run.Endpoint.StartedAt, Ran: run.EndedAt.Sub(run.StartedAt),
-		},
-	}
-}
-
 // probe checks whether an endpoint still listens.
 func (c *crashTracker) probe(p interruption.Probe) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -274,8 +283,8 @@
 	case c.registry.Limited(now, row.Fingerprint):
 		number = event.RequestLimited
 	}
-	event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(row.Fingerprint)).Str("Endpoint", string(row.Crash.Engine)).
-		Int64("StartedAt", row.Crash.Incarnation).Dur("RanMs", row.Crash.Ran).Bool("Unconfirmed", row.Crash.Unconfirmed).Str("From", string(from)).Send()
+	event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(row.Fingerprint)).Str("Part", row.Fingerprint.PartName()).Str("Endpoint", string(row.Crash.Engine)).
+		Int64("StartedAt", row.Crash.Incarnation).Dur("RanMs", row.Crash.Ran).Bool("Unconfirmed", row.Crash.Unconfirmed).Bool("Alone", row.Crash.Alone).Str("From", string(from)).Send()
 	c.n.meter.recordCrash(from == c.n.cfg.Host)
 	return true
 }
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -14,6 +14,7 @@
 	"balsamknot.org/entry/connection"
 	"balsamknot.org/fleet/attempt"
 	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/interruption"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
@@ -75,7 +76,11 @@
 		q.cause = "deadline passed before a slot was requested"
 		return a.Update(now, attempt.DeadlineExceeded{})
 	}
-	q.serial = n.crashes.serialKey(now, q)
+	decision := n.crashes.decide(now, q)
+	if decision.BlockedFor > 0 {
+		return a.Update(now, attempt.NotAllowed{RetryAfter: decision.BlockedFor})
+	}
+	q.setSerial(decision)
 	ticket, reply := n.slots.acquire(q.r.Context(), pool.SlotRequested{
 		Service: q.service, Prompt: q.call.Prompt, Priority: q.set.Priority(q.route, q.workspace), TimeLeft: timeLeft / 2,
 		Tried: acquire.Tried, Retry: acquire.Retry, LastTry: q.route.RetryMode == site.NonIdempotent || a.Sends()+1 >= q.route.MaxEndpoints,
@@ -103,6 +108,14 @@
 	return nil
 }
 
+// setSerial sets the key of the next slot request from the decision on how the request may run.
+func (q *request) setSerial(d fingerprint.Decision) {
+	q.serial, q.trial = pool.SerialKey(d.Serial), 0
+	if d.Trial {
+		q.trial = d.Serial
+	}
+}
+
 func (n *Node) recordGrant(q *request, grant pool.Grant) {
 	now := timer.BootClock()
 	q.endpoint = grant.Endpoint.Instance.ID
@@ -133,14 +146,13 @@
 	now := timer.BootClock()
 	target := grant.Endpoint
 	id := target.Instance.ID
-	if blockedFor := n.crashes.blockedFor(now, q); blockedFor > 0 {
-		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: blockedFor})
-	}
-	if serial := n.crashes.serialKey(now, q); serial != 0 && serial != q.serial {
-		q.cause = "crashes at one moment were recorded for the request while it waited for a slot"
-		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: serialRetryAfter})
-	}
+	decision := n.crashes.decide(now, q)
 	switch {
+	case decision.BlockedFor > 0:
+		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: decision.BlockedFor})
+	case decision.Serial != 0 && pool.SerialKey(decision.Serial) != q.serial:
+		q.cause = "crashes were recorded for the request while it waited for a slot"
+		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: serialRetryAfter})
 	case !n.stillAllowed(now, q):
 		q.cause = "key no longer allowed, or set not confirmed in time"
 		return pool.Unknown, a.Update(now, attempt.NotAllowed{RetryAfter: notReadyRetryAfter})
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -153,8 +153,8 @@
 	return e
 }
 
-// Crash is a crash of an endpoint during a request with this fingerprint or, if Endpoint is empty, the completion of such a request.
-// Hosts exchange both to find requests that crash endpoints; see fingerprint.Row.
+// Crash is a crash of an endpoint during a request with this fingerprint, its own or that of a part of its prompt, or, if Endpoint is
+// empty, the completion of such a request. Hosts exchange both to find what crashes endpoints; see fingerprint.Row.
 type Crash struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint fingerprint.Fingerprint
@@ -163,15 +163,15 @@
 	StartedAt int64
 	// AgeMs is the time since the crash or completion when the datagram was sent, and RanMs how long the request had run.
 	AgeMs, RanMs int64
-	// Unconfirmed is true if the endpoint only fell silent.
-	Unconfirmed bool
+	// Unconfirmed is true if the endpoint only fell silent, and Alone if nothing else can account for the crash.
+	Unconfirmed, Alone bool
 }
 
 // FromCrashRow converts a row to a message.
 func FromCrashRow(row fingerprint.Row) Crash {
 	return Crash{
 		Fingerprint: row.Fingerprint, Endpoint: endpoint.ID(row.Crash.Engine), StartedAt: row.Crash.Incarnation,
-		AgeMs: row.Age.Milliseconds(), RanMs: row.Crash.Ran.Milliseconds(), Unconfirmed: row.Crash.Unconfirmed,
+		AgeMs: row.Age.Milliseconds(), RanMs: row.Crash.Ran.Milliseconds(), Unconfirmed: row.Crash.Unconfirmed, Alone: row.Crash.Alone,
 	}
 }
 
@@ -180,7 +180,7 @@
 	return fingerprint.Row{
 		Fingerprint: c.Fingerprint, Age: time.Duration(c.AgeMs) * time.Millisecond,
 		Crash: fingerprint.Crash{
-			Engine: engine.ID(c.Endpoint), Incarnation: c.StartedAt, Ran: time.Duration(c.RanMs) * time.Millisecond, Unconfirmed: c.Unconfirmed,
+			Engine: engine.ID(c.Endpoint), Incarnation: c.StartedAt, Ran: time.Duration(c.RanMs) * time.Millisecond, Unconfirmed: c.Unconfirmed, Alone: c.Alone,
 		},
 	}
 }
--- a/fleet/fingerprint/fingerprint.go
+++ b/fleet/fingerprint/fingerprint.go
@@ -1,11 +1,12 @@
-// Package fingerprint finds requests that crash the endpoints that run them, and blocks them after two or three crashes.
+// Package fingerprint finds requests, and parts of prompts, that crash the endpoints that run them, and blocks them: a request after two
+// or three crashes, a part of a prompt after five.
 //
-// Requests are recognised by a fingerprint, so that copies sent by other callers or through other hosts are found as well. Hosts
+// Requests and parts are recognised by a fingerprint, so that copies sent by other callers or through other hosts are found as well. Hosts
 // send each other the crashes that they record, by gossip or broadcast, and balsamknot also with the requests themselves.
 //
 // A crash is recorded for each request that ran on the endpoint, the innocent ones included. Three things keep those from being
-// blocked: an answer that ran to its end deletes the crashes recorded for its request; crashes at one moment do not block; and a
-// crash during which a request with more crashes ran is attributed to that one.
+// blocked: an answer that ran to its end deletes the crashes recorded for its request and the parts of its prompt; crashes at one moment
+// do not block; and a crash during which a request or part with more crashes ran is attributed to that one.
 package fingerprint
 
 import (
@@ -15,13 +16,31 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"balsamknot.org/fleet/chat"
 	"balsamknot.org/fleet/engine"
 )
 
-// Fingerprint is a hash of the parts of a request that can make it crash an endpoint: its scope, method, path and body. Headers
-// are left out.
+// Fingerprint identifies a request or a part of a prompt. That of a request is a hash of what can make it crash an endpoint: its scope,
+// method, path and body. Headers are left out. That of a part is its ID with partBit.
 type Fingerprint uint64
 
+// partBit is set in the fingerprints of parts and clear in those of requests.
+const partBit Fingerprint = 1 << 63
+
+// OfPart returns the fingerprint of a part of a prompt, whatever request it belongs to.
+func OfPart(id chat.PartID) Fingerprint { return Fingerprint(id) | partBit }
+
+// IsPart reports whether the fingerprint is that of a part of a prompt.
+func (fp Fingerprint) IsPart() bool { return fp&partBit != 0 }
+
+// PartName returns the ID of a part in hexadecimal; empty for the fingerprint of a request.
+func (fp Fingerprint) PartName() string {
+	if !fp.IsPart() {
+		return ""
+	}
+	return strconv.FormatUint(uint64(fp&^partBit), 16)
+}
+
 // Of returns the fingerprint of a request. The scope is what distinguishes equal requests of other callers or services. The length
 // of each part but the body is hashed before the part, so that the same bytes split differently give another fingerprint.
 func Of(scope, method, path string, body []byte) Fingerprint {
@@ -32,7 +51,7 @@
 		_, _ = digest.WriteString(part)
 	}
 	_, _ = digest.Write(body)
-	return Fingerprint(digest.Sum64())
+	return Fingerprint(digest.Sum64()) &^ partBit
 }
 
 // Verdict is the decision whether and how a request may run.
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -19,6 +19,8 @@
 	// blockAfterShared is how many crashes block a request that never ran alone. It is higher, because a request that callers
 	// send often may by chance run beside the one that causes the crashes.
 	blockAfterShared = 3
+	// blockPartAfter is how many crashes block a part of a prompt. It is higher, because many requests share a part.
+	blockPartAfter = 5
 	// maxFingerprints limits the fingerprints that are remembered; one with the fewest crashes is deleted.
 	maxFingerprints = 1024
 )
@@ -29,7 +31,8 @@
 	// Incarnation distinguishes two crashes of one endpoint: when its keeper observed the crash, in milliseconds of Unix time
 	// (balsamknot), or the start time of the incarnation that crashed (entry). It is not compared with local clocks.
 	Incarnation int64
-	// Alone is true when no other request ran on the endpoint, as its keeper knows in balsamknot.
+	// Alone is true if nothing else can account for the crash. For a request: no other one ran on the endpoint, as its keeper knows
+	// in balsamknot. For a part of a prompt: the other parts are known to be sound, or the run was a trial of this part.
 	Alone bool
 	// Ran is how long the request had run, as its host observed it; 0 when unknown. Requests with as many crashes are ordered
 	// by it, since a request that crashes endpoints does so soon after its start.
@@ -90,7 +93,8 @@
 // the crash is already known, or if the request ran to its end after it. An unconfirmed crash is not recorded for a request that ran
 // to its end here before: that one is slow.
 func (r *Registry) RecordCrash(at time.Time, fp Fingerprint, c Crash) bool {
-	if c.Unconfirmed && !r.completions.last(fp).IsZero() {
+	completedAt := r.completions.last(fp)
+	if c.Unconfirmed && !completedAt.IsZero() || !at.After(completedAt) {
 		return false
 	}
 	h := r.history(fp)
@@ -152,8 +156,8 @@
 }
 
 // RecordCompletion records that a request with this fingerprint ran to its end at time at, so that earlier crashes no longer
-// count, and returns how many it deleted. A blocked fingerprint stays blocked if it ran alone during one of its crashes: the copy
-// that completed may have started before.
+// count, and returns how many it deleted. A blocked request stays blocked if it ran alone during one of its crashes: the copy that
+// completed may have started before. A part of a prompt that crashes endpoints has no such copies, since none of them completes.
 func (r *Registry) RecordCompletion(at time.Time, fp Fingerprint) int {
 	r.completions.note(at, fp)
 	h := r.histories[fp]
@@ -161,7 +165,7 @@
 		return 0
 	}
 	r.judge(at)
-	if h.verdict == Blocked && h.ranAlone() {
+	if h.verdict == Blocked && h.ranAlone() && !fp.IsPart() {
 		return 0
 	}
 	h.completedAt = at
@@ -234,10 +238,7 @@
 		return 0
 	}
 	h := r.histories[fp]
-	needed := blockAfterShared
-	if h.ranAlone() {
-		needed = blockAfterIsolated
-	}
+	needed := blockAfter(fp, h.ranAlone())
 	times := make([]time.Time, 0, len(h.crashes))
 	for _, rec := range h.crashes {
 		if !rec.crash.Unconfirmed {
@@ -248,6 +249,12 @@
 	return times[min(needed, len(times))-1].Add(crashLifetime).Sub(now)
 }
 
+// IsSound reports whether a request or part ran to its end here a short time ago and is not blocked.
+func (r *Registry) IsSound(now time.Time, fp Fingerprint) bool {
+	completedAt := r.completions.last(fp)
+	return !completedAt.IsZero() && now.Sub(completedAt) <= crashLifetime && r.Verdict(now, fp) != Blocked
+}
+
 // Blocked returns the blocked fingerprints in ascending order.
 func (r *Registry) Blocked(now time.Time) []Fingerprint {
 	r.judge(now)
--- a/fleet/fingerprint/verdict.go
+++ b/fleet/fingerprint/verdict.go
@@ -36,7 +36,7 @@
 		}
 		var blocked []suspect
 		for _, s := range suspects[:equal] {
-			if r.blocks(s.h, explained) {
+			if r.blocks(s.fp, s.h, explained) {
 				blocked = append(blocked, s)
 			}
 		}
@@ -48,12 +48,12 @@
 		}
 		suspects = suspects[equal:]
 	}
-	for _, h := range r.histories {
+	for fp, h := range r.histories {
 		if h.verdict == Blocked {
 			continue
 		}
 		t := h.unexplained(explained)
-		h.limited = t.suffices() || t.count+t.unconfirmed >= blockAfterShared
+		h.limited = t.suffices(fp) || t.count+t.unconfirmed >= blockAfter(fp, false)
 		if t.count > 0 {
 			h.verdict = Isolated
 		}
@@ -83,7 +83,7 @@
 func (r *Registry) suspects() []suspect {
 	var suspects []suspect
 	for fp, h := range r.histories {
-		if !r.blocks(h, nil) {
+		if !r.blocks(fp, h, nil) {
 			continue
 		}
 		s := suspect{fp: fp, h: h}
@@ -100,15 +100,27 @@
 	return suspects
 }
 
-// compareSuspects orders a before b if more crashes are recorded for it or, with as many, if it had run for less time.
+// compareSuspects orders a before b if more crashes are recorded for it or, with as many, if it is a request and b a part of a prompt,
+// or if both are requests and it had run for less time.
 func compareSuspects(a, b suspect) int {
-	return cmp.Or(cmp.Compare(len(b.incidents), len(a.incidents)), cmp.Compare(a.ran, b.ran))
+	byCrashes := cmp.Compare(len(b.incidents), len(a.incidents))
+	switch {
+	case byCrashes != 0:
+		return byCrashes
+	case a.fp.IsPart() && b.fp.IsPart():
+		return 0
+	case a.fp.IsPart():
+		return 1
+	case b.fp.IsPart():
+		return -1
+	}
+	return cmp.Compare(a.ran, b.ran)
 }
 
 // blocks reports whether the crashes that are not explained suffice to block the fingerprint.
-func (r *Registry) blocks(h *history, explained map[incident]bool) bool {
+func (r *Registry) blocks(fp Fingerprint, h *history, explained map[incident]bool) bool {
 	t := h.unexplained(explained)
-	return t.suffices() && t.last.Sub(t.first) >= r.minInterval
+	return t.suffices(fp) && t.last.Sub(t.first) >= r.minInterval
 }
 
 // tally sums up the crashes that count against a fingerprint.
@@ -143,6 +155,15 @@
 }
 
 // suffices reports whether the confirmed crashes block the fingerprint unless they came at one moment.
-func (t tally) suffices() bool {
-	return t.count >= blockAfterShared || (t.alone && t.count >= blockAfterIsolated)
+func (t tally) suffices(fp Fingerprint) bool { return t.count >= blockAfter(fp, t.alone) }
+
+// blockAfter returns how many crashes block a fingerprint. alone is true if nothing else can account for one of them.
+func blockAfter(fp Fingerprint, alone bool) int {
+	switch {
+	case fp.IsPart():
+		return blockPartAfter
+	case alone:
+		return blockAfterIsolated
+	}
+	return blockAfterShared
 }
