Take an unframed answer for complete once its endpoint has proved to be alive

Cause: an answer that only the end of its connection ends looks the same when the engine crashes, and was never a completion. The part that sound requests share with the cause was cleared by no answer, stayed blocked with it, and ran one request at a time.

Fix: such an answer waits for evidence both ways. Bytes or an answer over a connection from before its end, or 5 s in which the endpoint listened and did not register anew, make it a completion at the time of its end; a refused connection, a removal or another incarnation a crash. Probes begin after 250 ms, so that endpoints with other traffic need none. While copies run one after another, the next one waits for that evidence: before, two followed each other within 250 ms.

--- a/entry/node/crash_part_test.go
+++ b/entry/node/crash_part_test.go
@@ -149,10 +149,13 @@
 		"with other parts": with(func(c *partCase) {
 			c.parts = func(n int) []string { return []string{commonPart, fmt.Sprintf("%x", 1000+n), poisonPart} }
 		}),
-		"before the answer":          with(func(c *partCase) { c.end = returnsAsAnother(engineAbsence) }),
-		"back under the same ID":     with(func(c *partCase) { c.end = afterFirstEvent(returns(engineAbsence)) }),
-		"stays away":                 with(func(c *partCase) { c.end = afterFirstEvent(staysAway) }),
-		"in an unframed answer":      with(func(c *partCase) { c.end, c.unframed = withUnmarkedEnd(returnsAsAnother(engineAbsence)), true }),
+		"before the answer":      with(func(c *partCase) { c.end = returnsAsAnother(engineAbsence) }),
+		"back under the same ID": with(func(c *partCase) { c.end = afterFirstEvent(returns(engineAbsence)) }),
+		"stays away":             with(func(c *partCase) { c.end = afterFirstEvent(staysAway) }),
+		"in an unframed answer":  with(func(c *partCase) { c.end, c.unframed = withUnmarkedEnd(returnsAsAnother(engineAbsence)), true }),
+		"in unframed answers, in quick succession": with(func(c *partCase) {
+			c.end, c.unframed, c.gap = withUnmarkedEnd(returnsAsAnother(engineAbsence)), true, 60*time.Millisecond
+		}),
 		"in quick succession":        with(func(c *partCase) { c.gap = 60 * time.Millisecond }),
 		"hosts that start meanwhile": with(func(c *partCase) { c.newHostsAfter = 2 }),
 	}
@@ -200,6 +203,7 @@
 			close(stop)
 			s.wg.Wait()
 			s.logCrashEvents()
+			s.logTimes()
 			t.Logf("%d engines ended, %d late; of %d sound requests %d were served", s.crashCount(), s.lateRuns(crashesToBlockPart), s.sound.Load(), s.begun.Load())
 			require.LessOrEqual(t, s.lateRuns(crashesToBlockPart), allowedRetries)
 			require.NotZero(t, s.sound.Load())
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -88,7 +88,7 @@
 	now := timer.BootClock()
 	if !x.EndMarked() {
 		q.cause = "the answer does not mark its end"
-		c.recordInterruption(now, q, false)
+		c.recordInterruption(now, q, interruption.Interrupted{Unmarked: x.Response.StatusCode < http.StatusMultipleChoices})
 		return
 	}
 	c.recordSignOfLife(now, q, x)
@@ -136,20 +136,20 @@
 	return append([]fingerprint.Fingerprint{run.Fingerprint}, run.Parts...)
 }
 
-// recordInterruption records a run of a request at its current endpoint whose answer is missing or incomplete. broken is true if the
-// endpoint closed or reset the connection.
-func (c *crashTracker) recordInterruption(now time.Time, q *request, broken bool) {
+// recordInterruption records the run of a request at its current endpoint, whose answer is missing or may be incomplete as e says. e.Run
+// is left to recordInterruption.
+func (c *crashTracker) recordInterruption(now time.Time, q *request, e interruption.Interrupted) {
 	c.n.meter.recordInterruption()
 	level := zerolog.InfoLevel
-	if broken {
+	if e.Broken {
 		level = zerolog.WarnLevel
 	}
 	q.logEvent(c.n.log, level, event.RunInterrupted).Uint64("Fingerprint", uint64(q.fingerprints()[0])).Str("Endpoint", string(q.instance.ID)).
-		Int64("StartedAt", q.instance.StartedAt).Bool("Broken", broken).Dur("RanMs", now.Sub(q.sentAt)).
+		Int64("StartedAt", q.instance.StartedAt).Bool("Broken", e.Broken).Dur("RanMs", now.Sub(q.sentAt)).
 		Strs("Parts", q.sharedParts()).Str("Cause", q.cause).Send()
-	run := q.run()
-	run.EndedAt = now
-	c.update(now, interruption.Interrupted{Run: run, Broken: broken})
+	e.Run = q.run()
+	e.Run.EndedAt = now
+	c.update(now, e)
 }
 
 // sharedParts returns the names of the parts of the prompt that other requests may share.
@@ -170,8 +170,8 @@
 }
 
 // recordReceived records that the current endpoint sent a part of its answer.
-func (c *crashTracker) recordReceived(q *request) {
-	c.update(timer.BootClock(), interruption.Received{Request: q.call.ID, Endpoint: q.instance})
+func (c *crashTracker) recordReceived(q *request, x *connection.Exchange) {
+	c.update(timer.BootClock(), interruption.Received{Request: q.call.ID, Endpoint: q.instance, ConnectedAt: x.ConnectedAt()})
 }
 
 // update passes an event about an endpoint to the state machine and executes the resulting commands.
@@ -193,6 +193,8 @@
 		case interruption.Dropped:
 			event.LogText(c.n.log, zerolog.InfoLevel, event.InterruptionDropped).Uint64("Fingerprint", uint64(command.Run.Fingerprint)).
 				Str("Endpoint", string(command.Run.Endpoint.ID)).Str("Reason", command.Reason).Send()
+		case interruption.Completed:
+			c.recordCompletion(command.Run.EndedAt, command.Run)
 		case interruption.Crashed:
 			recorded = c.record(now, command.Run, false, recorded)
 		case interruption.Silent:
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
-	n.crashes.recordReceived(q)
+	n.crashes.recordReceived(q, x)
 	stop := x.AbortOnDone(q.r.Context())
 	defer stop()
 	defer x.Abort()
@@ -194,7 +194,7 @@
 	now := timer.BootClock()
 	q.cause = err.Error()
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded) && !now.Before(q.deadline.Add(-time.Millisecond))
-	n.crashes.recordInterruption(now, q, !timedOut && !q.disconnected())
+	n.crashes.recordInterruption(now, q, interruption.Interrupted{Broken: !timedOut && !q.disconnected()})
 	switch {
 	case q.disconnected():
 		n.endDisconnected(q)
@@ -225,7 +225,16 @@
 	}
 	defer body.Release()
 	n.relay(q, x, body)
-	return pool.Completed, nil
+	return q.completedResult(x), nil
+}
+
+// completedResult returns the result of an answer that was delivered in full. One without a marked end may have ended in a crash, on which
+// the next request with the same SerialKey must wait for evidence.
+func (q *request) completedResult(x *connection.Exchange) pool.Result {
+	if q.serial != 0 && !x.EndMarked() {
+		return pool.Unknown
+	}
+	return pool.Completed
 }
 
 // endpointFailed handles an answer with a status of 500 or above: it is passed on, unless another endpoint is to be tried.
@@ -283,12 +292,12 @@
 			x.Finish()
 			n.startStream(q, a, x)
 			n.recordCompletion(q, x)
-			return pool.Completed, nil
+			return q.completedResult(x), nil
 		}
 		if err != nil {
 			return n.interrupted(q, a, id, err)
 		}
-		n.crashes.recordReceived(q)
+		n.crashes.recordReceived(q, x)
 		n.startStream(q, a, x)
 		q.lastEventID = events.LastEventID()
 		_, err = q.w.Write(ev)
--- a/fleet/interruption/interruption.go
+++ b/fleet/interruption/interruption.go
@@ -34,6 +34,10 @@
 // connections before its listener.
 var probeDelays = []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, time.Second}
 
+// unmarkedProbeDelays are the times of the probes after an answer without a marked end. They leave time for a sign of life, since many
+// endpoints may send such answers.
+var unmarkedProbeDelays = []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second}
+
 // Run is a run of a request whose answer is missing or incomplete.
 type Run struct {
 	// Request is the request's ID.
@@ -52,10 +56,11 @@
 type Event interface{ event() }
 
 // Interrupted means that a run ended without a complete answer. Broken is true if the endpoint closed or reset the connection,
-// and false after a time-out or the disconnection of the caller.
+// and false after a time-out or the disconnection of the caller. Unmarked is true if the answer looks complete, but only the end of the
+// connection ended it: the endpoint may have crashed there.
 type Interrupted struct {
-	Run    Run
-	Broken bool
+	Run              Run
+	Broken, Unmarked bool
 }
 
 // Answered means that the endpoint sent an answer to its end over a connection that was established at ConnectedAt.
@@ -103,15 +108,19 @@
 // Crashed means that the endpoint crashed while it ran the request.
 type Crashed struct{ Run Run }
 
+// Completed means that an answer whose end was not marked was complete, since the endpoint did not crash there.
+type Completed struct{ Run Run }
+
 // Dropped means that the run is no longer considered, for the Reason given.
 type Dropped struct {
 	Run    Run
 	Reason string
 }
 
-func (Probe) command()   {}
-func (Crashed) command() {}
-func (Dropped) command() {}
+func (Probe) command()     {}
+func (Crashed) command()   {}
+func (Completed) command() {}
+func (Dropped) command()   {}
 
 // Reasons of Dropped.
 const (
@@ -154,8 +163,8 @@
 // pendingRun is a run whose cause is not known yet.
 type pendingRun struct {
 	Run
-	// broken is Interrupted.Broken, and listening is true once a probe found something listening at the address.
-	broken, listening bool
+	// broken and unmarked are those of Interrupted, and listening is true once a probe found something listening at the address.
+	broken, unmarked, listening bool
 	// until is when the run is dropped.
 	until time.Time
 }
@@ -177,7 +186,7 @@
 	case Sent:
 		t.sent(e)
 	case Received:
-		t.received(now, e)
+		return t.received(now, e)
 	case Withdrawn:
 		t.stopWaiting(e.Endpoint, e.Request)
 	case Interrupted:
@@ -218,17 +227,28 @@
 	if len(in.runs) == 0 && !slices.Contains(t.active, e.Run.Endpoint) {
 		t.active = append(t.active, e.Run.Endpoint)
 	}
-	in.runs = append(in.runs, pendingRun{Run: e.Run, broken: e.Broken, until: e.Run.EndedAt.Add(window)})
+	in.runs = append(in.runs, pendingRun{Run: e.Run, broken: e.Broken, unmarked: e.Unmarked, until: e.Run.EndedAt.Add(window)})
 	t.pending++
-	if e.Broken && len(in.probes) == 0 {
-		in.refusals = 0
-		for _, delay := range probeDelays {
-			in.probes = append(in.probes, now.Add(delay))
-		}
+	switch {
+	case e.Broken:
+		in.scheduleProbes(now, probeDelays)
+	case e.Unmarked:
+		in.scheduleProbes(now, unmarkedProbeDelays)
 	}
 	return commands
 }
 
+// scheduleProbes schedules probes after the given delays, unless some are scheduled already.
+func (in *incarnation) scheduleProbes(now time.Time, delays []time.Duration) {
+	if len(in.probes) > 0 {
+		return
+	}
+	in.refusals = 0
+	for _, delay := range delays {
+		in.probes = append(in.probes, now.Add(delay))
+	}
+}
+
 // answered drops the runs that did not end in a crash: those that ended while the connection was open and, if they only timed out,
 // all that ended before.
 func (t *Tracker) answered(now time.Time, e Answered) []Command {
@@ -237,7 +257,8 @@
 		return nil
 	}
 	return t.drop(in, reasonAnswered, func(run pendingRun) bool {
-		return run.EndedAt.Before(now) && (!run.broken || run.EndedAt.After(e.ConnectedAt))
+		timedOut := !run.broken && !run.unmarked
+		return run.EndedAt.Before(now) && (timedOut || run.EndedAt.After(e.ConnectedAt))
 	})
 }
 
@@ -329,13 +350,22 @@
 	return commands
 }
 
+// conclude returns the command for a run that is no longer considered for the reason given. An answer without a marked end was complete
+// if its endpoint proved to be alive afterwards, or listened and did not register anew.
+func (run pendingRun) conclude(reason string) Command {
+	if run.unmarked && (reason == reasonAnswered || reason == reasonExpired && run.listening) {
+		return Completed{run.Run}
+	}
+	return Dropped{run.Run, reason}
+}
+
 // drop removes the runs that match and ends the probes if none is left.
 func (t *Tracker) drop(in *incarnation, reason string, match func(pendingRun) bool) []Command {
 	var commands []Command
 	kept := in.runs[:0]
 	for _, run := range in.runs {
 		if match(run) {
-			commands = append(commands, Dropped{run.Run, reason})
+			commands = append(commands, run.conclude(reason))
 			continue
 		}
 		kept = append(kept, run)
--- a/fleet/interruption/silence.go
+++ b/fleet/interruption/silence.go
@@ -10,13 +10,18 @@
 // before the endpoint is suspected to have ended. It leaves the hosts as long to tell each other before they must know.
 const silentAfter = 1500 * time.Millisecond
 
+// buffered is how long bytes that an endpoint sent before its end may still arrive at a busy host.
+const buffered = 100 * time.Millisecond
+
 // Sent means that a request was sent to an endpoint. Run.EndedAt is zero. One of Received, Withdrawn and Interrupted must follow.
 type Sent struct{ Run Run }
 
-// Received means that an endpoint sent the first or a further part of its answer to a request.
+// Received means that an endpoint sent the first or a further part of its answer to a request, over a connection that was established at
+// ConnectedAt.
 type Received struct {
-	Request  string
-	Endpoint endpoint.Instance
+	Request     string
+	Endpoint    endpoint.Instance
+	ConnectedAt time.Time
 }
 
 // Withdrawn means that a request could not be sent after all.
@@ -52,11 +57,19 @@
 	t.awaited[e.Run.Endpoint] = true
 }
 
-func (t *Tracker) received(now time.Time, e Received) {
-	if in := t.incarnations[e.Endpoint]; in != nil {
-		in.aliveAt = now
-	}
+func (t *Tracker) received(now time.Time, e Received) []Command {
 	t.stopWaiting(e.Endpoint, e.Request)
+	in := t.incarnations[e.Endpoint]
+	if in == nil {
+		return nil
+	}
+	in.aliveAt = now
+	if len(in.runs) == 0 {
+		return nil
+	}
+	return t.drop(in, reasonAnswered, func(run pendingRun) bool {
+		return run.unmarked && now.Sub(run.EndedAt) > buffered && run.EndedAt.After(e.ConnectedAt)
+	})
 }
 
 // stopWaiting removes a run from those whose answer has not begun.
--- a/fleet/interruption/silence_test.go
+++ b/fleet/interruption/silence_test.go
@@ -26,8 +26,8 @@
 func TestEndpointIsNotSilentWhile(t *testing.T) {
 	t.Parallel()
 	for name, event := range map[string]Event{
-		"it sends another answer":      Received{"other", instance("a", 1)},
-		"it sends the answer":          Received{"r1", instance("a", 1)},
+		"it sends another answer":      Received{Request: "other", Endpoint: instance("a", 1)},
+		"it sends the answer":          Received{Request: "r1", Endpoint: instance("a", 1)},
 		"the request was not sent":     Withdrawn{"r1", instance("a", 1)},
 		"the run ended without answer": Interrupted{Run: sentRun("r1", start)},
 	} {
