Soak: send parts of prompts that crash engines, and bursts that end a service at one moment

BUDGET judges parts (five crashes) beside requests (three). LOST is new: while such a part comes, from 6 s after its fifth crash, less than half of the requests that share its other parts are served (20 or more, at hosts without faults, while no endpoint has one). Callers' streams share their first part with it. Engines also send streams without framing, and streams that end inside an event.

--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -15,7 +15,9 @@
 //     caller with another status.
 //   - LATE: more than allowedLate requests end, with a response or without one, more than lateTolerance after their deadlines.
 //   - GONE: more than allowedOrphaned requests are executed for more than cancelLimit after their callers disconnected.
-//   - BUDGET: a request that has crashed poisonCrashes endpoints is executed more than allowedPoisonRetries times after that.
+//   - BUDGET: a request that has crashed poisonCrashes endpoints, or requests with a part of a prompt that has crashed
+//     poisonPartCrashes, are executed more than allowedPoisonRetries times after that.
+//   - LOST: while requests with such a part are sent, less than half of those that share only its other parts are served.
 //   - RUNNING: the process of a host exits without being stopped, does not exit after SIGTERM, or does not start.
 //   - RECOVER: requests fail, or hosts are not ready, RecoverLimit after the last fault.
 //
@@ -51,11 +53,14 @@
 	// allowedLate and allowedOrphaned are how many requests of a run may exceed lateTolerance and cancelLimit.
 	allowedLate     = 7
 	allowedOrphaned = 5
-	// poisonCrashes is the number of endpoints that a request may crash. After knowledgeLimit, allowedPoisonRetries further
-	// copies of it may be executed.
+	// poisonCrashes is the number of endpoints that a request may crash, and poisonPartCrashes the number that a part of a prompt may.
+	// After knowledgeLimit, allowedPoisonRetries further copies or requests with the part may be executed.
 	poisonCrashes        = 3
+	poisonPartCrashes    = 5
 	knowledgeLimit       = 3 * time.Second
 	allowedPoisonRetries = 3
+	// minSound is the least number of requests beside a part that crashes engines on which LOST is judged.
+	minSound = 20
 	// RecoverLimit is the time after the last fault within which hosts must serve all requests again.
 	RecoverLimit = 15 * time.Second
 )
@@ -105,13 +110,26 @@
 type Counts struct {
 	Sent, Served, Denied, Refused, Failed, Cut, Left int
 	PoisonRuns, PoisonRetries                        int
+	// SoundBeside are the requests on which LOST is judged.
+	SoundBeside int
 }
 
-// poison is a request that crashes each endpoint that executes it. thirdCrash is when it crashed the poisonCrashes-th one, and
-// retries how often a host without faults sent it to an endpoint more than knowledgeLimit after that.
+// poison is a request that crashes each endpoint that executes it, or a part of prompts that does. limitAt is when it crashed the last
+// endpoint that it may, and retries how often a host without faults sent it to an endpoint more than knowledgeLimit after that.
 type poison struct {
-	crashes, retries int
-	thirdCrash       Time
+	isPart            bool
+	crashes, retries  int
+	limitAt, lastSent Time
+	// sound counts the requests that share only other parts, from 2 knowledgeLimit after limitAt, and served those that were served.
+	sound, served int
+}
+
+// allowedCrashes returns how many endpoints the request or part may crash.
+func (p *poison) allowedCrashes() int {
+	if p.isPart {
+		return poisonPartCrashes
+	}
+	return poisonCrashes
 }
 
 type request struct {
@@ -145,6 +163,9 @@
 	switch e := event.(type) {
 	case RequestSent:
 		c.counts.Sent++
+		if e.Poison != "" {
+			c.poison(e).lastSent = now
+		}
 		c.requests[e.Request] = &request{RequestSent: e, sentAt: now, running: make(map[string]int), statuses: make(map[int]bool)}
 	case ExecutionStarted:
 		c.executionStarted(now, e)
@@ -255,17 +276,13 @@
 }
 
 func (c *Checker) checkPoison(now Time, e ExecutionStarted, r *request) {
-	p := c.poisons[r.Poison]
-	if p == nil {
-		p = &poison{}
-		c.poisons[r.Poison] = p
-	}
+	p := c.poison(r.RequestSent)
 	p.crashes++
 	c.counts.PoisonRuns++
 	switch {
-	case p.crashes == poisonCrashes:
-		p.thirdCrash = now
-	case p.crashes > poisonCrashes && r.sentAt > p.thirdCrash+knowledgeLimit && c.hostStable(now, r.Host):
+	case p.crashes == p.allowedCrashes():
+		p.limitAt = now
+	case p.crashes > p.allowedCrashes() && r.sentAt > p.limitAt+knowledgeLimit && c.hostStable(now, r.Host):
 		c.counts.PoisonRetries++
 		if p.retries++; p.retries > allowedPoisonRetries {
 			c.addViolation(now, "BUDGET", "%s is executed at %s, the %d. endpoint that it crashes, through host %d", r.Request, e.Endpoint, p.crashes, r.Host)
@@ -273,6 +290,43 @@
 	}
 }
 
+// poison returns the state of the request or part that crashes endpoints.
+func (c *Checker) poison(e RequestSent) *poison {
+	p := c.poisons[e.Poison]
+	if p == nil {
+		p = &poison{isPart: e.PoisonPart}
+		c.poisons[e.Poison] = p
+	}
+	return p
+}
+
+// countSound counts a completed request for LOST, beside each part that should be blocked by the time it was sent. Requests that a
+// fault can have disturbed are left out.
+func (c *Checker) countSound(now Time, e RequestCompleted, r *request) {
+	if !r.SharesPart || !slices.Contains(c.validKeys, r.Key) || !c.hostStable(now, r.Host) || c.anyEndpointFault() {
+		return
+	}
+	for _, p := range c.poisons {
+		if !p.isPart || p.crashes < p.allowedCrashes() || r.sentAt < p.limitAt+2*knowledgeLimit || now-p.lastSent > knowledgeLimit {
+			continue
+		}
+		c.counts.SoundBeside++
+		p.sound++
+		if e.Status == http.StatusOK {
+			p.served++
+		}
+	}
+}
+
+func (c *Checker) anyEndpointFault() bool {
+	for _, state := range c.endpoints {
+		if state.active > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Checker) checkKey(now Time, e ExecutionStarted, r *request) {
 	revokedAt, revoked := c.revokedAt[r.Key]
 	switch {
@@ -322,6 +376,7 @@
 	r := c.requests[e.Request]
 	r.completed = true
 	c.count(now, e)
+	c.countSound(now, e, r)
 	refusal := e.Seal == "" && (e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable)
 	switch {
 	case e.Defect != "":
@@ -379,7 +434,7 @@
 func (c *Checker) Counts() Counts { return c.counts }
 
 // timedGuarantees have time limits that a slow machine can exceed although the hosts work correctly.
-var timedGuarantees = []string{"DRAIN", "CONFIG", "BUDGET", "RECOVER"}
+var timedGuarantees = []string{"DRAIN", "CONFIG", "BUDGET", "LOST", "RECOVER"}
 
 // Violations returns the violations recorded so far, with late responses (LATE) and orphaned executions (GONE) only if there
 // are more than a run may have. If timed is false, it leaves out these and the violations of timedGuarantees.
@@ -390,6 +445,11 @@
 			all = append(all, v)
 		}
 	}
+	for name, p := range c.poisons {
+		if timed && p.sound >= minSound && 2*p.served < p.sound {
+			all = append(all, Violation{p.lastSent, "LOST", fmt.Sprintf("beside part %s only %d of %d sound requests were served", name, p.served, p.sound)})
+		}
+	}
 	if timed && len(c.lateResponses) > allowedLate {
 		all = append(all, c.lateResponses...)
 	}
--- a/soak/checker/checker_test.go
+++ b/soak/checker/checker_test.go
@@ -139,3 +139,50 @@
 		})
 	}
 }
+
+// Requests with a part of a prompt that crashes engines are sent for a while, and others that share only its first part.
+func TestPartThatCrashesEnginesIsJudgedAfterItsFifthCrash(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		crashes int
+		served  int
+		want    string
+	}{
+		"blocked, others served":     {poisonPartCrashes, minSound, ""},
+		"a few more":                 {poisonPartCrashes + allowedPoisonRetries, minSound, ""},
+		"too many more":              {poisonPartCrashes + allowedPoisonRetries + 1, minSound, "BUDGET"},
+		"half of the others refused": {poisonPartCrashes, minSound / 2, ""},
+		"most others refused":        {poisonPartCrashes, minSound/2 - 1, "LOST"},
+	} {
+		checker := New()
+		checker.Record(0, ConfigPublished{Keys: []string{"k"}, MovedService: "a"})
+		sent := RequestSent{Host: 1, Kind: Resumable, Path: "/x", Key: "k", Deadline: 1000 * second, Poison: "bad", PoisonPart: true}
+		at := 5 * second
+		for i := range c.crashes {
+			if i >= poisonPartCrashes {
+				at += 2 * knowledgeLimit
+			}
+			sent.Request = fmt.Sprint(i)
+			checker.Record(at, sent)
+			checker.Record(at, ExecutionStarted{Request: sent.Request, Endpoint: "e", Service: "a", Path: "/x", Workspace: "w"})
+		}
+		at += 3 * knowledgeLimit
+		sent.Request = "refused"
+		checker.Record(at, sent)
+		for i := range minSound {
+			id, status := fmt.Sprint("sound", i), 503
+			if i < c.served {
+				status = 200
+			}
+			checker.Record(at, RequestSent{Request: id, Host: 1, Kind: Resumable, Path: "/x", Key: "k", Deadline: 1000 * second, SharesPart: true})
+			checker.Record(at, StatusSent{id, "e", status})
+			checker.Record(at, RequestCompleted{Request: id, Status: status})
+		}
+		violated := ""
+		for _, v := range checker.Violations(true) {
+			violated = v.Guarantee
+		}
+		require.Equal(t, c.want, violated, name)
+		require.Equal(t, minSound, checker.Counts().SoundBeside, name)
+	}
+}
--- a/soak/checker/event.go
+++ b/soak/checker/event.go
@@ -31,8 +31,12 @@
 	Path     string
 	Key      string
 	Deadline Time
-	// Poison is the same for all copies of a request that crashes endpoints; empty for other requests.
-	Poison string
+	// Poison is the same for all copies of a request that crashes endpoints, or for all requests with a part of a prompt that does;
+	// empty for other requests. PoisonPart is true for the latter.
+	Poison     string
+	PoisonPart bool
+	// SharesPart is true for a request without such a part that shares its other parts with those that have one.
+	SharesPart bool
 }
 
 // ExecutionStarted records that an endpoint starts to execute a request.
--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -43,8 +43,12 @@
 	// MoveRoute publishes a configuration in which a route has another service, and RevokeKey one without the oldest API key.
 	MoveRoute
 	RevokeKey
-	// SendPoison sends a request again and again that crashes each endpoint that executes it.
+	// SendPoison sends a request again and again that crashes each endpoint that executes it. SendPoisonBurst sends many copies at a
+	// time, so that they crash all endpoints of a service at one moment.
 	SendPoison
+	SendPoisonBurst
+	// SendPoisonPart sends different requests, one part of whose prompts crashes each engine that begins to answer them.
+	SendPoisonPart
 )
 
 var actionNames = map[Action]string{
@@ -52,6 +56,7 @@
 	BreakLink: "BreakLink", SilenceLink: "SilenceLink", CrashEndpoint: "CrashEndpoint", LeaveEndpoint: "LeaveEndpoint",
 	LapseEndpoint: "LapseEndpoint", SwapEndpoint: "SwapEndpoint", SickenEndpoint: "SickenEndpoint", StopStore: "StopStore",
 	ForgetHistory: "ForgetHistory", MoveRoute: "MoveRoute", RevokeKey: "RevokeKey", SendPoison: "SendPoison",
+	SendPoisonBurst: "SendPoisonBurst", SendPoisonPart: "SendPoisonPart",
 }
 
 func (a Action) String() string { return actionNames[a] }
@@ -85,7 +90,11 @@
 	// EndlessHead and EndlessBody respond with bytes without end, in the status line or in the body.
 	EndlessHead
 	EndlessBody
-	lastMisbehaviour = EndlessBody
+	// UnframedStream sends streams correctly, but only the end of the connection ends them. EndInsideEvent ends a stream, properly
+	// framed, inside an event.
+	UnframedStream
+	EndInsideEvent
+	lastMisbehaviour = EndInsideEvent
 )
 
 // Fault is one scheduled fault. Its fields are written to case files under their own names. An action ignores the fields that
@@ -130,9 +139,11 @@
 	minLongDuration   = 4 * time.Second
 	maxDuration       = 9 * time.Second
 	longShare         = 0.3
-	// poisonDuration is how long a request that crashes endpoints is sent, and maxPoisons the largest number of such requests.
-	poisonDuration = 12 * time.Second
-	maxPoisons     = 3
+	// poisonDuration is how long a request that crashes endpoints is sent, poisonPartDuration how long requests with such a part of a
+	// prompt are, and maxPoisons the largest number of both.
+	poisonDuration     = 12 * time.Second
+	poisonPartDuration = 17 * time.Second
+	maxPoisons         = 3
 	// revokeShare is the probability that a key is also revoked during a fault that delays the delivery of configurations to
 	// hosts.
 	revokeShare = 0.3
@@ -153,7 +164,7 @@
 	{CrashEndpoint, LeaveEndpoint, LapseEndpoint, SwapEndpoint, SickenEndpoint},
 	{StopStore, ForgetHistory},
 	{MoveRoute, RevokeKey},
-	{SendPoison},
+	{SendPoison, SendPoisonBurst, SendPoisonPart},
 }
 
 // maxGroups is the largest number of groups that a run uses.
@@ -216,12 +227,15 @@
 	return faults
 }
 
-// takePoison counts a fault if its action is SendPoison, and returns false if there are enough of them.
+// takePoison counts a fault that sends requests which crash endpoints, and returns false if there are enough of them.
 func (g *generator) takePoison(f Fault) bool {
-	if f.Action == SendPoison {
+	switch f.Action {
+	case SendPoison, SendPoisonBurst, SendPoisonPart:
 		g.poisons++
+		return g.poisons <= maxPoisons
+	default:
+		return true
 	}
-	return f.Action != SendPoison || g.poisons <= maxPoisons
 }
 
 // keyRevocation returns, for some of the faults that delay the delivery of configurations to hosts, a key revocation during
@@ -246,8 +260,10 @@
 		if f.Place == PeerLink && g.random.IntN(2) == 0 {
 			f.Peer = g.random.IntN(g.cfg.Hosts)
 		}
-	case SendPoison:
+	case SendPoison, SendPoisonBurst:
 		f.For = poisonDuration
+	case SendPoisonPart:
+		f.For = poisonPartDuration
 	case SickenEndpoint:
 		f.Sickness = Misbehaviour(1 + g.random.IntN(int(lastMisbehaviour)))
 	default:
--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -84,6 +85,25 @@
 type requestSpec struct {
 	id, method, path, key string
 	kind                  checker.Kind
+	// parts are the names of the parts of the prompt that requests share; empty for plain services.
+	parts []string
+}
+
+// sharedPartCount is the number of parts that follow sharedPart in the prompts of callers.
+const sharedPartCount = 5
+
+// setParts sets the header with the parts of the prompt, the last of which is the request's own.
+func (spec requestSpec) setParts(r *http.Request) {
+	if len(spec.parts) == 0 {
+		return
+	}
+	prompt := ""
+	for _, part := range spec.parts {
+		prompt += part + ":100,"
+	}
+	own := fnv.New64a()
+	_, _ = io.WriteString(own, spec.id)
+	r.Header.Set(standin.PromptPartsHeader, fmt.Sprintf("%s%d:20", prompt, own.Sum64()))
 }
 
 func (c *caller) nextRequest() requestSpec {
@@ -103,6 +123,7 @@
 		spec.method, spec.path, spec.kind = http.MethodGet, checker.MovedPath, checker.Idempotent
 	default:
 		spec.method, spec.path, spec.kind = http.MethodPost, "/stream/x", checker.Resumable
+		spec.parts = []string{sharedPart, strconv.Itoa(c.requests % sharedPartCount)}
 	}
 	return spec
 }
@@ -124,7 +145,11 @@
 		body = strings.NewReader("body of " + spec.id)
 	}
 	r := standin.NewCall(c.site.hosts[c.host].callerLinks.tcpLinks[0].Address(), spec.method, spec.path, spec.id, spec.key, body).WithContext(ctx)
-	c.site.record(checker.RequestSent{Request: spec.id, Host: c.host, Kind: spec.kind, Path: spec.path, Key: spec.key, Deadline: c.site.Now() + callerDeadline})
+	spec.setParts(r)
+	c.site.record(checker.RequestSent{
+		Request: spec.id, Host: c.host, Kind: spec.kind, Path: spec.path, Key: spec.key, Deadline: c.site.Now() + callerDeadline,
+		SharesPart: len(spec.parts) > 0,
+	})
 	result, pause := c.exchange(r, spec)
 	if result.Status == 0 && disconnects && ctx.Err() != nil {
 		c.site.record(checker.CallerDisconnected{Request: spec.id})
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -139,16 +140,26 @@
 	id := r.Header.Get(standin.RequestIDHeader)
 	e.site.record(checker.ExecutionStarted{Request: id, Endpoint: e.name, Service: e.service, Path: r.URL.Path, Workspace: r.Header.Get(standin.WorkspaceHeader)})
 	defer e.site.record(checker.ExecutionEnded{Request: id, Endpoint: e.name})
-	if isPoison(requestBody) {
-		e.crashForPoison()
+	switch {
+	case isBurst(requestBody):
+		e.crashForPoison(burstDowntime)
+		panic(http.ErrAbortHandler)
+	case isPoison(requestBody):
+		e.crashForPoison(rand.N(maxPoisonDowntime))
+		panic(http.ErrAbortHandler)
+	case hasPoisonPart(r):
+		e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
+		_, _ = io.WriteString(w, eventText(id, 1))
+		_ = http.NewResponseController(w).Flush()
+		e.crashForPoison(rand.N(maxPoisonDowntime))
 		panic(http.ErrAbortHandler)
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(runCtx, cancel)()
 	switch misbehaviour {
-	case schedule.RefuseRequest, schedule.TruncateResponse:
-		// RefuseRequest was handled above, and TruncateResponse is handled below, while the response is written.
+	case schedule.RefuseRequest, schedule.TruncateResponse, schedule.UnframedStream, schedule.EndInsideEvent:
+		// RefuseRequest was handled above, and the others are handled below, while the response is written.
 	case schedule.AbortBeforeResponse:
 		panic(http.ErrAbortHandler)
 	case schedule.NeverRespond:
@@ -208,6 +219,10 @@
 // a position when it resumes an interrupted stream at another endpoint.
 func (e *endpoint) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, misbehaviour schedule.Misbehaviour) {
 	after, _ := strconv.Atoi(r.Header.Get(standin.LastEventIDHeader))
+	if misbehaviour == schedule.UnframedStream {
+		e.sendUnframed(ctx, w, id, after)
+		return
+	}
 	for n := after + 1; n <= eventCount(id); n++ {
 		if !timer.Sleep(ctx, eventInterval) {
 			panic(http.ErrAbortHandler)
@@ -218,11 +233,38 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if misbehaviour == schedule.EndInsideEvent && n == after+2 {
+			_, _ = io.WriteString(w, text[:len(text)/2])
+			return
+		}
 		_, _ = io.WriteString(w, text)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// sendUnframed sends the events after a position without a length and without chunks, and closes the connection. If ctx ends, it resets
+// the connection.
+func (e *endpoint) sendUnframed(ctx context.Context, w http.ResponseWriter, id string, after int) {
+	header := w.Header().Clone()
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	text := "HTTP/1.1 200 OK\r\n"
+	for _, name := range []string{standin.RequestIDHeader, standin.SealHeader} {
+		text += name + ": " + header.Get(name) + "\r\n"
+	}
+	_, err = io.WriteString(conn, text+"\r\n")
+	for n := after + 1; err == nil && n <= eventCount(id); n++ {
+		if !timer.Sleep(ctx, eventInterval) {
+			network.Reset(conn)
+			return
+		}
+		_, err = io.WriteString(conn, eventText(id, n))
+	}
+}
+
 // plainBody returns the only correct response body of a request that is not a stream.
 func plainBody(id string) string {
 	const lines = 20
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -68,8 +68,10 @@
 		e.misbehaviour.Store(int64(f.Sickness))
 		defer e.misbehaviour.Store(0)
 		wait()
-	case schedule.SendPoison:
+	case schedule.SendPoison, schedule.SendPoisonBurst:
 		s.sendPoison(ctx, f)
+	case schedule.SendPoisonPart:
+		s.sendPoisonPart(ctx, f)
 	default:
 		s.applyToStore(f, wait)
 	}
--- a/standin/network/link.go
+++ b/standin/network/link.go
@@ -158,7 +158,7 @@
 	cut, target := l.cut || l.faults.combined().Cut, l.target
 	l.mu.Unlock()
 	if cut {
-		reset(client)
+		Reset(client)
 		return
 	}
 	server, err := new(net.Dialer).DialContext(context.Background(), "tcp", target)
@@ -181,8 +181,8 @@
 	l.mu.Unlock()
 }
 
-// reset closes a connection with a TCP reset (RST) instead of an orderly shutdown (FIN).
-func reset(conn net.Conn) {
+// Reset closes a connection with a TCP reset (RST) instead of an orderly shutdown (FIN).
+func Reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
@@ -240,6 +240,6 @@
 
 // reset resets the connections to the client and to the server.
 func (p *proxiedConn) reset() {
-	reset(p.client)
-	reset(p.server)
+	Reset(p.client)
+	Reset(p.server)
 }
