--- a/entry/node/crash_part_test.go
+++ b/entry/node/crash_part_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -56,7 +55,7 @@
 		ready := make(chan struct{})
 		e = s.addEndpoint(fmt.Sprintf("i-%d", i), "engines", func(w http.ResponseWriter, r *http.Request) {
 			<-ready
-			if strings.Contains(r.Header.Get(standin.PromptPartsHeader), poisonPart+":") {
+			if standin.SharesPart(r, poisonPart) {
 				s.runs.Add(1)
 				s.record(&s.runTimes)
 				if s.beginEnd(e) {
@@ -85,25 +84,19 @@
 
 // sendUnframed sends a stream that only the end of its connection ends.
 func sendUnframed(w http.ResponseWriter) {
-	conn, buffer, err := w.(http.Hijacker).Hijack()
+	conn, err := standin.BeginRaw(w, "")
 	if err != nil {
 		return
 	}
-	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n\r\nid: 1\ndata: a\n\n",
-		standin.RequestIDHeader, w.Header().Get(standin.RequestIDHeader), standin.SealHeader)
-	_ = buffer.Flush()
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "id: 1\ndata: a\n\n")
 	time.Sleep(20 * time.Millisecond)
-	_ = conn.Close()
 }
 
 // post sends a prompt through a node and returns the status; 0 if there was no complete answer.
 func (s *partSite) post(n *testNode, id string, parts []string) int {
-	prompt := ""
-	for _, part := range parts {
-		prompt += part + ":100,"
-	}
 	r := standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/stream/x", id, "k1", bytes.NewReader([]byte(id)))
-	r.Header.Set(standin.PromptPartsHeader, prompt+fmt.Sprintf("%x:50", id))
+	r.Header.Set(standin.PromptPartsHeader, standin.PromptOf(parts, fmt.Sprintf("%x", id)))
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return 0
--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -200,13 +200,12 @@
 // withUnmarkedEnd makes an endpoint crash, as end does, in an answer whose end only the end of the connection marks.
 func withUnmarkedEnd(end ending) ending {
 	return func(s *poisonSite, e *standin.Endpoint, w http.ResponseWriter) {
-		conn, buffer, err := w.(http.Hijacker).Hijack()
+		conn, err := standin.BeginRaw(w, "")
 		if err != nil {
 			s.t.Error(err)
 			return
 		}
-		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nid: 1\ndata: a\n\n", standin.RequestIDHeader, w.Header().Get(standin.RequestIDHeader))
-		_ = buffer.Flush()
+		_, _ = io.WriteString(conn, "id: 1\ndata: a\n\n")
 		_ = conn.Close()
 		end(s, e, w)
 	}
--- a/entry/node/stream_end_test.go
+++ b/entry/node/stream_end_test.go
@@ -14,14 +14,10 @@
 
 // sendRaw sends text over the connection of a request and closes it.
 func sendRaw(w http.ResponseWriter, headerLines, text string) {
-	conn, buffer, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
+	if conn, err := standin.BeginRaw(w, headerLines); err == nil {
+		defer conn.Close()
+		_, _ = io.WriteString(conn, text)
 	}
-	defer conn.Close()
-	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n%s\r\n%s", standin.RequestIDHeader, w.Header().Get(standin.RequestIDHeader),
-		standin.SealHeader, headerLines, text)
-	_ = buffer.Flush()
 }
 
 func TestStreamThatEndsInsideAnEventIsBrokenOffHoweverItIsFramed(t *testing.T) {
--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -97,13 +97,9 @@
 	if len(spec.parts) == 0 {
 		return
 	}
-	prompt := ""
-	for _, part := range spec.parts {
-		prompt += part + ":100,"
-	}
 	own := fnv.New64a()
 	_, _ = io.WriteString(own, spec.id)
-	r.Header.Set(standin.PromptPartsHeader, fmt.Sprintf("%s%d:20", prompt, own.Sum64()))
+	r.Header.Set(standin.PromptPartsHeader, standin.PromptOf(spec.parts, strconv.FormatUint(own.Sum64(), 10)))
 }
 
 func (c *caller) nextRequest() requestSpec {
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -147,7 +147,7 @@
 	case isPoison(requestBody):
 		e.crashForPoison(rand.N(maxPoisonDowntime))
 		panic(http.ErrAbortHandler)
-	case hasPoisonPart(r):
+	case standin.SharesPart(r, poisonPartPrefix):
 		e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
 		_, _ = io.WriteString(w, eventText(id, 1))
 		_ = http.NewResponseController(w).Flush()
@@ -245,17 +245,11 @@
 // sendUnframed sends the events after a position without a length and without chunks, and closes the connection. If ctx ends, it resets
 // the connection.
 func (e *endpoint) sendUnframed(ctx context.Context, w http.ResponseWriter, id string, after int) {
-	header := w.Header().Clone()
-	conn, _, err := w.(http.Hijacker).Hijack()
+	conn, err := standin.BeginRaw(w, "")
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	text := "HTTP/1.1 200 OK\r\n"
-	for _, name := range []string{standin.RequestIDHeader, standin.SealHeader} {
-		text += name + ": " + header.Get(name) + "\r\n"
-	}
-	_, err = io.WriteString(conn, text+"\r\n")
 	for n := after + 1; err == nil && n <= eventCount(id); n++ {
 		if !timer.Sleep(ctx, eventInterval) {
 			network.Reset(conn)
--- a/soak/site/poison.go
+++ b/soak/site/poison.go
@@ -45,11 +45,6 @@
 
 func isBurst(body []byte) bool { return bytes.HasPrefix(body, []byte(burstPrefix)) }
 
-// hasPoisonPart reports whether a part of the prompt crashes engines.
-func hasPoisonPart(r *http.Request) bool {
-	return strings.Contains(r.Header.Get(standin.PromptPartsHeader), poisonPartPrefix)
-}
-
 // crashForPoison crashes the endpoint for the given time.
 func (e *endpoint) crashForPoison(downtime time.Duration) {
 	endFault := e.site.startEndpointFault(e.name)
