Remember the crashes of a part of a prompt beyond its block

A part that came again ten minutes after its crashes was as good as new: it could end five more engines, each ten minutes.

Cause: the block and the memory of its crashes ended together. Now the last crash blocks a part for ten minutes and counts for seventy. After the block, requests with the part run one after another: an answer clears it, and the next crash blocks it for another ten minutes. Hosts that join get the old crashes with the others.

TestPartThatComesAgainAfterItsBlockCrashesOneEngine fails before (the part is free after the block) and passes: one crash blocks it again, also at a host that joined. Requests are unchanged.

--- a/fleet/fingerprint/decision_test.go
+++ b/fleet/fingerprint/decision_test.go
@@ -168,3 +168,28 @@
 		}
 	})
 }
+
+func TestPartThatComesAgainAfterItsBlockCrashesOneEngine(t *testing.T) {
+	t.Parallel()
+	r := NewRegistry(400 * time.Millisecond)
+	var now time.Time
+	for n := range int64(blockPartAfter) {
+		now = start.Add(time.Duration(n) * time.Second)
+		r.RecordCrash(now, badPart, Crash{Engine: "e1", Incarnation: n, Alone: true})
+	}
+	d := r.Decide(now, []Fingerprint{99, badPart})
+	require.Equal(t, Decision{Blocked: badPart, BlockedFor: crashLifetime}, d)
+	now = now.Add(crashLifetime + time.Millisecond)
+	joined := NewRegistry(400 * time.Millisecond)
+	for _, row := range r.Rows(now, false) {
+		joined.Merge(now, row)
+	}
+	for _, registry := range []*Registry{r, joined} {
+		require.Equal(t, Decision{Serial: badPart}, registry.Decide(now, []Fingerprint{99, badPart}))
+		registry.RecordCrash(now, badPart, Crash{Engine: "e1", Incarnation: 9, Alone: true})
+		require.Equal(t, Decision{Blocked: badPart, BlockedFor: crashLifetime}, registry.Decide(now, []Fingerprint{99, badPart}))
+	}
+	now = now.Add(partCrashLifetime + time.Millisecond)
+	require.Zero(t, r.Decide(now, []Fingerprint{99, badPart}))
+	require.Zero(t, r.Len())
+}
--- a/fleet/fingerprint/exchange.go
+++ b/fleet/fingerprint/exchange.go
@@ -58,7 +58,7 @@
 // Merge records a row of another host that arrived at time now. It returns true if a crash was recorded.
 func (r *Registry) Merge(now time.Time, row Row) bool {
 	at := now.Add(-row.Age)
-	if row.Age > crashLifetime {
+	if row.Age > lifetime(row.Fingerprint) {
 		return false
 	}
 	if row.IsCompletion() {
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	// crashLifetime is how long a crash is remembered.
+	// crashLifetime is how long a crash is remembered, and how long the last crash blocks a part of a prompt.
 	crashLifetime = 10 * time.Minute
+	// partCrashLifetime is how long a crash is remembered for a part of a prompt. After the block requests with the part run one after
+	// another, and the next crash blocks it again.
+	partCrashLifetime = 70 * time.Minute
 	// unconfirmedLifetime is how long an unconfirmed crash is remembered. The registration of an endpoint that ended is removed
 	// well within it.
 	unconfirmedLifetime = 15 * time.Second
@@ -75,12 +78,20 @@
 	at    time.Time
 }
 
-// expiresAt returns when the crash no longer counts.
-func (rec record) expiresAt() time.Time {
+// expiresAt returns when the crash no longer counts against a fingerprint.
+func (rec record) expiresAt(fp Fingerprint) time.Time {
 	if rec.crash.Unconfirmed {
 		return rec.at.Add(unconfirmedLifetime)
 	}
-	return rec.at.Add(crashLifetime)
+	return rec.at.Add(lifetime(fp))
+}
+
+// lifetime returns how long crashes are remembered for a fingerprint.
+func lifetime(fp Fingerprint) time.Duration {
+	if fp.IsPart() {
+		return partCrashLifetime
+	}
+	return crashLifetime
 }
 
 // NewRegistry returns an empty registry. Crashes of one fingerprint block it only if they span minInterval: endpoints that fail at
@@ -246,6 +257,9 @@
 		}
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	if fp.IsPart() {
+		needed = 1
+	}
 	return times[min(needed, len(times))-1].Add(crashLifetime).Sub(now)
 }
 
--- a/fleet/fingerprint/verdict.go
+++ b/fleet/fingerprint/verdict.go
@@ -27,7 +27,7 @@
 	}
 	r.deleteExpired(now)
 	explained := make(map[incident]bool)
-	suspects := r.suspects()
+	suspects := r.suspects(now)
 	for len(suspects) > 0 {
 		// Suspects of equal strength can't be told apart, so that none accounts for the crashes of another.
 		equal := 1
@@ -36,7 +36,7 @@
 		}
 		var blocked []suspect
 		for _, s := range suspects[:equal] {
-			if r.blocks(s.fp, s.h, explained) {
+			if r.blocks(now, s.fp, s.h, explained) {
 				blocked = append(blocked, s)
 			}
 		}
@@ -66,11 +66,13 @@
 	r.expiry = now.Add(crashLifetime)
 	for fp, h := range r.histories {
 		for key, rec := range h.crashes {
-			if end := rec.expiresAt(); now.After(end) {
+			end := rec.expiresAt(fp)
+			if now.After(end) {
 				delete(h.crashes, key)
-			} else if end.Before(r.expiry) {
-				r.expiry = end
+				continue
 			}
+			r.judgeAgainAt(now, end)
+			r.judgeAgainAt(now, rec.at.Add(crashLifetime))
 		}
 		h.verdict, h.limited = Allowed, false
 		if len(h.crashes) == 0 && now.Sub(h.completedAt) > crashLifetime {
@@ -79,11 +81,18 @@
 	}
 }
 
+// judgeAgainAt brings the next expiry forward to at, unless that has passed.
+func (r *Registry) judgeAgainAt(now, at time.Time) {
+	if !now.After(at) && at.Before(r.expiry) {
+		r.expiry = at
+	}
+}
+
 // suspects returns the fingerprints with enough crashes to be blocked, the strongest suspects first.
-func (r *Registry) suspects() []suspect {
+func (r *Registry) suspects(now time.Time) []suspect {
 	var suspects []suspect
 	for fp, h := range r.histories {
-		if !r.blocks(fp, h, nil) {
+		if !r.blocks(now, fp, h, nil) {
 			continue
 		}
 		s := suspect{fp: fp, h: h}
@@ -117,9 +126,13 @@
 	return cmp.Compare(a.ran, b.ran)
 }
 
-// blocks reports whether the crashes that are not explained suffice to block the fingerprint.
-func (r *Registry) blocks(fp Fingerprint, h *history, explained map[incident]bool) bool {
+// blocks reports whether the crashes that are not explained block the fingerprint at time now. The last one blocks a part of a prompt for
+// crashLifetime only.
+func (r *Registry) blocks(now time.Time, fp Fingerprint, h *history, explained map[incident]bool) bool {
 	t := h.unexplained(explained)
+	if fp.IsPart() && now.Sub(t.last) > crashLifetime {
+		return false
+	}
 	return t.suffices(fp) && t.last.Sub(t.first) >= r.minInterval
 }
 
