--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -203,6 +203,7 @@
 			recorded = c.record(now, silent, true, recorded)
 		}
 	}
+	c.logCrashes(now, c.n.cfg.Host, recorded)
 	c.broadcast(recorded)
 }
 
@@ -217,7 +218,7 @@
 				Alone: fp.IsPart() && (run.Trial == fp || c.registry.OnlySuspect(now, fp, run.Parts)), Unconfirmed: unconfirmed,
 			},
 		}
-		if c.merge(now, c.n.cfg.Host, row) {
+		if c.registry.Merge(now, row) {
 			recorded = append(recorded, peer.FromCrashRow(row))
 		}
 	}
@@ -273,22 +274,22 @@
 	}
 }
 
-// merge records a crash that the host from observed, and logs it. It returns false if the crash is already known. mu must be held.
-func (c *crashTracker) merge(now time.Time, from host.ID, row fingerprint.Row) bool {
-	if !c.registry.Merge(now, row) {
-		return false
-	}
-	number := event.RequestSuspected
-	switch {
-	case c.registry.Verdict(now, row.Fingerprint) == fingerprint.Blocked:
-		number = event.RequestBlocked
-	case c.registry.Limited(now, row.Fingerprint):
-		number = event.RequestLimited
+// logCrashes logs and counts crashes that the host from observed and that were recorded here. It is called once for several, since the
+// first verdict after a change judges all fingerprints. mu must be held.
+func (c *crashTracker) logCrashes(now time.Time, from host.ID, crashes []peer.Crash) {
+	for _, crash := range crashes {
+		number := event.RequestSuspected
+		switch {
+		case c.registry.Verdict(now, crash.Fingerprint) == fingerprint.Blocked:
+			number = event.RequestBlocked
+		case c.registry.Limited(now, crash.Fingerprint):
+			number = event.RequestLimited
+		}
+		event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(crash.Fingerprint)).Str("Part", crash.Fingerprint.PartName()).
+			Str("Endpoint", string(crash.Endpoint)).Int64("StartedAt", crash.StartedAt).Int64("RanMs", crash.RanMs).
+			Bool("Unconfirmed", crash.Unconfirmed).Bool("Alone", crash.Alone).Str("From", string(from)).Send()
+		c.n.meter.recordCrash(from == c.n.cfg.Host)
 	}
-	event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(row.Fingerprint)).Str("Part", row.Fingerprint.PartName()).Str("Endpoint", string(row.Crash.Engine)).
-		Int64("StartedAt", row.Crash.Incarnation).Dur("RanMs", row.Crash.Ran).Bool("Unconfirmed", row.Crash.Unconfirmed).Bool("Alone", row.Crash.Alone).Str("From", string(from)).Send()
-	c.n.meter.recordCrash(from == c.n.cfg.Host)
-	return true
 }
 
 // handle records the crashes in a datagram from another host. They are also evidence for the runs that were interrupted here.
@@ -298,11 +299,17 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var merged []peer.Crash
 	for _, crash := range d.Crashes {
 		row := crash.ToRow()
-		if c.merge(now, d.From, row) && !row.Crash.Unconfirmed {
-			lost := endpoint.Instance{ID: endpoint.ID(row.Crash.Engine), StartedAt: row.Crash.Incarnation}
+		if !c.registry.Merge(now, row) {
+			continue
+		}
+		merged = append(merged, crash)
+		if !crash.Unconfirmed {
+			lost := endpoint.Instance{ID: crash.Endpoint, StartedAt: crash.StartedAt}
 			c.execute(now, c.interruptions.Update(now, interruption.ReportedLost{Endpoint: lost}))
 		}
 	}
+	c.logCrashes(now, d.From, merged)
 }
