Prove a part of a prompt by a trial only, and test sound requests with a rare part of their own

Read again before the landing: a crash counted as proof against a part if it was the only one of its own request. A sound request with one shared part that ran beside the cause on five engines, without an answer in between, would have been blocked with no trial. Now only the crash of a trial proves, and not if another blocked part ran on that engine.

--- a/entry/node/crash_part_test.go
+++ b/entry/node/crash_part_test.go
@@ -42,9 +42,36 @@
 // partSite is a site whose engines crash under prompts with poisonPart.
 type partSite struct {
 	*poisonSite
-	// sound and begun count the sound requests, and those that an engine answered at the first attempt.
-	sound, begun atomic.Int64
-	wg           sync.WaitGroup
+	// often and rare count the sound requests that share their first part with those that crash engines, and those with a part of
+	// their own that comes less often than engines crash.
+	often, rare soundCount
+	wg          sync.WaitGroup
+}
+
+// soundCount counts sound requests, and those that an engine answered at the first attempt.
+type soundCount struct{ sent, begun atomic.Int64 }
+
+// requireHalfBegun checks that half of the requests began at the first attempt, as they all do without crashes.
+func (c *soundCount) requireHalfBegun(t *testing.T) {
+	t.Helper()
+	t.Logf("of %d sound requests %d were served", c.sent.Load(), c.begun.Load())
+	require.NotZero(t, c.sent.Load())
+	require.GreaterOrEqual(t, 2*c.begun.Load(), c.sent.Load())
+}
+
+// sendSound sends sound requests until stop is closed, and counts those that are sent later than twice stableTime after the fifth crash.
+func (s *partSite) sendSound(name string, gap time.Duration, stop <-chan struct{}, count *soundCount, parts func(n int) []string) {
+	s.every(gap, stop, func(n *testNode, i int) {
+		counts := s.crashCount() >= crashesToBlockPart && s.sinceCrash(crashesToBlockPart) > 2*stableTime
+		status := s.post(n, fmt.Sprintf("%s-%d", name, i), parts(i))
+		if !counts {
+			return
+		}
+		count.sent.Add(1)
+		if status == http.StatusOK {
+			count.begun.Add(1)
+		}
+	})
 }
 
 func newPartSite(t *testing.T, c partCase, engines int) *partSite {
@@ -165,7 +192,7 @@
 
 func TestPartOfPromptThatCrashesEnginesIsBlockedAndSoundRequestsBesideItAreServed(t *testing.T) {
 	t.Parallel()
-	const engines, soundGap = 18, 40 * time.Millisecond
+	const engines, oftenGap, rareGap = 18, 40 * time.Millisecond, 900 * time.Millisecond
 	subnet := 120
 	for name, c := range partCases() {
 		subnet++
@@ -176,16 +203,8 @@
 			s.startNodes(3, ownSubnet)
 			stop := make(chan struct{})
 			s.every(c.gap, stop, func(n *testNode, i int) { s.post(n, fmt.Sprintf("poison-%d", i), c.parts(i)) })
-			s.every(soundGap, stop, func(n *testNode, i int) {
-				counts := s.crashCount() >= crashesToBlockPart && s.sinceCrash(crashesToBlockPart) > 2*stableTime
-				status := s.post(n, fmt.Sprintf("sound-%d", i), []string{commonPart, fmt.Sprintf("%x", i%7)})
-				if counts {
-					s.sound.Add(1)
-					if status == http.StatusOK {
-						s.begun.Add(1)
-					}
-				}
-			})
+			s.sendSound("often", oftenGap, stop, &s.often, func(n int) []string { return []string{commonPart, fmt.Sprintf("%x", n%7)} })
+			s.sendSound("rare", rareGap, stop, &s.rare, func(int) []string { return []string{"d0"} })
 			require.Eventually(t, func() bool { return s.crashCount() >= crashesToBlockPart }, time.Minute, 10*time.Millisecond)
 			if c.newHostsAfter > 0 {
 				s.mu.Lock()
@@ -197,10 +216,10 @@
 			s.wg.Wait()
 			s.logCrashEvents()
 			s.logTimes()
-			t.Logf("%d engines ended, %d late; of %d sound requests %d were served", s.crashCount(), s.lateRuns(crashesToBlockPart), s.sound.Load(), s.begun.Load())
+			t.Logf("%d engines ended, %d late", s.crashCount(), s.lateRuns(crashesToBlockPart))
 			require.LessOrEqual(t, s.lateRuns(crashesToBlockPart), allowedRetries)
-			require.NotZero(t, s.sound.Load())
-			require.GreaterOrEqual(t, 2*s.begun.Load(), s.sound.Load(), "sound requests must begin at the first attempt at least half as often as without crashes")
+			s.often.requireHalfBegun(t)
+			s.rare.requireHalfBegun(t)
 		})
 	}
 }
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -215,7 +215,7 @@
 			Fingerprint: fp, Age: now.Sub(run.EndedAt),
 			Crash: fingerprint.Crash{
 				Engine: engine.ID(run.Endpoint.ID), Incarnation: run.Endpoint.StartedAt, Ran: run.EndedAt.Sub(run.StartedAt),
-				Alone: fp.IsPart() && (run.Trial == fp || c.registry.OnlySuspect(now, fp, run.Parts)), Unconfirmed: unconfirmed,
+				Alone: run.Trial == fp, Unconfirmed: unconfirmed,
 			},
 		}
 		if c.registry.Merge(now, row) {
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -163,7 +163,7 @@
 	StartedAt int64
 	// AgeMs is the time since the crash or completion when the datagram was sent, and RanMs how long the request had run.
 	AgeMs, RanMs int64
-	// Unconfirmed is true if the endpoint only fell silent, and Alone if nothing else can account for the crash.
+	// Unconfirmed is true if the endpoint only fell silent; Alone is fingerprint.Crash.Alone.
 	Unconfirmed, Alone bool
 }
 
--- a/fleet/fingerprint/decision.go
+++ b/fleet/fingerprint/decision.go
@@ -16,8 +16,9 @@
 
 // Decide returns how a request may run at time now. fps are its fingerprint and those of the parts of its prompt that others may share.
 //
-// A part may have been blocked in place of another one that occurred in the same requests. Requests with both stay blocked. One without
-// any other part that has crashes is let through as a trial: its answer clears the part, and its crash proves the part to be the cause.
+// A part may have been blocked in place of another one that occurred in the same requests or ran on the same engines. Requests with both
+// stay blocked. One without any other part that has crashes is let through as a trial: its answer clears the part, and its crash proves the
+// part to be the cause, unless another blocked one ran on that engine.
 func (r *Registry) Decide(now time.Time, fps []Fingerprint) Decision {
 	var d Decision
 	if len(r.histories) == 0 {
@@ -42,7 +43,7 @@
 
 // mayTry reports whether a request with the fingerprints fps may try out the blocked part fp.
 func (r *Registry) mayTry(fp Fingerprint, h *history, fps []Fingerprint) bool {
-	if !fp.IsPart() || h.ranAlone() {
+	if !fp.IsPart() || r.isProved(fp, h) {
 		return false
 	}
 	for _, other := range fps {
@@ -54,13 +55,25 @@
 	return true
 }
 
-// OnlySuspect reports whether part is the only one of the parts of a prompt that can have crashed an endpoint at time now: the others ran
-// to their end here a short time ago.
-func (r *Registry) OnlySuspect(now time.Time, part Fingerprint, parts []Fingerprint) bool {
-	for _, other := range parts {
-		if other != part && !r.IsSound(now, other) {
-			return false
+// isProved reports whether a crash was recorded for a trial of the part during which no other blocked fingerprint ran on the engine.
+func (r *Registry) isProved(fp Fingerprint, h *history) bool {
+	for key, rec := range h.crashes {
+		if rec.crash.Alone && !r.anotherBlockedRan(fp, key) {
+			return true
 		}
 	}
-	return true
+	return false
+}
+
+// anotherBlockedRan reports whether a blocked fingerprint other than fp has a crash of the same incarnation recorded.
+func (r *Registry) anotherBlockedRan(fp Fingerprint, key incident) bool {
+	for other, h := range r.histories {
+		if other == fp || h.verdict != Blocked {
+			continue
+		}
+		if _, ran := h.crashes[key]; ran {
+			return true
+		}
+	}
+	return false
 }
--- a/fleet/fingerprint/decision_test.go
+++ b/fleet/fingerprint/decision_test.go
@@ -69,6 +69,28 @@
 	require.Equal(t, Decision{Serial: badPart, Trial: true}, r.Decide(now, []Fingerprint{99, commonPart, badPart}))
 }
 
+// Requests with one shared part each run on the same engines as those that crash them.
+func TestPartThatRanOnTheSameEnginesAsTheCauseIsClearedByATrial(t *testing.T) {
+	t.Parallel()
+	r := NewRegistry(0)
+	var now time.Time
+	for n := range int64(blockPartAfter) {
+		now = crashRun(r, n, request+Fingerprint(n), badPart)
+		crashRun(r, n, request+100+Fingerprint(n), otherPart)
+	}
+	for _, part := range []Fingerprint{badPart, otherPart} {
+		require.Equal(t, Decision{Serial: part, Trial: true}, r.Decide(now, []Fingerprint{99, part}))
+	}
+	now = now.Add(time.Second)
+	for _, part := range []Fingerprint{badPart, otherPart} {
+		r.RecordCrash(now, part, Crash{Engine: "both", Incarnation: 1, Alone: true})
+	}
+	require.Equal(t, Decision{Serial: otherPart, Trial: true}, r.Decide(now, []Fingerprint{99, otherPart}), "both trials ran on one engine")
+	r.RecordCompletion(now, otherPart)
+	require.Zero(t, r.Decide(now, []Fingerprint{99, otherPart}))
+	require.NotZero(t, r.Decide(now, []Fingerprint{99, badPart}).Blocked, "its trial proves it now")
+}
+
 func TestAnswerClearsAPartEvenIfNothingElseAccountsForItsCrashes(t *testing.T) {
 	t.Parallel()
 	r := NewRegistry(0)
@@ -128,7 +150,7 @@
 			}
 			crashes++
 			for _, fp := range fps {
-				r.RecordCrash(now, fp, Crash{Engine: "e1", Incarnation: crashes, Alone: fp.IsPart() && (d.Trial && d.Serial == fp || r.OnlySuspect(now, fp, fps[1:]))})
+				r.RecordCrash(now, fp, Crash{Engine: "e1", Incarnation: crashes, Alone: d.Trial && d.Serial == fp})
 			}
 		}
 		for n := range rapid.IntRange(20, 60).Draw(t, "requests") {
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -34,8 +34,8 @@
 	// Incarnation distinguishes two crashes of one endpoint: when its keeper observed the crash, in milliseconds of Unix time
 	// (balsamknot), or the start time of the incarnation that crashed (entry). It is not compared with local clocks.
 	Incarnation int64
-	// Alone is true if nothing else can account for the crash. For a request: no other one ran on the endpoint, as its keeper knows
-	// in balsamknot. For a part of a prompt: the other parts are known to be sound, or the run was a trial of this part.
+	// Alone is true for a request if no other one ran on the endpoint, as its keeper knows in balsamknot, and for a part of a prompt if
+	// the run was a trial of it, see Decision.
 	Alone bool
 	// Ran is how long the request had run, as its host observed it; 0 when unknown. Requests with as many crashes are ordered
 	// by it, since a request that crashes endpoints does so soon after its start.
@@ -263,12 +263,6 @@
 	return times[min(needed, len(times))-1].Add(crashLifetime).Sub(now)
 }
 
-// IsSound reports whether a request or part ran to its end here a short time ago and is not blocked.
-func (r *Registry) IsSound(now time.Time, fp Fingerprint) bool {
-	completedAt := r.completions.last(fp)
-	return !completedAt.IsZero() && now.Sub(completedAt) <= crashLifetime && r.Verdict(now, fp) != Blocked
-}
-
 // Blocked returns the blocked fingerprints in ascending order.
 func (r *Registry) Blocked(now time.Time) []Fingerprint {
 	r.judge(now)
