--- a/fleet/interruption/silence.go
+++ b/fleet/interruption/silence.go
@@ -1,6 +1,8 @@
 package interruption
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"balsamknot.org/fleet/endpoint"
@@ -83,9 +85,10 @@
 	}
 }
 
-// reportSilence returns the runs that have waited for silentAfter at endpoints which sent nothing meanwhile, each once.
+// reportSilence returns the runs that have waited for silentAfter at endpoints which sent nothing meanwhile, each once and the oldest
+// first.
 func (t *Tracker) reportSilence(now time.Time) []Command {
-	var commands []Command
+	var silent []Run
 	for instance := range t.awaited {
 		in := t.incarnations[instance]
 		if in == nil {
@@ -98,8 +101,15 @@
 			}
 			run.reported = true
 			in.waiting[request] = run
-			commands = append(commands, Silent{run.Run})
+			silent = append(silent, run.Run)
 		}
 	}
+	slices.SortFunc(silent, func(a, b Run) int {
+		return cmp.Or(a.StartedAt.Compare(b.StartedAt), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
+	})
+	var commands []Command
+	for _, run := range silent {
+		commands = append(commands, Silent{run})
+	}
 	return commands
 }
--- a/fleet/interruption/silence_test.go
+++ b/fleet/interruption/silence_test.go
@@ -23,7 +23,7 @@
 	require.Equal(t, []Command{Silent{second}}, tracker.Update(second.StartedAt.Add(silentAfter), Tick{}))
 }
 
-func TestEndpointIsNotSilentWhile(t *testing.T) {
+func TestEndpointThatSendsSomethingIsNotReportedSilent(t *testing.T) {
 	t.Parallel()
 	for name, event := range map[string]Event{
 		"it sends another answer":      Received{Request: "other", Endpoint: instance("a", 1)},
@@ -40,3 +40,14 @@
 		}
 	}
 }
+
+func TestSilentRunsAreReportedInOrder(t *testing.T) {
+	t.Parallel()
+	tracker := newTracker()
+	var want []Command
+	for _, request := range []string{"r1", "r2", "r3", "r4", "r5"} {
+		tracker.Update(start, Sent{sentRun(request, start)})
+		want = append(want, Silent{sentRun(request, start)})
+	}
+	require.Equal(t, want, tracker.Update(start.Add(silentAfter), Tick{}))
+}
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -140,20 +140,7 @@
 	id := r.Header.Get(standin.RequestIDHeader)
 	e.site.record(checker.ExecutionStarted{Request: id, Endpoint: e.name, Service: e.service, Path: r.URL.Path, Workspace: r.Header.Get(standin.WorkspaceHeader)})
 	defer e.site.record(checker.ExecutionEnded{Request: id, Endpoint: e.name})
-	switch {
-	case isBurst(requestBody):
-		e.crashForPoison(burstDowntime)
-		panic(http.ErrAbortHandler)
-	case isPoison(requestBody):
-		e.crashForPoison(rand.N(maxPoisonDowntime))
-		panic(http.ErrAbortHandler)
-	case standin.SharesPart(r, poisonPartPrefix):
-		e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
-		_, _ = io.WriteString(w, eventText(id, 1))
-		_ = http.NewResponseController(w).Flush()
-		e.crashForPoison(rand.N(maxPoisonDowntime))
-		panic(http.ErrAbortHandler)
-	}
+	e.crashIfPoisoned(w, r, requestBody)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(runCtx, cancel)()
@@ -199,6 +186,26 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// crashIfPoisoned crashes the endpoint, and does not return, if the request or a part of its prompt does that. A part does so after the
+// first event of the answer.
+func (e *endpoint) crashIfPoisoned(w http.ResponseWriter, r *http.Request, requestBody []byte) {
+	downtime := rand.N(maxPoisonDowntime)
+	switch {
+	case isBurst(requestBody):
+		downtime = burstDowntime
+	case isPoison(requestBody):
+	case standin.SharesPart(r, poisonPartPrefix):
+		id := r.Header.Get(standin.RequestIDHeader)
+		e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
+		_, _ = io.WriteString(w, eventText(id, 1))
+		_ = http.NewResponseController(w).Flush()
+	default:
+		return
+	}
+	e.crashForPoison(downtime)
+	panic(http.ErrAbortHandler)
+}
+
 // sendEndlessly sends start and then bytes without end, until ctx ends or the connection is closed. It does not return.
 func sendEndlessly(ctx context.Context, w http.ResponseWriter, start string) {
 	defer panic(http.ErrAbortHandler)
