Look a request's block up once before its slot is requested

The same decision was made twice in a row for each request, on arrival and at once again before the slot request, which also refuses with 503 and the same Retry-After. The first is gone. Two comments still said that crashes at one moment have another cause than the request. Behaviour is unchanged; tests of entry/node pass (118 s).

--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -160,10 +160,6 @@
 	if !c.admit(q) || !c.readBody(q) || !c.streamFits(q) {
 		return
 	}
-	if d := c.n.crashes.decide(q.start, q); d.BlockedFor > 0 {
-		c.n.refuse(q, http.StatusServiceUnavailable, d.BlockedFor)
-		return
-	}
 	c.n.serve(q)
 }
 
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -35,8 +35,8 @@
 	nextRow int
 }
 
-// minCrashInterval is the time that the crashes of a blocked request must span: endpoints that fail at the same moment have
-// another cause than the request.
+// minCrashInterval is the time that the crashes of a blocked request must span: endpoints that fail at the same moment may have
+// another cause than the request, so that its copies run one after another until that is known.
 const minCrashInterval = 400 * time.Millisecond
 
 const (
@@ -267,10 +267,9 @@
 
 // recordUnreachable records that a request could not connect to an endpoint.
 func (c *crashTracker) recordUnreachable(now time.Time, q *request, err error) {
-	instance := q.instance
-	c.update(now, interruption.Withdrawn{Request: q.call.ID, Endpoint: instance})
+	c.update(now, interruption.Withdrawn{Request: q.call.ID, Endpoint: q.instance})
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		c.update(now, interruption.Probed{Endpoint: instance, Refused: true})
+		c.update(now, interruption.Probed{Endpoint: q.instance, Refused: true})
 	}
 }
 
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -95,7 +95,7 @@
 }
 
 // NewRegistry returns an empty registry. Crashes of one fingerprint block it only if they span minInterval: endpoints that fail at
-// the same moment have another cause than the request. 0 makes no such condition.
+// the same moment may have another cause than the request, see Limited. 0 makes no such condition.
 func NewRegistry(minInterval time.Duration) *Registry {
 	return &Registry{minInterval: minInterval, histories: make(map[Fingerprint]*history), completions: newCompletionMemory()}
 }
