Keep the later completion when an earlier one is reported after it

An answer without a marked end is recorded as complete seconds after its end, at the time of its end, and replaced the time of a later completion that the host remembered. A crash between the two then counted against a request or part that had run to its end since. TestCompletionThatIsReportedLateDoesNotHideALaterOne failed before and passes.

--- a/fleet/fingerprint/completion.go
+++ b/fleet/fingerprint/completion.go
@@ -15,8 +15,11 @@
 	return completionMemory{current: make(map[Fingerprint]time.Time)}
 }
 
-// note records a completion at time at.
+// note records a completion at time at, unless a later one is known.
 func (m *completionMemory) note(at time.Time, fp Fingerprint) {
+	if !at.After(m.last(fp)) {
+		return
+	}
 	if len(m.current) >= maxCompletions {
 		m.current, m.previous = make(map[Fingerprint]time.Time, maxCompletions), m.current
 	}
--- a/fleet/fingerprint/fingerprint_test.go
+++ b/fleet/fingerprint/fingerprint_test.go
@@ -249,3 +249,12 @@
 	require.True(t, r.RecordCrash(start.Add(time.Minute), 7, Crash{Engine: "e1", Unconfirmed: true}), "forgotten")
 	require.LessOrEqual(t, len(r.completions.current)+len(r.completions.previous), 2*maxCompletions)
 }
+
+// An answer without a marked end is known to be complete only seconds later, when others have completed since.
+func TestCompletionThatIsReportedLateDoesNotHideALaterOne(t *testing.T) {
+	t.Parallel()
+	r := NewRegistry(0)
+	r.RecordCompletion(start.Add(4*time.Second), 7)
+	r.RecordCompletion(start, 7)
+	require.False(t, r.RecordCrash(start.Add(2*time.Second), 7, Crash{Engine: "e1", Incarnation: 1}))
+}
