Decide in one place whether an answer marks its end

entry and balsamknot each had the rule, and they differed: balsamknot took a bodyless answer to HEAD for one that does not mark its end, so that it cleared no crashes. Both call answer.EndMarked now.

--- a/balsamknot/node/crashes_test.go
+++ b/balsamknot/node/crashes_test.go
@@ -46,6 +46,7 @@
 		"success with a length":    {http.Response{StatusCode: http.StatusOK, ContentLength: 0}, true},
 		"success in chunks":        {http.Response{StatusCode: http.StatusOK, ContentLength: -1, TransferEncoding: []string{"chunked"}}, true},
 		"success without an end":   {http.Response{StatusCode: http.StatusOK, ContentLength: -1}, false},
+		"success of a HEAD":        {http.Response{StatusCode: http.StatusOK, ContentLength: -1, Request: &http.Request{Method: http.MethodHead}}, true},
 		"failure of the endpoint":  {http.Response{StatusCode: http.StatusInternalServerError, ContentLength: 0}, false},
 		"rejection by an endpoint": {http.Response{StatusCode: http.StatusTooManyRequests, ContentLength: 0}, false},
 	} {
--- a/balsamknot/node/endpoint.go
+++ b/balsamknot/node/endpoint.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/wire"
 )
@@ -68,7 +69,7 @@
 		return nil
 	}
 	f.headSent = true
-	f.succeeded = response.StatusCode < http.StatusMultipleChoices && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+	f.succeeded = response.StatusCode < http.StatusMultipleChoices && answer.EndMarked(response)
 	head := &wire.Head{Status: int32(response.StatusCode), Engine: f.engineID, Keeper: f.keeperID, Load: float32(f.load)}
 	for name, values := range response.Header {
 		if unforwardedHeaders[name] {
--- a/entry/connection/endless_test.go
+++ b/entry/connection/endless_test.go
@@ -83,7 +83,7 @@
 	t.Parallel()
 	s := startScriptedServer(t, func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
 		s.read(r)
-		_, _ = io.WriteString(conn, answer("1", "discarded"))
+		_, _ = io.WriteString(conn, okAnswer("1", "discarded"))
 		_, _ = r.ReadByte()
 	})
 	p := newPool()
--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -163,13 +162,6 @@
 // ConnectedAt returns when the exchange's connection was established, by timer.BootClock.
 func (x *Exchange) ConnectedAt() time.Time { return x.conn.connectedAt }
 
-// EndMarked reports whether the answer itself says where it ends. Otherwise the end of the connection does, which looks the same
-// when the endpoint crashes.
-func (x *Exchange) EndMarked() bool {
-	hasNoBody := x.Response.Request.Method == http.MethodHead
-	return hasNoBody || x.Response.ContentLength >= 0 || slices.Contains(x.Response.TransferEncoding, "chunked")
-}
-
 // AbortOnDone aborts the exchange when ctx ends, unless stop is called before.
 func (x *Exchange) AbortOnDone(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, x.Abort)
--- a/entry/connection/exchange_test.go
+++ b/entry/connection/exchange_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/platform/standin"
 )
 
@@ -76,7 +77,7 @@
 	return string(raw)
 }
 
-func answer(id, text string) string { return standin.RawResponse(id, http.StatusOK, text) }
+func okAnswer(id, text string) string { return standin.RawResponse(id, http.StatusOK, text) }
 
 // answerStart begins the answer to request 1: status line and request ID.
 const answerStart = "HTTP/1.1 200 OK\r\n" + standin.RequestIDHeader + ": 1\r\n"
@@ -86,7 +87,7 @@
 	s := startScriptedServer(t, func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
 		for _, id := range []string{"1", "2"} {
 			s.read(r)
-			_, _ = io.WriteString(conn, answer(id, "answer "+id))
+			_, _ = io.WriteString(conn, okAnswer(id, "answer "+id))
 		}
 		_, _ = r.ReadByte()
 	})
@@ -106,7 +107,7 @@
 	t.Parallel()
 	s := startScriptedServer(t, func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
 		s.read(r)
-		_, _ = io.WriteString(conn, answer("0", "another request's answer")+answer("1", "own"))
+		_, _ = io.WriteString(conn, okAnswer("0", "another request's answer")+okAnswer("1", "own"))
 		_, _ = r.ReadByte()
 	})
 	p := newPool()
@@ -122,13 +123,13 @@
 	sendExtra := make(chan struct{})
 	s = startScriptedServer(t, func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
 		s.read(r)
-		_, _ = io.WriteString(conn, answer("1", "own"))
+		_, _ = io.WriteString(conn, okAnswer("1", "own"))
 		<-sendExtra
-		_, _ = io.WriteString(conn, answer("1", "own again"))
+		_, _ = io.WriteString(conn, okAnswer("1", "own again"))
 		_, _ = r.ReadByte()
 	}, func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
 		s.read(r)
-		_, _ = io.WriteString(conn, answer("2", "own"))
+		_, _ = io.WriteString(conn, okAnswer("2", "own"))
 		_, _ = r.ReadByte()
 	})
 	p := newPool()
@@ -217,7 +218,7 @@
 			r.Method, r.Body = c.method, nil
 			x, err := p.Do(context.Background(), s.address(), r, time.Now().Add(10*time.Second))
 			require.NoError(t, err)
-			require.Equal(t, c.want, x.EndMarked())
+			require.Equal(t, c.want, answer.EndMarked(x.Response))
 			_ = readBody(t, x)
 		})
 	}
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -15,6 +15,7 @@
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/connection"
 	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/fingerprint"
@@ -86,7 +87,7 @@
 // request and the parts of its prompt, on all hosts, if the answer itself marks its end: otherwise the endpoint may have crashed there.
 func (c *crashTracker) recordAnswer(q *request, x *connection.Exchange) {
 	now := timer.BootClock()
-	if !x.EndMarked() {
+	if !answer.EndMarked(x.Response) {
 		q.cause = "the answer does not mark its end"
 		c.recordInterruption(now, q, interruption.Interrupted{Unmarked: x.Response.StatusCode < http.StatusMultipleChoices})
 		return
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -12,6 +12,7 @@
 
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/connection"
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/attempt"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/fingerprint"
@@ -231,7 +232,7 @@
 // completedResult returns the result of an answer that was delivered in full. One without a marked end may have ended in a crash, on which
 // the next request with the same SerialKey must wait for evidence.
 func (q *request) completedResult(x *connection.Exchange) pool.Result {
-	if q.serial != 0 && !x.EndMarked() {
+	if q.serial != 0 && !answer.EndMarked(x.Response) {
 		return pool.Unknown
 	}
 	return pool.Completed
