Test: an endpoint that fell silent stays silent for further runs, and one function for both sites

The sites of requests and of parts share beginRun and crash; two counts that stood beside lists of the same are derived in one place.

--- a/entry/node/crash_part_test.go
+++ b/entry/node/crash_part_test.go
@@ -62,7 +62,7 @@
 // sendSound sends sound requests until stop is closed, and counts those that are sent later than twice stableTime after the fifth crash.
 func (s *partSite) sendSound(name string, gap time.Duration, stop <-chan struct{}, count *soundCount, parts func(n int) []string) {
 	s.every(gap, stop, func(n *testNode, i int) {
-		counts := s.crashCount() >= crashesToBlockPart && s.sinceCrash(crashesToBlockPart) > 2*stableTime
+		counts := s.sinceCrash(crashesToBlockPart) > 2*stableTime
 		status := s.post(n, fmt.Sprintf("%s-%d", name, i), parts(i))
 		if !counts {
 			return
@@ -83,14 +83,9 @@
 		e = s.addEndpoint(fmt.Sprintf("i-%d", i), "engines", func(w http.ResponseWriter, r *http.Request) {
 			<-ready
 			if standin.SharesPart(r, poisonPart) {
-				s.runs.Add(1)
-				s.record(&s.runTimes)
-				if s.beginEnd(e) {
-					s.crashes.Add(1)
-					s.record(&s.crashTimes)
-					c.end(s.poisonSite, e, w)
-				}
-				panic(http.ErrAbortHandler)
+				_, _ = io.Copy(io.Discard, r.Body)
+				s.beginRun()
+				s.crash(e, w, r, c.end)
 			}
 			if c.unframed {
 				sendUnframed(w)
@@ -205,7 +200,7 @@
 			s.every(c.gap, stop, func(n *testNode, i int) { s.post(n, fmt.Sprintf("poison-%d", i), c.parts(i)) })
 			s.sendSound("often", oftenGap, stop, &s.often, func(n int) []string { return []string{commonPart, fmt.Sprintf("%x", n%7)} })
 			s.sendSound("rare", rareGap, stop, &s.rare, func(int) []string { return []string{"d0"} })
-			require.Eventually(t, func() bool { return s.crashCount() >= crashesToBlockPart }, time.Minute, 10*time.Millisecond)
+			require.Eventually(t, func() bool { return s.crashes.Load() >= crashesToBlockPart }, time.Minute, 10*time.Millisecond)
 			if c.newHostsAfter > 0 {
 				s.mu.Lock()
 				s.addNodes(c.newHostsAfter, ownSubnet)
@@ -216,23 +211,10 @@
 			s.wg.Wait()
 			s.logCrashEvents()
 			s.logTimes()
-			t.Logf("%d engines ended, %d late", s.crashCount(), s.lateRuns(crashesToBlockPart))
+			t.Logf("%d engines ended, %d late", s.crashes.Load(), s.lateRuns(crashesToBlockPart))
 			require.LessOrEqual(t, s.lateRuns(crashesToBlockPart), allowedRetries)
 			s.often.requireHalfBegun(t)
 			s.rare.requireHalfBegun(t)
 		})
 	}
 }
-
-func (s *poisonSite) crashCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.crashTimes)
-}
-
-// sinceCrash returns the time since the n-th crash.
-func (s *poisonSite) sinceCrash(n int) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Since(s.crashTimes[n-1])
-}
--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -48,20 +48,45 @@
 	ended map[*standin.Endpoint]bool
 }
 
-// beginEnd reports whether an endpoint is to end now: a second run that crashes it does not end it again.
+// beginRun counts a run of the request and returns its number, from 1.
+func (s *poisonSite) beginRun() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runTimes = append(s.runTimes, time.Now())
+	return s.runs.Add(1)
+}
+
+// crash ends the endpoint, as end does, or waits for its end if another run has begun it. It does not return.
+func (s *poisonSite) crash(e *standin.Endpoint, w http.ResponseWriter, r *http.Request, end ending) {
+	if s.beginEnd(e) {
+		end(s, e, w)
+	} else {
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// beginEnd counts a crash, and returns false if the endpoint has ended already.
 func (s *poisonSite) beginEnd(e *standin.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first := !s.ended[e]
+	if s.ended[e] {
+		return false
+	}
 	s.ended[e] = true
-	return first
+	s.crashTimes = append(s.crashTimes, time.Now())
+	s.crashes.Add(1)
+	return true
 }
 
-// record appends the current time to one of the lists.
-func (s *poisonSite) record(times *[]time.Time) {
+// sinceCrash returns the time since the n-th crash; 0 if there were fewer.
+func (s *poisonSite) sinceCrash(n int) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	*times = append(*times, time.Now())
+	if len(s.crashTimes) < n {
+		return 0
+	}
+	return time.Since(s.crashTimes[n-1])
 }
 
 // lateRuns returns how often the request reached an endpoint later than stableTime after the n-th crash.
@@ -122,18 +147,12 @@
 				_, _ = io.WriteString(w, "answer")
 				return
 			}
-			run := s.runs.Add(1)
-			s.record(&s.runTimes)
+			run := s.beginRun()
 			if c.failEvery > 0 && run%c.failEvery == 0 {
 				w.WriteHeader(http.StatusInternalServerError)
 				return
 			}
-			if s.beginEnd(e) {
-				s.crashes.Add(1)
-				s.record(&s.crashTimes)
-				c.end(s, e, w)
-			}
-			panic(http.ErrAbortHandler)
+			s.crash(e, w, r, c.end)
 		})
 		close(ready)
 	}
