--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -110,10 +110,8 @@
 	RequestSent
 	sentAt         Time
 	executions     int
-	running        map[string]int
 	statuses       map[int]bool
 	refused        bool
-	completed      bool
 	disconnectedAt Time
 }
 
@@ -140,7 +138,7 @@
 		if e.Poison != "" {
 			c.poison(e).lastSent = now
 		}
-		c.requests[e.Request] = &request{RequestSent: e, sentAt: now, running: make(map[string]int), statuses: make(map[int]bool)}
+		c.requests[e.Request] = &request{RequestSent: e, sentAt: now, statuses: make(map[int]bool)}
 	case ExecutionStarted:
 		c.executionStarted(now, e)
 	case StatusSent:
@@ -151,7 +149,7 @@
 		c.requestCompleted(now, e)
 	case CallerDisconnected:
 		c.counts.Left++
-		c.updateRequest(e.Request, func(r *request) { r.disconnectedAt, r.completed = now, true })
+		c.updateRequest(e.Request, func(r *request) { r.disconnectedAt = now })
 	case ConfigPublished:
 		c.configPublished(now, e)
 	case EndpointDraining:
@@ -232,7 +230,6 @@
 		return
 	}
 	r.executions++
-	r.running[e.Endpoint]++
 	if e.Path != r.Path {
 		c.addViolation(now, "UNASKED", "request %s: sent with path %q, executed with path %q", r.Request, r.Path, e.Path)
 	}
@@ -285,7 +282,6 @@
 	if r == nil {
 		return
 	}
-	r.running[e.Endpoint]--
 	if r.disconnectedAt > 0 && now > r.disconnectedAt+cancelLimit && c.hostStable(now, r.Host) &&
 		faultFree(c.endpoints, e.Endpoint, now, stabilityWindow) {
 		c.orphanedExecutions = append(c.orphanedExecutions, Violation{now, "GONE", fmt.Sprintf(
@@ -296,7 +292,6 @@
 
 func (c *Checker) requestCompleted(now Time, e RequestCompleted) {
 	r := c.requests[e.Request]
-	r.completed = true
 	c.count(now, e)
 	c.countSound(now, e, r)
 	refusal := e.Seal == "" && (e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable)
