--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -300,6 +300,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var merged []peer.Crash
+	var commands []interruption.Command
 	for _, crash := range d.Crashes {
 		row := crash.ToRow()
 		if !c.registry.Merge(now, row) {
@@ -308,8 +309,9 @@
 		merged = append(merged, crash)
 		if !crash.Unconfirmed {
 			lost := endpoint.Instance{ID: crash.Endpoint, StartedAt: crash.StartedAt}
-			c.execute(now, c.interruptions.Update(now, interruption.ReportedLost{Endpoint: lost}))
+			commands = append(commands, c.interruptions.Update(now, interruption.ReportedLost{Endpoint: lost})...)
 		}
 	}
 	c.logCrashes(now, d.From, merged)
+	c.execute(now, commands)
 }
--- a/fleet/fingerprint/fingerprint_test.go
+++ b/fleet/fingerprint/fingerprint_test.go
@@ -1,6 +1,7 @@
 package fingerprint
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,18 @@
 
 var start = time.Unix(1_000_000, 0)
 
+// blocked returns the blocked fingerprints in ascending order.
+func blocked(r *Registry, now time.Time) []Fingerprint {
+	var fps []Fingerprint
+	for fp := range r.histories {
+		if r.Verdict(now, fp) == Blocked {
+			fps = append(fps, fp)
+		}
+	}
+	slices.Sort(fps)
+	return fps
+}
+
 func TestSecondCrashBlocksARequestThatRanAlone(t *testing.T) {
 	t.Parallel()
 	r := NewRegistry(0)
@@ -103,7 +116,7 @@
 	}
 	require.Equal(t, Blocked, r.Verdict(start, 7))
 	require.Equal(t, Allowed, r.Verdict(start, 8))
-	require.Equal(t, []Fingerprint{7}, r.Blocked(start))
+	require.Equal(t, []Fingerprint{7}, blocked(r, start))
 }
 
 // Requests 7 and 8 can't be told apart by their crashes until one of them runs to its end.
@@ -114,9 +127,9 @@
 		r.RecordCrash(start, 7, Crash{Engine: "e1", Incarnation: i})
 		r.RecordCrash(start, 8, Crash{Engine: "e1", Incarnation: i})
 	}
-	require.Equal(t, []Fingerprint{7, 8}, r.Blocked(start))
+	require.Equal(t, []Fingerprint{7, 8}, blocked(r, start))
 	require.Equal(t, 3, r.RecordCompletion(start.Add(time.Second), 8))
-	require.Equal(t, []Fingerprint{7}, r.Blocked(start))
+	require.Equal(t, []Fingerprint{7}, blocked(r, start))
 }
 
 // What one registry has recorded gives another one the same verdicts, however often and in whatever order its rows arrive.
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -263,19 +263,6 @@
 	return times[min(needed, len(times))-1].Add(crashLifetime).Sub(now)
 }
 
-// Blocked returns the blocked fingerprints in ascending order.
-func (r *Registry) Blocked(now time.Time) []Fingerprint {
-	r.judge(now)
-	var blocked []Fingerprint
-	for fp, h := range r.histories {
-		if h.verdict == Blocked {
-			blocked = append(blocked, fp)
-		}
-	}
-	slices.Sort(blocked)
-	return blocked
-}
-
 // Len returns how many fingerprints have crashes or completions recorded. Those that are too old are included until Verdict
 // deletes them.
 func (r *Registry) Len() int { return len(r.histories) }
