--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -62,7 +62,7 @@
 	// completedAt is when a request with this fingerprint last ran to its end. Earlier crashes do not count.
 	completedAt time.Time
 	verdict     Verdict
-	// limited is true if the crashes would block the fingerprint but came at one moment or are unconfirmed.
+	// limited is what Limited reports.
 	limited bool
 }
 
@@ -232,8 +232,8 @@
 	return Allowed
 }
 
-// Limited reports whether a fingerprint has enough crashes to be blocked, but all came at one moment or some are unconfirmed: the
-// request may have caused them, or ran by chance where several endpoints failed together.
+// Limited reports whether a fingerprint has enough crashes to be blocked, but all came at one moment, some are unconfirmed, or, for a part
+// of a prompt, the block is over: it may have caused them, or ran by chance where several endpoints failed together.
 func (r *Registry) Limited(now time.Time, fp Fingerprint) bool {
 	if len(r.histories) == 0 {
 		return false
