--- a/entry/node/limit_test.go
+++ b/entry/node/limit_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"balsamknot.org/fleet/site"
 	"balsamknot.org/platform/standin"
 )
 
@@ -106,23 +105,15 @@
 		case <-r.Context().Done():
 		}
 	}
-	keeperOf := func(s *testSite, service string) *testNode {
-		for _, n := range s.nodes {
-			if n.membership.keeperAndStandbys(site.ServiceName(service))[0] == n.cfg.Host {
-				return n
-			}
-		}
-		return s.nodes[0]
-	}
 	subnet := 150
 	for name, c := range map[string]limitCase{
 		"idempotent requests":     {path: "/again/x", free: 2},
 		"non-idempotent requests": {path: "/once/x", free: 2},
 		"streams that last":       {path: "/stream/x", free: 2, answer: longStream},
 		"all are limited":         {path: "/again/x"},
-		"the keeper stops":        {path: "/again/x", free: 2, duringLoad: func(s *testSite) { keeperOf(s, "plain").stop() }},
+		"the keeper stops":        {path: "/again/x", free: 2, duringLoad: func(s *testSite) { s.keeperOf("plain").stop() }},
 		"the keeper is cut off": {path: "/again/x", free: 2, duringLoad: func(s *testSite) {
-			_ = keeperOf(s, "plain").membership.socket.Close()
+			_ = s.keeperOf("plain").membership.socket.Close()
 		}},
 		"hosts decide alone": {path: "/again/x", free: 2, duringLoad: func(s *testSite) {
 			for _, n := range s.nodes {
--- a/entry/node/site_test.go
+++ b/entry/node/site_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,8 @@
 	log           *logBuffer
 	stop          context.CancelFunc
 	exited        chan struct{}
+	// killed is true after kill.
+	killed atomic.Bool
 }
 
 // logBuffer holds a node's log. It is safe for concurrent use.
