Bind a stream to the software version that began it

What callers saw: streams that broke off and were taken up held events of two versions of an engine, which do not fit together.

Cause: the version in registrations was checked for presence and dropped, and the header in which a caller names the request that began the stream was forwarded unread (H1). A host that takes a stream up is mostly not the one that began it, and hosts exchanged nothing about streams (H2). A stream that a host resumes by itself was placed like a new one, too (H3).

Change: a registration's version is part of endpoint.Record, and a slot request may be bound to one: only such endpoints are considered, under all other rules. A host binds a stream at its first event. Which version began it is known from the stream's origin: while a service has one version, it is that one, and nothing is sent; once there are several, the host that begins a stream sends its origin to three hosts that follow from the stream's ID, those that it already has included, and a host that takes a stream up asks the first six of that ranking. One that finds nothing refuses at once, also with an old copy of the store. A host that has just started asks the others for versions that are gone. The new messages are additions: a keeper of the last release does not see a bound request, rather than choose any engine for it. A queued request that only some endpoints may get no longer holds up those behind it.

--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -129,6 +129,12 @@
 	// 0 if there is none.
 	serial pool.SerialKey
 	trial  fingerprint.Fingerprint
+	// version is the software version at which the request's stream must go on; empty for any, before a stream's first event.
+	version endpoint.Version
+	// begun is true once an event of the request's stream was about to be delivered.
+	begun bool
+	// software is that of the endpoint to which the request was sent last.
+	software endpoint.Version
 	// cause is why the latest attempt failed or the request was refused, for the log.
 	cause string
 	// firstByteAt is when the headers of a streamed answer were sent to the caller, or when an answer that is not streamed was
@@ -157,7 +163,7 @@
 	if c.n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.admit(q) || !c.readBody(q) || !c.streamFits(q) {
+	if !c.admit(q) || !c.readBody(q) || !c.streamFits(q) || !c.n.streams.bind(q) {
 		return
 	}
 	c.n.serve(q)
--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -20,6 +20,7 @@
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/roster"
 	"balsamknot.org/fleet/site"
+	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -141,6 +142,7 @@
 	m.n.slots.handle(now, d)
 	m.n.storeView.handle(now, d)
 	m.n.crashes.handle(now, d)
+	m.n.streams.handle(now, d)
 }
 
 // sendJoinMessage sends known heartbeats and crashes to the sender of a message if changes say that it became live, by its start or
@@ -323,6 +325,15 @@
 	minKeeperHeartbeats = startupRounds + 30
 )
 
+// streamHosts returns the first n other live hosts in the ranking of the replicas of a stream.
+func (m *membership) streamHosts(id stream.ID, n int) []host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids := placement.Rank(streamKey(id), m.live, n+1)
+	ids = slices.DeleteFunc(ids, func(id host.ID) bool { return id == m.n.cfg.Host })
+	return ids[:min(len(ids), n)]
+}
+
 // recordNoReply starts the backoff of a host that did not reply. It does nothing during a backoff.
 func (m *membership) recordNoReply(now time.Time, id host.ID) {
 	m.mu.Lock()
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -20,6 +20,7 @@
 	"balsamknot.org/entry/connection"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/entry/settings"
+	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
 )
@@ -48,6 +49,7 @@
 	callers       *callerHandler
 	meter         *meter
 	crashes       *crashTracker
+	streams       *streamTracker
 	answerMemory  answerMemory
 	draining      atomic.Bool
 	// stopAt is when a draining process ends at the latest, in nanoseconds of the boot clock; 0 before the drain.
@@ -95,6 +97,7 @@
 	n.callers = newCallerHandler(n)
 	n.meter = newMeter(n)
 	n.crashes = newCrashTracker(n)
+	n.streams = newStreamTracker(n)
 	return n
 }
 
@@ -144,6 +147,7 @@
 	n.endpointConns.Sweep()
 	n.callers.sweep(timer.BootClock())
 	n.slots.sweepLimits(timer.BootClock())
+	n.streams.update(timer.BootClock(), stream.Tick{})
 }
 
 // drain prepares a planned stop. The readiness check starts to fail, so that the load balancer removes the host, and the other
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -85,7 +85,7 @@
 	ticket, reply := n.slots.acquire(q.r.Context(), pool.SlotRequested{
 		Service: q.service, Prompt: q.call.Prompt, Priority: q.set.Priority(q.route, q.workspace), TimeLeft: timeLeft / 2,
 		Tried: acquire.Tried, Retry: acquire.Retry, LastTry: q.route.RetryMode == site.NonIdempotent || a.Sends()+1 >= q.route.MaxEndpoints,
-		DataCentre: n.cfg.DataCentre, Serial: q.serial,
+		DataCentre: n.cfg.DataCentre, Serial: q.serial, Version: q.version,
 	})
 	switch c := reply.(type) {
 	case pool.Grant:
@@ -122,6 +122,7 @@
 	q.endpoint = grant.Endpoint.Instance.ID
 	q.logEvent(n.log, zerolog.InfoLevel, event.RequestPlaced).Str("Endpoint", string(q.endpoint)).
 		Str("Keeper", string(grant.Decision.Keeper)).Int("Running", grant.Decision.Running).Int("Limit", grant.Decision.Limit).Int("Missing", grant.Decision.MissingTokens).Int("Fetched", grant.Decision.FetchedTokens).Bool("Suspect", grant.Decision.Suspect).
+		Str("Software", string(grant.Endpoint.Version)).Str("Bound", string(q.version)).
 		Dur("WaitedMs", grant.Decision.Waited).Dur("BeliefMs", n.storeView.age(now)).Send()
 	n.meter.recordGrant(q, now.Sub(q.start), grant.Decision)
 }
@@ -160,13 +161,16 @@
 	case !n.slots.usable(target.Instance):
 		q.cause = "endpoint is leaving or was removed"
 		return pool.Unknown, a.Update(now, attempt.Unreachable{ID: id})
+	case q.version != "" && target.Version != q.version:
+		q.cause = "endpoint has another version than the one that began the stream"
+		return pool.Unknown, a.Update(now, attempt.Unreachable{ID: id})
 	}
 	timeLeft := q.deadline.Sub(now)
 	header := platform.Forward(q.r.Header, platform.ForwardOptions{
 		Workspace: string(q.workspace), Instance: target.Instance, TimeLeft: timeLeft, Priority: q.set.Priority(q.route, q.workspace),
 		LastEventID: q.position(), Fetch: n.slots.endpointAddress(grant.Fetch),
 	})
-	q.instance, q.sentAt = target.Instance, now
+	q.instance, q.software, q.sentAt = target.Instance, target.Version, now
 	n.crashes.update(now, interruption.Sent{Run: q.run()})
 	x, err := n.endpointConns.Do(q.r.Context(), target.Address, connection.Request{
 		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
@@ -301,6 +305,7 @@
 		}
 		n.crashes.recordReceived(q, x)
 		n.startStream(q, a, x)
+		n.bindStream(q)
 		q.lastEventID = events.LastEventID()
 		_, err = q.w.Write(ev)
 		if err := errors.Join(err, control.Flush()); err != nil {
@@ -321,6 +326,18 @@
 	a.Delivering()
 }
 
+// bindStream binds a stream to the version that brought its first event, before the caller gets that event.
+func (n *Node) bindStream(q *request) {
+	if q.begun {
+		return
+	}
+	q.begun = true
+	if q.version == "" {
+		q.version = q.software
+	}
+	n.streams.recordBegin(q)
+}
+
 // position returns the ID of the event after which the endpoint is to continue the stream: the last event delivered for this
 // request, else the one that the caller gave to resume an earlier answer. It is empty if there is none.
 func (q *request) position() string {
--- a/entry/node/slot_manager.go
+++ b/entry/node/slot_manager.go
@@ -164,6 +164,11 @@
 		event.KeeperUnconfirmed = s.justStarted()
 		s.update(now, event)
 	}
+	for _, request := range d.Additions.BoundRequests {
+		event := request.ToPool(d.From)
+		event.KeeperUnconfirmed = s.justStarted()
+		s.update(now, event)
+	}
 	for _, release := range d.SlotReleases {
 		s.update(now, pool.SlotReleased{Ticket: pool.Ticket{Host: d.From, Number: release.Number}, Service: release.Service, Result: release.Result})
 	}
--- a/entry/node/slot_request.go
+++ b/entry/node/slot_request.go
@@ -59,7 +59,7 @@
 // returns nil if the host did not reply in time, if it has no endpoint of the service, or if ctx ended. After a time-out or the
 // end of ctx, it withdraws the request at that host.
 func (s *slotManager) requestFromKeeper(ctx context.Context, keeper host.ID, e pool.SlotRequested, ch chan pool.Command) pool.Command {
-	message := peer.Datagram{SlotRequests: []peer.SlotRequest{peer.FromSlotRequested(e)}}
+	message := peer.SlotRequestMessage(e)
 	s.n.membership.send(keeper, message)
 	lastReply := timer.BootClock()
 	interval, timeout := requestRetryInterval, keeperReplyTimeout
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -16,6 +16,7 @@
 	"balsamknot.org/fleet/interruption"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
+	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
 )
@@ -341,11 +342,13 @@
 		event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRegistered).Str("Endpoint", string(record.Instance.ID)).
 			Str("Service", string(record.Service)).Bool("Leaving", record.Leaving).Send()
 		v.n.crashes.update(now, interruption.Registered{Record: record})
+		v.n.streams.update(now, stream.Registered{Record: record})
 		v.n.slots.update(now, pool.EndpointRegistered{Record: record})
 	}
 	for _, id := range change.Removed {
 		event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRemoved).Str("Endpoint", string(id)).Send()
 		v.n.crashes.update(now, interruption.Removed{ID: id})
+		v.n.streams.update(now, stream.Removed{ID: id})
 		v.n.slots.update(now, pool.EndpointRemoved{ID: id})
 	}
 }
--- /dev/null
+++ b/entry/node/stream_origin_test.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/fleet/timer"
+	"balsamknot.org/platform/standin"
+)
+
+func TestHostThatCanNotKnowTheVersionOfAStreamRefusesAtOnce(t *testing.T) {
+	t.Parallel()
+	s := newVersionSite(t, false, standin.DefaultVersion, secondVersion)
+	s.startNodes(3, 180)
+	require.Equal(t, http.StatusServiceUnavailable, s.takeUp(s.nodes[0], "unknown"))
+	r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodPost, "/stream/x", "unnamed/2", "k1", nil)
+	r.Header.Set(standin.LastEventIDHeader, "1")
+	response := roundTrip(t, r)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "the caller does not name the stream")
+	require.NotEmpty(t, response.Header.Get(standin.RetryAfterHeader))
+	require.Empty(t, s.wentOn)
+}
+
+func TestUnsureHostGoesOnWhereThereIsOneVersion(t *testing.T) {
+	t.Parallel()
+	s := newVersionSite(t, false, standin.DefaultVersion, standin.DefaultVersion)
+	s.startNodes(2, 181)
+	for i := range 10 {
+		require.Equal(t, http.StatusOK, s.takeUp(s.nodes[i%2], fmt.Sprintf("s-%d", i)))
+	}
+}
+
+// A host that has just started sees one version. Another host has seen that a second one is gone since a short time.
+func TestHostThatHasJustStartedAsksForVersionsThatAreGone(t *testing.T) {
+	t.Parallel()
+	s := newVersionSite(t, false, standin.DefaultVersion)
+	gone := s.addEndpoint("i-gone", "engines", func(w http.ResponseWriter, r *http.Request) { s.answer(w, r, secondVersion) })
+	gone.RegisterVersion(secondVersion)
+	s.startNodes(1, 182)
+	require.Eventually(t, func() bool { return s.nodes[0].knowsEndpoint("i-gone") }, time.Minute, time.Millisecond)
+	gone.Deregister()
+	require.Eventually(t, func() bool { return !s.nodes[0].knowsEndpoint("i-gone") }, time.Minute, time.Millisecond)
+	s.addNodes(1, 182)
+	require.Equal(t, http.StatusServiceUnavailable, s.takeUp(s.nodes[1], "s-1"))
+}
+
+// Four of eight hosts end at one moment, the first host of the streams and the keeper among them.
+func TestHalfOfTheStreamsGoOnAfterHalfOfTheHostsEnded(t *testing.T) {
+	t.Parallel()
+	const streams, hosts = 40, 8
+	s := newVersionSite(t, false, standin.DefaultVersion, secondVersion, standin.DefaultVersion, secondVersion)
+	s.startNodes(hosts, 183)
+	var names []string
+	for i := range streams {
+		if name := fmt.Sprintf("s-%d", i); s.begin(s.nodes[0], name) {
+			names = append(names, name)
+		}
+	}
+	killed := 0
+	for _, n := range append([]*testNode{s.nodes[0], s.keeperOf("engines")}, s.nodes...) {
+		if killed < hosts/2 && !n.stopped() {
+			n.kill()
+			killed++
+		}
+	}
+	wentOn := 0
+	for i, name := range names {
+		for s.nodes[i%hosts].stopped() {
+			i++
+		}
+		if s.takeUp(s.nodes[i%hosts], name) == http.StatusOK {
+			wentOn++
+		}
+	}
+	t.Logf("%d of %d streams went on, %d at another version", wentOn, len(names), s.mixed())
+	require.Greater(t, wentOn, len(names)/2)
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+}
+
+// A host that is cut off from the store does not see a version that came up.
+func TestHostWithAnOldCopyOfTheStoreDoesNotTakeItsVersionForTheOnlyOne(t *testing.T) {
+	t.Parallel()
+	s := newVersionSite(t, false, standin.DefaultVersion)
+	s.startNodes(1, 184)
+	n := s.nodes[0]
+	require.Equal(t, http.StatusOK, s.takeUp(n, "s-1"))
+	n.storeFrontend.Stall()
+	require.Eventually(t, func() bool { return n.storeView.age(timer.BootClock()) > staleAge }, time.Minute, time.Millisecond)
+	require.NotEqual(t, http.StatusOK, s.takeUp(n, "s-2"))
+}
+
+func TestRefusalOfAnUnknownStreamIsLogged(t *testing.T) {
+	t.Parallel()
+	s := newVersionSite(t, false, standin.DefaultVersion, secondVersion)
+	s.startNodes(1, 185)
+	require.Equal(t, http.StatusServiceUnavailable, s.takeUp(s.nodes[0], "unknown"))
+	require.Eventually(t, func() bool { return s.nodes[0].log.contains("not known which version began the stream") }, time.Minute, time.Millisecond)
+}
--- a/entry/node/stream_version_test.go
+++ b/entry/node/stream_version_test.go
@@ -44,14 +44,14 @@
 	return s
 }
 
-// stream returns the name of the stream that a request belongs to.
-func stream(requestID string) string {
+// streamName returns the name of the stream that a request belongs to.
+func streamName(requestID string) string {
 	name, _, _ := strings.Cut(requestID, "/")
 	return name
 }
 
 func (s *versionSite) answer(w http.ResponseWriter, r *http.Request, version string) {
-	name := stream(r.Header.Get(standin.RequestIDHeader))
+	name := streamName(r.Header.Get(standin.RequestIDHeader))
 	s.mu.Lock()
 	if r.Header.Get(standin.LastEventIDHeader) != "" {
 		s.wentOn[name] = append(s.wentOn[name], version)
@@ -146,9 +146,9 @@
 			s.startNodes(hosts, ownSubnet)
 			var names []string
 			for i := range streams {
-				stream := fmt.Sprintf("s-%d", i)
-				if s.begin(s.nodes[0], stream) {
-					names = append(names, stream)
+				name := fmt.Sprintf("s-%d", i)
+				if s.begin(s.nodes[0], name) {
+					names = append(names, name)
 				}
 			}
 			require.Greater(t, len(names), streams*3/4)
@@ -163,13 +163,13 @@
 				between(s)
 			}
 			taken, wentOn := 0, 0
-			for i, stream := range names {
+			for i, name := range names {
 				n := s.nodes[1+i%(hosts-1)]
 				if n.stopped() {
 					continue
 				}
 				taken++
-				if s.takeUp(n, stream) == http.StatusOK {
+				if s.takeUp(n, name) == http.StatusOK {
 					wentOn++
 				}
 			}
--- /dev/null
+++ b/entry/node/streams.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/stream"
+	"balsamknot.org/fleet/timer"
+)
+
+// streamTracker knows which software version began each stream that a caller may take up, or asks the hosts that know. It is safe for
+// concurrent use.
+type streamTracker struct {
+	n *Node
+
+	mu       sync.Mutex
+	registry *stream.Registry
+	// lastNonce is the number of the last query, and replies holds the channel of each query that waits for replies.
+	lastNonce uint64
+	replies   map[uint64]chan streamReply
+}
+
+// streamReply is a reply to a query, with the host that sent it.
+type streamReply struct {
+	from host.ID
+	peer.StreamReply
+}
+
+const (
+	// streamReplicas is how many other hosts get the origin of a stream, and streamQueries how many are asked for it: more, since hosts
+	// that have ended or joined meanwhile change the ranking.
+	streamReplicas = 3
+	streamQueries  = 2 * streamReplicas
+	// queryResendInterval is the time after which a query is sent again, and queryTimeout that after which it is given up.
+	queryResendInterval = 15 * time.Millisecond
+	queryTimeout        = 60 * time.Millisecond
+	// freshAge is the age of the copy of the store up to which a host that has seen one version only takes a stream for begun there, and
+	// staleAge that up to which it does so if no other host it asks knows better.
+	freshAge = time.Second
+	staleAge = 2500 * time.Millisecond
+	// unknownOriginRetryAfter is the retry-after time for a stream whose origin this host does not know: another one may.
+	unknownOriginRetryAfter = 100 * time.Millisecond
+	// maxOriginsPerDatagram limits the origins in one datagram.
+	maxOriginsPerDatagram = 32
+)
+
+func newStreamTracker(n *Node) *streamTracker {
+	return &streamTracker{n: n, registry: stream.NewRegistry(timer.BootClock()), replies: make(map[uint64]chan streamReply), lastNonce: rand.Uint64()}
+}
+
+// update applies an event to the registry and sends origins to their replicas.
+func (s *streamTracker) update(now time.Time, e stream.Event) {
+	s.mu.Lock()
+	command := s.registry.Update(now, e)
+	s.mu.Unlock()
+	s.replicate(command.Origins)
+}
+
+// replicate sends each origin to its replicas, those for the same host together.
+func (s *streamTracker) replicate(origins []stream.Origin) {
+	batches := make(map[host.ID][]peer.StreamOrigin)
+	flush := func(id host.ID) {
+		s.n.membership.send(id, peer.Datagram{Additions: peer.Additions{StreamOrigins: batches[id]}})
+		delete(batches, id)
+	}
+	for _, o := range origins {
+		for _, id := range s.n.membership.streamHosts(o.Stream, streamReplicas) {
+			batches[id] = append(batches[id], peer.StreamOrigin{Stream: o.Stream, Service: o.Service, Version: o.Version})
+			if len(batches[id]) == maxOriginsPerDatagram {
+				flush(id)
+			}
+		}
+	}
+	for id := range batches {
+		flush(id)
+	}
+}
+
+// handle processes the messages about streams of a datagram.
+func (s *streamTracker) handle(now time.Time, d peer.Datagram) {
+	for _, o := range d.Additions.StreamOrigins {
+		s.update(now, stream.Received{Origin: stream.Origin{Stream: o.Stream, Service: o.Service, Version: o.Version}})
+	}
+	for _, q := range d.Additions.StreamQueries {
+		s.mu.Lock()
+		version, _ := s.registry.Origin(q.Stream)
+		count, _ := s.registry.Versions(now, q.Service)
+		s.mu.Unlock()
+		reply := peer.StreamReply{Nonce: q.Nonce, Version: version, Several: count > 1}
+		s.n.membership.send(d.From, peer.Datagram{Additions: peer.Additions{StreamReplies: []peer.StreamReply{reply}}})
+	}
+	for _, reply := range d.Additions.StreamReplies {
+		s.mu.Lock()
+		ch := s.replies[reply.Nonce]
+		s.mu.Unlock()
+		select {
+		case ch <- streamReply{d.From, reply}:
+		default:
+		}
+	}
+}
+
+// recordBegin records that the caller got the first event of a stream that it may take up later, or goes on with one here.
+func (s *streamTracker) recordBegin(q *request) {
+	id := stream.IDOf(q.call.ID)
+	if q.takesUp() {
+		id = stream.IDOf(q.call.Resumes)
+	}
+	if id != 0 && q.version != "" {
+		s.update(timer.BootClock(), stream.Begun{Origin: stream.Origin{Stream: id, Service: q.service, Version: q.version}})
+	}
+}
+
+// takesUp reports whether the request takes up a stream that an earlier one began.
+func (q *request) takesUp() bool {
+	return q.route.Streaming && (q.call.LastEventID != "" || q.call.Resumes != "")
+}
+
+// bind sets the version at which a stream that the request takes up must go on. It refuses the request and returns false if this host does
+// not know the version.
+func (s *streamTracker) bind(q *request) bool {
+	if !q.takesUp() {
+		return true
+	}
+	version, known := s.versionOf(q)
+	if !known {
+		q.cause = "it is not known which version began the stream"
+		s.n.refuse(q, http.StatusServiceUnavailable, unknownOriginRetryAfter)
+		return false
+	}
+	q.version = version
+	return true
+}
+
+// versionOf returns the version that began the stream that a request takes up. Without the stream's origin, it is the only version of the
+// service, if there was no other.
+func (s *streamTracker) versionOf(q *request) (endpoint.Version, bool) {
+	id := stream.IDOf(q.call.Resumes)
+	now := timer.BootClock()
+	age := s.n.storeView.age(now)
+	s.mu.Lock()
+	version, known := s.registry.Origin(id)
+	count, only := s.registry.Versions(now, q.service)
+	seenAll := s.registry.SeenAll(now)
+	s.mu.Unlock()
+	switch {
+	case known:
+		return version, true
+	case count == 1 && seenAll && age <= freshAge:
+		return only, true
+	}
+	version, several := s.ask(q.r.Context(), id, peer.StreamQuery{Stream: id, Service: q.service})
+	if version != "" {
+		return version, true
+	}
+	return only, count == 1 && !several && age <= staleAge
+}
+
+// ask asks other hosts for the origin of a stream. It returns an empty version if none that replied in time knows it, and whether one of
+// them has seen several versions of the service.
+func (s *streamTracker) ask(ctx context.Context, id stream.ID, query peer.StreamQuery) (version endpoint.Version, several bool) {
+	hosts := s.n.membership.streamHosts(id, streamQueries)
+	ch := make(chan streamReply, 2*streamQueries)
+	s.mu.Lock()
+	s.lastNonce++
+	query.Nonce = s.lastNonce
+	s.replies[query.Nonce] = ch
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.replies, query.Nonce)
+		s.mu.Unlock()
+	}()
+	send := func() {
+		for _, id := range hosts {
+			s.n.membership.send(id, peer.Datagram{Additions: peer.Additions{StreamQueries: []peer.StreamQuery{query}}})
+		}
+	}
+	send()
+	resend, timeout := time.NewTimer(queryResendInterval), time.NewTimer(queryTimeout)
+	defer resend.Stop()
+	defer timeout.Stop()
+	replied := make(map[host.ID]bool)
+	for len(replied) < len(hosts) {
+		select {
+		case reply := <-ch:
+			replied[reply.from] = true
+			several = several || reply.Several
+			if reply.Version != "" {
+				return reply.Version, several
+			}
+		case <-resend.C:
+			send()
+		case <-timeout.C:
+			return "", several
+		case <-ctx.Done():
+			return "", several
+		}
+	}
+	return "", several
+}
+
+// streamKey is the key by which the replicas of a stream are ranked.
+func streamKey(id stream.ID) string { return "stream/" + strconv.FormatUint(uint64(id), 16) }
--- a/entry/peer/encoding.go
+++ b/entry/peer/encoding.go
@@ -9,9 +9,16 @@
 type Additions struct {
 	_            struct{} `cbor:",toarray"`
 	LimitReports []LimitReport
+	// BoundRequests are slot requests of streams that go on at one software version only.
+	BoundRequests []BoundRequest
+	StreamOrigins []StreamOrigin
+	StreamQueries []StreamQuery
+	StreamReplies []StreamReply
 }
 
-func (a Additions) empty() bool { return len(a.LimitReports) == 0 }
+func (a Additions) empty() bool {
+	return len(a.LimitReports)+len(a.BoundRequests)+len(a.StreamOrigins)+len(a.StreamQueries)+len(a.StreamReplies) == 0
+}
 
 // extendedDatagram is the form of a datagram with Additions.
 type extendedDatagram struct {
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -187,7 +187,7 @@
 	}
 }
 
-// FromSlotRequested converts a slot request to a message. KeeperUnconfirmed and BudgetShare are left out: the receiving
+// FromSlotRequested converts a slot request to a message. Version, which needs a BoundRequest, is left out. KeeperUnconfirmed and BudgetShare are left out: the receiving
 // host sets the first itself, and the second applies only when a host decides in place of an unreachable keeper.
 func FromSlotRequested(e pool.SlotRequested) SlotRequest {
 	return SlotRequest{
--- a/entry/peer/message_test.go
+++ b/entry/peer/message_test.go
@@ -73,6 +73,21 @@
 	require.Equal(t, limit, d.Additions.LimitReports[0].ToPool(now))
 }
 
+func TestBoundSlotRequestSurvivesEncodingAndIsNotSeenByTheLastRelease(t *testing.T) {
+	t.Parallel()
+	bound := slotRequest
+	bound.Version = "v1.2"
+	raw, err := Encode(SlotRequestMessage(bound))
+	require.NoError(t, err)
+	d, err := Decode(raw)
+	require.NoError(t, err)
+	require.Empty(t, d.SlotRequests, "a keeper that can't read the version must not grant any slot")
+	got := d.Additions.BoundRequests[0].ToPool(slotRequest.Ticket.Host)
+	got.Prompt.Tokens = 0
+	require.Equal(t, bound, got)
+	require.Len(t, SlotRequestMessage(slotRequest).SlotRequests, 1)
+}
+
 func FuzzDecode(f *testing.F) {
 	raw, err := Encode(Datagram{From: "a", SlotRequests: []SlotRequest{FromSlotRequested(slotRequest)}})
 	require.NoError(f, err)
--- a/fleet/endpoint/endpoint.go
+++ b/fleet/endpoint/endpoint.go
@@ -12,6 +12,9 @@
 // ID identifies an endpoint. An endpoint keeps its ID when it restarts.
 type ID string
 
+// Version is a version of the software of endpoints, not of the weights of a model. Versions have no order.
+type Version string
+
 // Instance identifies one run of an endpoint, from a start to the next. An endpoint loses its cache and its running
 // requests when it restarts.
 type Instance struct {
@@ -46,6 +49,8 @@
 	Instance   Instance
 	Service    site.ServiceName
 	DataCentre host.DataCentre
+	// Version is the version of the endpoint's software.
+	Version Version
 	// Address is ip:port.
 	Address string
 	// Slots is the number of requests that the endpoint runs at the same time.
--- a/fleet/pool/choice.go
+++ b/fleet/pool/choice.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
 	"balsamknot.org/fleet/chat"
@@ -82,7 +81,7 @@
 		sc.bestCached, sc.bestCachedMissingTokens = st, missingTokens
 	}
 	id := st.record.Instance.ID
-	if !st.hasFreeSlot(sc.loadLimit) || slices.Contains(sc.request.Tried, id) || !sc.limitAllows(st) {
+	if !st.hasFreeSlot(sc.loadLimit) || !sc.request.accepts(st.record) || !sc.limitAllows(st) {
 		return
 	}
 	if id == sc.request.LastEndpoint && !suspect {
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -58,6 +58,9 @@
 	// BudgetShare is the fraction of RetrySlack that the host which processes the event may use; 0 means all of it, for
 	// requests to the service's only keeper.
 	BudgetShare float64
+	// Version is the only software version whose endpoints may get the request, since a stream that it takes up began there; empty if any
+	// may.
+	Version endpoint.Version
 	// Serial is above 0 if no other request with the same Serial may be at the service's endpoints meanwhile.
 	Serial SerialKey
 }
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -291,17 +291,22 @@
 	return append(append(commands, s.drainQueue(now)...), s.flushCacheUpdates(now)...)
 }
 
-// drainQueue grants slots to queued requests in order until the first for which none is free.
+// drainQueue grants slots to queued requests in order until the first for which none is free. A request that not all endpoints may get
+// does not hold up those behind it.
 func (s *service) drainQueue(now time.Time) []Command {
 	var commands []Command
-	for len(s.queue) > 0 && !s.awaitsCacheLists(now) {
-		c, ok := s.choose(now, s.queue[0].request)
-		if !ok {
+	for at := 0; at < len(s.queue) && !s.awaitsCacheLists(now); {
+		next := s.queue[at]
+		c, ok := s.choose(now, next.request)
+		switch {
+		case ok:
+			s.queue = slices.Delete(s.queue, at, at+1)
+			commands = append(commands, s.grant(now, next.request, c, now.Sub(next.queuedAt))...)
+		case next.request.isBound():
+			at++
+		default:
 			return commands
 		}
-		next := s.queue[0]
-		s.queue = s.queue[1:]
-		commands = append(commands, s.grant(now, next.request, c, now.Sub(next.queuedAt))...)
 	}
 	return commands
 }
@@ -349,13 +354,21 @@
 // anyAvailable reports whether an endpoint that the request has not tried is registered and not leaving.
 func (s *service) anyAvailable(e SlotRequested) bool {
 	for _, st := range s.sorted {
-		if !st.record.Leaving && !slices.Contains(e.Tried, st.record.Instance.ID) {
+		if !st.record.Leaving && e.accepts(st.record) {
 			return true
 		}
 	}
 	return false
 }
 
+// accepts reports whether the request may be sent to an endpoint: it was not tried before, and has the version that the request needs.
+func (e SlotRequested) accepts(r endpoint.Record) bool {
+	return (e.Version == "" || e.Version == r.Version) && !slices.Contains(e.Tried, r.Instance.ID)
+}
+
+// isBound reports whether only some of the endpoints may get the request, so that others behind it in the queue need not wait for it.
+func (e SlotRequested) isBound() bool { return e.Version != "" || len(e.Tried) > 0 }
+
 // sortedInstances returns the keys of m in order of ID and start.
 func sortedInstances[V any](m map[endpoint.Instance]V) []endpoint.Instance {
 	return slices.SortedFunc(maps.Keys(m), func(a, b endpoint.Instance) int {
