Soak: endpoints that state a limit, and the guarantee LIMIT

LimitEndpoint makes an endpoint state a limit of up to 9 requests a second for 9 s, in a group of its own; the checker judges arrivals through hosts without faults from 3 s after the first answer with the limit.

--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -17,6 +17,8 @@
 //   - GONE: more than allowedOrphaned requests are executed for more than cancelLimit after their callers disconnected.
 //   - BUDGET: a request that has crashed poisonCrashes endpoints, or requests with a part of a prompt that has crashed
 //     poisonPartCrashes, are executed more than allowedPoisonRetries times after that.
+//   - LIMIT: from knowledgeLimit after an endpoint first stated a limit, more than limitFactor times what the limit allows, plus limitSlack
+//     requests, reach the endpoint within limitWindow through hosts without faults.
 //   - LOST: while requests with such a part are sent, less than half of those that share only its other parts are served.
 //   - RUNNING: the process of a host exits without being stopped, does not exit after SIGTERM, or does not start.
 //   - RECOVER: requests fail, or hosts are not ready, RecoverLimit after the last fault.
@@ -81,6 +83,8 @@
 	drainingSince map[string]Time
 	// poisons holds the requests that crash endpoints, by RequestSent.Poison.
 	poisons map[string]*poison
+	// limits holds the endpoints that state a limit.
+	limits map[string]*limitState
 	// movedService is the service of MovedPath since movedSince. allowedMovedServices holds each service that a configuration
 	// of this run has had for the path.
 	movedService                      string
@@ -102,6 +106,8 @@
 type Counts struct {
 	Sent, Served, Denied, Refused, Failed, Cut, Left int
 	PoisonRuns, PoisonRetries                        int
+	// Limited are the requests on which LIMIT is judged.
+	Limited int
 	// SoundBeside are the requests on which LOST is judged.
 	SoundBeside int
 }
@@ -126,7 +132,7 @@
 	return &Checker{
 		requests: make(map[string]*request), hosts: make(map[int]*faultState), endpoints: make(map[string]*faultState),
 		revokedAt: make(map[string]Time), drainingSince: make(map[string]Time), allowedMovedServices: make(map[string]bool),
-		poisons: make(map[string]*poison), lastStall: -stabilityWindow,
+		poisons: make(map[string]*poison), limits: make(map[string]*limitState), lastStall: -stabilityWindow,
 	}
 }
 
@@ -139,6 +145,12 @@
 			c.poison(e).lastSent = now
 		}
 		c.requests[e.Request] = &request{RequestSent: e, sentAt: now, statuses: make(map[int]bool)}
+	case RequestArrived:
+		c.requestArrived(now, e)
+	case LimitChanged:
+		c.limitChanged(e)
+	case LimitStated:
+		c.limitStated(now, e)
 	case ExecutionStarted:
 		c.executionStarted(now, e)
 	case StatusSent:
@@ -174,6 +186,7 @@
 		startFault(c.endpoints, e.Endpoint)
 	case EndpointFaultEnded:
 		endFault(c.endpoints, e.Endpoint, now)
+		c.forgetLimit(e.Endpoint)
 	case HarnessStalled:
 		c.lastStall = now
 		c.discardSince(e.Since)
@@ -351,7 +364,7 @@
 func (c *Checker) Counts() Counts { return c.counts }
 
 // timedGuarantees have time limits that a slow machine can exceed although the hosts work correctly.
-var timedGuarantees = []string{"DRAIN", "CONFIG", "BUDGET", "LOST", "RECOVER"}
+var timedGuarantees = []string{"DRAIN", "CONFIG", "BUDGET", "LIMIT", "LOST", "RECOVER"}
 
 // Violations returns the violations recorded so far, with late responses (LATE) and orphaned executions (GONE) only if there
 // are more than a run may have. If timed is false, it leaves out these and the violations of timedGuarantees.
--- a/soak/checker/checker_test.go
+++ b/soak/checker/checker_test.go
@@ -24,6 +24,27 @@
 }
 
 // Each case lists the events after the first configuration and the guarantee that they violate, empty for none.
+func TestLimitIsCheckedOnceHostsMustKnowIt(t *testing.T) {
+	t.Parallel()
+	run := func(perSecond int, hostFault bool) []Violation {
+		c := New()
+		c.Record(0, sentEvent(Idempotent, "/x", "k"))
+		c.Record(0, LimitChanged{Endpoint: "e", Limited: true, PerSecond: 2})
+		c.Record(second, LimitStated{Endpoint: "e"})
+		if hostFault {
+			c.Record(2*second, HostFaultStarted{1})
+		}
+		for i := range 10 * perSecond {
+			c.Record(second+Time(i)*second/Time(perSecond), RequestArrived{Request: "1", Endpoint: "e"})
+		}
+		return c.Violations(true)
+	}
+	require.Empty(t, run(4, false), "16 in 4 s are allowed")
+	require.Len(t, run(6, false), 1)
+	require.Equal(t, "LIMIT", run(6, false)[0].Guarantee)
+	require.Empty(t, run(6, true))
+}
+
 func TestCheckerReportsViolatedGuarantee(t *testing.T) {
 	t.Parallel()
 	initialConfig := timedEvent{0, ConfigPublished{Keys: []string{"k"}, MovedService: "a"}}
--- a/soak/checker/event.go
+++ b/soak/checker/event.go
@@ -39,6 +39,20 @@
 	SharesPart bool
 }
 
+// RequestArrived records that a request reached an endpoint, whether or not the endpoint executes it.
+type RequestArrived struct{ Request, Endpoint string }
+
+// LimitChanged records that an endpoint begins to state a limit of PerSecond requests a second in its answers, or another one than before,
+// or no longer states one.
+type LimitChanged struct {
+	Endpoint  string
+	Limited   bool
+	PerSecond float64
+}
+
+// LimitStated records that an endpoint is about to state its limit in an answer.
+type LimitStated struct{ Endpoint string }
+
 // ExecutionStarted records that an endpoint starts to execute a request.
 type ExecutionStarted struct {
 	Request, Endpoint, Service, Path, Workspace string
--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -49,6 +49,8 @@
 	SendPoisonBurst
 	// SendPoisonPart sends different requests, one part of whose prompts crashes each engine that begins to answer them.
 	SendPoisonPart
+	// LimitEndpoint makes an endpoint state in its answers that it takes Fault.PerSecond requests a second.
+	LimitEndpoint
 )
 
 var actionNames = map[Action]string{
@@ -56,7 +58,7 @@
 	BreakLink: "BreakLink", SilenceLink: "SilenceLink", CrashEndpoint: "CrashEndpoint", LeaveEndpoint: "LeaveEndpoint",
 	LapseEndpoint: "LapseEndpoint", SwapEndpoint: "SwapEndpoint", SickenEndpoint: "SickenEndpoint", StopStore: "StopStore",
 	ForgetHistory: "ForgetHistory", MoveRoute: "MoveRoute", RevokeKey: "RevokeKey", SendPoison: "SendPoison",
-	SendPoisonBurst: "SendPoisonBurst", SendPoisonPart: "SendPoisonPart",
+	SendPoisonBurst: "SendPoisonBurst", SendPoisonPart: "SendPoisonPart", LimitEndpoint: "LimitEndpoint",
 }
 
 func (a Action) String() string { return actionNames[a] }
@@ -111,6 +113,8 @@
 	Place    LinkKind
 	Link     network.Fault
 	Sickness Misbehaviour
+	// PerSecond is the limit that LimitEndpoint makes an endpoint state.
+	PerSecond float64
 }
 
 func (f Fault) String() string {
@@ -147,6 +151,9 @@
 	// revokeShare is the probability that a key is also revoked during a fault that delays the delivery of configurations to
 	// hosts.
 	revokeShare = 0.3
+	// limitDuration is how long an endpoint states a limit, which is below maxLimit requests a second.
+	limitDuration = 9 * time.Second
+	maxLimit      = 9.0
 	// maxLinkDelay bounds the delay that a fault adds to a link.
 	maxLinkDelay = 300 * time.Millisecond
 	// initialDelay is the time without faults at the start of a run.
@@ -165,6 +172,7 @@
 	{StopStore, ForgetHistory},
 	{MoveRoute, RevokeKey},
 	{SendPoison, SendPoisonBurst, SendPoisonPart},
+	{LimitEndpoint},
 }
 
 // maxGroups is the largest number of groups that a run uses.
@@ -264,6 +272,8 @@
 		f.For = poisonDuration
 	case SendPoisonPart:
 		f.For = poisonPartDuration
+	case LimitEndpoint:
+		f.For, f.PerSecond = limitDuration, maxLimit*g.random.Float64()
 	case SickenEndpoint:
 		f.Sickness = Misbehaviour(1 + g.random.IntN(int(lastMisbehaviour)))
 	default:
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +37,8 @@
 	cancelRun context.CancelFunc
 	// drainFaults is the number of active faults that keep the endpoint from being registered as ready.
 	drainFaults int
+	// limits holds the limits of the active faults that make the endpoint state one. It states the last of them.
+	limits []float64
 	// crashFaults is the number of active faults that keep the endpoint from listening, and restarts how often it has
 	// restarted.
 	crashFaults, restarts int
@@ -103,6 +106,35 @@
 	}
 }
 
+// startLimit makes the endpoint state a limit until the returned function is called.
+func (e *endpoint) startLimit(perSecond float64) (end func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limits = append(e.limits, perSecond)
+	e.site.record(checker.LimitChanged{Endpoint: e.name, Limited: true, PerSecond: perSecond})
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.limits = slices.DeleteFunc(e.limits, func(limit float64) bool { return limit == perSecond })
+		changed := checker.LimitChanged{Endpoint: e.name}
+		if len(e.limits) > 0 {
+			changed.Limited, changed.PerSecond = true, e.limits[len(e.limits)-1]
+		}
+		e.site.record(changed)
+	}
+}
+
+// stateLimit adds the endpoint's limit, if it has one, to the head of an answer.
+func (e *endpoint) stateLimit(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.limits) == 0 {
+		return
+	}
+	w.Header().Set(standin.LimitHeader, strconv.FormatFloat(e.limits[len(e.limits)-1], 'f', 3, 64))
+	e.site.record(checker.LimitStated{Endpoint: e.name})
+}
+
 // restart ends a crash. The endpoint listens again with a new start time, every other time under a new id, and is registered as ready
 // unless another fault prevents that.
 func (e *endpoint) restart() {
@@ -130,6 +162,8 @@
 	e.mu.Lock()
 	runCtx := e.runCtx
 	e.mu.Unlock()
+	e.site.record(checker.RequestArrived{Request: r.Header.Get(standin.RequestIDHeader), Endpoint: e.name})
+	e.stateLimit(w)
 	misbehaviour := schedule.Misbehaviour(e.misbehaviour.Load())
 	if misbehaviour == schedule.RefuseRequest {
 		standin.RejectNotRun(w, r)
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -68,6 +68,9 @@
 		e.misbehaviour.Store(int64(f.Sickness))
 		defer e.misbehaviour.Store(0)
 		wait()
+	case schedule.LimitEndpoint:
+		defer e.startLimit(f.PerSecond)()
+		wait()
 	case schedule.SendPoison, schedule.SendPoisonBurst:
 		s.sendPoison(ctx, f)
 	case schedule.SendPoisonPart:
