Soak: engines of two versions, callers that take their streams up, and the guarantee ORDER

Every second endpoint has another software version, which its events name. A caller whose stream breaks off after an event takes it up at another host. ORDER: at most two streams of a run hold events of two versions, on any host. LOST: of 12 or more streams that are taken up through hosts without faults, half as many go on as new ones are served.

--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -19,7 +19,9 @@
 //     poisonPartCrashes, are executed more than allowedPoisonRetries times after that.
 //   - LIMIT: from knowledgeLimit after an endpoint first stated a limit, more than limitFactor times what the limit allows, plus limitSlack
 //     requests, reach the endpoint within limitWindow through hosts without faults.
-//   - LOST: while requests with such a part are sent, less than half of those that share only its other parts are served.
+//   - ORDER: more than allowedMixed streams hold events of two software versions.
+//   - LOST: while requests with such a part are sent, less than half of those that share only its other parts are served; or the share of
+//     streams that go on when they are taken up is under half of the share of new streams that are served.
 //   - RUNNING: the process of a host exits without being stopped, does not exit after SIGTERM, or does not start.
 //   - RECOVER: requests fail, or hosts are not ready, RecoverLimit after the last fault.
 //
@@ -93,6 +95,8 @@
 	lastStall                         Time
 	lateResponses, orphanedExecutions []Violation
 	violations                        []Violation
+	// mixedStreams are the streams that hold events of two versions.
+	mixedStreams []Violation
 	// lastFailure is when a request with a valid key last had a result other than Served or Left.
 	lastFailure Time
 	counts      Counts
@@ -106,6 +110,9 @@
 type Counts struct {
 	Sent, Served, Denied, Refused, Failed, Cut, Left int
 	PoisonRuns, PoisonRetries                        int
+	// TakenUp are the streams that callers took up and WentOn those of them that went on, Begun the new streams and Streamed those of them
+	// that were served, all through hosts without faults while no endpoint had one.
+	TakenUp, WentOn, Begun, Streamed int
 	// Limited are the requests on which LIMIT is judged.
 	Limited int
 	// SoundBeside are the requests on which LOST is judged.
@@ -307,6 +314,7 @@
 	r := c.requests[e.Request]
 	c.count(now, e)
 	c.countSound(now, e, r)
+	c.countStream(now, e, r)
 	refusal := e.Seal == "" && (e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable)
 	switch {
 	case e.Defect != "":
@@ -377,6 +385,10 @@
 	}
 	if timed {
 		all = append(all, c.lostViolations()...)
+		all = append(all, c.lostStreams()...)
+	}
+	if len(c.mixedStreams) > allowedMixed {
+		all = append(all, c.mixedStreams...)
 	}
 	if timed && len(c.lateResponses) > allowedLate {
 		all = append(all, c.lateResponses...)
--- a/soak/checker/checker_test.go
+++ b/soak/checker/checker_test.go
@@ -45,6 +45,47 @@
 	require.Empty(t, run(6, true))
 }
 
+func TestStreamsOfTwoVersionsAreCounted(t *testing.T) {
+	t.Parallel()
+	run := func(mixed int) []Violation {
+		c := New()
+		for range mixed {
+			c.Record(0, sentEvent(Resumable, "/x", "k"))
+			c.Record(1, RequestCompleted{Request: "1", Mixed: true})
+		}
+		return c.Violations(false)
+	}
+	require.Empty(t, run(allowedMixed))
+	require.Len(t, run(allowedMixed+1), allowedMixed+1)
+	require.Equal(t, "ORDER", run(allowedMixed + 1)[0].Guarantee)
+}
+
+func TestStreamsThatAreTakenUpMustGoOnHalfAsOftenAsNewOnesBegin(t *testing.T) {
+	t.Parallel()
+	run := func(wentOn int) []Violation {
+		c := New()
+		c.Record(0, ConfigPublished{Keys: []string{"k"}})
+		send := func(takesUp string, status int) {
+			e := sentEvent(Resumable, "/x", "k")
+			e.TakesUp = takesUp
+			c.Record(second, e)
+			c.Record(second, StatusSent{"1", "e", status})
+			c.Record(second, RequestCompleted{Request: "1", Status: status, Seal: "s"})
+		}
+		for i := range 2 * minTakenUp {
+			send("", 200)
+			status := 503
+			if i < wentOn {
+				status = 200
+			}
+			send("0", status)
+		}
+		return c.Violations(true)
+	}
+	require.Empty(t, run(minTakenUp))
+	require.Equal(t, "LOST", run(minTakenUp - 1)[0].Guarantee)
+}
+
 func TestCheckerReportsViolatedGuarantee(t *testing.T) {
 	t.Parallel()
 	initialConfig := timedEvent{0, ConfigPublished{Keys: []string{"k"}, MovedService: "a"}}
--- a/soak/checker/event.go
+++ b/soak/checker/event.go
@@ -35,6 +35,8 @@
 	// empty for other requests. PoisonPart is true for the latter.
 	Poison     string
 	PoisonPart bool
+	// TakesUp is the ID of the request that began the stream which this one takes up; empty for other requests.
+	TakesUp string
 	// SharesPart is true for a request without such a part that shares its other parts with those that have one.
 	SharesPart bool
 }
@@ -75,6 +77,8 @@
 	// Seal is the value of the header standin.SealHeader, which endpoints alone add to a response; it is empty if an entry host
 	// generated the response.
 	Seal string
+	// Mixed is true if the response, complete or not, holds events of another version than the one that began the stream.
+	Mixed bool
 	// Defect describes what is wrong with a complete response; it is empty if the response is correct.
 	Defect string
 }
--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -85,6 +85,10 @@
 type requestSpec struct {
 	id, method, path, key string
 	kind                  checker.Kind
+	// resumes is the ID of the request that began the stream which this one takes up after the event number after, as written by an
+	// endpoint of version; empty for other requests.
+	resumes, version string
+	after            int
 	// parts are the names of the parts of the prompt that requests share; empty for plain services.
 	parts []string
 }
@@ -146,38 +150,46 @@
 		Request: spec.id, Host: c.host, Kind: spec.kind, Path: spec.path, Key: spec.key, Deadline: c.site.Now() + callerDeadline,
 		SharesPart: len(spec.parts) > 0,
 	})
-	result, pause := c.exchange(r, spec)
+	result, pause, broken := c.exchange(r, spec)
 	if result.Status == 0 && disconnects && ctx.Err() != nil {
 		c.site.record(checker.CallerDisconnected{Request: spec.id})
 		return true
 	}
 	c.site.record(result)
+	if broken.after > 0 && ctx.Err() == nil {
+		return c.takeUp(ctx, broken)
+	}
 	timer.Sleep(ctx, pause)
 	return result.Status > 0 && result.Status < http.StatusInternalServerError
 }
 
-// exchange sends a request, reads the response and checks it. It also returns how long the caller waits before its next request.
-func (c *caller) exchange(r *http.Request, spec requestSpec) (result checker.RequestCompleted, pause time.Duration) {
+// exchange sends a request, reads the response and checks it. It also returns how long the caller waits before its next request and, if
+// the response is a stream that broke off after an event, the request that takes it up.
+func (c *caller) exchange(r *http.Request, spec requestSpec) (result checker.RequestCompleted, pause time.Duration, broken requestSpec) {
 	result.Request = spec.id
 	response, err := c.transport.RoundTrip(r)
 	if err != nil {
-		return result, 0
+		return result, 0, broken
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
+	result.Mixed = response.StatusCode == http.StatusOK && spec.mixed(string(body))
 	if err != nil {
-		return result, 0
+		return result, 0, spec.broken(response.StatusCode, string(body))
 	}
 	result.Status, result.Seal = response.StatusCode, response.Header.Get(standin.SealHeader)
 	switch response.StatusCode {
 	case http.StatusOK:
+		if result.Mixed {
+			break
+		}
 		result.Defect = c.defect(spec, result.Seal, string(body))
 	case http.StatusServiceUnavailable:
 		pause = retryAfter(response.Header)
 	case http.StatusUnauthorized:
 		pause = deniedPause
 	}
-	return result, pause
+	return result, pause, broken
 }
 
 // defect describes what is wrong with a response of status 200; it is empty if the response is correct. The seal is the value of
@@ -185,7 +197,7 @@
 func (c *caller) defect(spec requestSpec, seal, body string) string {
 	want := plainBody(spec.id)
 	if spec.kind == checker.Resumable {
-		want = streamBody(spec.id)
+		want = spec.streamBody(body)
 	}
 	switch {
 	case seal == "":
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,6 +29,8 @@
 	name    string
 	service string
 	link    *network.Link
+	// version is the software version of the endpoint, which its events name.
+	version string
 	// misbehaviour is a schedule.Misbehaviour, or 0 if the endpoint responds correctly.
 	misbehaviour atomic.Int64
 
@@ -54,8 +57,8 @@
 	longServiceEvery = 30
 )
 
-func (s *Site) newEndpoint(name, service string) (*endpoint, error) {
-	e := &endpoint{site: s, name: name, service: service}
+func (s *Site) newEndpoint(name, service, version string) (*endpoint, error) {
+	e := &endpoint{site: s, name: name, service: service, version: version}
 	e.runCtx, e.cancelRun = context.WithCancel(context.Background())
 	e.Endpoint = standin.NewEndpoint(s.store, name, service, e.serve)
 	link, err := network.NewLink(e.Listener.Addr().String())
@@ -64,6 +67,7 @@
 	}
 	e.link = link
 	e.RegisterAt(link.Address())
+	e.RegisterVersion(version)
 	return e, nil
 }
 
@@ -201,7 +205,7 @@
 	}
 	e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
 	if e.service == "engines" {
-		e.serveStream(ctx, w, r, id, misbehaviour)
+		e.serveStream(ctx, w, r, cmp.Or(r.Header.Get(standin.ResumesHeader), id), misbehaviour)
 		return
 	}
 	duration := serviceTime
@@ -231,7 +235,7 @@
 	case standin.SharesPart(r, poisonPartPrefix):
 		id := r.Header.Get(standin.RequestIDHeader)
 		e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
-		_, _ = io.WriteString(w, eventText(id, 1))
+		_, _ = io.WriteString(w, eventText(id, e.version, 1))
 		_ = http.NewResponseController(w).Flush()
 	default:
 		return
@@ -257,7 +261,8 @@
 }
 
 // serveStream sends the events after the position in the request's headers, from the first one if there is none. A host sends
-// a position when it resumes an interrupted stream at another endpoint.
+// a position when it resumes an interrupted stream at another endpoint, and a caller when it takes one up. id is the ID of the request that
+// began the stream.
 func (e *endpoint) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, misbehaviour schedule.Misbehaviour) {
 	after, _ := strconv.Atoi(r.Header.Get(standin.LastEventIDHeader))
 	if misbehaviour == schedule.UnframedStream {
@@ -268,7 +273,7 @@
 		if !timer.Sleep(ctx, eventInterval) {
 			panic(http.ErrAbortHandler)
 		}
-		text := eventText(id, n)
+		text := eventText(id, e.version, n)
 		if misbehaviour == schedule.TruncateResponse && n == after+2 {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = http.NewResponseController(w).Flush()
@@ -296,7 +301,7 @@
 			network.Reset(conn)
 			return
 		}
-		_, err = io.WriteString(conn, eventText(id, n))
+		_, err = io.WriteString(conn, eventText(id, e.version, n))
 	}
 }
 
@@ -310,11 +315,11 @@
 	return body
 }
 
-// streamBody returns the only correct response body of a stream that is read from its start.
-func streamBody(id string) string {
+// streamBody returns the only correct response body of a stream that an endpoint of a version sends after a position.
+func streamBody(id, version string, after int) string {
 	body := ""
-	for n := 1; n <= eventCount(id); n++ {
-		body += eventText(id, n)
+	for n := after + 1; n <= eventCount(id); n++ {
+		body += eventText(id, version, n)
 	}
 	return body
 }
@@ -325,6 +330,6 @@
 	return minimum + len(id)*multiplier%spread
 }
 
-func eventText(id string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", n, n, id)
+func eventText(id, version string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: event %d of %s by %s\n\n", n, n, id, version)
 }
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -73,6 +73,9 @@
 // endpointServices names the service of each endpoint.
 var endpointServices = []string{"plain", "plain", "plain", "full", "full", "engines", "engines", "engines", "engines", "engines", "engines"}
 
+// engineVersions are the software versions of the endpoints, in turn.
+var engineVersions = []string{standin.DefaultVersion, "v2"}
+
 // movedServices are the services to which checker.MovedPath is routed in turn.
 var movedServices = []string{"plain", "full"}
 
@@ -105,7 +108,7 @@
 func (s *Site) setUp(ctx context.Context) error {
 	s.publish()
 	for i, service := range endpointServices {
-		e, err := s.newEndpoint(fmt.Sprintf("endpoint-%d", i), service)
+		e, err := s.newEndpoint(fmt.Sprintf("endpoint-%d", i), service, engineVersions[i%len(engineVersions)])
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/soak/site/stream.go
@@ -0,0 +1,82 @@
+package site
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"balsamknot.org/platform/standin"
+	"balsamknot.org/soak/checker"
+)
+
+// beganBy returns the ID of the request that began the stream.
+func (spec requestSpec) beganBy() string { return cmp.Or(spec.resumes, spec.id) }
+
+// streamBody returns the correct response body of a request for a stream: all its events are of one version, that of the events before if
+// there were any, and otherwise that of the first event in body.
+func (spec requestSpec) streamBody(body string) string {
+	version := spec.version
+	for _, candidate := range engineVersions {
+		if version == "" && strings.HasPrefix(body, eventText(spec.beganBy(), candidate, 1)) {
+			version = candidate
+		}
+	}
+	return streamBody(spec.beganBy(), version, spec.after)
+}
+
+// broken returns the request that takes up a stream of which body was received; without an event number if it can't be taken up.
+func (spec requestSpec) broken(status int, body string) requestSpec {
+	if spec.kind != checker.Resumable || status != http.StatusOK {
+		return requestSpec{}
+	}
+	for _, version := range engineVersions {
+		if spec.version != "" && spec.version != version {
+			continue
+		}
+		events := strings.SplitAfter(body, "\n\n")
+		events = events[:len(events)-1]
+		if len(events) == 0 || !slices.Contains(events, eventText(spec.beganBy(), version, spec.after+1)) {
+			continue
+		}
+		next := spec
+		next.id, next.resumes, next.version, next.after = spec.id+"-again", spec.beganBy(), version, spec.after+len(events)
+		return next
+	}
+	return requestSpec{}
+}
+
+// takeUp takes up a stream that broke off, at another host. It returns false if that fails.
+func (c *caller) takeUp(ctx context.Context, spec requestSpec) bool {
+	c.switchHost()
+	r := standin.NewCall(c.site.hosts[c.host].callerLinks.tcpLinks[0].Address(), spec.method, spec.path, spec.id, spec.key, nil).WithContext(ctx)
+	spec.setParts(r)
+	r.Header.Set(standin.LastEventIDHeader, strconv.Itoa(spec.after))
+	r.Header.Set(standin.ResumesHeader, spec.resumes)
+	c.site.record(checker.RequestSent{
+		Request: spec.id, Host: c.host, Kind: spec.kind, Path: spec.path, Key: spec.key, Deadline: c.site.Now() + callerDeadline,
+		TakesUp: spec.resumes,
+	})
+	result, _, _ := c.exchange(r, spec)
+	c.site.record(result)
+	return result.Status == http.StatusOK
+}
+
+// mixed reports whether body holds an event of another version than the one that wrote the stream's first event.
+func (spec requestSpec) mixed(body string) bool {
+	if spec.kind != checker.Resumable {
+		return false
+	}
+	versions := make(map[string]bool)
+	if spec.version != "" {
+		versions[spec.version] = true
+	}
+	for _, version := range engineVersions {
+		if strings.Contains(body, " by "+version+"\n") {
+			versions[version] = true
+		}
+	}
+	return len(versions) > 1
+}
