--- a/entry/peer/message_test.go
+++ b/entry/peer/message_test.go
@@ -101,6 +101,33 @@
 	})
 }
 
+// BenchmarkAdditions reports the encoded size of the message about one stream to one replica, and of the report of one limit.
+func BenchmarkAdditions(b *testing.B) {
+	now := time.Unix(1000, 0)
+	for name, additions := range map[string]Additions{
+		"origin": {StreamOrigins: []StreamOrigin{{Stream: 0xfedcba9876543210, Service: "fiba52a", Version: "v1.2"}}},
+		"limit": {LimitReports: []LimitReport{FromLimitReported(now, pool.LimitReported{
+			Service: "fiba52a", Instance: endpoint.Instance{ID: "i-7f3a91c2", StartedAt: 1770000000000}, Limit: endpoint.Limit{State: endpoint.Limited, PerSecond: 3.1},
+			ObservedAt: now.Add(-300 * time.Millisecond), Grants: 2,
+		})}},
+	} {
+		b.Run(name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				raw, err := Encode(Datagram{From: "front-zone-1", Additions: additions})
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := Decode(raw); err != nil {
+					b.Fatal(err)
+				}
+				size = len(raw)
+			}
+			b.ReportMetric(float64(size), "B/datagram")
+		})
+	}
+}
+
 // BenchmarkSlotMessages reports the encoded size of the messages for one slot that is held for one second: request, reply,
 // release and one repetition of HeldSlot.
 func BenchmarkSlotMessages(b *testing.B) {
--- a/fleet/pool/choice.go
+++ b/fleet/pool/choice.go
@@ -113,7 +113,7 @@
 	if s.available == 0 {
 		return 0
 	}
-	available := float64(s.available) - (1-limitedWeight)*float64(s.limitedCount())
+	available := float64(s.available) - (1-limitedWeight)*float64(s.limited)
 	return int(s.cfg.LoadFactor*float64(s.running)/available + loadMargin)
 }
 
--- a/fleet/pool/limit.go
+++ b/fleet/pool/limit.go
@@ -1,11 +1,8 @@
 package pool
 
 import (
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/site"
@@ -42,30 +39,13 @@
 func (ShareLimits) command() {}
 
 const (
-	// minLimit, in requests a second, is the least that an endpoint with a limit gets, a limit of 0 included: only an answer shows that
-	// the limit has ended.
-	minLimit = 0.25
 	// unreadableLimit, in requests a second, is used for a limit that can't be read if there was none before.
 	unreadableLimit = 1.0
-	// limitBurst is how much of a limit may be saved up for requests that come together.
-	limitBurst = 500 * time.Millisecond
-	// rampTime is how long after the end of a limit an endpoint's requests are still paced. The pace starts at the limit, or at rampStart
-	// requests a second if that is more, and doubles every rampDoubling.
-	rampTime     = 6 * time.Second
-	rampDoubling = time.Second
-	rampStart    = 1.0
 	// limitShareInterval is how often a keeper tells the others how many slots it granted at endpoints with limits.
 	limitShareInterval = 500 * time.Millisecond
 	// limitLifetime is how long the limit of an endpoint that is not registered is kept.
 	limitLifetime = time.Minute
-	// aloneFraction is the part of a host's share of a limit that it uses while it decides alone, since it does not know what the keeper
-	// grants meanwhile. openTurns is how many of the hosts that decide alone have a turn open at the same moment, on average.
-	aloneFraction = 0.5
-	openTurns     = 1.0
-	// limitTrialInterval is the time without an answer after which an endpoint with a limit is no longer avoided, so that an answer
-	// shows whether the limit holds.
-	limitTrialInterval = 2 * time.Second
-	// maxPacedWait is how long a request is queued if endpoints have limits, and maxFirstPacedWait how long if it is the first of the
+	// maxPacedWait is how long a request is queued if many endpoints have limits, and maxFirstPacedWait how long if it is the first of the
 	// queue. With a longer queue all would be late under lasting overload, and no more would be served.
 	maxPacedWait      = 150 * time.Millisecond
 	maxFirstPacedWait = 400 * time.Millisecond
@@ -73,89 +53,6 @@
 	maxPacedRetryAfter = 5 * time.Second
 )
 
-// limiter paces the requests to an endpoint that states a limit, and for rampTime after the limit ended. It is a token bucket.
-type limiter struct {
-	perSecond  float64
-	observedAt time.Time
-	// endedAt is when the first answer without the limit was reported; zero while the limit is in force.
-	endedAt time.Time
-	// tokens is the number of requests that may be granted at updatedAt. It is negative after grants of other keepers.
-	tokens    float64
-	updatedAt time.Time
-	// unshared counts the grants of this keeper that it has not told the others.
-	unshared int
-	sharedAt time.Time
-	// shareTurn is the last turn in which this host granted a slot while it decided alone; see turn.
-	shareTurn int64
-}
-
-// ended reports whether the requests need no pace any more.
-func (l *limiter) ended(now time.Time) bool {
-	return !l.endedAt.IsZero() && now.Sub(l.endedAt) >= rampTime
-}
-
-// avoided reports whether requests that can go elsewhere should. It accepts a nil limiter, of an endpoint without a limit.
-func (l *limiter) avoided(now time.Time) bool {
-	return l != nil && l.endedAt.IsZero() && now.Sub(l.observedAt) < limitTrialInterval
-}
-
-// rate returns the allowed requests a second.
-func (l *limiter) rate(now time.Time) float64 {
-	if l.endedAt.IsZero() {
-		return max(l.perSecond, minLimit)
-	}
-	doublings := max(now.Sub(l.endedAt), 0).Seconds() / rampDoubling.Seconds()
-	return max(l.perSecond, rampStart) * math.Exp2(doublings)
-}
-
-// refill adds the tokens of the time since the last refill, at the rate of its beginning. share is FleetCounted.ReachableShare.
-func (l *limiter) refill(now time.Time, share float64) {
-	if elapsed := now.Sub(l.updatedAt); elapsed > 0 {
-		l.tokens += elapsed.Seconds() * l.rate(l.updatedAt) * share
-		l.updatedAt = now
-	}
-	l.tokens = min(l.tokens, max(1, l.rate(now)*share*limitBurst.Seconds()))
-}
-
-// turn returns the number of the current turn of a host that decides alone, and whether the host may grant a slot in it: it is open for a
-// part of each turn, so that few hosts of a large fleet are at the same moment. share is the host's share of the limit.
-func (l *limiter) turn(now time.Time, self host.ID, share float64) (number int64, open bool) {
-	length := 1 / (l.rate(now) * share * aloneFraction)
-	phase := float64(xxhash.Sum64String(string(self))) / (1 << 64)
-	turns := float64(now.UnixNano())/float64(time.Second)/length + phase
-	whole := math.Floor(turns)
-	return int64(whole), turns-whole < min(1, openTurns*share)
-}
-
-// allows reports whether the request may get a slot now.
-func (l *limiter) allows(now time.Time, e SlotRequested, reachableShare float64) bool {
-	if e.BudgetShare > 0 {
-		number, open := l.turn(now, e.Ticket.Host, e.BudgetShare)
-		return open && number != l.shareTurn
-	}
-	l.refill(now, reachableShare)
-	return l.tokens >= 1
-}
-
-// take counts a slot that was granted to the request.
-func (l *limiter) take(now time.Time, e SlotRequested, reachableShare float64) {
-	l.unshared++
-	if e.BudgetShare > 0 {
-		l.shareTurn, _ = l.turn(now, e.Ticket.Host, e.BudgetShare)
-		return
-	}
-	l.refill(now, reachableShare)
-	l.tokens--
-}
-
-// state returns the limit as it is told to other hosts.
-func (l *limiter) state() endpoint.Limit {
-	if !l.endedAt.IsZero() {
-		return endpoint.Limit{}
-	}
-	return endpoint.Limit{State: endpoint.Limited, PerSecond: l.perSecond}
-}
-
 // reportLimit applies a report about an endpoint's limit.
 func (s *service) reportLimit(now time.Time, e LimitReported) []Command {
 	l := s.limiters[e.Instance]
@@ -166,7 +63,7 @@
 		l = &limiter{perSecond: unreadableLimit, updatedAt: now, sharedAt: now, shareTurn: -1}
 		s.limiters[e.Instance] = l
 		if st := s.endpoints[e.Instance.ID]; st != nil && st.record.Instance == e.Instance {
-			st.limiter = l
+			s.setLimiter(st, l)
 		}
 	}
 	l.refill(now, s.reachableShare)
@@ -189,9 +86,15 @@
 	return s.drainQueue(now)
 }
 
-// tickLimits removes limiters that are no longer needed. An endpoint that had one then counts as loaded as the others, so that it does not
-// get all new requests until it is. tickLimits also tells the other
-// keepers of the grants since the last time.
+// setLimiter sets the limiter of a registered endpoint, nil for none.
+func (s *service) setLimiter(st *endpointState, l *limiter) {
+	s.addToTotals(st, -1)
+	st.limiter = l
+	s.addToTotals(st, 1)
+}
+
+// tickLimits removes limiters that are no longer needed, and tells the other keepers of the grants since the last time. An endpoint that
+// had a limiter then counts as loaded as the others, so that it does not get all new requests until it is.
 func (s *service) tickLimits(now time.Time) []Command {
 	share := ShareLimits{Service: s.name}
 	for _, instance := range sortedInstances(s.limiters) {
@@ -201,7 +104,7 @@
 		if l.ended(now) || (!registered && now.Sub(l.observedAt) > limitLifetime) {
 			delete(s.limiters, instance)
 			if registered {
-				st.limiter = nil
+				s.setLimiter(st, nil)
 				st.recentLoad, st.loadUpdatedAt = max(st.currentLoad(now), s.unlimitedLoad(now).recent), now
 			}
 			continue
@@ -251,19 +154,8 @@
 	return []Command{ShareLimits{Service: s.name, To: t.Host, Limits: []LimitReported{limit}}}
 }
 
-// paced reports whether an endpoint that is not leaving has a limit, so that the service can serve less than its slots suggest.
-func (s *service) paced() bool { return s.limitedCount() > 0 }
-
-// limitedCount returns the number of endpoints with a limiter that are not leaving.
-func (s *service) limitedCount() int {
-	n := 0
-	for instance, l := range s.limiters {
-		if st := s.endpoints[instance.ID]; st != nil && st.limiter == l && !st.record.Leaving {
-			n++
-		}
-	}
-	return n
-}
+// paced reports whether half of the endpoints or more have limits, so that the service can serve much less than its slots suggest.
+func (s *service) paced() bool { return s.limited > 0 && 2*s.limited >= s.available }
 
 // maxWaitAt returns the longest expected wait with which a request is queued at a position of the queue, the first being 1.
 func maxWaitAt(position int) time.Duration {
--- a/fleet/pool/limit_test.go
+++ b/fleet/pool/limit_test.go
@@ -491,3 +491,19 @@
 	require.Positive(t, silent)
 	require.Less(t, silent, 10, "with a mean of one request at the others, twice the mean and three more are less")
 }
+
+func TestOneLimitedEngineDoesNotShortenTheQueueOfTheOthers(t *testing.T) {
+	t.Parallel()
+	queued := func(limited bool) int {
+		s := newLimitSite(t, 1, 4)
+		s.holdTime = time.Minute
+		if limited {
+			s.report(0, limitOf(3))
+		}
+		for range 4*64 + 600 {
+			s.request(0, SlotRequested{TimeLeft: time.Hour})
+		}
+		return s.keepers[0].Queued()
+	}
+	require.GreaterOrEqual(t, queued(true), queued(false))
+}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -37,10 +37,11 @@
 	cfg       Config
 	engine    *site.Engine
 	endpoints map[endpoint.ID]*endpointState
-	// sorted holds the endpoints in order of ID, available counts those that are not leaving, and running is the number of
-	// slots held at all of them.
+	// sorted holds the endpoints in order of ID, available counts those that are not leaving, limited those of these that have a
+	// limiter, and running is the number of slots held at all of them.
 	sorted    []*endpointState
 	available int
+	limited   int
 	running   int
 	heldSlots map[Ticket]*heldSlot
 	// queue is in ascending order of sortKey.
@@ -128,8 +129,12 @@
 // addToTotals adds an endpoint to the totals of the service; a sign of -1 subtracts it.
 func (s *service) addToTotals(st *endpointState, sign int) {
 	s.running += sign * st.running
-	if !st.record.Leaving {
-		s.available += sign
+	if st.record.Leaving {
+		return
+	}
+	s.available += sign
+	if st.limiter != nil {
+		s.limited += sign
 	}
 }
 
@@ -320,8 +325,8 @@
 	return time.Duration(float64(position) / rate * float64(time.Second))
 }
 
-// rate returns how many requests a second the endpoints that are not leaving can complete. If some have limits, that is a share of what
-// these allow, and the load limit counts for the others, which are likely to reach it.
+// rate returns how many requests a second the endpoints that are not leaving can complete. Of those with a limit, that is a share of
+// what it allows; if they are many, the load limit counts for the others, which are likely to reach it.
 func (s *service) rate(now time.Time, share float64) float64 {
 	rate, maxRunning := 0.0, math.MaxInt
 	if s.paced() {
