Soak: build and record a caller's request in one place

Three senders each built the call, set the parts of its prompt and recorded it: a caller's next request, a stream that is taken up, and a request that crashes endpoints. newCall does it for all. The events of a broken stream are split once, not for each version.

--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -187,8 +187,8 @@
 	}
 }
 
-// FromSlotRequested converts a slot request to a message. Version, which needs a BoundRequest, is left out. KeeperUnconfirmed and BudgetShare are left out: the receiving
-// host sets the first itself, and the second applies only when a host decides in place of an unreachable keeper.
+// FromSlotRequested converts a slot request to a message, without Version (see BoundRequest), KeeperUnconfirmed, which the receiving host
+// sets itself, and BudgetShare, which applies only when a host decides in place of an unreachable keeper.
 func FromSlotRequested(e pool.SlotRequested) SlotRequest {
 	return SlotRequest{
 		Number: e.Ticket.Number, Service: e.Service, Parts: fromPrompt(e.Prompt), Priority: e.Priority,
--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -96,6 +96,16 @@
 // sharedPartCount is the number of parts that follow sharedPart in the prompts of callers.
 const sharedPartCount = 5
 
+// newCall returns a request through a host, and records that it is sent. sent holds what spec does not say of it.
+func (s *Site) newCall(ctx context.Context, host int, spec requestSpec, body io.Reader, sent checker.RequestSent) *http.Request {
+	r := standin.NewCall(s.hosts[host].callerLinks.tcpLinks[0].Address(), spec.method, spec.path, spec.id, spec.key, body).WithContext(ctx)
+	spec.setParts(r)
+	sent.Request, sent.Host, sent.Kind, sent.Path, sent.Key = spec.id, host, spec.kind, spec.path, spec.key
+	sent.Deadline = s.Now() + callerDeadline
+	s.record(sent)
+	return r
+}
+
 // setParts sets the header with the parts of the prompt, the last of which is the request's own.
 func (spec requestSpec) setParts(r *http.Request) {
 	if len(spec.parts) == 0 {
@@ -144,12 +154,7 @@
 	if spec.method == http.MethodPost {
 		body = strings.NewReader("body of " + spec.id)
 	}
-	r := standin.NewCall(c.site.hosts[c.host].callerLinks.tcpLinks[0].Address(), spec.method, spec.path, spec.id, spec.key, body).WithContext(ctx)
-	spec.setParts(r)
-	c.site.record(checker.RequestSent{
-		Request: spec.id, Host: c.host, Kind: spec.kind, Path: spec.path, Key: spec.key, Deadline: c.site.Now() + callerDeadline,
-		SharesPart: len(spec.parts) > 0,
-	})
+	r := c.site.newCall(ctx, c.host, spec, body, checker.RequestSent{SharesPart: len(spec.parts) > 0})
 	result, pause, broken := c.exchange(r, spec)
 	if result.Status == 0 && disconnects && ctx.Err() != nil {
 		c.site.record(checker.CallerDisconnected{Request: spec.id})
--- a/soak/site/poison.go
+++ b/soak/site/poison.go
@@ -103,12 +103,8 @@
 	spec.key = keyName(int(s.newestKey.Load()))
 	ctx, cancel := context.WithTimeout(ctx, callerDeadline+deadlineSlack)
 	defer cancel()
-	r := standin.NewCall(s.hosts[host].callerLinks.tcpLinks[0].Address(), spec.method, spec.path, spec.id, spec.key, strings.NewReader(body)).WithContext(ctx)
+	r := s.newCall(ctx, host, spec, strings.NewReader(body), sent)
 	r.Close = true
-	spec.setParts(r)
-	sent.Request, sent.Host, sent.Kind, sent.Path, sent.Key = spec.id, host, spec.kind, spec.path, spec.key
-	sent.Deadline = s.Now() + callerDeadline
-	s.record(sent)
 	result := checker.RequestCompleted{Request: spec.id}
 	if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
 		defer response.Body.Close()
--- a/soak/site/stream.go
+++ b/soak/site/stream.go
@@ -32,13 +32,13 @@
 	if spec.kind != checker.Resumable || status != http.StatusOK {
 		return requestSpec{}
 	}
+	events := strings.SplitAfter(body, "\n\n")
+	events = events[:len(events)-1]
 	for _, version := range engineVersions {
 		if spec.version != "" && spec.version != version {
 			continue
 		}
-		events := strings.SplitAfter(body, "\n\n")
-		events = events[:len(events)-1]
-		if len(events) == 0 || !slices.Contains(events, eventText(spec.beganBy(), version, spec.after+1)) {
+		if !slices.Contains(events, eventText(spec.beganBy(), version, spec.after+1)) {
 			continue
 		}
 		next := spec
@@ -51,14 +51,9 @@
 // takeUp takes up a stream that broke off, at another host. It returns false if that fails.
 func (c *caller) takeUp(ctx context.Context, spec requestSpec) bool {
 	c.switchHost()
-	r := standin.NewCall(c.site.hosts[c.host].callerLinks.tcpLinks[0].Address(), spec.method, spec.path, spec.id, spec.key, nil).WithContext(ctx)
-	spec.setParts(r)
+	r := c.site.newCall(ctx, c.host, spec, nil, checker.RequestSent{TakesUp: spec.resumes})
 	r.Header.Set(standin.LastEventIDHeader, strconv.Itoa(spec.after))
 	r.Header.Set(standin.ResumesHeader, spec.resumes)
-	c.site.record(checker.RequestSent{
-		Request: spec.id, Host: c.host, Kind: spec.kind, Path: spec.path, Key: spec.key, Deadline: c.site.Now() + callerDeadline,
-		TakesUp: spec.resumes,
-	})
 	result, _, _ := c.exchange(r, spec)
 	c.site.record(result)
 	return result.Status == http.StatusOK
