--- a/entry/connection/exchange_test.go
+++ b/entry/connection/exchange_test.go
@@ -57,7 +57,8 @@
 }
 
 func newPool() *Pool {
-	return New(Config{DialTimeout: time.Second, DeadPeerTimeout: 3 * time.Second, IdleTimeout: time.Minute, MaxIdlePerEndpoint: 4})
+	dialer := NewTCPDialer(TCPConfig{DialTimeout: time.Second, DeadPeerTimeout: 3 * time.Second})
+	return New(Config{Dialer: dialer, IdleTimeout: time.Minute, MaxIdlePerEndpoint: 4})
 }
 
 func request(id string) Request {
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -21,13 +21,9 @@
 	"balsamknot.org/fleet/timer"
 )
 
-// Config holds the time-outs and limits of a pool.
+// Config holds the dialer, time-outs and limits of a pool.
 type Config struct {
-	// DialTimeout limits the time to establish a connection.
-	DialTimeout time.Duration
-	// DeadPeerTimeout is how long sent data may stay unacknowledged before the connection fails. TCP keepalive probes are sent
-	// at a third of it, but at least 1 s apart.
-	DeadPeerTimeout time.Duration
+	Dialer Dialer
 	// IdleTimeout is how long an idle connection is kept if its endpoint's answers state no keep-alive time-out.
 	IdleTimeout time.Duration
 	// MaxIdlePerEndpoint is the largest number of idle connections to one address.
@@ -44,8 +40,7 @@
 
 // Pool holds idle connections to endpoints by address. It is safe for concurrent use.
 type Pool struct {
-	cfg    Config
-	dialer net.Dialer
+	cfg Config
 
 	mu   sync.Mutex
 	idle map[string][]*pooledConn
@@ -70,28 +65,7 @@
 const readerSize = 4096
 
 // New returns an empty pool. Close closes its idle connections.
-func New(cfg Config) *Pool {
-	interval := max(cfg.DeadPeerTimeout/3, time.Second)
-	return &Pool{
-		cfg: cfg, idle: make(map[string][]*pooledConn),
-		dialer: net.Dialer{
-			Timeout: cfg.DialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: interval, Interval: interval, Count: 2,
-			},
-			Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, cfg.DeadPeerTimeout) },
-		},
-	}
-}
-
-// setUserTimeout makes the kernel fail a connection whose sent data stays unacknowledged for limit.
-func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-	})
-	return errors.Join(err, optErr)
-}
+func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: make(map[string][]*pooledConn)} }
 
 // get returns an idle connection that is still usable, or a new one.
 func (p *Pool) get(ctx context.Context, address string) (*pooledConn, error) {
@@ -125,7 +99,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.cfg.Dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connect to endpoint %s", address)
 	}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -30,6 +30,8 @@
 	Settings settings.Host
 	Log      zerolog.Logger
 	Timers   *timer.Scheduler
+	// EndpointDialer connects to endpoints; nil means over TCP.
+	EndpointDialer connection.Dialer
 }
 
 // Node is an entry host. New creates it, and Run must be called once.
@@ -86,10 +88,13 @@
 
 // New returns a node; Run opens its sockets and starts its goroutines.
 func New(cfg Config) *Node {
+	if cfg.EndpointDialer == nil {
+		cfg.EndpointDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: dialTimeout, DeadPeerTimeout: connDeadAfter})
+	}
 	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, store: platform.NewStore(cfg.Settings.StoreAddress), engines: platform.NewEngineClient()}
 	n.settings.Store(&cfg.Settings)
 	n.endpointConns = connection.New(connection.Config{
-		DialTimeout: dialTimeout, DeadPeerTimeout: connDeadAfter, IdleTimeout: connIdleTimeout, MaxIdlePerEndpoint: maxIdleConnsPerEndpoint,
+		Dialer: cfg.EndpointDialer, IdleTimeout: connIdleTimeout, MaxIdlePerEndpoint: maxIdleConnsPerEndpoint,
 	})
 	n.membership = newMembership(n)
 	n.slots = newSlotManager(n)
--- a/entry/node/site_test.go
+++ b/entry/node/site_test.go
@@ -37,6 +37,7 @@
 type testNode struct {
 	*Node
 	storeFrontend *standin.Frontend
+	links         *endpointLinks
 	log           *logBuffer
 	stop          context.CancelFunc
 	exited        chan struct{}
@@ -146,10 +147,11 @@
 func (s *testSite) runNode(cfg settings.Host, frontend *standin.Frontend) {
 	log := &logBuffer{}
 	timers := timer.New()
+	links := newEndpointLinks()
 	ctx, stop := context.WithCancel(context.Background())
 	node := &testNode{
-		log: log, storeFrontend: frontend, stop: stop, exited: make(chan struct{}),
-		Node: New(Config{Settings: cfg, Log: zerolog.New(log), Timers: timers}),
+		log: log, storeFrontend: frontend, links: links, stop: stop, exited: make(chan struct{}),
+		Node: New(Config{Settings: cfg, Log: zerolog.New(log), Timers: timers, EndpointDialer: links}),
 	}
 	go func() {
 		defer close(node.exited)
