Connect to endpoints through another host while the own path to them is gone

Callers of hosts without a path to the endpoints got 503 after three connections that timed out, or no answer: 0 of 204 first attempts served, 651 of 657 at the other hosts. Cause: a host connected to endpoints only itself, and it reported what it could not reach as the endpoints' fault, so that the keeper avoided sound endpoints and requests were suspected of crashes.

A direct connection that fails, or takes over 80 ms, is tried through another host beside it. If that one connects, the endpoint lives and the own path is gone: further requests take the tunnel at once, and probes find out when the path is back. If it does not, and is in contact with other endpoints of the service, the endpoint is down. With no failure nothing is sent or probed. The tunnel carries bytes (CONNECT on the port that serves the copy of the store), so that slots, seals, deadlines, streams, versions and limits stay with the first host; the caller's disconnect closes it, its end in the middle of an answer never looks like the answer's end, and a relay never uses another one. Runs without an answer and silence count against an endpoint or a request only after the path was checked. Paths that flap must hold for 2 to 8 s.

Ruled out: to refuse at once, which leaves all callers of a data centre without service; to forward whole requests, which would need framing, at most once and slots a second time at the relay.

Hosts of the last release answer CONNECT with an error, and are no relays; they need nothing new.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -17,7 +17,7 @@
 
 // The events of a node, by topic: 10xx process, 11xx hosts and peers, 12xx documents and platform, 13xx endpoints, 14xx
 // requests, 15xx claims of idempotency keys, 16xx requests that crash endpoints, 19xx defects and log limits, 20xx
-// registrations and endpoint caches, 21xx messages between hosts.
+// registrations and endpoint caches, 21xx messages between hosts, 22xx paths to endpoints.
 const (
 	NodeStarted            Number = 1001
 	NodeReady              Number = 1002
@@ -64,6 +64,9 @@
 	DatagramUnreadable     Number = 2101
 	DatagramSendFailed     Number = 2102
 	KeeperUnresponsive     Number = 2103
+	PathLost               Number = 2201
+	PathRestored           Number = 2202
+	RelayUnavailable       Number = 2203
 )
 
 // Entry is the catalogue's description of an event for operators.
@@ -122,6 +125,9 @@
 	{DatagramUnreadable, "datagram unreadable", "A datagram on the hosts' own port can't be read.", "See who sends it; versions may differ."},
 	{DatagramSendFailed, "datagram not sent", "A datagram to another host could not be sent.", "None, unless it lasts."},
 	{KeeperUnresponsive, "keeper silent", "The host that keeps a service did not answer; the request's own host decided.", "Check that host if it lasts."},
+	{PathLost, "path lost", "This host can't connect to an endpoint, but another host can; requests go through others until it can again. Silent if connections hang; Doubted if only others of the service were tried.", "See what cuts the host off from the endpoint."},
+	{PathRestored, "path restored", "This host connects to the endpoint directly again.", "None."},
+	{RelayUnavailable, "relay unavailable", "A host that was asked to connect this one to an endpoint could not be reached, or can't connect itself.", "None, unless no host can."},
 }
 
 var texts = func() map[Number]string {
--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"balsamknot.org/fleet/host"
 	"balsamknot.org/platform"
 )
 
@@ -162,6 +163,9 @@
 // ConnectedAt returns when the exchange's connection was established, by timer.BootClock.
 func (x *Exchange) ConnectedAt() time.Time { return x.conn.connectedAt }
 
+// Relay returns the host through which the exchange's connection leads; empty for a direct one.
+func (x *Exchange) Relay() host.ID { return x.conn.relay }
+
 // AbortOnDone aborts the exchange when ctx ends, unless stop is called before.
 func (x *Exchange) AbortOnDone(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, x.Abort)
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -11,13 +11,16 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -44,6 +47,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*pooledConn
+	// inUse holds the connections of exchanges by address.
+	inUse map[string]map[*pooledConn]bool
 	// dials counts the connections that were established.
 	dials int64
 }
@@ -55,6 +60,13 @@
 	// reader buffers what limited reads from the connection.
 	reader  *bufio.Reader
 	limited *limitedReader
+	pool    *Pool
+	// relay is the host through which the connection leads; empty for a direct one.
+	relay host.ID
+	// single is true if the connection is not to be used for another request.
+	single atomic.Bool
+	// heardAt is when the last bytes arrived, in nanoseconds of timer.BootClock.
+	heardAt atomic.Int64
 	// connectedAt is when the connection was established, by timer.BootClock.
 	connectedAt time.Time
 	// expires is the time from which the connection is not used again, because the endpoint may be closing it.
@@ -65,16 +77,22 @@
 const readerSize = 4096
 
 // New returns an empty pool. Close closes its idle connections.
-func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: make(map[string][]*pooledConn)} }
+func New(cfg Config) *Pool {
+	return &Pool{cfg: cfg, idle: make(map[string][]*pooledConn), inUse: make(map[string]map[*pooledConn]bool)}
+}
+
+// Relayed is implemented by connections that lead through another host, the relay.
+type Relayed interface{ Relay() host.ID }
 
 // get returns an idle connection that is still usable, or a new one.
 func (p *Pool) get(ctx context.Context, address string) (*pooledConn, error) {
 	for {
 		c := p.popIdle(address)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dialForUse(ctx, address)
 		}
 		if c.silentWhileIdle() {
+			p.use(c)
 			return c, nil
 		}
 		_ = c.Close()
@@ -93,11 +111,45 @@
 		if now.Before(c.expires) {
 			return c
 		}
-		_ = c.Close()
+		_ = c.Conn.Close()
 	}
 	return nil
 }
 
+func (p *Pool) dialForUse(ctx context.Context, address string) (*pooledConn, error) {
+	c, err := p.dial(ctx, address)
+	if err == nil {
+		p.use(c)
+	}
+	return c, err
+}
+
+// use notes that an exchange uses a connection, until it is closed or idle.
+func (p *Pool) use(c *pooledConn) {
+	c.heardAt.Store(timer.BootClock().UnixNano())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inUse[c.address] == nil {
+		p.inUse[c.address] = make(map[*pooledConn]bool)
+	}
+	p.inUse[c.address][c] = true
+}
+
+// unuse notes that no exchange uses a connection any more.
+func (p *Pool) unuse(c *pooledConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if delete(p.inUse[c.address], c); len(p.inUse[c.address]) == 0 {
+		delete(p.inUse, c.address)
+	}
+}
+
+// Close closes the connection.
+func (c *pooledConn) Close() error {
+	c.pool.unuse(c)
+	return c.Conn.Close()
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
 	conn, err := p.cfg.Dialer.Dial(ctx, address)
 	if err != nil {
@@ -106,16 +158,21 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	limited := &limitedReader{r: conn, left: unlimited}
-	return &pooledConn{
-		Conn: conn, address: address, connectedAt: timer.BootClock(), reader: bufio.NewReaderSize(limited, readerSize), limited: limited,
-	}, nil
+	c := &pooledConn{Conn: conn, address: address, pool: p, connectedAt: timer.BootClock()}
+	if relayed, ok := conn.(Relayed); ok {
+		c.relay = relayed.Relay()
+	}
+	c.limited = &limitedReader{r: conn, left: unlimited, heardAt: &c.heardAt}
+	c.reader = bufio.NewReaderSize(c.limited, readerSize)
+	return c, nil
 }
 
 // limitedReader reads at most left bytes of r and then fails with errHeadTooLong.
 type limitedReader struct {
 	r    io.Reader
 	left int64
+	// heardAt is pooledConn.heardAt.
+	heardAt *atomic.Int64
 }
 
 // unlimited is the value of limitedReader.left without a limit.
@@ -130,6 +187,9 @@
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	if n > 0 {
+		l.heardAt.Store(timer.BootClock().UnixNano())
+	}
 	return n, err
 }
 
@@ -169,10 +229,11 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	c.expires = time.Now().Add(lifetime)
+	p.unuse(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= p.cfg.MaxIdlePerEndpoint {
-		_ = c.Close()
+	if c.single.Load() || len(p.idle[c.address]) >= p.cfg.MaxIdlePerEndpoint {
+		_ = c.Conn.Close()
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
@@ -190,7 +251,7 @@
 				unexpired = append(unexpired, c)
 				continue
 			}
-			_ = c.Close()
+			_ = c.Conn.Close()
 		}
 		clear(conns[len(unexpired):])
 		p.idle[address] = unexpired
@@ -200,15 +261,51 @@
 	}
 }
 
-// Listening reports whether something listens at an address (ip:port). It closes the connection that it opens. known is false if
-// neither a connection nor a refusal came in time.
-func (p *Pool) Listening(ctx context.Context, address string) (listening, known bool) {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return false, errors.Is(err, syscall.ECONNREFUSED)
+// DropIdle closes the idle connections to an address.
+func (p *Pool) DropIdle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Conn.Close()
+	}
+	delete(p.idle, address)
+}
+
+// DropThrough closes the idle connections that lead through a host, and those in use when their exchanges have ended.
+func (p *Pool) DropThrough(relay host.ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conns := range p.idle {
+		p.idle[address] = slices.DeleteFunc(conns, func(c *pooledConn) bool {
+			if c.relay == relay {
+				_ = c.Conn.Close()
+			}
+			return c.relay == relay
+		})
+	}
+	for _, conns := range p.inUse {
+		for c := range conns {
+			if c.relay == relay {
+				c.single.Store(true)
+			}
+		}
+	}
+}
+
+// AbortSilent closes the direct connections to an address that are in use and have received nothing for d, so that their exchanges
+// fail with ErrIncomplete.
+func (p *Pool) AbortSilent(now time.Time, address string, d time.Duration) {
+	p.mu.Lock()
+	var silent []*pooledConn
+	for c := range p.inUse[address] {
+		if c.relay == "" && now.UnixNano()-c.heardAt.Load() > int64(d) {
+			silent = append(silent, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range silent {
+		_ = c.Conn.Close()
 	}
-	_ = c.Close()
-	return true, true
 }
 
 // Dials returns the number of connections established since New.
@@ -224,7 +321,7 @@
 	defer p.mu.Unlock()
 	for _, conns := range p.idle {
 		for _, c := range conns {
-			_ = c.Close()
+			_ = c.Conn.Close()
 		}
 	}
 	clear(p.idle)
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -17,6 +17,7 @@
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/fingerprint"
+	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -123,6 +124,11 @@
 	// instance is the incarnation of the endpoint to which the request was sent last, and sentAt when that was.
 	instance endpoint.Instance
 	sentAt   time.Time
+	// address is that endpoint's ip:port, and relay the host through which the request was sent; empty if it was sent directly.
+	address string
+	relay   host.ID
+	// causeKnown is true if it is known whether the endpoint is the cause of the latest failure.
+	causeKnown bool
 	// fps holds the fingerprints of the request and of the parts of its prompt; see fingerprints.
 	fps []fingerprint.Fingerprint
 	// serial is the SerialKey of the latest slot that was requested, and trial the part of the prompt that the request tries out there;
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -199,15 +198,31 @@
 		case interruption.Crashed:
 			recorded = c.record(now, command.Run, false, recorded)
 		case interruption.Silent:
-			silent := command.Run
-			silent.EndedAt = now
-			recorded = c.record(now, silent, true, recorded)
+			c.n.wg.Go(func() { c.recordSilence(command.Run) })
 		}
 	}
 	c.logCrashes(now, c.n.cfg.Host, recorded)
 	c.broadcast(recorded)
 }
 
+// recordSilence records an unconfirmed crash for a run at an endpoint that has sent nothing since, unless this host's own path to it is
+// gone.
+func (c *crashTracker) recordSilence(run interruption.Run) {
+	address := c.n.slots.endpointAddress(run.Endpoint.ID)
+	if address != "" && !c.n.paths.blames(address, run.StartedAt) {
+		event.LogText(c.n.log, zerolog.InfoLevel, event.InterruptionDropped).Uint64("Fingerprint", uint64(run.Fingerprint)).
+			Str("Endpoint", string(run.Endpoint.ID)).Str("Reason", "the path to the endpoint is gone").Send()
+		return
+	}
+	now := timer.BootClock()
+	run.EndedAt = now
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	recorded := c.record(now, run, true, nil)
+	c.logCrashes(now, c.n.cfg.Host, recorded)
+	c.broadcast(recorded)
+}
+
 // record merges a crash that this host observed, for the request and for the parts of its prompt, and appends what is new to recorded.
 // mu must be held.
 func (c *crashTracker) record(now time.Time, run interruption.Run, unconfirmed bool, recorded []peer.Crash) []peer.Crash {
@@ -258,9 +273,9 @@
 
 // probe checks whether an endpoint still listens.
 func (c *crashTracker) probe(p interruption.Probe) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout+relayDelay)
 	defer cancel()
-	listening, known := c.n.endpointConns.Listening(ctx, p.Address)
+	listening, known := c.n.paths.listening(ctx, p.Address)
 	if known {
 		c.update(timer.BootClock(), interruption.Probed{Endpoint: p.Endpoint, Refused: !listening})
 	}
@@ -269,7 +284,8 @@
 // recordUnreachable records that a request could not connect to an endpoint.
 func (c *crashTracker) recordUnreachable(now time.Time, q *request, err error) {
 	c.update(now, interruption.Withdrawn{Request: q.call.ID, Endpoint: q.instance})
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	var failed *pathError
+	if errors.As(err, &failed) && failed.refused {
 		c.update(now, interruption.Probed{Endpoint: q.instance, Refused: true})
 	}
 }
--- a/entry/node/cut_off_test.go
+++ b/entry/node/cut_off_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +23,10 @@
 	mu sync.Mutex
 	// runs counts the runs of each non-idempotent request.
 	runs map[string]int
+	// hold, if it is set, holds the answers up until it is closed. held counts the requests that it holds, and left those whose connection
+	// ended meanwhile.
+	hold       chan struct{}
+	held, left atomic.Int64
 }
 
 func newCutOffSite(t *testing.T, hosts, subnet int) *cutOffSite {
@@ -44,6 +50,15 @@
 		s.mu.Unlock()
 	}
 	time.Sleep(2 * time.Millisecond)
+	if s.hold != nil {
+		s.held.Add(1)
+		select {
+		case <-s.hold:
+		case <-r.Context().Done():
+			s.left.Add(1)
+			return
+		}
+	}
 	if r.URL.Path == "/stream/x" {
 		_, _ = io.WriteString(w, wholeStream)
 		return
@@ -109,17 +124,24 @@
 		name   string
 		form   cutForm
 		cutOff int
+		// endpoints is how many endpoints the hosts lose; 0 means all.
+		endpoints int
 	}{
-		{"one silent", cutSilent, 1}, {"one reset", cutReset, 1}, {"one refused", cutNew, 1}, {"all but one silent", cutSilent, 3},
+		{"one silent", cutSilent, 1, 0}, {"one reset", cutReset, 1, 0}, {"one refused", cutNew, 1, 0}, {"all but one silent", cutSilent, 3, 0},
+		{"one to some endpoints", cutSilent, 1, 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			s := newCutOffSite(t, 4, 131+i)
+			s := newCutOffSite(t, 4, 201+i)
 			for _, n := range s.nodes {
 				s.serve(n, "before", 50*time.Millisecond)
 			}
+			var addresses []string
+			for _, e := range s.endpoints[:c.endpoints] {
+				addresses = append(addresses, e.Listener.Addr().String())
+			}
 			for _, n := range s.nodes[:c.cutOff] {
-				n.links.cut(c.form)
+				n.links.cut(c.form, addresses...)
 			}
 			var wg sync.WaitGroup
 			var mu sync.Mutex
@@ -152,7 +174,7 @@
 	for i, form := range []cutForm{cutSilent, cutReset} {
 		t.Run([]string{"silent", "reset"}[i], func(t *testing.T) {
 			t.Parallel()
-			s := newCutOffSite(t, 4, 136+i)
+			s := newCutOffSite(t, 4, 206+i)
 			s.serve(s.nodes[0], "before", 50*time.Millisecond)
 			s.nodes[0].links.cut(form)
 			var wg sync.WaitGroup
@@ -169,3 +191,141 @@
 		})
 	}
 }
+
+// newRelayedSite returns a site whose first host has lost its path to the endpoints and knows it.
+func newRelayedSite(t *testing.T, hosts, subnet int) *cutOffSite {
+	s := newCutOffSite(t, hosts, subnet)
+	s.nodes[0].links.cut(cutNew)
+	require.Eventually(t, func() bool {
+		s.serve(s.nodes[0], "detect", 100*time.Millisecond)
+		return s.nodes[0].paths.goneCount() > 0
+	}, time.Minute, time.Millisecond)
+	return s
+}
+
+// relayOf returns the node through which the first node of a site has tunnels, once one is in use.
+func (s *cutOffSite) relayOf(t *testing.T) *testNode {
+	var found *testNode
+	require.Eventually(t, func() bool {
+		for _, n := range s.nodes[1:] {
+			if n.paths.tunnelCount() > 0 {
+				found = n
+			}
+		}
+		return found != nil
+	}, time.Minute, time.Millisecond)
+	return found
+}
+
+func TestRequestWhoseRelayIsKilledRunsOnceOrIsSentAgainAsItMay(t *testing.T) {
+	t.Parallel()
+	s := newRelayedSite(t, 2, 211)
+	s.hold = make(chan struct{})
+	for number, want := range map[string]int{"once": http.StatusBadGateway, "again": http.StatusOK} {
+		status := make(chan int, 1)
+		go func() {
+			r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodPost, "/"+number+"/x", "killed-"+number, "k1", nil)
+			response, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				status <- 0
+				return
+			}
+			defer response.Body.Close()
+			_, _ = io.Copy(io.Discard, response.Body)
+			status <- response.StatusCode
+		}()
+		require.Eventually(t, func() bool { return s.held.Load() > 0 }, time.Minute, time.Millisecond)
+		s.nodes[1].paths.closeTunnels()
+		s.held.Store(0)
+		if want == http.StatusOK {
+			require.Eventually(t, func() bool { return s.held.Load() > 0 }, time.Minute, time.Millisecond, "it was not sent again")
+			close(s.hold)
+		}
+		require.Equal(t, want, <-status, number)
+	}
+	require.Equal(t, 1, s.runs["killed-once"])
+}
+
+func TestEndpointStopsWorkWhenTheCallerOfARelayedRequestDisconnects(t *testing.T) {
+	t.Parallel()
+	s := newRelayedSite(t, 2, 212)
+	s.hold = make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodGet, "/again/x", "leaves", "k1", nil).WithContext(ctx)
+	go func() {
+		if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	require.Eventually(t, func() bool { return s.held.Load() > 0 }, time.Minute, time.Millisecond)
+	cancel()
+	require.Eventually(t, func() bool { return s.left.Load() > 0 }, time.Minute, time.Millisecond, "the endpoint was not told")
+	require.Eventually(t, func() bool { return s.nodes[1].paths.tunnelCount() == 0 }, time.Minute, time.Millisecond)
+}
+
+func TestRelayThatDrainsLetsItsTunnelsEnd(t *testing.T) {
+	t.Parallel()
+	s := newRelayedSite(t, 3, 213)
+	s.hold = make(chan struct{})
+	done := make(chan bool, 1)
+	go func() { done <- s.served(s.nodes[0], 0, "drained") }()
+	require.Eventually(t, func() bool { return s.held.Load() > 0 }, time.Minute, time.Millisecond)
+	relay := s.relayOf(t)
+	relay.stop()
+	require.Eventually(t, func() bool { return relay.draining.Load() }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return s.nodes[0].membership.liveCount() == 2 }, time.Minute, time.Millisecond)
+	close(s.hold)
+	require.True(t, <-done)
+	sent, served := s.serve(s.nodes[0], "after", time.Second)
+	require.Equal(t, sent, served)
+	<-relay.exited
+}
+
+func TestRelayDoesNotUseAnotherRelay(t *testing.T) {
+	t.Parallel()
+	s := newCutOffSite(t, 3, 214)
+	for _, n := range s.nodes {
+		n.links.cut(cutNew)
+	}
+	for _, n := range s.nodes {
+		sent, served := s.serve(n, "cut", 300*time.Millisecond)
+		require.Zero(t, served, "of %d", sent)
+		require.Zero(t, n.paths.tunnelCount())
+	}
+	for _, n := range s.nodes {
+		n.links.cut(uncut)
+	}
+	require.Eventually(t, func() bool {
+		served := 0
+		for i, n := range s.nodes {
+			if s.served(n, 1, fmt.Sprintf("back-%d-%d", i, time.Now().UnixNano())) {
+				served++
+			}
+		}
+		return served == len(s.nodes)
+	}, time.Minute, 50*time.Millisecond)
+}
+
+// The path is there for half a second and gone for half a second, in turn.
+func TestPathThatFlapsCostsFewCallers(t *testing.T) {
+	t.Parallel()
+	s := newCutOffSite(t, 3, 215)
+	s.serve(s.nodes[0], "before", 100*time.Millisecond)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for form := cutSilent; ; form = cutSilent - form {
+			s.nodes[0].links.cut(form)
+			select {
+			case <-stop:
+				return
+			case <-time.After(500 * time.Millisecond):
+			}
+		}
+	})
+	s.serve(s.nodes[0], "detect", stableTime)
+	sent, served := s.serve(s.nodes[0], "flap", 4*time.Second)
+	close(stop)
+	wg.Wait()
+	requireServed(t, sent, served, 0, 0)
+}
--- a/entry/node/endpoint_link_test.go
+++ b/entry/node/endpoint_link_test.go
@@ -109,7 +109,7 @@
 			return n, err
 		}
 		if err != nil {
-			if opErr, ok := err.(net.Error); ok && opErr.Timeout() {
+			if isTimeout(err) {
 				return n, err
 			}
 			<-c.closed
--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -18,6 +18,7 @@
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/placement"
 	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/relay"
 	"balsamknot.org/fleet/roster"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/stream"
@@ -206,6 +207,7 @@
 		event.LogText(m.n.log, zerolog.InfoLevel, event.HostChanged).Str("Peer", string(c.Host)).Bool("Live", c.Live).Send()
 		if !c.Live {
 			m.n.slots.update(now, pool.HostRemoved{Host: c.Host})
+			m.n.endpointConns.DropThrough(c.Host)
 		}
 	}
 }
@@ -334,6 +336,19 @@
 	return ids[:min(len(ids), n)]
 }
 
+// relayCandidates returns the other live hosts, which may serve as relays.
+func (m *membership) relayCandidates() []relay.Candidate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	candidates := make([]relay.Candidate, 0, len(m.live))
+	for _, id := range m.live {
+		if id != m.n.cfg.Host {
+			candidates = append(candidates, relay.Candidate{Host: id, DataCentre: m.roster.DataCentre(id)})
+		}
+	}
+	return candidates
+}
+
 // recordNoReply starts the backoff of a host that did not reply. It does nothing during a backoff.
 func (m *membership) recordNoReply(now time.Time, id host.ID) {
 	m.mu.Lock()
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -41,6 +41,7 @@
 	crashesObserved  = `entry_crashes_total{source="observed"}`
 	crashesReceived  = `entry_crashes_total{source="received"}`
 	blockedRequests  = "entry_blocked_requests_total"
+	tunnelsOpened    = "entry_tunnels_opened_total"
 )
 
 // meter holds the metrics of a node.
@@ -51,7 +52,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, tunnelsOpened} {
 		m.set.NewCounter(name)
 	}
 	m.set.NewGauge("entry_requests_in_flight", func() float64 { return float64(n.callers.inFlight.Load()) })
@@ -60,6 +61,8 @@
 	m.set.NewGauge("entry_hosts_live", func() float64 { return float64(n.membership.liveCount()) })
 	m.set.NewGauge("entry_endpoint_connections_total", func() float64 { return float64(n.endpointConns.Dials()) })
 	m.set.NewGauge("entry_limited_endpoints", func() float64 { return float64(n.slots.limitedCount()) })
+	m.set.NewGauge("entry_relayed_endpoints", func() float64 { return float64(n.paths.goneCount()) })
+	m.set.NewGauge("entry_tunnels", func() float64 { return float64(n.paths.tunnelCount()) })
 	m.set.NewGauge("entry_places_held", func() float64 { running, _ := n.slots.counts(); return float64(running) })
 	m.set.NewGauge("entry_places_waiting", func() float64 { _, waiting := n.slots.counts(); return float64(waiting) })
 	return m
@@ -112,6 +115,9 @@
 // recordBlocked counts a request that was refused because its fingerprint is blocked.
 func (m *meter) recordBlocked() { m.set.GetOrCreateCounter(blockedRequests).Inc() }
 
+// recordTunnel counts a connection to an endpoint that this host opened through another one.
+func (m *meter) recordTunnel() { m.set.GetOrCreateCounter(tunnelsOpened).Inc() }
+
 // recordDatagram counts a datagram to another host and its size in bytes.
 func (m *meter) recordDatagram(bytes int) {
 	m.set.GetOrCreateCounter(datagramsSent).Inc()
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -51,9 +51,12 @@
 	callers       *callerHandler
 	meter         *meter
 	crashes       *crashTracker
-	streams       *streamTracker
-	answerMemory  answerMemory
-	draining      atomic.Bool
+	paths         *pathTracker
+	// relayDialer connects to other hosts that serve as relays.
+	relayDialer  connection.Dialer
+	streams      *streamTracker
+	answerMemory answerMemory
+	draining     atomic.Bool
 	// stopAt is when a draining process ends at the latest, in nanoseconds of the boot clock; 0 before the drain.
 	stopAt atomic.Int64
 
@@ -91,10 +94,13 @@
 	if cfg.EndpointDialer == nil {
 		cfg.EndpointDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: dialTimeout, DeadPeerTimeout: connDeadAfter})
 	}
-	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, store: platform.NewStore(cfg.Settings.StoreAddress), engines: platform.NewEngineClient()}
+	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, store: platform.NewStore(cfg.Settings.StoreAddress)}
 	n.settings.Store(&cfg.Settings)
+	n.paths = newPathTracker(n, cfg.EndpointDialer)
+	n.relayDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: peerDialTimeout, DeadPeerTimeout: connDeadAfter})
+	n.engines = platform.NewEngineClient(n.paths.Dial)
 	n.endpointConns = connection.New(connection.Config{
-		Dialer: cfg.EndpointDialer, IdleTimeout: connIdleTimeout, MaxIdlePerEndpoint: maxIdleConnsPerEndpoint,
+		Dialer: n.paths, IdleTimeout: connIdleTimeout, MaxIdlePerEndpoint: maxIdleConnsPerEndpoint,
 	})
 	n.membership = newMembership(n)
 	n.slots = newSlotManager(n)
@@ -136,6 +142,7 @@
 	}
 	_ = n.membership.socket.Close()
 	n.endpointConns.Close()
+	n.paths.closeTunnels()
 	n.wg.Wait()
 	event.LogText(n.log, zerolog.InfoLevel, event.NodeStopped).Int64("InFlight", n.callers.inFlight.Load()).Send()
 	return nil
@@ -146,6 +153,7 @@
 	n.storeView.tick(now)
 	n.slots.tick(now)
 	n.crashes.tick(now)
+	n.paths.tick(now)
 }
 
 func (n *Node) sweep() {
@@ -156,8 +164,8 @@
 }
 
 // drain prepares a planned stop. The readiness check starts to fail, so that the load balancer removes the host, and the other
-// hosts are told that it leaves. Requests that still arrive are served. drain returns when no request is in flight, after at
-// least minDrain, or drainMargin before DrainLimit.
+// hosts are told that it leaves. Requests that still arrive are served. drain returns when no request is in flight and no
+// other host has a tunnel, after at least minDrain, or drainMargin before DrainLimit.
 func (n *Node) drain() {
 	start := timer.BootClock()
 	n.stopAt.Store(start.Add(n.settings.Load().DrainLimit - drainMargin).UnixNano())
@@ -171,7 +179,7 @@
 		if elapsed >= minDrain {
 			n.callers.closeIdle(now)
 		}
-		if elapsed >= n.settings.Load().DrainLimit-drainMargin || (elapsed >= minDrain && n.callers.inFlight.Load() == 0) {
+		if elapsed >= n.settings.Load().DrainLimit-drainMargin || (elapsed >= minDrain && n.callers.inFlight.Load() == 0 && n.paths.tunnelCount() == 0) {
 			return
 		}
 	}
@@ -199,7 +207,7 @@
 	}{
 		{n.cfg.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}},
 		{n.cfg.MetricsAddress, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout}},
-		{n.readerAddress(n.cfg.Address), &http.Server{Handler: n.storeViewHandler(), ReadHeaderTimeout: headerTimeout}},
+		{n.readerAddress(n.cfg.Address), &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout}},
 		{n.cfg.CallerAddress, n.callers.httpServer()},
 	} {
 		if l.address == "" {
@@ -218,10 +226,17 @@
 // MetricsPath is the URL path of the metrics, in the Prometheus text format, on MetricsAddress.
 const MetricsPath = "/metrics"
 
-func (n *Node) storeViewHandler() http.Handler {
+// peerHandler serves other hosts: the copy of the store, and tunnels to endpoints.
+func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+peer.StoreUpdatePath, peer.StoreUpdateHandler(n.storeView.changesAfter))
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			n.paths.serveTunnel(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (n *Node) metricsHandler() http.Handler {
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -92,7 +92,7 @@
 		n.recordGrant(q, c)
 		// Deferred, so that the slot is also released when forward panics because the caller has disconnected.
 		result := pool.Unknown
-		defer func() { n.slots.releaseSlot(ticket, q.service, result) }()
+		defer func() { n.releaseSlot(q, ticket, c.Endpoint.Address, result) }()
 		var next attempt.Command
 		result, next = n.forward(q, a, c)
 		n.recordRetry(q, next)
@@ -109,6 +109,22 @@
 	return nil
 }
 
+// releaseSlot releases the slot of a run at an address. A run without an answer does not count against the endpoint if this host's own path
+// to it is gone; the slot is held until that is known.
+func (n *Node) releaseSlot(q *request, ticket pool.Ticket, address string, result pool.Result) {
+	if q.causeKnown || (result != pool.ConnectionFailed && result != pool.TimedOut) {
+		n.slots.releaseSlot(ticket, q.service, result)
+		return
+	}
+	service, sentAt := q.service, q.sentAt
+	go func() {
+		if !n.paths.blames(address, sentAt) {
+			result = pool.Unknown
+		}
+		n.slots.releaseSlot(ticket, service, result)
+	}()
+}
+
 // setSerial sets the key of the next slot request from the decision on how the request may run.
 func (q *request) setSerial(d fingerprint.Decision) {
 	q.serial, q.trial = pool.SerialKey(d.Serial), 0
@@ -170,7 +186,7 @@
 		Workspace: string(q.workspace), Instance: target.Instance, TimeLeft: timeLeft, Priority: q.set.Priority(q.route, q.workspace),
 		LastEventID: q.position(), Fetch: n.slots.endpointAddress(grant.Fetch),
 	})
-	q.instance, q.software, q.sentAt = target.Instance, target.Version, now
+	q.instance, q.address, q.software, q.sentAt, q.relay, q.causeKnown = target.Instance, target.Address, target.Version, now, "", false
 	n.crashes.update(now, interruption.Sent{Run: q.run()})
 	x, err := n.endpointConns.Do(q.r.Context(), target.Address, connection.Request{
 		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
@@ -180,13 +196,15 @@
 		if q.disconnected() {
 			n.endDisconnected(q)
 		}
-		q.cause = err.Error()
-		return pool.ConnectionFailed, a.Update(timer.BootClock(), attempt.Unreachable{ID: id})
+		q.cause, q.causeKnown = err.Error(), true
+		return resultOfFailedConnection(err), a.Update(timer.BootClock(), attempt.Unreachable{ID: id})
 	}
 	a.Sent(id)
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
+	q.relay = x.Relay()
+	n.paths.heard(target.Address, x)
 	n.slots.recordLimit(q, x)
 	n.crashes.recordReceived(q, x)
 	stop := x.AbortOnDone(q.r.Context())
@@ -195,12 +213,21 @@
 	return n.deliver(q, a, id, x)
 }
 
+// resultOfFailedConnection returns the result of a run for which no connection could be established: Unknown unless the endpoint is the cause.
+func resultOfFailedConnection(err error) pool.Result {
+	var failed *pathError
+	if errors.As(err, &failed) && failed.endpointDown {
+		return pool.ConnectionFailed
+	}
+	return pool.Unknown
+}
+
 // interrupted handles an answer that is missing or incomplete.
 func (n *Node) interrupted(q *request, a *attempt.Attempt, id endpoint.ID, err error) (pool.Result, attempt.Command) {
 	now := timer.BootClock()
 	q.cause = err.Error()
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded) && !now.Before(q.deadline.Add(-time.Millisecond))
-	n.crashes.recordInterruption(now, q, interruption.Interrupted{Broken: !timedOut && !q.disconnected()})
+	n.crashes.recordInterruption(now, q, interruption.Interrupted{Broken: !timedOut && !q.disconnected() && !n.paths.gone(q.address)})
 	switch {
 	case q.disconnected():
 		n.endDisconnected(q)
@@ -282,7 +309,7 @@
 	if status >= http.StatusInternalServerError {
 		level = zerolog.WarnLevel
 	}
-	q.logEvent(n.log, level, event.RequestDone).Int("Status", status).Str("Endpoint", string(q.endpoint)).
+	q.logEvent(n.log, level, event.RequestDone).Int("Status", status).Str("Endpoint", string(q.endpoint)).Str("Relay", string(q.relay)).
 		Dur("FirstMs", q.firstByteAt.Sub(q.start)).Dur("TotalMs", now.Sub(q.start)).Send()
 	n.meter.recordOutcome(q, outcomeOfAnswer(status))
 }
@@ -303,6 +330,7 @@
 		if err != nil {
 			return n.interrupted(q, a, id, err)
 		}
+		n.paths.heard(q.address, x)
 		n.crashes.recordReceived(q, x)
 		n.startStream(q, a, x)
 		n.bindStream(q)
--- a/entry/node/site_test.go
+++ b/entry/node/site_test.go
@@ -97,6 +97,17 @@
 	return strings.Contains(l.buf.String(), text)
 }
 
+// maxLoggedBytes is how much of each node's log a failed test shows.
+const maxLoggedBytes = 4000
+
+// tail returns the last n bytes.
+func (l *logBuffer) tail(n int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buf.Bytes()
+	return string(b[max(len(b)-n, 0):])
+}
+
 func newSite(t *testing.T) *testSite {
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
@@ -161,6 +172,9 @@
 		timers.Stop()
 	}()
 	s.t.Cleanup(func() {
+		if s.t.Failed() {
+			s.t.Logf("the last lines of %s:\n%s", cfg.Host, log.tail(maxLoggedBytes))
+		}
 		stop()
 		<-node.exited
 	})
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -15,6 +15,7 @@
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/interruption"
 	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/relay"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
@@ -341,12 +342,14 @@
 	for _, record := range change.Endpoints {
 		event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRegistered).Str("Endpoint", string(record.Instance.ID)).
 			Str("Service", string(record.Service)).Bool("Leaving", record.Leaving).Send()
+		v.n.paths.update(now, relay.Registered{Record: record})
 		v.n.crashes.update(now, interruption.Registered{Record: record})
 		v.n.streams.update(now, stream.Registered{Record: record})
 		v.n.slots.update(now, pool.EndpointRegistered{Record: record})
 	}
 	for _, id := range change.Removed {
 		event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRemoved).Str("Endpoint", string(id)).Send()
+		v.n.paths.update(now, relay.Removed{ID: id})
 		v.n.crashes.update(now, interruption.Removed{ID: id})
 		v.n.streams.update(now, stream.Removed{ID: id})
 		v.n.slots.update(now, pool.EndpointRemoved{ID: id})
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -301,6 +301,14 @@
 	return p.heartbeat.Address, true
 }
 
+// DataCentre returns the data centre of another host; empty for an unknown one.
+func (r *Roster) DataCentre(id host.ID) host.DataCentre {
+	if p := r.peers[id]; p != nil {
+		return p.heartbeat.DataCentre
+	}
+	return ""
+}
+
 // ids returns the other known hosts, sorted.
 func (r *Roster) ids() []host.ID {
 	ids := make([]host.ID, 0, len(r.peers))
