--- a/entry/node/stream_version_test.go
+++ b/entry/node/stream_version_test.go
@@ -24,7 +24,8 @@
 type versionSite struct {
 	*testSite
 	// breaks is true if engines break streams off, false if they go on until the caller leaves.
-	breaks bool
+	breaks  bool
+	engines []*standin.Endpoint
 
 	mu sync.Mutex
 	// began holds the version that began the stream of a request, and wentOn those that took it up again.
@@ -40,6 +41,7 @@
 	for i, version := range versions {
 		e := s.addEndpoint(fmt.Sprintf("i-%d", i), "engines", func(w http.ResponseWriter, r *http.Request) { s.answer(w, r, version) })
 		e.RegisterVersion(version)
+		s.engines = append(s.engines, e)
 	}
 	return s
 }
