Find the version of a stream that no host remembers in the engines' caches

Cause: only hosts knew a stream's origin, and hosts that had just started vouched for a version to be the only one.

What outlives all hosts: the request, whose prompt is the same when its stream is taken up, and the engines' caches. The last part of a prompt belongs to the stream or its session, so that only engines that read it list it. A host that no other can help asks the service's keeper, which lists the caches once after its start, as keepers do anyway; engines of exactly one version must hold the part. The only version counts without that only if this host or one that replied has run for 30 s. A keeper with an old copy of the store does not reply.

Ruled out: a version that follows from the request's ID, since the versions at the time of its begin are not known later; the store's history, which names removed keys without their version.

Hosts of the last release drop the new queries, alone, and do not reply; the stream is refused as before.

--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -319,6 +319,13 @@
 	return m.rankKeepers(service)
 }
 
+// hasRunFor reports whether a host's process has run for d, as far as this host has received its heartbeats.
+func (m *membership) hasRunFor(id host.ID, d time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.HasSentHeartbeats(id, startupRounds+uint64(d/heartbeatInterval))
+}
+
 const (
 	// maxKeeperCandidates limits the keeper and standbys of a service.
 	maxKeeperCandidates = 10
--- a/entry/node/slot_manager.go
+++ b/entry/node/slot_manager.go
@@ -186,7 +186,7 @@
 	for _, report := range d.Additions.LimitReports {
 		s.update(now, report.ToPool(now))
 	}
-	s.handleStatements(now, d.Statements)
+	s.handleStatements(now, d.Extras)
 	for _, reply := range d.SlotReplies {
 		s.n.membership.recordReply(d.From)
 		s.handleReply(d.From, reply)
--- a/entry/node/statements.go
+++ b/entry/node/statements.go
@@ -117,7 +117,7 @@
 			reports = append(reports, peer.FromStatementReported(now, e))
 		}
 		for _, id := range to {
-			s.n.membership.send(id, peer.Datagram{Statements: peer.Statements{Reports: reports}})
+			s.n.membership.send(id, peer.Datagram{Extras: peer.Extras{Statements: reports}})
 		}
 	}
 }
@@ -131,15 +131,15 @@
 }
 
 // handleStatements processes what another host was told by endpoints.
-func (s *slotManager) handleStatements(now time.Time, statements peer.Statements) {
-	for _, report := range statements.Reports {
+func (s *slotManager) handleStatements(now time.Time, extras peer.Extras) {
+	for _, report := range extras.Statements {
 		e := report.ToPool(now)
 		s.update(now, e)
 		if e.Leaving {
 			s.recordLeaving(now, e.Instance)
 		}
 	}
-	for _, rest := range statements.Rests {
+	for _, rest := range extras.Rests {
 		if rest.Host == s.n.cfg.Host {
 			s.askRest(rest.Instance(), now.Add(time.Duration(rest.LeftMs)*time.Millisecond))
 			continue
@@ -157,7 +157,7 @@
 		return
 	}
 	s.n.endpointConns.DropThrough(relay)
-	s.n.membership.broadcast(peer.Datagram{Statements: peer.Statements{Rests: []peer.RestReport{{
+	s.n.membership.broadcast(peer.Datagram{Extras: peer.Extras{Rests: []peer.RestReport{{
 		Endpoint: q.instance.ID, StartedAt: q.instance.StartedAt, Host: relay, LeftMs: rest.Milliseconds(),
 	}}}})
 }
--- /dev/null
+++ b/entry/node/stream_cache.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/timer"
+)
+
+const (
+	// partQueryInterval is the time after which a keeper is asked again, and partQueryTimeout that after which the query is given up: the
+	// keeper may have to list the engines' caches first.
+	partQueryInterval = 25 * time.Millisecond
+	partQueryTimeout  = 600 * time.Millisecond
+)
+
+// versionByCache returns the version at which a stream began that no host remembers, as after a start of all hosts: the last part of its
+// prompt belongs to the stream or its session, so that only engines which read it cache it. It is not known if engines of several versions do,
+// or none.
+func (s *streamTracker) versionByCache(q *request) (endpoint.Version, bool) {
+	parts := q.call.Prompt.Parts
+	if len(parts) == 0 {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(q.r.Context(), partQueryTimeout)
+	defer cancel()
+	versions := s.versionsCaching(ctx, peer.PartQuery{Service: q.service, Part: parts[len(parts)-1].ID})
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// versionsCaching asks the keeper of a service which versions cache a part, until it has listed the caches or ctx ends.
+func (s *streamTracker) versionsCaching(ctx context.Context, query peer.PartQuery) []endpoint.Version {
+	ch := make(chan []endpoint.Version, 1)
+	s.mu.Lock()
+	s.lastNonce++
+	query.Nonce = s.lastNonce
+	s.partReplies[query.Nonce] = ch
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.partReplies, query.Nonce)
+		s.mu.Unlock()
+	}()
+	ask := time.NewTicker(partQueryInterval)
+	defer ask.Stop()
+	for {
+		keeper := s.n.membership.keeper(timer.BootClock(), query.Service)
+		if keeper == s.n.cfg.Host {
+			s.handlePartMessages(timer.BootClock(), peer.Datagram{From: keeper, Extras: peer.Extras{PartQueries: []peer.PartQuery{query}}})
+		} else {
+			s.n.membership.send(keeper, peer.Datagram{Extras: peer.Extras{PartQueries: []peer.PartQuery{query}}})
+		}
+		select {
+		case versions := <-ch:
+			return versions
+		case <-ask.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// handlePartMessages processes the queries and replies about cached parts of a datagram. A host with an old copy of the store does not reply:
+// it may not know the engines of another version.
+func (s *streamTracker) handlePartMessages(now time.Time, d peer.Datagram) {
+	for _, query := range d.Extras.PartQueries {
+		s.n.slots.update(now, pool.PartQueried{Service: query.Service})
+		versions, known := s.n.slots.versionsCaching(query)
+		if known && s.n.storeView.age(now) <= staleAge {
+			s.replyToPartQuery(d.From, peer.PartReply{Nonce: query.Nonce, Versions: versions})
+		}
+	}
+	for _, reply := range d.Extras.PartReplies {
+		s.mu.Lock()
+		ch := s.partReplies[reply.Nonce]
+		s.mu.Unlock()
+		select {
+		case ch <- reply.Versions:
+		default:
+		}
+	}
+}
+
+func (s *streamTracker) replyToPartQuery(to host.ID, reply peer.PartReply) {
+	d := peer.Datagram{From: s.n.cfg.Host, Extras: peer.Extras{PartReplies: []peer.PartReply{reply}}}
+	if to == s.n.cfg.Host {
+		s.handlePartMessages(timer.BootClock(), d)
+		return
+	}
+	s.n.membership.send(to, d)
+}
+
+// versionsCaching returns what the local keeper knows; known is false while it lists the engines' caches.
+func (s *slotManager) versionsCaching(query peer.PartQuery) (versions []endpoint.Version, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.VersionsCaching(query.Service, query.Part)
+}
--- a/entry/node/streams.go
+++ b/entry/node/streams.go
@@ -25,6 +25,8 @@
 	// lastNonce is the number of the last query, and replies holds the channel of each query that waits for replies.
 	lastNonce uint64
 	replies   map[uint64]chan streamReply
+	// partReplies holds the channel of each query to a keeper.
+	partReplies map[uint64]chan []endpoint.Version
 }
 
 // streamReply is a reply to a query, with the host that sent it.
@@ -52,7 +54,8 @@
 )
 
 func newStreamTracker(n *Node) *streamTracker {
-	return &streamTracker{n: n, registry: stream.NewRegistry(timer.BootClock()), replies: make(map[uint64]chan streamReply), lastNonce: rand.Uint64()}
+	return &streamTracker{n: n, registry: stream.NewRegistry(timer.BootClock()), replies: make(map[uint64]chan streamReply), lastNonce: rand.Uint64(),
+		partReplies: make(map[uint64]chan []endpoint.Version)}
 }
 
 // update applies an event to the registry and sends origins to their replicas.
@@ -105,6 +108,7 @@
 		default:
 		}
 	}
+	s.handlePartMessages(now, d)
 }
 
 // recordBegin records that the caller got the first event of a stream that it may take up later, or goes on with one here.
@@ -140,7 +144,7 @@
 }
 
 // versionOf returns the version that began the stream that a request takes up. Without the stream's origin, it is the only version of the
-// service, if there was no other.
+// service, if a host that has run for long enough has seen no other, and else the one whose engines cache the stream's prompt.
 func (s *streamTracker) versionOf(q *request) (endpoint.Version, bool) {
 	id := stream.IDOf(q.call.Resumes)
 	now := timer.BootClock()
@@ -156,16 +160,19 @@
 	case count == 1 && seenAll && age <= freshAge:
 		return only, true
 	}
-	version, several := s.ask(q.r.Context(), id, peer.StreamQuery{Stream: id, Service: q.service})
-	if version != "" {
+	version, several, othersSeenAll := s.ask(q.r.Context(), id, peer.StreamQuery{Stream: id, Service: q.service})
+	switch {
+	case version != "":
 		return version, true
+	case count == 1 && !several && (seenAll || othersSeenAll) && age <= staleAge:
+		return only, true
 	}
-	return only, count == 1 && !several && age <= staleAge
+	return s.versionByCache(q)
 }
 
-// ask asks other hosts for the origin of a stream. It returns an empty version if none that replied in time knows it, and whether one of
-// them has seen several versions of the service.
-func (s *streamTracker) ask(ctx context.Context, id stream.ID, query peer.StreamQuery) (version endpoint.Version, several bool) {
+// ask asks other hosts for the origin of a stream. It returns an empty version if none that replied in time knows it, whether one of
+// them has seen several versions of the service, and whether one of them has run for long enough to have seen all that count.
+func (s *streamTracker) ask(ctx context.Context, id stream.ID, query peer.StreamQuery) (version endpoint.Version, several, seenAll bool) {
 	hosts := s.n.membership.streamHosts(id, streamQueries)
 	ch := make(chan streamReply, 2*streamQueries)
 	s.mu.Lock()
@@ -193,18 +200,19 @@
 		case reply := <-ch:
 			replied[reply.from] = true
 			several = several || reply.Several
+			seenAll = seenAll || s.n.membership.hasRunFor(reply.from, stream.Lifetime)
 			if reply.Version != "" {
-				return reply.Version, several
+				return reply.Version, several, seenAll
 			}
 		case <-resend.C:
 			send()
 		case <-timeout.C:
-			return "", several
+			return "", several, seenAll
 		case <-ctx.Done():
-			return "", several
+			return "", several, seenAll
 		}
 	}
-	return "", several
+	return "", several, seenAll
 }
 
 // streamKey is the key by which the replicas of a stream are ranked.
--- a/entry/peer/encoding.go
+++ b/entry/peer/encoding.go
@@ -27,27 +27,42 @@
 	Additions Additions
 }
 
-// statingDatagram is the form of a datagram with Statements.
-type statingDatagram struct {
+// Extras holds the lists of a datagram that hosts of the last release, which know Additions, do not know. Any of them may be empty.
+type Extras struct {
 	_          struct{} `cbor:",toarray"`
-	Datagram   Datagram
-	Additions  Additions
-	Statements Statements
+	Statements []StatementReport
+	Rests      []RestReport
+	// PartQueries ask a keeper which software versions cache a part of a prompt, and PartReplies answer that.
+	PartQueries []PartQuery
+	PartReplies []PartReply
 }
 
-// extendedHead is the first byte of an extendedDatagram, a CBOR array of two elements, and statingHead that of a statingDatagram, one of three.
+func (e Extras) empty() bool {
+	return len(e.Statements)+len(e.Rests)+len(e.PartQueries)+len(e.PartReplies) == 0
+}
+
+// datagramWithExtras is the form of a datagram with Extras.
+type datagramWithExtras struct {
+	_         struct{} `cbor:",toarray"`
+	Datagram  Datagram
+	Additions Additions
+	Extras    Extras
+}
+
+// extendedHead is the first byte of an extendedDatagram, a CBOR array of two elements, and extrasHead that of a datagramWithExtras, one of
+// three.
 const (
 	extendedHead = 0x82
-	statingHead  = 0x83
+	extrasHead   = 0x83
 )
 
-// Encode returns the datagram as CBOR: its array, or if it has Additions or Statements an array with these, which hosts of releases that do not
+// Encode returns the datagram as CBOR: its array, or if it has Additions or Extras an array with these, which hosts of releases that do not
 // know them drop.
 func Encode(d Datagram) ([]byte, error) {
 	var message any = d
 	switch {
-	case !d.Statements.empty():
-		message = statingDatagram{Datagram: d, Additions: d.Additions, Statements: d.Statements}
+	case !d.Extras.empty():
+		message = datagramWithExtras{Datagram: d, Additions: d.Additions, Extras: d.Extras}
 	case !d.Additions.empty():
 		message = extendedDatagram{Datagram: d, Additions: d.Additions}
 	}
@@ -65,12 +80,12 @@
 		}
 		e.Datagram.Additions = e.Additions
 		return e.Datagram, nil
-	case len(raw) > 0 && raw[0] == statingHead:
-		var e statingDatagram
+	case len(raw) > 0 && raw[0] == extrasHead:
+		var e datagramWithExtras
 		if err := cbor.Unmarshal(raw, &e); err != nil {
-			return Datagram{}, eris.Wrap(err, "decode datagram with statements")
+			return Datagram{}, eris.Wrap(err, "decode datagram with extras")
 		}
-		e.Datagram.Additions, e.Datagram.Statements = e.Additions, e.Statements
+		e.Datagram.Additions, e.Datagram.Extras = e.Additions, e.Extras
 		return e.Datagram, nil
 	}
 	var d Datagram
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -40,9 +40,9 @@
 	ProbeReplies []ProbeReply
 	Notices      []Notice
 
-	// Additions and Statements are not part of the array; see Encode.
-	Additions  Additions  `cbor:"-"`
-	Statements Statements `cbor:"-"`
+	// Additions and Extras are not part of the array; see Encode.
+	Additions Additions `cbor:"-"`
+	Extras    Extras    `cbor:"-"`
 }
 
 // SlotRequest requests a slot from the keeper of a service, for a caller's request at the sender. See pool.SlotRequested.
--- a/entry/peer/statement.go
+++ b/entry/peer/statement.go
@@ -9,15 +9,6 @@
 	"balsamknot.org/fleet/site"
 )
 
-// Statements holds what endpoints said of themselves in answers. Either list may be empty.
-type Statements struct {
-	_       struct{} `cbor:",toarray"`
-	Reports []StatementReport
-	Rests   []RestReport
-}
-
-func (s Statements) empty() bool { return len(s.Reports)+len(s.Rests) == 0 }
-
 // StatementReport tells another host what an endpoint's answer says of it; see pool.StatementReported.
 type StatementReport struct {
 	_        struct{} `cbor:",toarray"`
--- a/entry/peer/stream.go
+++ b/entry/peer/stream.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"balsamknot.org/fleet/chat"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
@@ -58,3 +59,18 @@
 	// Several is true if the sender has seen more than one version of the service within stream.Lifetime.
 	Several bool
 }
+
+// PartQuery asks the keeper of a service which software versions have an engine that caches a part of a prompt.
+type PartQuery struct {
+	_       struct{} `cbor:",toarray"`
+	Nonce   uint64
+	Service site.ServiceName
+	Part    chat.PartID
+}
+
+// PartReply is the reply to the PartQuery with the same Nonce. It is sent once the keeper has listed the engines' caches.
+type PartReply struct {
+	_        struct{} `cbor:",toarray"`
+	Nonce    uint64
+	Versions []endpoint.Version
+}
--- a/fleet/pool/cache_list.go
+++ b/fleet/pool/cache_list.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"balsamknot.org/fleet/chat"
@@ -21,8 +22,12 @@
 	Parts    []chat.PartID
 }
 
+// PartQueried asks which versions cache a part of a prompt. The keeper lists the caches, once, if it has not; see Keeper.VersionsCaching.
+type PartQueried struct{ Service site.ServiceName }
+
 func (ListCaches) command() {}
 func (CacheListed) event()  {}
+func (PartQueried) event()  {}
 
 // cacheListWait is how long a keeper without cache information queues requests while it waits for the lists. Processing
 // a prompt again takes longer than that.
@@ -32,6 +37,8 @@
 type cacheListing struct {
 	// started is also set when another keeper has sent the cache contents, so that no listing is needed.
 	started bool
+	// listed is true if this keeper itself has requested lists: what other keepers send has no parts that only one request uses.
+	listed bool
 	// outstanding is the number of engines that have not been listed yet; after deadline requests no longer wait for them.
 	outstanding int
 	deadline    time.Time
@@ -43,7 +50,20 @@
 	if s.listing.started || s.engine == nil || e.KeeperUnconfirmed {
 		return nil
 	}
-	s.listing = cacheListing{started: true, deadline: now.Add(cacheListWait)}
+	return s.startListing(now.Add(cacheListWait))
+}
+
+// queryPart starts the cache listing unless this keeper has done one. No request waits for it.
+func (s *service) queryPart(now time.Time) []Command {
+	if s.listing.listed || s.engine == nil {
+		return nil
+	}
+	return s.startListing(now)
+}
+
+// startListing requests the lists of all engines. Requests wait for them until deadline.
+func (s *service) startListing(deadline time.Time) []Command {
+	s.listing = cacheListing{started: true, listed: true, deadline: deadline}
 	list := ListCaches{Service: s.name}
 	for _, st := range s.sorted {
 		list.Endpoints = append(list.Endpoints, st.record)
@@ -63,6 +83,22 @@
 	return s.drainQueue(now)
 }
 
+// VersionsCaching returns the software versions whose engines are known to cache a part of a prompt, in order. known is false while the
+// engines' lists are missing.
+func (k *Keeper) VersionsCaching(name site.ServiceName, part chat.PartID) (versions []endpoint.Version, known bool) {
+	s := k.service(name)
+	if !s.listing.listed || s.listing.outstanding > 0 {
+		return nil, false
+	}
+	for _, st := range s.sorted {
+		if _, cached := st.cachedParts[part]; cached {
+			versions = append(versions, st.record.Version)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions), true
+}
+
 // awaitsCacheLists reports whether requests are to stay queued until the cache lists have arrived.
 func (s *service) awaitsCacheLists(now time.Time) bool {
 	return s.listing.outstanding > 0 && now.Before(s.listing.deadline)
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -57,8 +57,8 @@
 		k.service(e.Service).adoptSlot(now, e)
 	case CacheUpdated:
 		k.service(e.Service).applyCacheUpdate(now, e)
-	case CacheListed:
-		return k.service(e.Service).cacheListed(now, e)
+	case CacheListed, PartQueried:
+		return k.list(now, e)
 	case LimitReported, StatementReported:
 		return k.report(now, e)
 	case FleetCounted:
@@ -79,6 +79,17 @@
 	return nil
 }
 
+// list processes the events of the cache listing.
+func (k *Keeper) list(now time.Time, event Event) []Command {
+	switch e := event.(type) {
+	case CacheListed:
+		return k.service(e.Service).cacheListed(now, e)
+	case PartQueried:
+		return k.service(e.Service).queryPart(now)
+	}
+	return nil
+}
+
 // report applies what an answer says of its endpoint.
 func (k *Keeper) report(now time.Time, event Event) []Command {
 	switch e := event.(type) {
