--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -7,7 +7,8 @@
 //   - TWICE: a non-idempotent request is executed more than once.
 //   - REFUSED: a non-idempotent request that a host refused with status 429 or 503 is executed, before or after the refusal.
 //   - KEY: a request is executed whose API key was never valid, or was revoked more than revokeLimit before the request was sent.
-//   - DRAIN: a request is executed at an endpoint that had been draining for more than drainLimit when the request was sent.
+//   - DRAIN: a request is executed at an endpoint that had been draining for more than drainLimit when the request was sent, or whose
+//     answers had told its host so long before that it leaves.
 //   - ROUTE: a request is executed by a service to which its path was never routed.
 //   - CONFIG: a request is executed by the previous service of its path, although it was sent more than applyLimit after the
 //     change.
@@ -16,9 +17,11 @@
 //   - LATE: more than allowedLate requests end, with a response or without one, more than lateTolerance after their deadlines.
 //   - GONE: more than allowedOrphaned requests are executed for more than cancelLimit after their callers disconnected.
 //   - BUDGET: a request that has crashed poisonCrashes endpoints, or requests with a part of a prompt that has crashed
-//     poisonPartCrashes, are executed more than allowedPoisonRetries times after that.
-//   - LIMIT: from knowledgeLimit after an endpoint first stated a limit, more than limitFactor times what the limit allows, plus limitSlack
-//     requests, reach the endpoint within limitWindow through hosts without faults.
+//     poisonPartCrashes, are executed more than allowedPoisonRetries times after that; or an endpoint that asked a host for rest gets more
+//     than allowedInRest requests of it from restGrace later until the end of that time.
+//   - LIMIT: from KnowledgeLimit after an endpoint first stated a limit, more than limitFactor times what the limit allows, plus limitSlack
+//     requests, reach the endpoint within limitWindow through hosts without faults; or the endpoints of a service fall more often than allowedFalls,
+//     plus fallShare of their number, in one time in which they are brittle.
 //   - ORDER: more than allowedMixed streams hold events of two software versions.
 //   - LOST: while requests with such a part are sent, less than half of those that share only its other parts are served; or the share of
 //     streams that go on when they are taken up is under half of the share of new streams that are served.
@@ -86,7 +89,8 @@
 	// poisons holds the requests that crash endpoints, by RequestSent.Poison.
 	poisons map[string]*poison
 	// limits holds the endpoints that state a limit.
-	limits map[string]*limitState
+	limits     map[string]*limitState
+	statements statements
 	// movedService is the service of MovedPath since movedSince. allowedMovedServices holds each service that a configuration
 	// of this run has had for the path.
 	movedService                      string
@@ -115,6 +119,8 @@
 	TakenUp, WentOn, Begun, Streamed int
 	// Limited are the requests on which LIMIT is judged.
 	Limited int
+	// Rested are the requests that reached an endpoint in the time for which it had asked their host for rest.
+	Rested int
 	// SoundBeside are the requests on which LOST is judged.
 	SoundBeside int
 }
@@ -139,7 +145,7 @@
 	return &Checker{
 		requests: make(map[string]*request), hosts: make(map[int]*faultState), endpoints: make(map[string]*faultState),
 		revokedAt: make(map[string]Time), drainingSince: make(map[string]Time), allowedMovedServices: make(map[string]bool),
-		poisons: make(map[string]*poison), limits: make(map[string]*limitState), lastStall: -stabilityWindow,
+		poisons: make(map[string]*poison), limits: make(map[string]*limitState), statements: newStatements(), lastStall: -stabilityWindow,
 	}
 }
 
@@ -179,6 +185,7 @@
 		c.addViolation(now, "RUNNING", "host %d: %s", e.Host, e.Reason)
 	default:
 		c.recordFault(now, event)
+		c.recordStatement(now, event)
 	}
 }
 
--- a/soak/checker/checker_test.go
+++ b/soak/checker/checker_test.go
@@ -222,13 +222,13 @@
 		at := 5 * second
 		for i := range c.crashes {
 			if i >= poisonPartCrashes {
-				at += 2 * knowledgeLimit
+				at += 2 * KnowledgeLimit
 			}
 			sent.Request = fmt.Sprint(i)
 			checker.Record(at, sent)
 			checker.Record(at, ExecutionStarted{Request: sent.Request, Endpoint: "e", Service: "a", Path: "/x", Workspace: "w"})
 		}
-		at += 3 * knowledgeLimit
+		at += 3 * KnowledgeLimit
 		sent.Request = "refused"
 		checker.Record(at, sent)
 		for i := range minSound {
--- a/soak/checker/event.go
+++ b/soak/checker/event.go
@@ -55,6 +55,27 @@
 // LimitStated records that an endpoint is about to state its limit in an answer.
 type LimitStated struct{ Endpoint string }
 
+// RestAsked records that an endpoint is about to turn a request away and to ask its host for rest.
+type RestAsked struct {
+	Request, Endpoint string
+	For               time.Duration
+}
+
+// LeavingStated records that an endpoint is about to say in an answer that it leaves. LeavingEnded records that it starts anew.
+type LeavingStated struct{ Request, Endpoint string }
+
+// LeavingEnded records that an endpoint that said that it leaves starts anew.
+type LeavingEnded struct{ Endpoint string }
+
+// BrittleStarted records that all endpoints of a service begin to say that they are brittle.
+type BrittleStarted struct {
+	Service   string
+	Endpoints int
+}
+
+// EndpointFell records that a brittle endpoint fell because it had to turn away too many requests.
+type EndpointFell struct{ Service, Endpoint string }
+
 // ExecutionStarted records that an endpoint starts to execute a request.
 type ExecutionStarted struct {
 	Request, Endpoint, Service, Path, Workspace string
--- a/soak/checker/limit.go
+++ b/soak/checker/limit.go
@@ -42,7 +42,10 @@
 
 func (c *Checker) requestArrived(now Time, e RequestArrived) {
 	l, r := c.limits[e.Endpoint], c.requests[e.Request]
-	if l == nil || r == nil || l.statedAt == 0 || now < l.statedAt+knowledgeLimit || !c.hostStable(now, r.Host) || !faultFree(c.endpoints, e.Endpoint, now, 0) {
+	if r != nil {
+		c.checkRest(now, e, r)
+	}
+	if l == nil || r == nil || l.statedAt == 0 || now < l.statedAt+KnowledgeLimit || !c.hostStable(now, r.Host) || !faultFree(c.endpoints, e.Endpoint, now, 0) {
 		return
 	}
 	c.counts.Limited++
--- a/soak/checker/poison.go
+++ b/soak/checker/poison.go
@@ -11,23 +11,23 @@
 // Limits of BUDGET and LOST.
 const (
 	// poisonCrashes is the number of endpoints that a request may crash, and poisonPartCrashes the number that a part of a prompt may.
-	// After knowledgeLimit, allowedPoisonRetries further copies or requests with the part may be executed.
+	// After KnowledgeLimit, allowedPoisonRetries further copies or requests with the part may be executed.
 	poisonCrashes        = 3
 	poisonPartCrashes    = 5
-	knowledgeLimit       = 3 * time.Second
+	KnowledgeLimit       = 3 * time.Second
 	allowedPoisonRetries = 3
 	// minSound is the least number of requests beside a part that crashes engines on which LOST is judged.
 	minSound = 20
 )
 
 // poison is a request that crashes each endpoint that executes it, or a part of prompts that does. limitAt is when it crashed the last
-// endpoint that it may, and retries how often a host without faults sent it to an endpoint more than knowledgeLimit after that.
+// endpoint that it may, and retries how often a host without faults sent it to an endpoint more than KnowledgeLimit after that.
 // lastSent is when the last copy of it was sent.
 type poison struct {
 	isPart            bool
 	crashes, retries  int
 	limitAt, lastSent Time
-	// sound counts the requests that share only other parts, from 2 knowledgeLimit after limitAt, and served those that were served.
+	// sound counts the requests that share only other parts, from 2 KnowledgeLimit after limitAt, and served those that were served.
 	sound, served int
 }
 
@@ -46,7 +46,7 @@
 	switch {
 	case p.crashes == p.allowedCrashes():
 		p.limitAt = now
-	case p.crashes > p.allowedCrashes() && r.sentAt > p.limitAt+knowledgeLimit && c.hostStable(now, r.Host):
+	case p.crashes > p.allowedCrashes() && r.sentAt > p.limitAt+KnowledgeLimit && c.hostStable(now, r.Host):
 		c.counts.PoisonRetries++
 		if p.retries++; p.retries > allowedPoisonRetries {
 			c.addViolation(now, "BUDGET", "%s is executed at %s, the %d. endpoint that it crashes, through host %d", r.Request, e.Endpoint, p.crashes, r.Host)
@@ -71,7 +71,7 @@
 		return
 	}
 	for _, p := range c.poisons {
-		if !p.isPart || p.crashes < p.allowedCrashes() || r.sentAt < p.limitAt+2*knowledgeLimit || now-p.lastSent > knowledgeLimit {
+		if !p.isPart || p.crashes < p.allowedCrashes() || r.sentAt < p.limitAt+2*KnowledgeLimit || now-p.lastSent > KnowledgeLimit {
 			continue
 		}
 		c.counts.SoundBeside++
--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -51,6 +51,13 @@
 	SendPoisonPart
 	// LimitEndpoint makes an endpoint state in its answers that it takes Fault.PerSecond requests a second.
 	LimitEndpoint
+	// AskRest makes an endpoint turn all requests away and ask each host for rest until the fault ends. SayLeaving makes it say in its
+	// answers that it leaves; it starts anew at the end. MakeBrittle makes the endpoints of a service say that they are brittle, and
+	// fall if they have to turn away too many requests. KillAllHosts ends all hosts with SIGKILL and starts them again.
+	AskRest
+	SayLeaving
+	MakeBrittle
+	KillAllHosts
 )
 
 var actionNames = map[Action]string{
@@ -59,6 +66,7 @@
 	LapseEndpoint: "LapseEndpoint", SwapEndpoint: "SwapEndpoint", SickenEndpoint: "SickenEndpoint", StopStore: "StopStore",
 	ForgetHistory: "ForgetHistory", MoveRoute: "MoveRoute", RevokeKey: "RevokeKey", SendPoison: "SendPoison",
 	SendPoisonBurst: "SendPoisonBurst", SendPoisonPart: "SendPoisonPart", LimitEndpoint: "LimitEndpoint",
+	AskRest: "AskRest", SayLeaving: "SayLeaving", MakeBrittle: "MakeBrittle", KillAllHosts: "KillAllHosts",
 }
 
 func (a Action) String() string { return actionNames[a] }
@@ -197,10 +205,50 @@
 	for at := initialDelay; at < cfg.Length; at += g.exponential(meanBurstGap) {
 		faults = append(faults, g.burst(at)...)
 	}
+	if cfg.Seed%statementSeeds == 0 {
+		faults = append(faults, statementFaults(cfg)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
 
+const (
+	// statementSeeds is how many seeds there are for each with the faults of statementFaults, which come from a generator of their own
+	// (statementStream), so that the faults of all seeds stay what they were before.
+	statementSeeds  = 3
+	statementStream = 11
+	// statementGap is the mean time between two of these faults, and killAllDuration how long all hosts are down.
+	statementGap    = 2 * time.Second
+	killAllDuration = 600 * time.Millisecond
+	// maxKillAll is the largest number of starts of all hosts.
+	maxKillAll = 2
+)
+
+// statementFaults returns faults in which endpoints say something of themselves in answers, and starts of all hosts.
+func statementFaults(cfg Config) []Fault {
+	g := generator{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, statementStream))}
+	killed := 0
+	var faults []Fault
+	for at := initialDelay; at < cfg.Length; at += g.exponential(statementGap) {
+		f := Fault{At: at, For: g.duration(), Action: AskRest + Action(g.random.IntN(int(KillAllHosts-AskRest)+1)), Peer: -1}
+		f.Endpoint = g.random.IntN(cfg.Endpoints)
+		switch f.Action {
+		case KillAllHosts:
+			f.For = killAllDuration
+			if killed++; killed > maxKillAll {
+				continue
+			}
+		case MakeBrittle:
+			f.For = maxDuration
+		default:
+		}
+		if f.At+f.For <= cfg.Length {
+			faults = append(faults, f)
+		}
+	}
+	return faults
+}
+
 // chooseActions selects up to maxGroups groups of actions, and half or all of the hosts as targets.
 func (g *generator) chooseActions() {
 	for _, i := range g.random.Perm(len(actionGroups))[:1+g.random.IntN(maxGroups)] {
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -41,7 +41,8 @@
 	// drainFaults is the number of active faults that keep the endpoint from being registered as ready.
 	drainFaults int
 	// limits holds the limits of the active faults that make the endpoint state one. It states the last of them.
-	limits []float64
+	limits    []float64
+	statement statement
 	// crashFaults is the number of active faults that keep the endpoint from listening, and restarts how often it has
 	// restarted.
 	crashFaults, restarts int
@@ -168,6 +169,12 @@
 	e.mu.Unlock()
 	e.site.record(checker.RequestArrived{Request: r.Header.Get(standin.RequestIDHeader), Endpoint: e.name})
 	e.stateLimit(w)
+	runs, ran := e.state(w, r)
+	if !runs {
+		standin.RejectNotRun(w, r)
+		return
+	}
+	defer ran()
 	misbehaviour := schedule.Misbehaviour(e.misbehaviour.Load())
 	if misbehaviour == schedule.RefuseRequest {
 		standin.RejectNotRun(w, r)
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 	"time"
 
@@ -75,6 +76,10 @@
 		s.sendPoison(ctx, f)
 	case schedule.SendPoisonPart:
 		s.sendPoisonPart(ctx, f)
+	case schedule.AskRest, schedule.SayLeaving, schedule.MakeBrittle:
+		s.applyStatement(f, e, wait)
+	case schedule.KillAllHosts:
+		s.restartAllHosts(wait)
 	default:
 		s.applyToStore(f, wait)
 	}
@@ -129,6 +134,15 @@
 	}
 }
 
+// restartAllHosts kills all hosts at one moment and starts them again after the duration of the fault.
+func (s *Site) restartAllHosts(wait func()) {
+	var wg sync.WaitGroup
+	for _, p := range s.hosts {
+		wg.Go(func() { s.restartHost(p, schedule.KillHost, wait) })
+	}
+	wg.Wait()
+}
+
 // disruptLink impairs, breaks or silences the links that a fault affects. Connections that it silences stay silent.
 func (s *Site) disruptLink(f schedule.Fault, wait func()) {
 	l := s.affectedLinks(f)
