Bound a relayed connection by the request's deadline, and end tunnels whose host fell silent

The deadline now ends connecting (TestConnectingEndsAtTheDeadlineOfTheRequest, which blocked for ever before), a path that is known to be gone is tried through relays once, and the relay's side of a tunnel has the keepalive and user time-outs of other connections.

--- a/entry/connection/dialer.go
+++ b/entry/connection/dialer.go
@@ -25,12 +25,15 @@
 }
 
 // TCPDialer is the Dialer for connections over TCP.
-type TCPDialer struct{ dialer net.Dialer }
+type TCPDialer struct {
+	dialer          net.Dialer
+	deadPeerTimeout time.Duration
+}
 
 // NewTCPDialer returns a dialer with the given time limits.
 func NewTCPDialer(cfg TCPConfig) *TCPDialer {
 	interval := max(cfg.DeadPeerTimeout/3, time.Second)
-	return &TCPDialer{net.Dialer{
+	return &TCPDialer{deadPeerTimeout: cfg.DeadPeerTimeout, dialer: net.Dialer{
 		Timeout:         cfg.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: 2},
 		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, cfg.DeadPeerTimeout) },
@@ -42,6 +45,19 @@
 	return d.dialer.DialContext(ctx, "tcp", address)
 }
 
+// LimitSilence makes a connection that another host opened fail as those of a TCPDialer do.
+func (d *TCPDialer) LimitSilence(conn net.Conn) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return errors.Join(tcp.SetKeepAliveConfig(d.dialer.KeepAliveConfig), setUserTimeout(raw, d.deadPeerTimeout))
+}
+
 // setUserTimeout makes the kernel fail a connection whose sent data stays unacknowledged for limit. Keepalive probes then give up after it
 // too, whatever their count.
 func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -41,10 +41,12 @@
 	releaseOnce sync.Once
 }
 
-// Do sends a request and reads the status and headers of its answer. The deadline also applies to the body. The connection is closed
+// Do sends a request and reads the status and headers of its answer. The deadline applies to connecting and to the body as well. The connection is closed
 // when ctx ends before Do returns. The error is ErrNotSent when no connection could be established, and ErrIncomplete otherwise.
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (*Exchange, error) {
-	c, err := p.get(ctx, address)
+	dialCtx, cancel := context.WithDeadline(ctx, deadline)
+	c, err := p.get(dialCtx, address)
+	cancel()
 	if err != nil {
 		return nil, err
 	}
--- a/entry/connection/exchange_test.go
+++ b/entry/connection/exchange_test.go
@@ -319,3 +319,19 @@
 		require.LessOrEqual(t, total, len(in))
 	})
 }
+
+// blockingDialer connects to nothing until its context ends.
+type blockingDialer struct{}
+
+func (blockingDialer) Dial(ctx context.Context, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func TestConnectingEndsAtTheDeadlineOfTheRequest(t *testing.T) {
+	t.Parallel()
+	pool := New(Config{Dialer: blockingDialer{}})
+	_, err := pool.Do(t.Context(), "127.0.0.1:1", Request{ID: "id-1", Method: http.MethodGet}, time.Now().Add(10*time.Millisecond))
+	require.ErrorIs(t, err, ErrNotSent)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -53,7 +53,7 @@
 	crashes       *crashTracker
 	paths         *pathTracker
 	// relayDialer connects to other hosts that serve as relays.
-	relayDialer  connection.Dialer
+	relayDialer  *connection.TCPDialer
 	streams      *streamTracker
 	answerMemory answerMemory
 	draining     atomic.Bool
--- a/entry/node/paths.go
+++ b/entry/node/paths.go
@@ -63,12 +63,24 @@
 
 // Dial implements connection.Dialer.
 func (p *pathTracker) Dial(ctx context.Context, address string) (net.Conn, error) {
-	if p.gone(address) {
-		if conn, err := p.openTunnel(ctx, address); err == nil {
-			return conn, nil
-		}
+	if !p.gone(address) {
+		return p.dialBoth(ctx, address)
+	}
+	tunnel, relayErr := p.openTunnel(ctx, address)
+	if relayErr == nil {
+		return tunnel, nil
+	}
+	conn, err := p.dialDirect(ctx, address)
+	if err != nil {
+		return nil, p.failure(address, err, relayErr)
 	}
-	return p.dialBoth(ctx, address)
+	return conn, nil
+}
+
+// failure returns the error of a connection that failed directly and through relays.
+func (p *pathTracker) failure(address string, err, relayErr error) error {
+	down := p.endpointDown(address, relayErr)
+	return &pathError{cause: err, endpointDown: down, refused: down && errors.Is(err, syscall.ECONNREFUSED)}
 }
 
 type dialResult struct {
@@ -115,8 +127,7 @@
 		p.update(timer.BootClock(), relay.Bypassed{Address: address, Silent: silent})
 		return tunnel, nil
 	}
-	down := p.endpointDown(address, relayErr)
-	return nil, &pathError{cause: first.err, endpointDown: down, refused: down && errors.Is(first.err, syscall.ECONNREFUSED)}
+	return nil, p.failure(address, first.err, relayErr)
 }
 
 // closeLate closes the direct connection that another one made needless.
--- a/entry/node/tunnels.go
+++ b/entry/node/tunnels.go
@@ -7,7 +7,9 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
+	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/timer"
 )
@@ -33,6 +35,9 @@
 		_ = upstream.Close()
 		return
 	}
+	if err := p.n.relayDialer.LimitSilence(client); err != nil {
+		event.LogText(p.n.log, zerolog.WarnLevel, event.RelayUnavailable).Stringer("Peer", client.RemoteAddr()).Err(err).Send()
+	}
 	if !p.addTunnel(client) {
 		_ = upstream.Close()
 		_ = client.Close()
