--- a/entry/node/statements.go
+++ b/entry/node/statements.go
@@ -58,10 +58,19 @@
 		s.recordLeaving(now, q.instance)
 	}
 	if s.mustSendStatement(now, e) {
-		s.sendStatements(s.n.membership.keeperAndStandbys(q.service), []pool.StatementReported{e})
+		s.sendStatements(s.tellWhom(q, x.Relay()), []pool.StatementReported{e})
 	}
 }
 
+// tellWhom returns the hosts to which it matters what an endpoint says: the service's keeper and standbys, and the relay, which can't read it.
+func (s *slotManager) tellWhom(q *request, relay host.ID) []host.ID {
+	to := s.n.membership.keeperAndStandbys(q.service)
+	if relay != "" && !slices.Contains(to, relay) {
+		to = append(to, relay)
+	}
+	return to
+}
+
 // tells reports whether an answer says anything, or shows the end of a time in which its endpoint was brittle. One without the request's ID
 // shows no end: it may come from something in front of the endpoint.
 func tells(a platform.Answer, known pool.StatementReported) bool {
