Name the steps of a direct connection beside a relayed one

The result of the direct connection was told from its absence by a nil error; now it is a value that ends. An answer without the request's ID no longer ends what is known of a brittle endpoint when it asks for rest.

--- a/entry/node/paths.go
+++ b/entry/node/paths.go
@@ -83,58 +83,73 @@
 	return &pathError{cause: err, endpointDown: down, refused: down && errors.Is(err, syscall.ECONNREFUSED)}
 }
 
-type dialResult struct {
+// directDial is a direct connection that is being established.
+type directDial struct {
+	done chan struct{}
+	// conn and err hold the result once done is closed.
 	conn net.Conn
 	err  error
 }
 
-// dialBoth connects directly, and through a relay if that fails or takes longer than relayDelay. A direct connection is preferred.
-func (p *pathTracker) dialBoth(ctx context.Context, address string) (net.Conn, error) {
-	direct := make(chan dialResult, 1)
+func (p *pathTracker) startDirect(ctx context.Context, address string) *directDial {
+	d := &directDial{done: make(chan struct{})}
 	go func() {
-		conn, err := p.dialDirect(ctx, address)
-		direct <- dialResult{conn, err}
+		defer close(d.done)
+		d.conn, d.err = p.dialDirect(ctx, address)
 	}()
-	var first dialResult
-	silent := true
-	delay := time.NewTimer(relayDelay)
-	defer delay.Stop()
+	return d
+}
+
+// endedWithin reports whether the result is there, and waits for it for at most limit.
+func (d *directDial) endedWithin(limit time.Duration) bool {
+	t := time.NewTimer(limit)
+	defer t.Stop()
 	select {
-	case first = <-direct:
-		if first.err == nil || ctx.Err() != nil {
-			return first.conn, first.err
-		}
-		silent = isTimeout(first.err)
-	case <-delay.C:
+	case <-d.done:
+	case <-t.C:
 	}
-	tunnel, relayErr := p.openTunnel(ctx, address)
-	if first.err == nil && relayErr != nil {
-		first = <-direct
-	} else if first.err == nil {
-		select {
-		case first = <-direct:
-		default:
-			go closeLate(direct)
-		}
+	return d.ended()
+}
+
+func (d *directDial) ended() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
 	}
-	switch {
-	case first.conn != nil:
-		if tunnel != nil {
-			_ = tunnel.Close()
-		}
-		return first.conn, nil
-	case relayErr == nil:
-		p.update(timer.BootClock(), relay.Bypassed{Address: address, Silent: silent})
-		return tunnel, nil
+}
+
+// drop closes the connection, also if it is established later.
+func (d *directDial) drop() {
+	<-d.done
+	if d.conn != nil {
+		_ = d.conn.Close()
 	}
-	return nil, p.failure(address, first.err, relayErr)
 }
 
-// closeLate closes the direct connection that another one made needless.
-func closeLate(direct <-chan dialResult) {
-	if late := <-direct; late.conn != nil {
-		_ = late.conn.Close()
+// dialBoth connects directly, and through a relay if that fails or takes longer than relayDelay. A direct connection is preferred.
+func (p *pathTracker) dialBoth(ctx context.Context, address string) (net.Conn, error) {
+	direct := p.startDirect(ctx, address)
+	if direct.endedWithin(relayDelay) && (direct.err == nil || ctx.Err() != nil) {
+		return direct.conn, direct.err
+	}
+	tunnel, relayErr := p.openTunnel(ctx, address)
+	if relayErr != nil {
+		<-direct.done
+		if direct.err != nil {
+			return nil, p.failure(address, direct.err, relayErr)
+		}
+		return direct.conn, nil
+	}
+	ended := direct.ended()
+	if ended && direct.err == nil {
+		_ = tunnel.Close()
+		return direct.conn, nil
 	}
+	p.update(timer.BootClock(), relay.Bypassed{Address: address, Silent: !ended || isTimeout(direct.err)})
+	go direct.drop()
+	return tunnel, nil
 }
 
 func isTimeout(err error) bool {
--- a/entry/node/statements.go
+++ b/entry/node/statements.go
@@ -52,6 +52,9 @@
 	e := pool.StatementReported{
 		Service: q.service, Instance: q.instance, Leaving: said.Leaving, Brittle: said.Brittle, RestLeft: said.Rest, ObservedAt: now,
 	}
+	if x.Answer.ID == "" && !said.Brittle.Stated {
+		e.Brittle = known.Brittle
+	}
 	s.update(now, e)
 	s.logStatement(q, known, e)
 	if said.Leaving && !known.Leaving {
