Let a stand-in engine cache the prompts that it runs only where a test asks for it

Traced: since the stand-in lists the prompts that it ran as cached, the list has as many parts more as requests ran before it was made, and the test waits for a line with exactly the number that it set.

--- a/entry/node/stream_version_test.go
+++ b/entry/node/stream_version_test.go
@@ -40,6 +40,7 @@
 	s.store.Publish(1, "k1")
 	for i, version := range versions {
 		e := s.addEndpoint(fmt.Sprintf("i-%d", i), "engines", func(w http.ResponseWriter, r *http.Request) { s.answer(w, r, version) })
+		e.CachePrompts()
 		e.RegisterVersion(version)
 		s.engines = append(s.engines, e)
 	}
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -68,6 +68,7 @@
 	}
 	e.link = link
 	e.RegisterAt(link.Address())
+	e.CachePrompts()
 	e.RegisterVersion(version)
 	return e, nil
 }
