--- a/entry/node/brittle_test.go
+++ b/entry/node/brittle_test.go
@@ -86,8 +86,9 @@
 	t.Parallel()
 	for i, c := range []struct {
 		name  string
+		hosts int
 		alone bool
-	}{{"hosts in touch", false}, {"hosts that decide alone", true}} {
+	}{{"hosts in touch", 4, false}, {"hosts that decide alone", 4, true}, {"more hosts alone than slots", standin.Slots + 2, true}} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			s := newSite(t)
@@ -98,7 +99,7 @@
 				e.Endpoint = s.addEndpoint(fmt.Sprintf("i-%d", j), "plain", e.answer)
 				endpoints = append(endpoints, e)
 			}
-			s.startNodes(4, 231+i)
+			s.startNodes(c.hosts, 231+i)
 			s.load(1, 200*time.Millisecond)
 			if c.alone {
 				s.isolate()
