--- a/entry/node/stream_restart_test.go
+++ b/entry/node/stream_restart_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,3 +125,28 @@
 	}
 	return wentOn
 }
+
+// The last part of each prompt belongs to a session, whose earlier turn ran at an engine of the other version.
+func TestStreamOfASessionDoesNotGoOnAtTheVersionOfItsEarlierTurn(t *testing.T) {
+	t.Parallel()
+	const streams = 40
+	s := newVersionSite(t, false, standin.DefaultVersion, secondVersion)
+	s.startNodes(3, 247)
+	var atSecond, parts []string
+	for _, name := range s.beginStreams(streams) {
+		if s.began[name] == secondVersion {
+			atSecond = append(atSecond, name)
+			_, last, _ := strings.Cut(sessionPrompt(name), ",")
+			part, _, _ := strings.Cut(last, ":")
+			parts = append(parts, part)
+		}
+	}
+	require.Greater(t, len(atSecond), allowedMixed)
+	s.engines[0].SetCachedParts(parts...)
+	s.engines[1].Deregister()
+	s.engines[1].Crash()
+	s.restartAll(248)
+	wentOn := s.takeUpStreams(atSecond)
+	t.Logf("%d of %d streams went on, %d at another version", wentOn, len(atSecond), s.mixed())
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+}
