Let blocked parts and requests be tried again after a failed trial, and several suspects account for themselves

A request each of whose parts had a crash got no trial at all.

Parts do not account for the crashes of other parts. A blocked request gets one trial. BK1602 has the evidence; a metric counts refusals by parts.

Ruled out: discounting trials whose engine another suspect ran on, without a limit: an inseparable pair would cost an engine each time.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -112,7 +112,7 @@
 	{ClaimUnsettled, "claim unsettled", "Too few electors vouched; nothing was sent. The caller was told Unknown.", "Check the hosts if it lasts longer than ElectorGrace."},
 	{ClaimVoided, "claim voided", "The key was refused as not run and can never run.", "None."},
 	{RequestSuspected, "request suspected", "An endpoint was lost while it ran this fingerprint, or a request with this part of a prompt (Part); with Unconfirmed it only fell silent.", "None yet."},
-	{RequestBlocked, "request condemned", "The fingerprint cost two endpoints, or three if it never ran alone, and is refused everywhere; a part of a prompt (Part) cost five, and requests with it are refused.", "Find the caller by workspace and fingerprint."},
+	{RequestBlocked, "request condemned", "The fingerprint cost two endpoints, or three if it never ran alone, and is refused everywhere; a part of a prompt (Part) cost five, and requests with it are refused. Crashes, FailedTrials and NextTrialMs say what the block of an entry host rests on and when a request is let through next.", "Find the caller by workspace and fingerprint."},
 	{RunInterrupted, "run interrupted", "An endpoint's answer to this fingerprint is missing or incomplete; the endpoint may have crashed.", "None."},
 	{InterruptionDropped, "interruption dropped", "No crash of the endpoint was recorded for an interrupted run; Reason says why.", "None."},
 	{CrashesCleared, "crashes cleared", "The request ran to its end, so that the crashes recorded for its fingerprint, or for this part of its prompt, no longer count.", "None."},
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -131,10 +131,10 @@
 	causeKnown bool
 	// fps holds the fingerprints of the request and of the parts of its prompt; see fingerprints.
 	fps []fingerprint.Fingerprint
-	// serial is the SerialKey of the latest slot that was requested, and trial the part of the prompt that the request tries out there;
-	// 0 if there is none.
+	// serial is the SerialKey of the latest slot that was requested, 0 if there is none, and trials the blocked fingerprints that the
+	// request tries out there.
 	serial pool.SerialKey
-	trial  fingerprint.Fingerprint
+	trials []fingerprint.Fingerprint
 	// version is the software version at which the request's stream must go on; empty for any, before a stream's first event.
 	version endpoint.Version
 	// begun is true once an event of the request's stream was about to be delivered.
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -77,7 +77,7 @@
 		if d.Blocked.IsPart() {
 			q.cause = "request blocked: part " + d.Blocked.PartName() + " of its prompt crashed several endpoints"
 		}
-		c.n.meter.recordBlocked()
+		c.n.meter.recordBlocked(d.Blocked.IsPart())
 	}
 	return d
 }
@@ -165,7 +165,7 @@
 func (q *request) run() interruption.Run {
 	fps := q.fingerprints()
 	return interruption.Run{
-		Request: q.call.ID, Fingerprint: fps[0], Parts: fps[1:], Trial: q.trial, Endpoint: q.instance, StartedAt: q.sentAt,
+		Request: q.call.ID, Fingerprint: fps[0], Parts: fps[1:], Trials: q.trials, Endpoint: q.instance, StartedAt: q.sentAt,
 	}
 }
 
@@ -231,7 +231,7 @@
 			Fingerprint: fp, Age: now.Sub(run.EndedAt),
 			Crash: fingerprint.Crash{
 				Engine: engine.ID(run.Endpoint.ID), Incarnation: run.Endpoint.StartedAt, Ran: run.EndedAt.Sub(run.StartedAt),
-				Alone: run.Trial == fp, Unconfirmed: unconfirmed,
+				Alone: fp.IsPart() && slices.Contains(run.Trials, fp), Unconfirmed: unconfirmed,
 			},
 		}
 		if c.registry.Merge(now, row) {
@@ -301,9 +301,11 @@
 		case c.registry.Limited(now, crash.Fingerprint):
 			number = event.RequestLimited
 		}
+		evidence := c.registry.Evidence(now, crash.Fingerprint)
 		event.LogText(c.n.log, zerolog.WarnLevel, number).Uint64("Fingerprint", uint64(crash.Fingerprint)).Str("Part", crash.Fingerprint.PartName()).
 			Str("Endpoint", string(crash.Endpoint)).Int64("StartedAt", crash.StartedAt).Int64("RanMs", crash.RanMs).
-			Bool("Unconfirmed", crash.Unconfirmed).Bool("Alone", crash.Alone).Str("From", string(from)).Send()
+			Bool("Unconfirmed", crash.Unconfirmed).Bool("Alone", crash.Alone).Str("From", string(from)).
+			Int("Crashes", evidence.Crashes).Int("FailedTrials", evidence.FailedTrials).Dur("NextTrialMs", evidence.NextTrial).Send()
 		c.n.meter.recordCrash(from == c.n.cfg.Host)
 	}
 }
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -41,6 +41,7 @@
 	crashesObserved  = `entry_crashes_total{source="observed"}`
 	crashesReceived  = `entry_crashes_total{source="received"}`
 	blockedRequests  = "entry_blocked_requests_total"
+	blockedByParts   = "entry_requests_blocked_by_parts_total"
 	tunnelsOpened    = "entry_tunnels_opened_total"
 )
 
@@ -52,7 +53,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, tunnelsOpened} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened} {
 		m.set.NewCounter(name)
 	}
 	m.set.NewGauge("entry_requests_in_flight", func() float64 { return float64(n.callers.inFlight.Load()) })
@@ -112,8 +113,13 @@
 	m.set.GetOrCreateCounter(name).Inc()
 }
 
-// recordBlocked counts a request that was refused because its fingerprint is blocked.
-func (m *meter) recordBlocked() { m.set.GetOrCreateCounter(blockedRequests).Inc() }
+// recordBlocked counts a request that was refused because its fingerprint is blocked, or that of a part of its prompt.
+func (m *meter) recordBlocked(byPart bool) {
+	m.set.GetOrCreateCounter(blockedRequests).Inc()
+	if byPart {
+		m.set.GetOrCreateCounter(blockedByParts).Inc()
+	}
+}
 
 // recordTunnel counts a connection to an endpoint that this host opened through another one.
 func (m *meter) recordTunnel() { m.set.GetOrCreateCounter(tunnelsOpened).Inc() }
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -132,10 +132,7 @@
 
 // setSerial sets the key of the next slot request from the decision on how the request may run.
 func (q *request) setSerial(d fingerprint.Decision) {
-	q.serial, q.trial = pool.SerialKey(d.Serial), 0
-	if d.Trial {
-		q.trial = d.Serial
-	}
+	q.serial, q.trials = pool.SerialKey(d.Serial), d.Trials
 }
 
 func (n *Node) recordGrant(q *request, grant pool.Grant) {
--- a/fleet/fingerprint/fingerprint.go
+++ b/fleet/fingerprint/fingerprint.go
@@ -6,7 +6,8 @@
 //
 // A crash is recorded for each request that ran on the endpoint, the innocent ones included. Three things keep those from being
 // blocked: an answer that ran to its end deletes the crashes recorded for its request and the parts of its prompt; crashes at one moment
-// do not block; and a crash during which a request or part with more crashes ran is attributed to that one.
+// do not block; and a crash during which a request or part with more crashes ran is attributed to that one. No block is final: what is
+// blocked is tried out at times, see Registry.Decide, so that an answer can end a block that innocents got by chance.
 package fingerprint
 
 import (
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -250,17 +250,11 @@
 	}
 	h := r.histories[fp]
 	needed := blockAfter(fp, h.ranAlone())
-	times := make([]time.Time, 0, len(h.crashes))
-	for _, rec := range h.crashes {
-		if !rec.crash.Unconfirmed {
-			times = append(times, rec.at)
-		}
-	}
-	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
 	if fp.IsPart() {
 		needed = 1
 	}
-	return times[min(needed, len(times))-1].Add(crashLifetime).Sub(now)
+	times := h.crashTimes()
+	return times[max(len(times)-needed, 0)].Add(crashLifetime).Sub(now)
 }
 
 // Len returns how many fingerprints have crashes or completions recorded. Those that are too old are included until Verdict
--- a/fleet/fingerprint/verdict.go
+++ b/fleet/fingerprint/verdict.go
@@ -20,13 +20,16 @@
 // crash that a stronger suspect accounts for does not count against the weaker ones. This is the greedy approximation of the
 // smallest set of requests that accounts for all crashes.
 //
+// If the wrong one was taken, the cause must not go free: a part does not account for the crashes of other parts, nor anything for those of
+// a fingerprint of which a trial failed, and a request with enough crashes stays limited.
+//
 // Source: Chvátal, "A Greedy Heuristic for the Set-Covering Problem", 1979.
 func (r *Registry) judge(now time.Time) {
 	if r.judged && !now.After(r.expiry) {
 		return
 	}
 	r.deleteExpired(now)
-	explained := make(map[incident]bool)
+	explained := explanations{byRequests: make(map[incident]bool), byAny: make(map[incident]bool)}
 	suspects := r.suspects(now)
 	for len(suspects) > 0 {
 		// Suspects of equal strength can't be told apart, so that none accounts for the crashes of another.
@@ -42,9 +45,7 @@
 		}
 		for _, s := range blocked {
 			s.h.verdict = Blocked
-			for _, key := range s.incidents {
-				explained[key] = true
-			}
+			explained.add(s)
 		}
 		suspects = suspects[equal:]
 	}
@@ -52,11 +53,14 @@
 		if h.verdict == Blocked {
 			continue
 		}
-		t := h.unexplained(explained)
-		h.limited = t.suffices(fp) || t.count+t.unconfirmed >= blockAfter(fp, false)
-		if t.count > 0 {
+		if h.unexplained(explained.of(fp, h)).count > 0 {
 			h.verdict = Isolated
 		}
+		t := h.unexplained(nil)
+		if fp.IsPart() {
+			t = h.unexplained(explained.byRequests)
+		}
+		h.limited = t.suffices(fp) || t.count+t.unconfirmed >= blockAfter(fp, false)
 	}
 	r.judged = true
 }
@@ -92,7 +96,7 @@
 func (r *Registry) suspects(now time.Time) []suspect {
 	var suspects []suspect
 	for fp, h := range r.histories {
-		if !r.blocks(now, fp, h, nil) {
+		if !r.blocks(now, fp, h, explanations{}) {
 			continue
 		}
 		s := suspect{fp: fp, h: h}
@@ -128,14 +132,37 @@
 
 // blocks reports whether the crashes that are not explained block the fingerprint at time now. The last one blocks a part of a prompt for
 // crashLifetime only.
-func (r *Registry) blocks(now time.Time, fp Fingerprint, h *history, explained map[incident]bool) bool {
-	t := h.unexplained(explained)
+func (r *Registry) blocks(now time.Time, fp Fingerprint, h *history, explained explanations) bool {
+	t := h.unexplained(explained.of(fp, h))
 	if fp.IsPart() && now.Sub(t.last) > crashLifetime {
 		return false
 	}
 	return t.suffices(fp) && t.last.Sub(t.first) >= r.minInterval
 }
 
+// explanations holds the crashes for which blocked requests account, and those for which blocked requests or parts do.
+type explanations struct{ byRequests, byAny map[incident]bool }
+
+func (e explanations) add(s suspect) {
+	for _, key := range s.incidents {
+		e.byAny[key] = true
+		if !s.fp.IsPart() {
+			e.byRequests[key] = true
+		}
+	}
+}
+
+// of returns the crashes that do not count against a fingerprint.
+func (e explanations) of(fp Fingerprint, h *history) map[incident]bool {
+	switch {
+	case h.trials(fp).failed > 0:
+		return nil
+	case fp.IsPart():
+		return e.byRequests
+	}
+	return e.byAny
+}
+
 // tally sums up the crashes that count against a fingerprint.
 type tally struct {
 	count, unconfirmed int
--- a/fleet/interruption/interruption.go
+++ b/fleet/interruption/interruption.go
@@ -43,10 +43,10 @@
 	// Request is the request's ID.
 	Request     string
 	Fingerprint fingerprint.Fingerprint
-	// Parts are the fingerprints of the parts of its prompt that other requests may share, and Trial the one that it tries out; 0 if
-	// none.
+	// Parts are the fingerprints of the parts of its prompt that other requests may share, and Trials those of which the run is a trial,
+	// see fingerprint.Decision.
 	Parts    []fingerprint.Fingerprint
-	Trial    fingerprint.Fingerprint
+	Trials   []fingerprint.Fingerprint
 	Endpoint endpoint.Instance
 	// StartedAt is when the request was sent, and EndedAt when the run ended.
 	StartedAt, EndedAt time.Time
