Remove a registration that an outage ended only by a read that was sent after the grace period

Change: Tick compares the end of the grace period with the time up to which the copy is confirmed. Test: TestEndpointIsRemovedOnlyByAReadSentAfterTheGracePeriod failed before; the older test had the removal without such a read.

--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -166,7 +166,7 @@
 // tick removes endpoints that did not register again within recoveryGrace after an outage.
 func (v *storeView) tick(now time.Time) {
 	v.mu.Lock()
-	change := v.catalogue.Tick(now)
+	change := v.catalogue.Tick()
 	v.mu.Unlock()
 	v.propagate(now, change)
 }
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -145,11 +145,12 @@
 	return true
 }
 
-// Tick removes the endpoints that did not register again within the grace period after an outage, and returns them.
-func (c *Catalogue) Tick(now time.Time) Change {
+// Tick removes the endpoints that did not register again within the grace period after an outage, and returns them. A copy that is confirmed
+// only up to a time within that period may lack registrations that have come back since.
+func (c *Catalogue) Tick() Change {
 	var change Change
 	for id, deadline := range c.pendingRemovals {
-		if now.Before(deadline) {
+		if c.confirmedAt.Before(deadline) {
 			continue
 		}
 		delete(c.pendingRemovals, id)
--- a/fleet/catalogue/catalogue_test.go
+++ b/fleet/catalogue/catalogue_test.go
@@ -54,11 +54,27 @@
 	change := c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Revision: 2, Removed: []endpoint.ID{"back", "lost", "leaving"}})
 	require.Equal(t, []endpoint.ID{"leaving"}, change.Removed)
 	c.Apply(at(recoveredAt+time.Second), Update{SentAt: at(recoveredAt + time.Second), Revision: 3, Endpoints: []endpoint.Record{record("back", false)}})
-	require.Empty(t, c.Tick(at(recoveredAt+1900*time.Millisecond)).Removed)
-	require.Equal(t, []endpoint.ID{"lost"}, c.Tick(at(recoveredAt+2*time.Second)).Removed)
+	require.Empty(t, c.Tick().Removed)
+	c.Apply(at(recoveredAt+2100*time.Millisecond), Update{SentAt: at(recoveredAt + 2*time.Second), Revision: 3})
+	require.Equal(t, []endpoint.ID{"lost"}, c.Tick().Removed)
 	require.Len(t, c.endpoints, 1)
 }
 
+// A host whose copy is some seconds old does not know yet which endpoints have registered again since.
+func TestEndpointIsRemovedOnlyByAReadSentAfterTheGracePeriod(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	c.Apply(at(0), Update{SentAt: at(0), Revision: 1, Full: true, Endpoints: []endpoint.Record{record("back", false), record("lost", false)}})
+	recoveredAt := 6 * time.Second
+	c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Revision: 2, Removed: []endpoint.ID{"back", "lost"}})
+	require.Empty(t, c.Tick().Removed)
+	change := c.Apply(at(recoveredAt+4*time.Second), Update{
+		SentAt: at(recoveredAt + 3900*time.Millisecond), Revision: 4, Endpoints: []endpoint.Record{record("back", false)},
+	})
+	require.Empty(t, change.Endpoints, "it was never removed")
+	require.Equal(t, []endpoint.ID{"lost"}, c.Tick().Removed)
+}
+
 func TestRemovalWithoutOutageTakesEffectAtOnce(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
