Send hosts the entries that were removed and written again with the same value

Cause: a reader recorded an entry only if its bytes changed. A registration that lapsed in an outage of the store and returned as it was is no change for a reader that read the store before and after, so that a host which had read it in between, and lacked the entry, was told that its copy is current. Two seconds later it removed the endpoint, and refused what the keeper granted there ('endpoint is leaving or was removed'). Change: an entry read from the store has its own revision there, which decides; a list of changes from another reader is taken for changes; a whole list from another reader does not tell, so that hosts with an older copy get a whole list, too. The wire is the same. Tests: TestReaderSendsEntriesThatWereRemovedAndWrittenAgain failed in its four cases, TestWholeReadWithoutChangesIsNoChange pins that nothing more is fetched otherwise.

--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -221,7 +221,7 @@
 	}
 	entries := make([]catalogue.Entry, len(page.Changes))
 	for i, c := range page.Changes {
-		entries[i] = catalogue.Entry{Key: c.Key, Value: c.Value, Removed: c.Removed}
+		entries[i] = catalogue.Entry{Key: c.Key, Value: c.Value, Removed: c.Removed, Revision: catalogue.Revision(c.Revision)}
 	}
 	v.apply(sentAt, entries, catalogue.Revision(page.Revision), full)
 	return minWatchInterval, nil
--- a/fleet/catalogue/catalogue_test.go
+++ b/fleet/catalogue/catalogue_test.go
@@ -155,6 +155,48 @@
 
 // A follower is a host that fetches a reader's changes. After each fetch, at arbitrary times, it must have the same keys and
 // values as the reader, also after removals, expired tombstones and full reads.
+// During an outage registrations end and return as they were. A host that read the store in between lacks them; a reader that did not has
+// the same values as before.
+func TestReaderSendsEntriesThatWereRemovedAndWrittenAgain(t *testing.T) {
+	t.Parallel()
+	before, again := Entry{Key: "e", Value: []byte("v"), Revision: 3}, Entry{Key: "e", Value: []byte("v"), Revision: 9}
+	const removedAt, readAt = 7, 12
+	for name, read := range map[string]func(reader *History){
+		"whole store": func(reader *History) { reader.Record(start, []Entry{again}, readAt, true) },
+		"changes":     func(reader *History) { reader.Record(start, []Entry{again}, readAt, false) },
+		"all entries of another reader": func(reader *History) {
+			reader.Record(start, []Entry{{Key: "e", Value: []byte("v")}}, readAt, true)
+		},
+		"changes of another reader": func(reader *History) {
+			reader.Record(start, []Entry{{Key: "e", Value: []byte("v")}}, readAt, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			reader := NewHistory()
+			reader.Record(start, []Entry{before}, 5, true)
+			read(reader)
+			require.Greater(t, reader.NewestChange(), Revision(removedAt))
+			entries, _ := reader.Since(removedAt)
+			require.Len(t, entries, 1)
+			entries, _ = reader.Since(readAt)
+			require.Empty(t, entries)
+		})
+	}
+}
+
+// A whole read of a store that has not changed must not make the hosts that follow a reader fetch everything again.
+func TestWholeReadWithoutChangesIsNoChange(t *testing.T) {
+	t.Parallel()
+	h := NewHistory()
+	entry := Entry{Key: "e", Value: []byte("v"), Revision: 3}
+	h.Record(start, []Entry{entry}, 5, true)
+	require.Equal(t, Revision(3), h.NewestChange())
+	h.Record(start, []Entry{entry}, 8, true)
+	require.Equal(t, Revision(3), h.NewestChange())
+	require.Equal(t, Revision(8), h.Revision())
+}
+
 func TestFollowerConvergesToReaderHistory(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
--- a/fleet/catalogue/history.go
+++ b/fleet/catalogue/history.go
@@ -14,6 +14,8 @@
 	Key     string
 	Value   []byte
 	Removed bool
+	// Revision is that of the key's last change, if the entry was read from the store; 0 if another host sent it.
+	Revision Revision `cbor:"-"`
 }
 
 // History holds the newest entry of each key, so that a reader can send other hosts what changed after the revision they
@@ -22,8 +24,9 @@
 	entries      map[string]versionedEntry
 	revision     Revision
 	newestChange Revision
-	// tombstonesAfter is the revision after which every removal has a tombstone. Earlier removals may be missing.
-	tombstonesAfter Revision
+	// completeAfter is the revision after which every change is recorded. Earlier removals, and entries that were removed and written again, may
+	// be missing.
+	completeAfter Revision
 }
 
 type versionedEntry struct {
@@ -39,26 +42,45 @@
 func NewHistory() *History { return &History{entries: make(map[string]versionedEntry)} }
 
 // Record merges the entries of a read that ended at a revision. When full is true, keys that the read does not list are
-// recorded as removed. Entries equal to the recorded ones are not changes.
+// recorded as removed. An entry equal to the recorded one may have been removed and written again in between: a read of the store tells by
+// the entry's revision. Other readers do not send it, but list only changes unless full is true.
 func (h *History) Record(now time.Time, entries []Entry, revision Revision, full bool) {
 	if full {
 		entries = append(slices.Clone(entries), h.unlistedTombstones(entries)...)
-		if h.tombstonesAfter == 0 {
-			h.tombstonesAfter = revision
+		if h.completeAfter == 0 {
+			h.completeAfter = revision
 		}
 	}
 	for _, e := range entries {
-		current, known := h.entries[e.Key]
-		if known && current.entry.Removed == e.Removed && bytes.Equal(current.entry.Value, e.Value) {
-			continue
-		}
-		h.entries[e.Key] = versionedEntry{entry: e, revision: revision, recordedAt: now}
-		h.newestChange = max(h.newestChange, revision)
+		h.recordEntry(now, e, revision, full)
 	}
 	h.revision = max(h.revision, revision)
 	h.dropOldTombstones(now)
 }
 
+// recordEntry merges one entry of a read that ended at a revision.
+func (h *History) recordEntry(now time.Time, e Entry, revision Revision, full bool) {
+	changedAt := revision
+	if e.Revision != 0 {
+		// Later pages of a range may be newer than its revision, which is that of the first page.
+		changedAt = min(e.Revision, revision)
+	}
+	current, known := h.entries[e.Key]
+	if known && current.entry.Removed == e.Removed && bytes.Equal(current.entry.Value, e.Value) {
+		if changedAt <= current.revision {
+			return
+		}
+		if full && e.Revision == 0 {
+			// It is not known whether the entry changed.
+			h.completeAfter = max(h.completeAfter, revision)
+			h.newestChange = max(h.newestChange, revision)
+			return
+		}
+	}
+	h.entries[e.Key] = versionedEntry{entry: e, revision: changedAt, recordedAt: now}
+	h.newestChange = max(h.newestChange, changedAt)
+}
+
 // unlistedTombstones returns tombstones for the keys that a full read does not list.
 func (h *History) unlistedTombstones(entries []Entry) []Entry {
 	listed := make(map[string]bool, len(entries))
@@ -79,7 +101,7 @@
 	for key, v := range h.entries {
 		if v.entry.Removed && now.Sub(v.recordedAt) > tombstoneRetention {
 			delete(h.entries, key)
-			h.tombstonesAfter = max(h.tombstonesAfter, v.revision)
+			h.completeAfter = max(h.completeAfter, v.revision)
 		}
 	}
 }
@@ -87,13 +109,13 @@
 // Revision returns the highest revision recorded, or 0 before the first read.
 func (h *History) Revision() Revision { return h.revision }
 
-// NewestChange returns the revision of the newest read that changed an entry. It stays the same when a read changes nothing.
+// NewestChange returns the revision of the newest change that is recorded. It stays the same when a read changes nothing.
 func (h *History) NewestChange() Revision { return h.newestChange }
 
-// Since returns the entries that changed after a revision, sorted by key. full is true when tombstones of removals after that
-// revision may be missing; entries then lists all existing keys instead, and the receiver removes those not listed.
+// Since returns the entries that changed after a revision, sorted by key. full is true when changes after that revision
+// may be missing; entries then lists all existing keys instead, and the receiver removes those not listed.
 func (h *History) Since(after Revision) (entries []Entry, full bool) {
-	full = after < h.tombstonesAfter
+	full = after < h.completeAfter
 	for _, v := range h.entries {
 		switch {
 		case full && !v.entry.Removed, !full && v.revision > after:
