Give runners of plain services a few calls more than they have slots

Cause: the keeper hears that a call has ended only after its messages, and the runner of the next call as late, so that each slot of a runner idles for the time of four messages after each call. Change: a runner may have half as many calls in its queue as it has slots, unless it says that it may fall when it turns calls away. Runners with free slots are filled first. Engines are left as they are: they begin a request at their next step.

--- a/fleet/pool/choice.go
+++ b/fleet/pool/choice.go
@@ -83,7 +83,7 @@
 		sc.bestCached, sc.bestCachedMissingTokens = st, missingTokens
 	}
 	id := st.record.Instance.ID
-	if !st.hasFreeSlot(sc.now, sc.loadLimit, sc.share) || !sc.request.accepts(st.record) || !sc.limitAllows(st) {
+	if !st.hasFreeSlot(sc.now, sc.loadLimit, st.capacity(sc.share, sc.isEngine)) || !sc.request.accepts(st.record) || !sc.limitAllows(st) {
 		return
 	}
 	if id == sc.request.LastEndpoint && !suspect {
--- a/fleet/pool/endpoint_state.go
+++ b/fleet/pool/endpoint_state.go
@@ -24,6 +24,8 @@
 	rendezvousCost = 4.0
 	// remoteCost is the cost of a runner in another data centre, expressed as a number of running requests.
 	remoteCost = 1.5
+	// queuedCost is the cost of a runner with no free slot, expressed as a number of running requests.
+	queuedCost = 4.0
 	// runnerFailureCost is the cost of a runner that always fails, expressed as a number of running requests.
 	runnerFailureCost = 12.0
 	// failureWeight is the weight of the newest result in the moving average of failures.
@@ -129,10 +131,9 @@
 
 func (st *endpointState) suspect(now time.Time) bool { return now.Before(st.suspectUntil) }
 
-// hasFreeSlot reports whether the endpoint may run one more request under the load limit and its own number of slots, of which the keeper may
-// use a share.
-func (st *endpointState) hasFreeSlot(now time.Time, limit int, share float64) bool {
-	return !st.record.Leaving && !now.Before(st.pausedUntil) && st.running < min(limit, st.slots(share))
+// hasFreeSlot reports whether the endpoint may get one more request under the load limit and its own capacity.
+func (st *endpointState) hasFreeSlot(now time.Time, limit, capacity int) bool {
+	return !st.record.Leaving && !now.Before(st.pausedUntil) && st.running < min(limit, capacity)
 }
 
 // missingTokens returns how many tokens of a prompt's shared parts the endpoint does not cache. A cached part is usable
@@ -210,12 +211,15 @@
 const engineFailureCost = 600.0
 
 // runnerCost returns the cost of a plain service's runner, expressed as a number of running requests. Runners in the
-// entry's data centre are cheaper.
+// entry's data centre are cheaper, and those at which the request would be queued dearer.
 func (st *endpointState) runnerCost(now time.Time, e SlotRequested) float64 {
 	c := float64(st.running) + runnerFailureCost*st.failureRisk(e)
 	if st.record.DataCentre != e.DataCentre {
 		c += remoteCost
 	}
+	if st.running >= st.record.Slots {
+		c += queuedCost
+	}
 	if st.limiter.avoided(now) {
 		c += limitedRunnerCost
 	}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -341,7 +341,7 @@
 		if st.record.Leaving {
 			continue
 		}
-		r := float64(min(st.slots(s.reachableShare), maxRunning)) / s.meanHoldTime.Seconds()
+		r := float64(min(st.capacity(s.reachableShare, s.engine != nil), maxRunning)) / s.meanHoldTime.Seconds()
 		if st.limiter != nil {
 			r = min(r, st.limiter.rate(now)*s.reachableShare*share)
 		}
--- a/fleet/pool/statement.go
+++ b/fleet/pool/statement.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"balsamknot.org/fleet/endpoint"
@@ -85,6 +86,21 @@
 	return max(int(float64(st.record.Slots-brittleMargin)*share), 1)
 }
 
+// runnerQueueShare is how many calls a runner of a plain service may have in its queue, as a share of its slots, so that it begins the next
+// call when one ends: the keeper hears of an end, and the runner of a new call, only after their messages. Engines get no such calls, since
+// they begin the next request at their next step anyway.
+const runnerQueueShare = 0.5
+
+// capacity returns how many requests the keeper may give to an endpoint at a time: as many as it runs, and a few more to a runner, unless it
+// may fall if it has to turn some away.
+func (st *endpointState) capacity(share float64, isEngine bool) int {
+	slots := st.slots(share)
+	if isEngine || st.brittle.Stated {
+		return slots
+	}
+	return slots + int(math.Ceil(runnerQueueShare*float64(slots)))
+}
+
 // share returns the share of the endpoints of a host that processes the request.
 func (s *service) share(e SlotRequested) float64 {
 	return min(e.limitShare(), s.reachableShare)
