Tell the turns of a session apart by the tokens that engines keep, and send new messages between hosts in a form that can grow

Change: the keeper compares the tokens that the engine's list gives with the length of the part in the request: fewer than it has, up to a block, or more than it and its longest answer mean another turn. The question has new fields, which the arrays of the messages between hosts do not allow: it is the first of peer.Extensions, maps with numbered fields in a datagram of their own. Tests: TestStreamOfASessionDoesNotGoOnAtTheVersionOfItsEarlierTurn.

--- a/entry/node/cache_list.go
+++ b/entry/node/cache_list.go
@@ -46,7 +46,7 @@
 // listCache queries one engine. If that fails, or ctx has ended, the keeper gets an empty list, so that it does not wait for this
 // engine.
 func (s *slotManager) listCache(ctx context.Context, service site.ServiceName, e endpoint.Record) {
-	var parts []chat.PartID
+	var parts []chat.Part
 	err := ctx.Err()
 	if err == nil {
 		parts, err = s.n.engines.CachedParts(ctx, e.Instance, e.Address)
--- a/entry/node/stream_cache.go
+++ b/entry/node/stream_cache.go
@@ -19,8 +19,8 @@
 )
 
 // versionByCache returns the version at which a stream began that no host remembers, as after a start of all hosts: the last part of its
-// prompt belongs to the stream or its session, so that only engines which read it cache it. It is not known if engines of several versions do,
-// or none.
+// prompt belongs to the stream or its session, so that only engines which read it cache it, and those that ran another turn of the session
+// keep another number of tokens. It is not known if engines of several versions cache it, or none.
 func (s *streamTracker) versionByCache(q *request) (endpoint.Version, bool) {
 	parts := q.call.Prompt.Parts
 	if len(parts) == 0 {
@@ -28,7 +28,12 @@
 	}
 	ctx, cancel := context.WithTimeout(q.r.Context(), partQueryTimeout)
 	defer cancel()
-	versions := s.versionsCaching(ctx, peer.PartQuery{Service: q.service, Part: parts[len(parts)-1].ID})
+	own := parts[len(parts)-1]
+	lookup := peer.PartLookup{Service: q.service, Part: own.ID, MinTokens: own.Tokens}
+	if q.call.Prompt.MaxOutputTokens > 0 {
+		lookup.MaxTokens = own.Tokens + q.call.Prompt.MaxOutputTokens
+	}
+	versions := s.versionsCaching(ctx, lookup)
 	if len(versions) != 1 {
 		return "", false
 	}
@@ -36,7 +41,7 @@
 }
 
 // versionsCaching asks the keeper of a service which versions cache a part, until it has listed the caches or ctx ends.
-func (s *streamTracker) versionsCaching(ctx context.Context, query peer.PartQuery) []endpoint.Version {
+func (s *streamTracker) versionsCaching(ctx context.Context, query peer.PartLookup) []endpoint.Version {
 	ch := make(chan []endpoint.Version, 1)
 	s.mu.Lock()
 	s.lastNonce++
@@ -53,9 +58,9 @@
 	for {
 		keeper := s.n.membership.keeper(timer.BootClock(), query.Service)
 		if keeper == s.n.cfg.Host {
-			s.handlePartMessages(timer.BootClock(), peer.Datagram{From: keeper, Extras: peer.Extras{PartQueries: []peer.PartQuery{query}}})
+			s.answerLookup(timer.BootClock(), keeper, query.Nonce, query.ToPool())
 		} else {
-			s.n.membership.send(keeper, peer.Datagram{Extras: peer.Extras{PartQueries: []peer.PartQuery{query}}})
+			s.n.membership.send(keeper, peer.Datagram{Extensions: peer.Extensions{PartLookups: []peer.PartLookup{query}}})
 		}
 		select {
 		case versions := <-ch:
@@ -67,15 +72,13 @@
 	}
 }
 
-// handlePartMessages processes the queries and replies about cached parts of a datagram. A host with an old copy of the store does not reply:
-// it may not know the engines of another version.
+// handlePartMessages processes the queries and replies about cached parts of a datagram.
 func (s *streamTracker) handlePartMessages(now time.Time, d peer.Datagram) {
 	for _, query := range d.Extras.PartQueries {
-		s.n.slots.update(now, pool.PartQueried{Service: query.Service})
-		versions, known := s.n.slots.versionsCaching(query)
-		if known && s.n.storeView.age(now) <= staleAge {
-			s.replyToPartQuery(d.From, peer.PartReply{Nonce: query.Nonce, Versions: versions})
-		}
+		s.answerLookup(now, d.From, query.Nonce, pool.PartLookup{Service: query.Service, Part: query.Part})
+	}
+	for _, query := range d.Extensions.PartLookups {
+		s.answerLookup(now, d.From, query.Nonce, query.ToPool())
 	}
 	for _, reply := range d.Extras.PartReplies {
 		s.mu.Lock()
@@ -88,7 +91,15 @@
 	}
 }
 
-func (s *streamTracker) replyToPartQuery(to host.ID, reply peer.PartReply) {
+// answerLookup tells a host which versions cache a part, once the engines' caches are listed. A host with an old copy of the store does not
+// reply: it may not know the engines of another version.
+func (s *streamTracker) answerLookup(now time.Time, to host.ID, nonce uint64, lookup pool.PartLookup) {
+	s.n.slots.update(now, pool.PartQueried{Service: lookup.Service})
+	versions, known := s.n.slots.versionsCaching(lookup)
+	if !known || s.n.storeView.age(now) > staleAge {
+		return
+	}
+	reply := peer.PartReply{Nonce: nonce, Versions: versions}
 	d := peer.Datagram{From: s.n.cfg.Host, Extras: peer.Extras{PartReplies: []peer.PartReply{reply}}}
 	if to == s.n.cfg.Host {
 		s.handlePartMessages(timer.BootClock(), d)
@@ -98,8 +109,8 @@
 }
 
 // versionsCaching returns what the local keeper knows; known is false while it lists the engines' caches.
-func (s *slotManager) versionsCaching(query peer.PartQuery) (versions []endpoint.Version, known bool) {
+func (s *slotManager) versionsCaching(lookup pool.PartLookup) (versions []endpoint.Version, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.keeper.VersionsCaching(query.Service, query.Part)
+	return s.keeper.VersionsCaching(lookup)
 }
--- a/entry/node/stream_restart_test.go
+++ b/entry/node/stream_restart_test.go
@@ -126,10 +126,10 @@
 	return wentOn
 }
 
-// The last part of each prompt belongs to a session, whose earlier turn ran at an engine of the other version.
+// The last part of each prompt belongs to a session, whose earlier turn, with a shorter prompt, ran at an engine of the other version.
 func TestStreamOfASessionDoesNotGoOnAtTheVersionOfItsEarlierTurn(t *testing.T) {
 	t.Parallel()
-	const streams = 40
+	const streams, earlierTurn = 40, ":60"
 	s := newVersionSite(t, false, standin.DefaultVersion, secondVersion)
 	s.startNodes(3, 247)
 	var atSecond, parts []string
@@ -138,7 +138,7 @@
 			atSecond = append(atSecond, name)
 			_, last, _ := strings.Cut(sessionPrompt(name), ",")
 			part, _, _ := strings.Cut(last, ":")
-			parts = append(parts, part)
+			parts = append(parts, part+earlierTurn)
 		}
 	}
 	require.Greater(t, len(atSecond), allowedMixed)
--- a/entry/peer/encoding.go
+++ b/entry/peer/encoding.go
@@ -56,8 +56,37 @@
 	extrasHead   = 0x83
 )
 
-// Encode returns the datagram as CBOR: its array, or if it has Additions or Extras an array with these, which hosts of releases that do not
-// know them drop.
+// EncodeAll returns the datagrams that carry d: one with its Extensions, if it has any, and one with the rest, unless that is empty.
+func EncodeAll(d Datagram) ([][]byte, error) {
+	var datagrams [][]byte
+	extensions := d.Extensions
+	d.Extensions = Extensions{}
+	if extensions.empty() || !d.empty() {
+		raw, err := Encode(d)
+		if err != nil {
+			return nil, err
+		}
+		datagrams = append(datagrams, raw)
+	}
+	if !extensions.empty() {
+		raw, err := encodeExtensions(d.From, extensions)
+		if err != nil {
+			return nil, err
+		}
+		datagrams = append(datagrams, raw)
+	}
+	return datagrams, nil
+}
+
+// empty reports whether the datagram has no messages, apart from Extensions.
+func (d Datagram) empty() bool {
+	lists := len(d.Heartbeats) + len(d.SlotRequests) + len(d.SlotReplies) + len(d.SlotReleases) + len(d.HeldSlots) + len(d.Crashes) +
+		len(d.CacheUpdates) + len(d.Probes) + len(d.ProbeReplies) + len(d.Notices)
+	return lists == 0 && d.Additions.empty() && d.Extras.empty()
+}
+
+// Encode returns the datagram without its Extensions as CBOR: its array, or if it has Additions or Extras an array with these, which hosts of
+// releases that do not know them drop.
 func Encode(d Datagram) ([]byte, error) {
 	var message any = d
 	switch {
@@ -70,9 +99,11 @@
 	return raw, eris.Wrap(err, "encode datagram")
 }
 
-// Decode parses a datagram that Encode produced. The error describes the malformed part.
+// Decode parses a datagram that EncodeAll produced. The error describes the malformed part.
 func Decode(raw []byte) (Datagram, error) {
 	switch {
+	case len(raw) > 0 && raw[0]&mapMask == mapHead:
+		return decodeExtensions(raw)
 	case len(raw) > 0 && raw[0] == extendedHead:
 		var e extendedDatagram
 		if err := cbor.Unmarshal(raw, &e); err != nil {
--- /dev/null
+++ b/entry/peer/extension.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"balsamknot.org/fleet/chat"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/site"
+)
+
+// Extensions holds the lists of a datagram that were added since releases serve side by side. Unlike the arrays of the other messages, they
+// are maps with numbered fields, as are their messages: a host ignores fields that it does not know and takes missing ones for their zero value.
+// So that hosts of releases before Extensions lose nothing else with them, they travel in a datagram of their own.
+//
+// A number is never used for anything else. A field that all hosts must obey needs a message of its own, which older ones do not see.
+type Extensions struct {
+	From        host.ID      `cbor:"1,keyasint"`
+	PartLookups []PartLookup `cbor:"2,keyasint,omitempty"`
+}
+
+func (e Extensions) empty() bool { return len(e.PartLookups) == 0 }
+
+// PartLookup asks the keeper of a service which software versions have an engine that caches a part of a prompt at the length that the part
+// has in one request. The reply is a PartReply.
+type PartLookup struct {
+	Nonce   uint64           `cbor:"1,keyasint"`
+	Service site.ServiceName `cbor:"2,keyasint"`
+	Part    chat.PartID      `cbor:"3,keyasint"`
+	// MinTokens and MaxTokens bound the length; a MaxTokens of 0 is no bound.
+	MinTokens int `cbor:"4,keyasint,omitempty"`
+	MaxTokens int `cbor:"5,keyasint,omitempty"`
+}
+
+// ToPool converts the message to a lookup at the keeper.
+func (l PartLookup) ToPool() pool.PartLookup {
+	return pool.PartLookup{Service: l.Service, Part: l.Part, MinTokens: l.MinTokens, MaxTokens: l.MaxTokens}
+}
+
+// mapHead and mapMask tell a datagram of Extensions, a CBOR map, by the first byte from the arrays of the others.
+const (
+	mapHead = 0xa0
+	mapMask = 0xe0
+)
+
+func encodeExtensions(from host.ID, e Extensions) ([]byte, error) {
+	e.From = from
+	raw, err := cbor.Marshal(e)
+	return raw, eris.Wrap(err, "encode extensions")
+}
+
+func decodeExtensions(raw []byte) (Datagram, error) {
+	var e Extensions
+	if err := cbor.Unmarshal(raw, &e); err != nil {
+		return Datagram{}, eris.Wrap(err, "decode extensions")
+	}
+	d := Datagram{From: e.From, Extensions: e}
+	d.Extensions.From = ""
+	return d, nil
+}
--- a/entry/peer/message.go
+++ b/entry/peer/message.go
@@ -7,8 +7,8 @@
 // host that reads the platform's store and serves its copy to others.
 //
 // Messages are encoded as CBOR arrays, so the order and the types of the fields are part of the protocol, their names are not. A host
-// drops a datagram whose arrays have other lengths than it knows. Lists that were added to the protocol are therefore in Additions,
-// which a datagram contains only if one of them is not empty.
+// drops a datagram whose arrays have other lengths than it knows, so that no field can be added to them. Lists that were added to the protocol
+// are therefore in Additions and Extras, which a datagram contains only if one of them is not empty, and new ones in Extensions, which may grow.
 package peer
 
 import (
@@ -40,9 +40,10 @@
 	ProbeReplies []ProbeReply
 	Notices      []Notice
 
-	// Additions and Extras are not part of the array; see Encode.
-	Additions Additions `cbor:"-"`
-	Extras    Extras    `cbor:"-"`
+	// Additions, Extras and Extensions are not part of the array; see EncodeAll.
+	Additions  Additions  `cbor:"-"`
+	Extras     Extras     `cbor:"-"`
+	Extensions Extensions `cbor:"-"`
 }
 
 // SlotRequest requests a slot from the keeper of a service, for a caller's request at the sender. See pool.SlotRequested.
--- a/entry/peer/socket.go
+++ b/entry/peer/socket.go
@@ -25,18 +25,26 @@
 	return &Socket{conn: conn.(*net.UDPConn)}, nil
 }
 
-// Send sends a datagram to ip:port and returns its encoded size in bytes. A nil error does not mean that it arrived.
+// Send sends a datagram, as two if it has Extensions and other messages, to ip:port and returns the encoded size in bytes. A nil error does
+// not mean that it arrived.
 func (s *Socket) Send(to string, d Datagram) (int, error) {
 	address, err := netip.ParseAddrPort(to)
 	if err != nil {
 		return 0, eris.Wrapf(err, "send datagram to %s", to)
 	}
-	raw, err := Encode(d)
+	datagrams, err := EncodeAll(d)
 	if err != nil {
 		return 0, err
 	}
-	n, err := s.conn.WriteToUDPAddrPort(raw, address)
-	return n, eris.Wrapf(err, "send datagram to %s", to)
+	size := 0
+	for _, raw := range datagrams {
+		n, err := s.conn.WriteToUDPAddrPort(raw, address)
+		size += n
+		if err != nil {
+			return size, eris.Wrapf(err, "send datagram to %s", to)
+		}
+	}
+	return size, nil
 }
 
 // Serve receives datagrams until the socket is closed or a read fails, and calls handle for each. For one that cannot be decoded
--- a/entry/peer/stream.go
+++ b/entry/peer/stream.go
@@ -60,7 +60,8 @@
 	Several bool
 }
 
-// PartQuery asks the keeper of a service which software versions have an engine that caches a part of a prompt.
+// PartQuery asks the keeper of a service which software versions have an engine that caches a part of a prompt, at any length. Hosts of the
+// last release send it; see PartLookup.
 type PartQuery struct {
 	_       struct{} `cbor:",toarray"`
 	Nonce   uint64
@@ -68,7 +69,7 @@
 	Part    chat.PartID
 }
 
-// PartReply is the reply to the PartQuery with the same Nonce. It is sent once the keeper has listed the engines' caches.
+// PartReply is the reply to the PartLookup or PartQuery with the same Nonce. It is sent once the keeper has listed the engines' caches.
 type PartReply struct {
 	_        struct{} `cbor:",toarray"`
 	Nonce    uint64
--- a/fleet/pool/cache_list.go
+++ b/fleet/pool/cache_list.go
@@ -19,7 +19,17 @@
 type CacheListed struct {
 	Service  site.ServiceName
 	Instance endpoint.Instance
-	Parts    []chat.PartID
+	// Parts has the tokens that the engine keeps of each part.
+	Parts []chat.Part
+}
+
+// PartLookup names a part of a prompt at the length that it has in one request. The last part of a session's prompts has another length in each
+// turn.
+type PartLookup struct {
+	Service site.ServiceName
+	Part    chat.PartID
+	// MinTokens and MaxTokens bound the tokens that an engine keeps if it ran that request; a MaxTokens of 0 is no bound.
+	MinTokens, MaxTokens int
 }
 
 // PartQueried asks which versions cache a part of a prompt. The keeper lists the caches, once, if it has not; see Keeper.VersionsCaching.
@@ -76,22 +86,23 @@
 func (s *service) cacheListed(now time.Time, e CacheListed) []Command {
 	if st := s.endpoints[e.Instance.ID]; st != nil && st.record.Instance == e.Instance {
 		for _, part := range e.Parts {
-			st.addPart(now, part)
+			st.addPart(now, part.ID)
+			st.listedTokens[part.ID] = part.Tokens
 		}
 	}
 	s.listing.outstanding--
 	return s.drainQueue(now)
 }
 
-// VersionsCaching returns the software versions whose engines are known to cache a part of a prompt, in order. known is false while the
-// engines' lists are missing.
-func (k *Keeper) VersionsCaching(name site.ServiceName, part chat.PartID) (versions []endpoint.Version, known bool) {
-	s := k.service(name)
+// VersionsCaching returns the software versions whose engines are known to cache a part of a prompt at the given length, in order. known is
+// false while the engines' lists are missing.
+func (k *Keeper) VersionsCaching(lookup PartLookup) (versions []endpoint.Version, known bool) {
+	s := k.service(lookup.Service)
 	if !s.listing.listed || s.listing.outstanding > 0 {
 		return nil, false
 	}
 	for _, st := range s.sorted {
-		if _, cached := st.cachedParts[part]; cached {
+		if st.caches(lookup) {
 			versions = append(versions, st.record.Version)
 		}
 	}
@@ -99,6 +110,18 @@
 	return slices.Compact(versions), true
 }
 
+// cacheBlock is the number of tokens that engines keep or evict together, so that they may keep fewer of a part than it has.
+const cacheBlock = 16
+
+// caches reports whether the engine caches a part at the length of the lookup. The length of a part that the engine has not listed is not known.
+func (st *endpointState) caches(lookup PartLookup) bool {
+	if _, cached := st.cachedParts[lookup.Part]; !cached {
+		return false
+	}
+	tokens, listed := st.listedTokens[lookup.Part]
+	return !listed || tokens > lookup.MinTokens-cacheBlock && (lookup.MaxTokens == 0 || tokens <= lookup.MaxTokens)
+}
+
 // awaitsCacheLists reports whether requests are to stay queued until the cache lists have arrived.
 func (s *service) awaitsCacheLists(now time.Time) bool {
 	return s.listing.outstanding > 0 && now.Before(s.listing.deadline)
--- a/fleet/pool/endpoint_state.go
+++ b/fleet/pool/endpoint_state.go
@@ -50,6 +50,8 @@
 	running int
 	// cachedParts holds the time of the last use of each part of a prompt that the endpoint is assumed to cache.
 	cachedParts map[chat.PartID]time.Time
+	// listedTokens holds how many tokens the engine keeps of each part, by its list.
+	listedTokens map[chat.PartID]int
 	// failureShare is the moving average of failures, from 0 for none to 1 for all requests.
 	failureShare float64
 	// connectionFailures counts connection failures and time-outs since the last completed request.
@@ -66,7 +68,7 @@
 }
 
 func newEndpointState(r endpoint.Record) *endpointState {
-	return &endpointState{record: r, hash: xxhash.Sum64String(string(r.Instance.ID)), cachedParts: make(map[chat.PartID]time.Time)}
+	return &endpointState{record: r, hash: xxhash.Sum64String(string(r.Instance.ID)), cachedParts: make(map[chat.PartID]time.Time), listedTokens: make(map[chat.PartID]int)}
 }
 
 // start counts a request as running and records the parts of its prompt as cached. With several parts, the last one is left
@@ -94,6 +96,7 @@
 	for id, used := range st.cachedParts {
 		if now.Sub(used) > partLifetime {
 			delete(st.cachedParts, id)
+			delete(st.listedTokens, id)
 		}
 	}
 }
--- a/fleet/pool/keeper_test.go
+++ b/fleet/pool/keeper_test.go
@@ -382,7 +382,7 @@
 	t.Parallel()
 	for _, enginesRespond := range []bool{true, false} {
 		sim := newSimulation(t, 9, 64)
-		caches := map[endpoint.ID][]chat.PartID{}
+		caches := map[endpoint.ID][]chat.Part{}
 		request := func(i int) {
 			sim.request(0, prompt(i%36, 4000), time.Second, time.Second)
 			for _, e := range sim.enginesToList {
@@ -400,7 +400,7 @@
 		}
 		for id, st := range sim.keeper.service(assistant).endpoints {
 			for part := range st.cachedParts {
-				caches[id] = append(caches[id], part)
+				caches[id] = append(caches[id], chat.Part{ID: part})
 			}
 		}
 		sim.restart(9, 64)
