Soak: hosts of an earlier release beside the present one

--previous names the executable of an earlier release, which half of the starts of hosts run, drawn from the seed: an upgrade forth and back amid the other faults, with all guarantees checked.

--- a/soak/main.go
+++ b/soak/main.go
@@ -40,7 +40,7 @@
 	minutes                 float64
 	length                  time.Duration
 	hosts, callers, network int
-	program, dir            string
+	program, previous, dir  string
 	// caseFile is the path of a case file with the faults to inject. If it is empty, they are generated from the seed.
 	caseFile string
 	timeless bool
@@ -56,6 +56,7 @@
 	flags.IntVar(&opts.callers, 0, "callers", 40, "number of concurrent callers")
 	flags.IntVar(&opts.network, 0, "network", 80, "second byte of the loopback addresses of the run")
 	flags.StringVar(&opts.program, 0, "program", ".bin/entry", "path of the entry host's executable")
+	flags.StringVar(&opts.previous, 0, "previous", "", "path of the executable of an earlier release, which half of the starts of hosts run; empty for none")
 	flags.StringVar(&opts.dir, 0, "dir", "", "directory for the logs of runs with violations; empty for the system's temporary directory")
 	flags.StringVar(&opts.caseFile, 0, "case", "", "replay the faults of this file, which a run with violations wrote, instead of those of a seed")
 	flags.BoolVar(&opts.timeless, 0, "timeless", "check only guarantees without a time limit")
@@ -116,7 +117,7 @@
 		return runResult{}, eris.Wrap(err, "create a directory for the logs")
 	}
 	s, err := site.Start(ctx, site.Config{
-		Program: o.program, Dir: dir, Hosts: c.Hosts, Network: o.network, Callers: c.Callers, Seed: c.Seed,
+		Program: o.program, Previous: o.previous, Dir: dir, Hosts: c.Hosts, Network: o.network, Callers: c.Callers, Seed: c.Seed,
 	})
 	if err != nil {
 		return runResult{}, err
--- a/soak/site/process.go
+++ b/soak/site/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -56,8 +57,9 @@
 	// cmd is nil while no process runs. exited is closed when the process has exited.
 	cmd    *exec.Cmd
 	exited chan struct{}
-	// startedAt is when the current process was started.
+	// startedAt is when the current process was started, and starts the number of starts so far.
 	startedAt time.Time
+	starts    uint64
 	// stopRequested is true once the process has been signalled to stop. pauses is the number of active faults that suspend
 	// it. Once closed is true, no process is started any more.
 	stopRequested bool
@@ -113,6 +115,14 @@
 		p.site.address(2, 0), peerPort, p.storeLinks.tcpLinks[0].Address(), drainLimit)
 }
 
+// release returns the program of the n-th start of a host.
+func (c Config) release(host int, n uint64) string {
+	if c.Previous != "" && rand.New(rand.NewPCG(c.Seed, uint64(host)<<32|n)).IntN(2) == 0 {
+		return c.Previous
+	}
+	return c.Program
+}
+
 // start starts the process unless it runs already or the host is closed. If the process later exits without having been
 // signalled to stop, that is recorded as checker.ProcessFailed.
 func (p *process) start() error {
@@ -125,13 +135,15 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.CommandContext(context.Background(), p.site.cfg.Program, "--settings", p.settingsFile())
+	program := p.site.cfg.release(p.number, p.starts)
+	cmd := exec.CommandContext(context.Background(), program, "--settings", p.settingsFile())
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		_ = log.Close()
 		return eris.Wrapf(err, "start host %d", p.number)
 	}
 	p.cmd, p.exited, p.stopRequested, p.startedAt = cmd, make(chan struct{}), false, timer.BootClock()
+	p.starts++
 	p.site.wg.Go(func() {
 		err := cmd.Wait()
 		_ = log.Close()
--- /dev/null
+++ b/soak/site/process_test.go
@@ -0,0 +1,21 @@
+package site
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestHalfOfTheStartsRunTheEarlierRelease(t *testing.T) {
+	t.Parallel()
+	c := Config{Program: "new", Previous: "old", Seed: 5}
+	count := map[string]int{}
+	for host := range 20 {
+		for n := range uint64(20) {
+			require.Equal(t, c.release(host, n), c.release(host, n))
+			count[c.release(host, n)]++
+		}
+	}
+	require.InDelta(t, 200, count["old"], 50)
+	require.Equal(t, "new", Config{Program: "new"}.release(3, 1))
+}
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -25,8 +25,9 @@
 
 // Config holds the parameters of a site.
 type Config struct {
-	// Program is the path of the entry host's executable.
-	Program string
+	// Program is the path of the entry host's executable, and Previous that of an earlier release; empty for none. With both, half of the
+	// starts of hosts, as drawn from Seed, run the earlier one, so that hosts of two releases serve beside each other.
+	Program, Previous string
 	// Dir is the directory for the settings and logs of the hosts.
 	Dir   string
 	Hosts int
