Refuse what a draining host could not answer before it ends

Cause: at the latest end of a drain, and in the moment between the last check for requests in flight and the end of the process, requests that had just been accepted were cut off: a host refused streams that would not end in time, but no other requests. Change: other requests are refused, as not run, when the host may stop within 0.5 s, and all requests once it is about to stop.

--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -36,9 +36,10 @@
 }
 
 const (
-	// maxStreamTime is how long a streamed answer may take: a draining host that may stop sooner refuses streams. Their callers
-	// may retry at another host after drainRetryAfter.
+	// maxStreamTime is how long a streamed answer may take, and maxCallTime any other: a draining host that may stop sooner refuses the
+	// request. Its caller may retry at another host after drainRetryAfter.
 	maxStreamTime   = 4 * time.Second
+	maxCallTime     = 500 * time.Millisecond
 	drainRetryAfter = 50 * time.Millisecond
 	// firstSetTimeout is how long a request waits for the first configuration set of a process that has just started.
 	firstSetTimeout = 250 * time.Millisecond
@@ -169,7 +170,7 @@
 	if c.n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.admit(q) || !c.readBody(q) || !c.streamFits(q) || !c.n.streams.bind(q) {
+	if !c.admit(q) || !c.readBody(q) || !c.fitsIntoDrain(q) || !c.n.streams.bind(q) {
 		return
 	}
 	c.n.serve(q)
@@ -218,12 +219,16 @@
 	return true
 }
 
-// streamFits refuses a stream, and returns false, when the host may stop before the stream could end.
-func (c *callerHandler) streamFits(q *request) bool {
-	if !q.route.Streaming || !c.n.stopsWithin(q.start, maxStreamTime) {
+// fitsIntoDrain refuses a request, and returns false, when the host may stop before its answer could end.
+func (c *callerHandler) fitsIntoDrain(q *request) bool {
+	timeNeeded := maxCallTime
+	if q.route.Streaming {
+		timeNeeded = maxStreamTime
+	}
+	if !c.n.stopsWithin(timer.BootClock(), timeNeeded) {
 		return true
 	}
-	q.cause = "host is draining and stops before a stream could end"
+	q.cause = "host is draining and stops before the answer could end"
 	c.n.refuse(q, http.StatusServiceUnavailable, drainRetryAfter)
 	return false
 }
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -166,9 +166,11 @@
 
 // drain prepares a planned stop. The readiness check starts to fail, so that the load balancer removes the host, and the other
 // hosts are told that it leaves. Requests that still arrive are served. drain returns when no request is in flight and no
-// other host has a tunnel, after at least minDrain, or drainMargin before DrainLimit.
+// other host has a tunnel, after at least minDrain, or drainMargin before DrainLimit. Requests that arrive when it is about to return are
+// refused, since the process would end before their answers.
 func (n *Node) drain() {
 	start := timer.BootClock()
+	refusing := false
 	n.stopAt.Store(start.Add(n.settings.Load().DrainLimit - drainMargin).UnixNano())
 	n.draining.Store(true)
 	n.membership.leave()
@@ -180,8 +182,13 @@
 		if elapsed >= minDrain {
 			n.callers.closeIdle(now)
 		}
-		if elapsed >= n.settings.Load().DrainLimit-drainMargin || (elapsed >= minDrain && n.callers.inFlight.Load() == 0 && n.paths.tunnelCount() == 0) {
+		idle := elapsed >= minDrain && n.callers.inFlight.Load() == 0 && n.paths.tunnelCount() == 0
+		switch {
+		case elapsed >= n.settings.Load().DrainLimit-drainMargin, idle && refusing:
 			return
+		case idle:
+			refusing = true
+			n.stopAt.Store(now.UnixNano())
 		}
 	}
 }
