--- a/soak/site/process_test.go
+++ b/soak/site/process_test.go
@@ -12,8 +12,9 @@
 	count := map[string]int{}
 	for host := range 20 {
 		for n := range uint64(20) {
-			require.Equal(t, c.release(host, n), c.release(host, n))
-			count[c.release(host, n)]++
+			program := c.release(host, n)
+			require.Equal(t, program, c.release(host, n))
+			count[program]++
 		}
 	}
 	require.InDelta(t, 200, count["old"], 50)
