--- a/entry/node/stream_restart_test.go
+++ b/entry/node/stream_restart_test.go
@@ -1,10 +1,7 @@
 package node
 
 import (
-	"bufio"
-	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -15,40 +12,18 @@
 	"balsamknot.org/platform/standin"
 )
 
-// sessionPrompt returns the prompt of a stream, with a last part of its own, that is the same when it is taken up.
-func sessionPrompt(name string) string {
+// sessionPrompt returns the prompt of a request with a last part of the stream's own, that is the same when it is taken up.
+func sessionPrompt(requestID string) string {
+	name := streamName(requestID)
 	shared := fmt.Sprintf("aa%x", name[len(name)-1:])
 	return standin.PromptOf([]string{shared}, fmt.Sprintf("5e%x", name))
 }
 
-// beginStream reads the first event of a stream with its own prompt at a node and leaves; it returns false if there is none.
-func (s *versionSite) beginStream(n *testNode, name string) bool {
-	ctx, leave := context.WithCancel(context.Background())
-	defer leave()
-	r := standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/stream/x", name+"/1", "k1", nil).WithContext(ctx)
-	r.Header.Set(standin.PromptPartsHeader, sessionPrompt(name))
-	response, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	line, err := bufio.NewReader(response.Body).ReadString('\n')
-	return err == nil && response.StatusCode == http.StatusOK && line == "id: 1\n"
-}
-
-// takeUpStream takes a stream up with its own prompt at a node and returns the status; 0 if the connection broke.
-func (s *versionSite) takeUpStream(n *testNode, name string) int {
-	r := standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/stream/x", name+"/2", "k1", nil)
-	r.Header.Set(standin.PromptPartsHeader, sessionPrompt(name))
-	r.Header.Set(standin.LastEventIDHeader, "1")
-	r.Header.Set(standin.ResumesHeader, name+"/1")
-	response, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode
+// newSessionSite returns a version site whose streams have prompts of their own.
+func newSessionSite(t *testing.T, versions ...string) *versionSite {
+	s := newVersionSite(t, false, versions...)
+	s.prompt = sessionPrompt
+	return s
 }
 
 // restartAll ends all nodes and starts as many others, which know nothing of before.
@@ -69,7 +44,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d engines", len(versions)), func(t *testing.T) {
 			t.Parallel()
-			s := newVersionSite(t, false, versions...)
+			s := newSessionSite(t, versions...)
 			s.startNodes(3, 241+2*i)
 			names := s.beginStreams(streams)
 			s.restartAll(242 + 2*i)
@@ -84,7 +59,7 @@
 func TestStreamsOfAVersionThatLeftBeforeAllHostsStartedDoNotGoOnAtAnother(t *testing.T) {
 	t.Parallel()
 	const streams = 60
-	s := newVersionSite(t, false, standin.DefaultVersion, secondVersion, standin.DefaultVersion, secondVersion)
+	s := newSessionSite(t, standin.DefaultVersion, secondVersion, standin.DefaultVersion, secondVersion)
 	s.startNodes(3, 245)
 	names := s.beginStreams(streams)
 	for i, e := range s.engines {
@@ -103,7 +78,7 @@
 func (s *versionSite) beginStreams(n int) []string {
 	var names []string
 	for i := range n {
-		if name := fmt.Sprintf("s-%d", i); s.beginStream(s.nodes[i%len(s.nodes)], name) {
+		if name := fmt.Sprintf("s-%d", i); s.begin(s.nodes[i%len(s.nodes)], name) {
 			names = append(names, name)
 		}
 	}
@@ -116,7 +91,7 @@
 	wentOn := 0
 	for i, name := range names {
 		for range 3 {
-			if s.takeUpStream(s.nodes[i%len(s.nodes)], name) == http.StatusOK {
+			if s.takeUp(s.nodes[i%len(s.nodes)], name) == http.StatusOK {
 				wentOn++
 				break
 			}
@@ -130,7 +105,7 @@
 func TestStreamOfASessionDoesNotGoOnAtTheVersionOfItsEarlierTurn(t *testing.T) {
 	t.Parallel()
 	const streams, earlierTurn = 40, ":60"
-	s := newVersionSite(t, false, standin.DefaultVersion, secondVersion)
+	s := newSessionSite(t, standin.DefaultVersion, secondVersion)
 	s.startNodes(3, 247)
 	var atSecond, parts []string
 	for _, name := range s.beginStreams(streams) {
--- a/entry/node/stream_version_test.go
+++ b/entry/node/stream_version_test.go
@@ -24,7 +24,9 @@
 type versionSite struct {
 	*testSite
 	// breaks is true if engines break streams off, false if they go on until the caller leaves.
-	breaks  bool
+	breaks bool
+	// prompt returns the prompt of a request by its ID.
+	prompt  func(requestID string) string
 	engines []*standin.Endpoint
 
 	mu sync.Mutex
@@ -36,7 +38,7 @@
 const secondVersion = "v2"
 
 func newVersionSite(t *testing.T, breaks bool, versions ...string) *versionSite {
-	s := &versionSite{testSite: newSite(t), breaks: breaks, began: map[string]string{}, wentOn: map[string][]string{}}
+	s := &versionSite{testSite: newSite(t), breaks: breaks, prompt: promptOf, began: map[string]string{}, wentOn: map[string][]string{}}
 	s.store.Publish(1, "k1")
 	for i, version := range versions {
 		e := s.addEndpoint(fmt.Sprintf("i-%d", i), "engines", func(w http.ResponseWriter, r *http.Request) { s.answer(w, r, version) })
@@ -77,7 +79,7 @@
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
 	r := standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/stream/x", name+"/1", "k1", nil).WithContext(ctx)
-	r.Header.Set(standin.PromptPartsHeader, promptOf(name+"/1"))
+	r.Header.Set(standin.PromptPartsHeader, s.prompt(name+"/1"))
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return false
@@ -90,7 +92,7 @@
 // takeUp takes a stream up at a node and returns the status; 0 if the connection broke.
 func (s *versionSite) takeUp(n *testNode, name string) int {
 	r := standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/stream/x", name+"/2", "k1", nil)
-	r.Header.Set(standin.PromptPartsHeader, promptOf(name+"/2"))
+	r.Header.Set(standin.PromptPartsHeader, s.prompt(name+"/2"))
 	r.Header.Set(standin.LastEventIDHeader, "1")
 	r.Header.Set(standin.ResumesHeader, name+"/1")
 	response, err := http.DefaultTransport.RoundTrip(r)
