--- a/fleet/fingerprint/trial.go
+++ b/fleet/fingerprint/trial.go
@@ -7,8 +7,8 @@
 
 // A blocked fingerprint is let through now and then as a trial: the block of a sound one ends with the answer of a trial, and a trial that
 // crashes its endpoint is one more piece of evidence. A single failed trial proves nothing, since endpoints also end for other reasons and
-// another part of the prompt may be the cause. Where one run in n ends its endpoint by accident, a sound part fails all of its trials with
-// a probability of n to the power of -maxPartTrials or less.
+// another part of the prompt may be the cause. Where one run in n ends its endpoint by accident, and no other part is bad, all trials of a sound
+// part fail with a probability of n to the power of -maxPartTrials or less.
 const (
 	// maxPartTrials is how many trials of a part may fail before its crashes are attributed to it. Until then they follow each other within
 	// seconds; from then on there is one after each crashLifetime. A trial that fails within settleTime of the crash that blocked the part
