Give each test of a killed relay a site of its own

Cause: two requests shared one site and one channel that holds answers, in the random order of a map. When the idempotent one came first it closed the channel, and the endpoint then answered the other one before the tunnels were closed: 200 instead of 502. Ruled out: a second run of the request (it ran once in each). Change: a table with a site for each case, in a fixed order; the same statuses and the same count of runs are required.

--- a/entry/node/cut_off_test.go
+++ b/entry/node/cut_off_test.go
@@ -219,31 +219,43 @@
 
 func TestRequestWhoseRelayIsKilledRunsOnceOrIsSentAgainAsItMay(t *testing.T) {
 	t.Parallel()
-	s := newRelayedSite(t, 2, 211)
-	s.hold = make(chan struct{})
-	for number, want := range map[string]int{"once": http.StatusBadGateway, "again": http.StatusOK} {
-		status := make(chan int, 1)
-		go func() {
-			r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodPost, "/"+number+"/x", "killed-"+number, "k1", nil)
-			response, err := http.DefaultTransport.RoundTrip(r)
-			if err != nil {
-				status <- 0
-				return
+	for i, c := range []struct {
+		kind   string
+		status int
+	}{
+		{"once", http.StatusBadGateway}, {"again", http.StatusOK},
+	} {
+		t.Run(c.kind, func(t *testing.T) {
+			t.Parallel()
+			s := newRelayedSite(t, 2, 216+i)
+			s.hold = make(chan struct{})
+			id := "killed-" + c.kind
+			status := make(chan int, 1)
+			go func() { status <- s.statusOf(s.nodes[0], "/"+c.kind+"/x", id) }()
+			require.Eventually(t, func() bool { return s.held.Load() > 0 }, time.Minute, time.Millisecond)
+			s.nodes[1].paths.closeTunnels()
+			s.held.Store(0)
+			if c.status == http.StatusOK {
+				require.Eventually(t, func() bool { return s.held.Load() > 0 }, time.Minute, time.Millisecond, "it was not sent again")
+				close(s.hold)
 			}
-			defer response.Body.Close()
-			_, _ = io.Copy(io.Discard, response.Body)
-			status <- response.StatusCode
-		}()
-		require.Eventually(t, func() bool { return s.held.Load() > 0 }, time.Minute, time.Millisecond)
-		s.nodes[1].paths.closeTunnels()
-		s.held.Store(0)
-		if want == http.StatusOK {
-			require.Eventually(t, func() bool { return s.held.Load() > 0 }, time.Minute, time.Millisecond, "it was not sent again")
-			close(s.hold)
-		}
-		require.Equal(t, want, <-status, number)
+			require.Equal(t, c.status, <-status)
+			if c.kind == "once" {
+				require.Equal(t, 1, s.runs[id])
+			}
+		})
 	}
-	require.Equal(t, 1, s.runs["killed-once"])
+}
+
+// statusOf sends a request and returns the status of its answer, or 0 if there is none.
+func (s *cutOffSite) statusOf(n *testNode, path, id string) int {
+	response, err := http.DefaultTransport.RoundTrip(standin.NewCall(n.cfg.CallerAddress, http.MethodPost, path, id, "k1", nil))
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
 }
 
 func TestEndpointStopsWorkWhenTheCallerOfARelayedRequestDisconnects(t *testing.T) {
