Judge only what crashed repeatedly when a crash is recorded

Change: only fingerprints with two crashes or more are judged at once, since no other can be blocked; whether another one is isolated or limited is found when it is asked for. Crashes that are too old are looked for when the first of them is. A failed trial is looked for without sorting.

--- a/fleet/fingerprint/decision.go
+++ b/fleet/fingerprint/decision.go
@@ -34,7 +34,7 @@
 		if h == nil {
 			continue
 		}
-		if h.verdict == Blocked {
+		if h.blocked {
 			due := h.nextTrial(fp)
 			if delay > 0 {
 				due = latest(due, h.lastChange()).Add(delay)
@@ -44,7 +44,7 @@
 			}
 			d.Trials = append(d.Trials, fp)
 		}
-		if h.limited && d.Serial == 0 {
+		if d.Serial == 0 && r.limited(fp, h) {
 			d.Serial = fp
 		}
 	}
--- a/fleet/fingerprint/registry.go
+++ b/fleet/fingerprint/registry.go
@@ -19,6 +19,8 @@
 	unconfirmedLifetime = 15 * time.Second
 	// blockAfterIsolated is how many crashes block a request that ran alone in at least one of them.
 	blockAfterIsolated = 2
+	// minBlockAfter is how many crashes block any fingerprint at least.
+	minBlockAfter = blockAfterIsolated
 	// blockAfterShared is how many crashes block a request that never ran alone. It is higher, because a request that callers
 	// send often may by chance run beside the one that causes the crashes.
 	blockAfterShared = 3
@@ -50,10 +52,14 @@
 	minInterval time.Duration
 	histories   map[Fingerprint]*history
 	completions completionMemory
-	// judged is false when crashes changed after the verdicts were computed, and expiry when the oldest of the crashes that
+	// repeated holds the histories with minBlockAfter crashes or more, and may still hold others.
+	repeated map[Fingerprint]*history
+	// judged is false when crashes changed after judge found what is blocked, and expiry when the oldest of the crashes that
 	// count expires.
 	judged bool
 	expiry time.Time
+	// explained holds the crashes for which what is blocked accounts.
+	explained explanations
 }
 
 // history is what is known of one fingerprint.
@@ -61,9 +67,8 @@
 	crashes map[incident]record
 	// completedAt is when a request with this fingerprint last ran to its end. Earlier crashes do not count.
 	completedAt time.Time
-	verdict     Verdict
-	// limited is what Limited reports.
-	limited bool
+	// blocked is true if the verdict is Blocked.
+	blocked bool
 }
 
 // incident identifies a crash: an incarnation of an endpoint crashes once.
@@ -97,7 +102,7 @@
 // NewRegistry returns an empty registry. Crashes of one fingerprint block it only if they span minInterval: endpoints that fail at
 // the same moment may have another cause than the request, see Limited. 0 makes no such condition.
 func NewRegistry(minInterval time.Duration) *Registry {
-	return &Registry{minInterval: minInterval, histories: make(map[Fingerprint]*history), completions: newCompletionMemory()}
+	return &Registry{minInterval: minInterval, histories: make(map[Fingerprint]*history), repeated: make(map[Fingerprint]*history), completions: newCompletionMemory()}
 }
 
 // RecordCrash records that an endpoint crashed at time at while the request with this fingerprint ran on it. It returns false if
@@ -122,7 +127,12 @@
 		}
 		return false
 	}
-	h.crashes[key] = record{c, at}
+	rec := record{c, at}
+	h.crashes[key] = rec
+	if len(h.crashes) >= minBlockAfter {
+		r.repeated[fp] = h
+	}
+	r.judgeAgainAfter(at, fp, rec)
 	r.judged = false
 	return true
 }
@@ -176,7 +186,7 @@
 		return 0
 	}
 	r.judge(at)
-	if h.verdict == Blocked && h.ranAlone() && !fp.IsPart() {
+	if h.blocked && h.ranAlone() && !fp.IsPart() {
 		return 0
 	}
 	h.completedAt = at
@@ -227,7 +237,7 @@
 	}
 	r.judge(now)
 	if h := r.histories[fp]; h != nil {
-		return h.verdict
+		return r.verdict(fp, h)
 	}
 	return Allowed
 }
@@ -240,7 +250,7 @@
 	}
 	r.judge(now)
 	h := r.histories[fp]
-	return h != nil && h.limited
+	return h != nil && r.limited(fp, h)
 }
 
 // BlockedFor returns how long a fingerprint stays blocked unless more is recorded for it; 0 if it is not blocked.
--- a/fleet/fingerprint/trial.go
+++ b/fleet/fingerprint/trial.go
@@ -67,6 +67,14 @@
 	return t
 }
 
+// hasFailedTrial reports whether a trial of a fingerprint crashed its endpoint.
+func (h *history) hasFailedTrial(fp Fingerprint) bool {
+	if fp.IsPart() {
+		return h.ranAlone()
+	}
+	return len(h.crashes) > blockAfterShared && h.trials(fp).failed > 0
+}
+
 // crashTimes returns the times of the confirmed crashes in order.
 func (h *history) crashTimes() []time.Time {
 	times := make([]time.Time, 0, len(h.crashes))
--- a/fleet/fingerprint/verdict.go
+++ b/fleet/fingerprint/verdict.go
@@ -14,7 +14,7 @@
 	ran       time.Duration
 }
 
-// judge computes the verdicts of all fingerprints if crashes changed or expired.
+// judge finds the fingerprints that are blocked, if crashes changed or expired.
 //
 // Each crash was recorded for all requests that ran on the endpoint. The suspects are taken in order of their number of crashes; a
 // crash that a stronger suspect accounts for does not count against the weaker ones. This is the greedy approximation of the
@@ -25,11 +25,12 @@
 //
 // Source: Chvátal, "A Greedy Heuristic for the Set-Covering Problem", 1979.
 func (r *Registry) judge(now time.Time) {
-	if r.judged && !now.After(r.expiry) {
+	if now.After(r.expiry) {
+		r.deleteExpired(now)
+	} else if r.judged {
 		return
 	}
-	r.deleteExpired(now)
-	explained := explanations{byRequests: make(map[incident]bool), byAny: make(map[incident]bool)}
+	r.explained = explanations{byRequests: make(map[incident]bool), byAny: make(map[incident]bool)}
 	suspects := r.suspects(now)
 	for len(suspects) > 0 {
 		// Suspects of equal strength can't be told apart, so that none accounts for the crashes of another.
@@ -39,33 +40,43 @@
 		}
 		var blocked []suspect
 		for _, s := range suspects[:equal] {
-			if r.blocks(now, s.fp, s.h, explained) {
+			if r.blocks(now, s.fp, s.h, r.explained) {
 				blocked = append(blocked, s)
 			}
 		}
 		for _, s := range blocked {
-			s.h.verdict = Blocked
-			explained.add(s)
+			s.h.blocked = true
+			r.explained.add(s)
 		}
 		suspects = suspects[equal:]
 	}
-	for fp, h := range r.histories {
-		if h.verdict == Blocked {
-			continue
-		}
-		if h.unexplained(explained.of(fp, h)).count > 0 {
-			h.verdict = Isolated
-		}
-		t := h.unexplained(nil)
-		if fp.IsPart() {
-			t = h.unexplained(explained.byRequests)
-		}
-		h.limited = t.suffices(fp) || t.count+t.unconfirmed >= blockAfter(fp, false)
-	}
 	r.judged = true
 }
 
-// deleteExpired deletes the crashes and completions that are too old, resets the verdicts, and sets the time of the next expiry.
+// verdict returns the verdict on a fingerprint. judge must have been called.
+func (r *Registry) verdict(fp Fingerprint, h *history) Verdict {
+	switch {
+	case h.blocked:
+		return Blocked
+	case h.unexplained(r.explained.of(fp, h)).count > 0:
+		return Isolated
+	}
+	return Allowed
+}
+
+// limited is Limited for a fingerprint with a history. judge must have been called.
+func (r *Registry) limited(fp Fingerprint, h *history) bool {
+	if h.blocked {
+		return false
+	}
+	t := h.unexplained(nil)
+	if fp.IsPart() {
+		t = h.unexplained(r.explained.byRequests)
+	}
+	return t.suffices(fp) || t.count+t.unconfirmed >= blockAfter(fp, false)
+}
+
+// deleteExpired deletes the crashes and completions that are too old, and sets the time of the next expiry.
 func (r *Registry) deleteExpired(now time.Time) {
 	r.expiry = now.Add(crashLifetime)
 	for fp, h := range r.histories {
@@ -75,27 +86,32 @@
 				delete(h.crashes, key)
 				continue
 			}
-			r.judgeAgainAt(now, end)
-			r.judgeAgainAt(now, rec.at.Add(crashLifetime))
+			r.judgeAgainAfter(now, fp, rec)
 		}
-		h.verdict, h.limited = Allowed, false
 		if len(h.crashes) == 0 && now.Sub(h.completedAt) > crashLifetime {
 			delete(r.histories, fp)
 		}
 	}
 }
 
-// judgeAgainAt brings the next expiry forward to at, unless that has passed.
-func (r *Registry) judgeAgainAt(now, at time.Time) {
-	if !now.After(at) && at.Before(r.expiry) {
-		r.expiry = at
+// judgeAgainAfter brings the next expiry forward to the end of a crash, or of the block of a part by it, whichever comes first.
+func (r *Registry) judgeAgainAfter(now time.Time, fp Fingerprint, rec record) {
+	for _, end := range []time.Time{rec.expiresAt(fp), rec.at.Add(crashLifetime)} {
+		if !now.After(end) && end.Before(r.expiry) {
+			r.expiry = end
+		}
 	}
 }
 
-// suspects returns the fingerprints with enough crashes to be blocked, the strongest suspects first.
+// suspects returns the fingerprints with enough crashes to be blocked, the strongest suspects first. No other fingerprint is blocked.
 func (r *Registry) suspects(now time.Time) []suspect {
 	var suspects []suspect
-	for fp, h := range r.histories {
+	for fp, h := range r.repeated {
+		h.blocked = false
+		if len(h.crashes) < minBlockAfter || r.histories[fp] != h {
+			delete(r.repeated, fp)
+			continue
+		}
 		if !r.blocks(now, fp, h, explanations{}) {
 			continue
 		}
@@ -155,7 +171,7 @@
 // of returns the crashes that do not count against a fingerprint.
 func (e explanations) of(fp Fingerprint, h *history) map[incident]bool {
 	switch {
-	case h.trials(fp).failed > 0:
+	case h.hasFailedTrial(fp):
 		return nil
 	case fp.IsPart():
 		return e.byRequests
