Tell hosts of each other by updates of 13 bytes, mostly within data centres

Change: updates in place of heartbeats between hosts that understand them (Extensions.Gossip); complete ones for what changed recently, for what a host asks for, and for hosts of earlier releases. Two of three messages stay in the data centre. A tenth of the rounds tries a seed that is not live: halves of a fleet that were cut off from each other for longer than a minute never met again (TestHalvesOfALongPartitionFindEachOther failed before). Tests: TestHeartbeatsOfALargeFleetLeaveRoomInTheControlBudget (200 hosts through the encoding: 5.9 KB/s a host, a third of it across data centres; budget 11), TestHostsOfALargeFleetStayLiveThoughMessagesAreLost, TestHostsOfTwoReleasesStayLiveBesideEachOther, a recorded message.

--- a/entry/node/malformed_test.go
+++ b/entry/node/malformed_test.go
@@ -29,6 +29,11 @@
 		for i := range v.Len() {
 			fill(random, v.Index(i), names)
 		}
+	case reflect.Pointer:
+		if random.IntN(2) == 0 {
+			v.Set(reflect.New(v.Type().Elem()))
+			fill(random, v.Elem(), names)
+		}
 	case reflect.String:
 		v.SetString(names[random.IntN(len(names))])
 	case reflect.Bool:
@@ -60,6 +65,9 @@
 		fill(random, reflect.ValueOf(&d).Elem(), names)
 		// Heartbeats are signed by nobody: a host that claims to be another one would take its place in the roster.
 		d.From, d.Heartbeats = host.ID("host-2"), nil
+		if d.Extensions.Gossip != nil {
+			d.Extensions.Gossip.Heartbeats = nil
+		}
 		raw, err := peer.EncodeAll(d)
 		require.NoError(t, err)
 		for _, r := range raw {
--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -55,9 +55,14 @@
 	// together discover each other quickly.
 	startupRounds        = 8
 	startupRoundInterval = 60 * time.Millisecond
-	// heartbeatFanout is how many live hosts receive each round, and maxHeartbeats the largest number of heartbeats per message.
+	// heartbeatFanout is how many live hosts receive each round, and maxHeartbeats the largest number of heartbeats per message, maxUpdates that
+	// of updates.
 	heartbeatFanout = 3
 	maxHeartbeats   = 24
+	maxUpdates      = 40
+	// newsPeriod is how long the start or the leaving of a host is told in complete heartbeats, also to hosts that understand updates: a few
+	// times as long as news takes to reach all hosts.
+	newsPeriod = 5 * time.Second
 	// suspectAfter, plus suspectAfterPerHost for each known host, is the time without a newer heartbeat after which a host is
 	// treated as unreachable. After forgetAfter it is removed from the roster.
 	suspectAfter        = 1500 * time.Millisecond
@@ -85,8 +90,8 @@
 				Host: n.cfg.Host, Address: n.peerAddress(cmp.Or(n.cfg.PublishedAddress, n.cfg.Address)), DataCentre: n.cfg.DataCentre, Cores: n.cfg.Cores,
 				StartedAt: time.Now().UnixMilli(),
 			},
-			Seeds: n.seedAddresses(n.cfg.Seeds), Fanout: heartbeatFanout, MaxHeartbeats: maxHeartbeats,
-			SuspectAfter: suspectAfter, SuspectAfterPerHost: suspectAfterPerHost, ForgetAfter: forgetAfter,
+			Seeds: n.seedAddresses(n.cfg.Seeds), Fanout: heartbeatFanout, MaxHeartbeats: maxHeartbeats, MaxUpdates: maxUpdates,
+			SuspectAfter: suspectAfter, SuspectAfterPerHost: suspectAfterPerHost, ForgetAfter: forgetAfter, NewsPeriod: newsPeriod,
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
 		live: []host.ID{n.cfg.Host}, highCapacity: []host.ID{n.cfg.Host},
@@ -132,13 +137,14 @@
 // handle processes the heartbeats of a datagram and passes the other messages on to the node's other parts.
 func (m *membership) handle(_ netip.AddrPort, d peer.Datagram) {
 	now := timer.BootClock()
-	if len(d.Heartbeats) > 0 {
+	if gossip, ok := d.ToRoster(); ok {
 		m.mu.Lock()
-		changes := m.roster.Receive(now, d.From, d.Heartbeats)
+		changes, answer := m.roster.Receive(now, d.From, gossip)
 		m.refreshIfChanged(changes)
 		m.mu.Unlock()
+		m.sendHeartbeats(answer)
 		m.handleChanges(now, changes)
-		m.sendJoinMessage(d.From, changes)
+		m.sendJoinMessage(now, d.From, changes)
 	}
 	m.n.slots.handle(now, d)
 	m.n.storeView.handle(now, d)
@@ -148,11 +154,11 @@
 
 // sendJoinMessage sends known heartbeats and crashes to the sender of a message if changes say that it became live, by its start or
 // after it was unreachable, so that it need not wait for the next round.
-func (m *membership) sendJoinMessage(from host.ID, changes []roster.Change) {
+func (m *membership) sendJoinMessage(now time.Time, from host.ID, changes []roster.Change) {
 	for _, c := range changes {
 		if c.Host == from && c.Live {
 			m.mu.Lock()
-			message, known := m.roster.JoinMessage(from)
+			message, known := m.roster.JoinMessage(now, from)
 			m.mu.Unlock()
 			if known {
 				m.sendHeartbeats([]roster.Message{message})
@@ -226,7 +232,7 @@
 
 func (m *membership) sendHeartbeats(messages []roster.Message) {
 	for _, message := range messages {
-		m.sendTo(message.To, peer.Datagram{Heartbeats: message.Heartbeats})
+		m.sendTo(message.To, peer.GossipMessage(message))
 	}
 }
 
--- a/entry/node/stream_origin_test.go
+++ b/entry/node/stream_origin_test.go
@@ -65,7 +65,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	messages, _ := m.roster.Tick(timer.BootClock())
-	return messages[0].Heartbeats[0]
+	return messages[0].Gossip.Heartbeats[0]
 }
 
 func TestUnsureHostAsksOneThatHasRunForLong(t *testing.T) {
--- a/entry/peer/extension.go
+++ b/entry/peer/extension.go
@@ -18,9 +18,10 @@
 type Extensions struct {
 	From        host.ID      `cbor:"1,keyasint"`
 	PartLookups []PartLookup `cbor:"2,keyasint,omitempty"`
+	Gossip      *Gossip      `cbor:"3,keyasint,omitempty"`
 }
 
-func (e Extensions) empty() bool { return len(e.PartLookups) == 0 }
+func (e Extensions) empty() bool { return len(e.PartLookups) == 0 && e.Gossip == nil }
 
 // PartLookup asks the keeper of a service which software versions have an engine that caches a part of a prompt at the length that the part
 // has in one request. The reply is a PartReply.
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -1,5 +1,5 @@
 // Package roster keeps the list of live hosts of the fleet. It is a gossip protocol with a failure detector: each host sends
-// heartbeats, its own and those it received, to a few random hosts per round, and treats a host as unreachable when the host's
+// heartbeats, its own and those it received, to a few hosts per round, and treats a host as unreachable when the host's
 // heartbeat has not advanced for too long. No list of hosts is published: a host starts from the addresses of a few seeds,
 // which may be out of date.
 //
@@ -9,7 +9,6 @@
 package roster
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -40,8 +39,11 @@
 	Seeds []string
 	// Fanout is how many live hosts receive the heartbeats of each round.
 	Fanout int
-	// MaxHeartbeats is the largest number of heartbeats in one message, the host's own included.
+	// MaxHeartbeats is the largest number of heartbeats in one message, the host's own included, and MaxUpdates that of updates.
 	MaxHeartbeats int
+	MaxUpdates    int
+	// NewsPeriod is how long the start or the leaving of a host is told in complete heartbeats also to hosts that understand updates.
+	NewsPeriod time.Duration
 	// SuspectAfter is the time without a newer heartbeat after which a host is treated as unreachable. SuspectAfterPerHost is
 	// added to it for each known host, since heartbeats take longer to spread in a larger fleet. ForgetAfter is the time without
 	// a newer heartbeat after which a host is removed from the roster.
@@ -51,13 +53,15 @@
 	Random              *rand.Rand
 }
 
-// SetSeeds replaces the addresses that receive heartbeats while fewer than Fanout other hosts are live.
+// SetSeeds replaces the addresses that receive heartbeats while fewer than Fanout other hosts are live, and now and then later.
 func (r *Roster) SetSeeds(addresses []string) { r.cfg.Seeds = addresses }
 
-// Message holds the heartbeats to send to one address.
+// Message is what to send to one address.
 type Message struct {
-	To         string
-	Heartbeats []Heartbeat
+	To     string
+	Gossip Gossip
+	// ToReader is true if the receiver understands updates.
+	ToReader bool
 }
 
 // Change reports that a host became live or stopped being live.
@@ -70,63 +74,102 @@
 
 // Roster is one host's view of the fleet. It is not safe for concurrent use.
 type Roster struct {
-	cfg      Config
-	peers    map[host.ID]*peer
-	lastTick time.Time
+	cfg   Config
+	peers map[host.ID]*peer
+	// sorted holds the keys of peers in order, and processes the peers by process.
+	sorted    []host.ID
+	processes map[ProcessKey]*peer
+	lastTick  time.Time
 }
 
 type peer struct {
 	heartbeat Heartbeat
+	key       ProcessKey
 	updatedAt time.Time
+	// changedAt is when the heartbeat last changed by more than its sequence number.
+	changedAt time.Time
 	live      bool
+	// readsUpdates is true once the process has said that it understands updates, and announcedAt is when it was last told that this host does.
+	readsUpdates bool
+	announcedAt  time.Time
 }
 
 // New returns a roster that contains only its own host.
 func New(cfg Config) *Roster {
-	return &Roster{cfg: cfg, peers: make(map[host.ID]*peer)}
+	return &Roster{cfg: cfg, peers: make(map[host.ID]*peer), processes: make(map[ProcessKey]*peer)}
 }
 
-// Receive merges the heartbeats of a message and returns what changed; from is the host that sent the message. A different
+// Receive merges a message and returns what changed; from is the host that sent it. A different
 // StartedAt means that the process was restarted. It is accepted when the host itself sent it, even when it is earlier because
-// the clock of the host was set back, and otherwise only when it is later.
-func (r *Roster) Receive(now time.Time, from host.ID, heartbeats []Heartbeat) []Change {
-	var changes []Change
-	for _, heartbeat := range heartbeats {
+// the clock of the host was set back, and otherwise only when it is later. answer holds a message to send, or none.
+func (r *Roster) Receive(now time.Time, from host.ID, g Gossip) (changes []Change, answer []Message) {
+	for _, heartbeat := range g.Heartbeats {
 		if heartbeat.Host == r.cfg.Self.Host || heartbeat.Host == "" {
 			continue
 		}
 		changes = append(changes, r.merge(now, heartbeat, heartbeat.Host == from)...)
 	}
-	return changes
+	for _, u := range g.Updates {
+		changes = append(changes, r.update(now, u)...)
+	}
+	if p := r.peers[from]; p != nil && g.ReadsUpdates {
+		p.readsUpdates = true
+	}
+	if m, ok := r.reply(from, g); ok {
+		answer = append(answer, m)
+	}
+	return changes, answer
 }
 
 // merge applies one heartbeat; fromSelf is true when the host that it describes sent the message.
 func (r *Roster) merge(now time.Time, heartbeat Heartbeat, fromSelf bool) []Change {
 	p := r.peers[heartbeat.Host]
 	if p == nil {
-		p = &peer{heartbeat: heartbeat, updatedAt: now, live: !heartbeat.Leaving}
-		r.peers[heartbeat.Host] = p
-		if !p.live {
-			return nil
-		}
-		return []Change{{heartbeat.Host, true}}
+		p = &peer{}
+		r.insert(heartbeat.Host, p)
+		r.replaceProcess(now, p, heartbeat)
+		return changed(heartbeat.Host, false, p.live)
 	}
+	wasLive := p.live
 	switch {
 	case heartbeat.StartedAt != p.heartbeat.StartedAt && (fromSelf || heartbeat.StartedAt > p.heartbeat.StartedAt):
-		wasLive := p.live
-		p.heartbeat, p.updatedAt, p.live = heartbeat, now, !heartbeat.Leaving
+		r.replaceProcess(now, p, heartbeat)
 		if wasLive && p.live {
 			return []Change{{heartbeat.Host, false}, {heartbeat.Host, true}}
 		}
 		return changed(heartbeat.Host, wasLive, p.live)
 	case heartbeat.StartedAt != p.heartbeat.StartedAt || heartbeat.Sequence <= p.heartbeat.Sequence:
 		return nil
+	case heartbeat.Leaving != p.heartbeat.Leaving:
+		p.changedAt = now
 	}
-	wasLive := p.live
 	p.heartbeat, p.updatedAt, p.live = heartbeat, now, !heartbeat.Leaving
 	return changed(heartbeat.Host, wasLive, p.live)
 }
 
+// insert adds a peer.
+func (r *Roster) insert(id host.ID, p *peer) {
+	r.peers[id] = p
+	at, _ := slices.BinarySearch(r.sorted, id)
+	r.sorted = slices.Insert(r.sorted, at, id)
+}
+
+// replaceProcess sets a peer's heartbeat to that of a process that was not known before.
+func (r *Roster) replaceProcess(now time.Time, p *peer, heartbeat Heartbeat) {
+	delete(r.processes, p.key)
+	*p = peer{heartbeat: heartbeat, key: heartbeat.processKey(), updatedAt: now, changedAt: now, live: !heartbeat.Leaving}
+	r.processes[p.key] = p
+}
+
+// forget removes a peer.
+func (r *Roster) forget(id host.ID) {
+	delete(r.processes, r.peers[id].key)
+	delete(r.peers, id)
+	if at, found := slices.BinarySearch(r.sorted, id); found {
+		r.sorted = slices.Delete(r.sorted, at, at+1)
+	}
+}
+
 // changed returns a Change if the host became live or stopped being live, and nil otherwise.
 func changed(id host.ID, wasLive, isLive bool) []Change {
 	if wasLive == isLive {
@@ -148,7 +191,7 @@
 	r.cfg.Self.Sequence++
 	suspectAfter := r.cfg.SuspectAfter + time.Duration(len(r.peers))*r.cfg.SuspectAfterPerHost
 	var changes []Change
-	for _, id := range r.ids() {
+	for _, id := range slices.Clone(r.sorted) {
 		p := r.peers[id]
 		silence := now.Sub(p.updatedAt)
 		if p.live && silence > suspectAfter {
@@ -156,71 +199,29 @@
 			changes = append(changes, Change{id, false})
 		}
 		if silence > r.cfg.ForgetAfter {
-			delete(r.peers, id)
+			r.forget(id)
 		}
 	}
-	return r.messages(), changes
+	return r.messages(now), changes
 }
 
-func (r *Roster) messages() []Message {
+func (r *Roster) messages(now time.Time) []Message {
 	targets := r.targets()
 	messages := make([]Message, 0, len(targets))
-	for _, to := range targets {
-		messages = append(messages, Message{To: to, Heartbeats: r.heartbeats()})
+	for _, t := range targets {
+		messages = append(messages, r.messageTo(now, t))
 	}
 	return messages
 }
 
-// targets returns the addresses to send to: up to Fanout random live hosts; one random host that is unreachable or has left,
-// so that hosts find each other again after a partition; and all seeds while fewer than Fanout hosts are live.
-func (r *Roster) targets() []string {
-	var live, unreachable []string
-	for _, id := range r.ids() {
-		p := r.peers[id]
-		if p.live {
-			live = append(live, p.heartbeat.Address)
-		} else {
-			unreachable = append(unreachable, p.heartbeat.Address)
-		}
-	}
-	r.cfg.Random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	targets := live[:min(len(live), r.cfg.Fanout)]
-	if len(unreachable) > 0 {
-		targets = append(targets, unreachable[r.cfg.Random.IntN(len(unreachable))])
-	}
-	if len(r.cfg.Seeds) > 0 && len(live) < r.cfg.Fanout {
-		targets = append(targets, r.cfg.Seeds...)
-	}
-	targets = slices.DeleteFunc(targets, func(a string) bool { return a == r.cfg.Self.Address })
-	slices.Sort(targets)
-	return slices.Compact(targets)
-}
-
 // JoinMessage returns a message for a host that has just joined, so that it need not wait for the next round. It reports false
 // for an unknown host.
-func (r *Roster) JoinMessage(id host.ID) (Message, bool) {
+func (r *Roster) JoinMessage(now time.Time, id host.ID) (Message, bool) {
 	p := r.peers[id]
 	if p == nil {
 		return Message{}, false
 	}
-	return Message{To: p.heartbeat.Address, Heartbeats: r.heartbeats()}, true
-}
-
-// heartbeats returns this host's heartbeat and those of random other hosts that are live or leaving, MaxHeartbeats in all at
-// most.
-func (r *Roster) heartbeats() []Heartbeat {
-	heartbeats := []Heartbeat{r.cfg.Self}
-	ids := r.ids()
-	r.cfg.Random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	for _, id := range ids {
-		if len(heartbeats) >= r.cfg.MaxHeartbeats {
-			break
-		}
-		if p := r.peers[id]; p.live || p.heartbeat.Leaving {
-			heartbeats = append(heartbeats, p.heartbeat)
-		}
-	}
-	return heartbeats
+	return r.messageTo(now, target{address: p.heartbeat.Address, peer: p}), true
 }
 
 // Leave marks this host as leaving and returns the messages that announce it to all live hosts.
@@ -228,9 +229,9 @@
 	r.cfg.Self.Leaving = true
 	r.cfg.Self.Sequence++
 	var messages []Message
-	for _, id := range r.ids() {
+	for _, id := range r.sorted {
 		if p := r.peers[id]; p.live {
-			messages = append(messages, Message{To: p.heartbeat.Address, Heartbeats: []Heartbeat{r.cfg.Self}})
+			messages = append(messages, Message{To: p.heartbeat.Address, Gossip: Gossip{Heartbeats: []Heartbeat{r.cfg.Self}}})
 		}
 	}
 	return messages
@@ -308,13 +309,3 @@
 	}
 	return ""
 }
-
-// ids returns the other known hosts, sorted.
-func (r *Roster) ids() []host.ID {
-	ids := make([]host.ID, 0, len(r.peers))
-	for id := range r.peers {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, cmp.Compare[host.ID])
-	return ids
-}
--- a/fleet/roster/roster_test.go
+++ b/fleet/roster/roster_test.go
@@ -17,12 +17,16 @@
 	hosts map[string]*Roster
 	// partitioned holds the addresses whose messages are lost in both directions.
 	partitioned map[string]bool
+	// lost, if it is set, tells which other messages are lost.
+	lost func(from, to string) bool
+	// earlier holds the addresses of hosts of a release without updates.
+	earlier map[string]bool
 }
 
 const roundInterval = 300 * time.Millisecond
 
 func newCluster(n int) *cluster {
-	c := &cluster{now: time.Unix(1000, 0), hosts: map[string]*Roster{}, partitioned: map[string]bool{}}
+	c := &cluster{now: time.Unix(1000, 0), hosts: map[string]*Roster{}, partitioned: map[string]bool{}, earlier: map[string]bool{}}
 	for i := range n {
 		c.startHost(i, 1)
 	}
@@ -31,13 +35,16 @@
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:7340", i) }
 
+// dataCentre spreads the hosts over six data centres.
+func dataCentre(i int) host.DataCentre { return host.DataCentre(fmt.Sprintf("dc-%d", i%6)) }
+
 func id(i int) host.ID { return host.ID(fmt.Sprintf("host-%02d", i)) }
 
 func (c *cluster) startHost(i int, startedAt int64) {
 	c.hosts[address(i)] = New(Config{
-		Self:  Heartbeat{Host: id(i), Address: address(i), StartedAt: startedAt},
-		Seeds: []string{address(0), address(1)}, Fanout: 3, MaxHeartbeats: 24,
-		SuspectAfter: 1500 * time.Millisecond, SuspectAfterPerHost: 40 * time.Millisecond, ForgetAfter: 30 * time.Second,
+		Self:  Heartbeat{Host: id(i), Address: address(i), DataCentre: dataCentre(i), StartedAt: startedAt},
+		Seeds: []string{address(0), address(1)}, Fanout: 3, MaxHeartbeats: 24, MaxUpdates: 40,
+		SuspectAfter: 1500 * time.Millisecond, SuspectAfterPerHost: 40 * time.Millisecond, ForgetAfter: 30 * time.Second, NewsPeriod: 5 * time.Second,
 		Random: rand.New(rand.NewPCG(uint64(i), uint64(startedAt))),
 	})
 }
@@ -66,14 +73,48 @@
 			}
 			messages, _ := c.hosts[from].Tick(c.now)
 			for _, m := range messages {
-				if to := c.hosts[m.To]; to != nil && !c.partitioned[m.To] {
-					to.Receive(c.now, id(i), m.Heartbeats)
-				}
+				c.deliver(i, m)
 			}
 		}
 	}
 }
 
+// deliver gives a message of a host to its receiver, which replies to one that it did not know.
+func (c *cluster) deliver(from int, m Message) {
+	to := c.hosts[m.To]
+	if to == nil || c.partitioned[m.To] || c.lost != nil && c.lost(address(from), m.To) {
+		return
+	}
+	g := m.Gossip
+	if c.earlier[address(from)] {
+		g.ReadsUpdates = false
+	}
+	if c.earlier[m.To] {
+		if m.ToReader {
+			return
+		}
+		g.ReadsUpdates = false
+	}
+	changes, answer := to.Receive(c.now, id(from), g)
+	for _, m := range answer {
+		c.deliver(index(to.cfg.Self.Address), m)
+	}
+	for _, change := range changes {
+		if reply, known := to.JoinMessage(c.now, id(from)); known && change == (Change{id(from), true}) {
+			c.deliver(index(m.To), reply)
+		}
+	}
+}
+
+// index returns the number of the host at an address.
+func index(a string) int {
+	var i int
+	if _, err := fmt.Sscanf(a, "10.0.0.%d:7340", &i); err != nil {
+		panic(err)
+	}
+	return i
+}
+
 func TestHostsDiscoverAllOthersFromTwoSeeds(t *testing.T) {
 	t.Parallel()
 	for _, n := range []int{8, 82} {
@@ -119,7 +160,7 @@
 	c := newCluster(4)
 	c.runRounds(6)
 	for _, m := range c.hosts[address(2)].Leave() {
-		changes := c.hosts[m.To].Receive(c.now, id(2), m.Heartbeats)
+		changes, _ := c.hosts[m.To].Receive(c.now, id(2), m.Gossip)
 		require.Equal(t, []Change{{id(2), false}}, changes)
 	}
 	require.NotContains(t, c.hosts[address(2)].Live(), id(2))
@@ -130,6 +171,6 @@
 	t.Parallel()
 	r := New(Config{Self: Heartbeat{Host: "weak", Cores: 0.2}})
 	require.Equal(t, []host.ID{"weak"}, r.HighCapacity())
-	r.Receive(time.Unix(1, 0), "a", []Heartbeat{{Host: "a", Cores: 0.8}, {Host: "b", Cores: 0.6}, {Host: "c", Cores: 0.2}, {Host: "d", Cores: 1, Leaving: true}})
+	r.Receive(time.Unix(1, 0), "a", Gossip{Heartbeats: []Heartbeat{{Host: "a", Cores: 0.8}, {Host: "b", Cores: 0.6}, {Host: "c", Cores: 0.2}, {Host: "d", Cores: 1, Leaving: true}}})
 	require.Equal(t, []host.ID{"a", "b"}, r.HighCapacity())
 }
