Tell hosts first of those that may be keepers and readers

Played in virtual time with the startup rounds, hosts agreed on the hosts with high capacity, from which keepers and readers are ranked, only after 8.3 s: a message has room for 24 of 302 heartbeats, chosen at random. Until then hosts ask different keepers for slots of one service. Change: if not all fit, up to half of the heartbeats of a message are those of hosts with high capacity. What is told in a round is collected once, and sampled for each message instead of shuffled as a whole. Test: TestHostsThatStartTogetherSoonAgreeOnTheirKeepers, 302 hosts: 8.28 s before, 0.48 s now; bound 2 s, what is asked of a start of 300 hosts.

--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -206,10 +206,10 @@
 }
 
 func (r *Roster) messages(now time.Time) []Message {
-	targets := r.targets()
+	targets, n := r.targets(), r.news(now)
 	messages := make([]Message, 0, len(targets))
 	for _, t := range targets {
-		messages = append(messages, r.messageTo(now, t))
+		messages = append(messages, r.messageTo(now, t, n))
 	}
 	return messages
 }
@@ -221,7 +221,7 @@
 	if p == nil {
 		return Message{}, false
 	}
-	return r.messageTo(now, target{address: p.heartbeat.Address, peer: p}), true
+	return r.messageTo(now, target{address: p.heartbeat.Address, peer: p}, r.news(now)), true
 }
 
 // Leave marks this host as leaving and returns the messages that announce it to all live hosts.
@@ -269,12 +269,22 @@
 // HighCapacity returns the live hosts that can work for other hosts: those whose number of cores is close to the highest one.
 // They serve as keepers, which decide which endpoint a request gets, and as readers, which read the platform's store for others.
 func (r *Roster) HighCapacity() []host.ID {
-	live := r.Live()
-	maxCores := 0.0
-	for _, id := range live {
-		maxCores = max(maxCores, r.cores(id))
+	minCores := minCapacityFraction * r.maxCores()
+	return slices.DeleteFunc(r.Live(), func(id host.ID) bool { return r.cores(id) < minCores })
+}
+
+// maxCores returns the highest number of cores of a live host.
+func (r *Roster) maxCores() float64 {
+	highest := 0.0
+	if !r.cfg.Self.Leaving {
+		highest = r.cfg.Self.Cores
+	}
+	for _, p := range r.peers {
+		if p.live {
+			highest = max(highest, p.heartbeat.Cores)
+		}
 	}
-	return slices.DeleteFunc(live, func(id host.ID) bool { return r.cores(id) < minCapacityFraction*maxCores })
+	return highest
 }
 
 // HasSentHeartbeats reports whether a host has sent at least count heartbeats since its start, as far as this host has
