Share the hosts that follow among the active readers

Change: a host that is no reader itself starts with the active reader that follows from its own ID; the order after it is as before. Test: TestUnrankedHostsShareTheActiveReaders (all 300 hosts followed one before).

--- a/fleet/catalogue/source.go
+++ b/fleet/catalogue/source.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"balsamknot.org/fleet/host"
 )
 
@@ -77,7 +79,9 @@
 		return ranked
 	case !loaded && age >= s.directReadAge(rank, loaded):
 		return nil
-	case rank < 0 || !loaded:
+	case rank < 0:
+		return s.ownReaderFirst(ranked)
+	case !loaded:
 		return ranked
 	case rank < s.cfg.ActiveReaders:
 		return nil
@@ -85,6 +89,17 @@
 	return ranked[:rank]
 }
 
+// ownReaderFirst returns the ranked hosts with one of the active readers, chosen by this host's ID, before the others, so that the active
+// readers share the unranked hosts.
+func (s *SourceSelector) ownReaderFirst(ranked []host.ID) []host.ID {
+	active := min(s.cfg.ActiveReaders, len(ranked))
+	if active == 0 {
+		return ranked
+	}
+	own := int(xxhash.Sum64String(string(s.cfg.Self)) % uint64(active))
+	return slices.Concat(ranked[own:active], ranked[:own], ranked[active:])
+}
+
 // shouldWaitForReaders reports whether a host waits a little longer for other readers instead of reading a platform that
 // failed recently.
 func (s *SourceSelector) shouldWaitForReaders(now time.Time, ranked []host.ID, loaded bool, age time.Duration) bool {
--- a/fleet/catalogue/source_test.go
+++ b/fleet/catalogue/source_test.go
@@ -190,3 +190,22 @@
 	}
 	require.LessOrEqual(t, c.platformReads, 2*rankedCount)
 }
+
+func TestUnrankedHostsShareTheActiveReaders(t *testing.T) {
+	t.Parallel()
+	ranked := []host.ID{"r-0", "r-1", "b-0", "b-1"}
+	followers := map[host.ID]int{}
+	const hosts = 300
+	for i := range hosts {
+		s := NewSourceSelector(SourceSelectorConfig{Self: host.ID(fmt.Sprintf("front-%d", i)), ActiveReaders: 2, DirectReadAge: time.Second, FailureBackoff: time.Second})
+		now := time.Unix(1000, 0)
+		first := s.Next(now, ranked, true, 0)
+		followers[first.Reader]++
+		s.RecordFailure(now, first)
+		second := s.Next(now, ranked, true, 0)
+		require.NotEqual(t, first.Reader, second.Reader)
+		require.Contains(t, ranked[:2], second.Reader, "the other active reader comes before the backups")
+	}
+	require.Len(t, followers, 2)
+	require.LessOrEqual(t, max(followers["r-0"], followers["r-1"]), hosts*2/3)
+}
