Register queries to other hosts in one place

Cause: nonce, channel and removal of a query stood twice, for the origins of streams and for cached parts. Behaviour as before, but that each kind of query counts its own nonces.

--- a/entry/node/stream_cache.go
+++ b/entry/node/stream_cache.go
@@ -42,17 +42,9 @@
 
 // versionsCaching asks the keeper of a service which versions cache a part, until it has listed the caches or ctx ends.
 func (s *streamTracker) versionsCaching(ctx context.Context, query peer.PartLookup) []endpoint.Version {
-	ch := make(chan []endpoint.Version, 1)
-	s.mu.Lock()
-	s.lastNonce++
-	query.Nonce = s.lastNonce
-	s.partReplies[query.Nonce] = ch
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.partReplies, query.Nonce)
-		s.mu.Unlock()
-	}()
+	nonce, replies := s.partQueries.begin(1)
+	defer s.partQueries.end(nonce)
+	query.Nonce = nonce
 	ask := time.NewTicker(partQueryInterval)
 	defer ask.Stop()
 	for {
@@ -63,7 +55,7 @@
 			s.n.membership.send(keeper, peer.Datagram{Extensions: peer.Extensions{PartLookups: []peer.PartLookup{query}}})
 		}
 		select {
-		case versions := <-ch:
+		case versions := <-replies:
 			return versions
 		case <-ask.C:
 		case <-ctx.Done():
@@ -81,13 +73,7 @@
 		s.answerLookup(now, d.From, query.Nonce, query.ToPool())
 	}
 	for _, reply := range d.Extras.PartReplies {
-		s.mu.Lock()
-		ch := s.partReplies[reply.Nonce]
-		s.mu.Unlock()
-		select {
-		case ch <- reply.Versions:
-		default:
-		}
+		s.partQueries.deliver(reply.Nonce, reply.Versions)
 	}
 }
 
--- a/entry/node/streams.go
+++ b/entry/node/streams.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,11 +21,10 @@
 
 	mu       sync.Mutex
 	registry *stream.Registry
-	// lastNonce is the number of the last query, and replies holds the channel of each query that waits for replies.
-	lastNonce uint64
-	replies   map[uint64]chan streamReply
-	// partReplies holds the channel of each query to a keeper.
-	partReplies map[uint64]chan []endpoint.Version
+
+	// originQueries ask hosts for the origins of streams, and partQueries ask keepers which versions cache a part of a prompt.
+	originQueries *queries[streamReply]
+	partQueries   *queries[[]endpoint.Version]
 }
 
 // streamReply is a reply to a query, with the host that sent it.
@@ -54,8 +52,9 @@
 )
 
 func newStreamTracker(n *Node) *streamTracker {
-	return &streamTracker{n: n, registry: stream.NewRegistry(timer.BootClock()), replies: make(map[uint64]chan streamReply), lastNonce: rand.Uint64(),
-		partReplies: make(map[uint64]chan []endpoint.Version)}
+	return &streamTracker{
+		n: n, registry: stream.NewRegistry(timer.BootClock()), originQueries: newQueries[streamReply](), partQueries: newQueries[[]endpoint.Version](),
+	}
 }
 
 // update applies an event to the registry and sends origins to their replicas.
@@ -100,13 +99,7 @@
 		s.n.membership.send(d.From, peer.Datagram{Additions: peer.Additions{StreamReplies: []peer.StreamReply{reply}}})
 	}
 	for _, reply := range d.Additions.StreamReplies {
-		s.mu.Lock()
-		ch := s.replies[reply.Nonce]
-		s.mu.Unlock()
-		select {
-		case ch <- streamReply{d.From, reply}:
-		default:
-		}
+		s.originQueries.deliver(reply.Nonce, streamReply{d.From, reply})
 	}
 	s.handlePartMessages(now, d)
 }
@@ -174,17 +167,9 @@
 // them has seen several versions of the service, and whether one of them has run for long enough to have seen all that count.
 func (s *streamTracker) ask(ctx context.Context, id stream.ID, query peer.StreamQuery) (version endpoint.Version, several, seenAll bool) {
 	hosts := s.n.membership.streamHosts(id, streamQueries)
-	ch := make(chan streamReply, 2*streamQueries)
-	s.mu.Lock()
-	s.lastNonce++
-	query.Nonce = s.lastNonce
-	s.replies[query.Nonce] = ch
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.replies, query.Nonce)
-		s.mu.Unlock()
-	}()
+	nonce, replies := s.originQueries.begin(2 * streamQueries)
+	defer s.originQueries.end(nonce)
+	query.Nonce = nonce
 	send := func() {
 		for _, id := range hosts {
 			s.n.membership.send(id, peer.Datagram{Additions: peer.Additions{StreamQueries: []peer.StreamQuery{query}}})
@@ -197,7 +182,7 @@
 	replied := make(map[host.ID]bool)
 	for len(replied) < len(hosts) {
 		select {
-		case reply := <-ch:
+		case reply := <-replies:
 			replied[reply.from] = true
 			several = several || reply.Several
 			seenAll = seenAll || s.n.membership.hasRunFor(reply.from, stream.Lifetime)
