Send requests to endpoints that were reported down if there are no others

Cause, read: an entry excluded each endpoint that any keeper reported down within the last 2 s, and refused at once if that were all. A keeper reports after two probes that fail or one connection that can't be opened, so a process that gets no processor for a moment reports all endpoints that it keeps, and the report outlives their recovery. This fits the one refusal of TestScenarios/replace_all_hosts beside three busy loops (NoEndpoint); it was not seen again, so that it is not shown to be that case. Change: endpoints that are only reported down come last instead of never. The keeper of one that is down declines, as before. Test: TestEndpointsReportedDownAreTheLastResort failed before (no candidates).

--- a/balsamknot/node/forward.go
+++ b/balsamknot/node/forward.go
@@ -86,27 +86,10 @@
 	return nil
 }
 
-// candidates returns at most depth engines on which a request may run, by preference. They are in this node's region, unless
-// none there is available. With RoutingBalsamknot all requests of a chat get the same order while the engines stay the same;
-// the baselines return one engine.
+// candidates returns at most depth engines on which a request may run, by preference. With RoutingBalsamknot all requests of a chat get the same
+// order while the engines stay the same; the baselines return one engine.
 func (n *Node) candidates(call *wire.Call, pool string, depth int) []engine.ID {
-	current := n.documents.snapshot()
-	regional := make([]engine.ID, 0, len(current.pools[pool]))
-	var remote []engine.ID
-	down := n.keeper.downEndpoints(n.timers.Now())
-	for _, id := range current.pools[pool] {
-		record := current.endpoints[id]
-		switch {
-		case record.Leaving, down[id]:
-		case record.Region == n.self.Region:
-			regional = append(regional, id)
-		default:
-			remote = append(remote, id)
-		}
-	}
-	if len(regional) == 0 {
-		regional = remote
-	}
+	regional := n.available(pool)
 	key := call.GetChat()
 	if key == "" {
 		key = call.GetId()
@@ -124,6 +107,35 @@
 	return placement.Rank(key, regional, depth)
 }
 
+// available returns the engines of a pool that are not leaving: of this node's region if there are any, and those that were reported down only
+// if there are no others. A report may be wrong, or older than the engine's recovery, and the keeper of an engine that is still down declines.
+func (n *Node) available(pool string) []engine.ID {
+	current := n.documents.snapshot()
+	down := n.keeper.downEndpoints(n.timers.Now())
+	var regional, remote, regionalDown, remoteDown []engine.ID
+	for _, id := range current.pools[pool] {
+		record := current.endpoints[id]
+		isRegional := record.Region == n.self.Region
+		switch {
+		case record.Leaving:
+		case down[id] && isRegional:
+			regionalDown = append(regionalDown, id)
+		case down[id]:
+			remoteDown = append(remoteDown, id)
+		case isRegional:
+			regional = append(regional, id)
+		default:
+			remote = append(remote, id)
+		}
+	}
+	for _, ids := range [][]engine.ID{regional, remote, regionalDown} {
+		if len(ids) > 0 {
+			return ids
+		}
+	}
+	return remoteDown
+}
+
 // attempt makes one try. It returns nil if the answer is complete, and otherwise the result of the try.
 func (q *request) attempt(ctx context.Context, try route.Try) route.Event {
 	q.tries++
