--- a/entry/peer/gossip.go
+++ b/entry/peer/gossip.go
@@ -14,9 +14,9 @@
 func GossipMessage(m roster.Message) Datagram {
 	g := m.Gossip
 	switch {
-	case m.ToReader:
+	case m.Compact:
 		return Datagram{Extensions: Extensions{Gossip: &Gossip{Heartbeats: g.Heartbeats, Updates: g.Updates, Wanted: g.Wanted}}}
-	case g.ReadsUpdates:
+	case g.UnderstandsUpdates:
 		// Which of the two datagrams arrives first is not known, so that both introduce the sender.
 		return Datagram{Heartbeats: g.Heartbeats, Extensions: Extensions{Gossip: &Gossip{Heartbeats: g.Heartbeats[:1]}}}
 	}
@@ -28,7 +28,7 @@
 	g.Heartbeats = d.Heartbeats
 	if e := d.Extensions.Gossip; e != nil {
 		g.Heartbeats = append(g.Heartbeats, e.Heartbeats...)
-		g.Updates, g.Wanted, g.ReadsUpdates = e.Updates, e.Wanted, true
+		g.Updates, g.Wanted, g.UnderstandsUpdates = e.Updates, e.Wanted, true
 	}
-	return g, len(g.Heartbeats) > 0 || g.ReadsUpdates
+	return g, len(g.Heartbeats) > 0 || g.UnderstandsUpdates
 }
--- a/entry/peer/gossip_test.go
+++ b/entry/peer/gossip_test.go
@@ -121,7 +121,7 @@
 
 func TestGossipForHostOfAnEarlierReleaseIsInTheArrayToo(t *testing.T) {
 	t.Parallel()
-	m := roster.Message{Gossip: roster.Gossip{Heartbeats: gossip.Heartbeats, ReadsUpdates: true}}
+	m := roster.Message{Gossip: roster.Gossip{Heartbeats: gossip.Heartbeats, UnderstandsUpdates: true}}
 	raw, err := EncodeAll(GossipMessage(m))
 	require.NoError(t, err)
 	require.Len(t, raw, 2)
@@ -133,7 +133,7 @@
 		require.NoError(t, err)
 		g, ok := d.ToRoster()
 		require.True(t, ok)
-		require.Equal(t, roster.Gossip{Heartbeats: gossip.Heartbeats, ReadsUpdates: reads}, g)
+		require.Equal(t, roster.Gossip{Heartbeats: gossip.Heartbeats, UnderstandsUpdates: reads}, g)
 	}
 	_, ok := Datagram{From: "a"}.ToRoster()
 	require.False(t, ok)
--- a/fleet/roster/gossip.go
+++ b/fleet/roster/gossip.go
@@ -1,8 +1,6 @@
 package roster
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"time"
 
@@ -19,8 +17,8 @@
 	Updates []Update
 	// Wanted names processes of which the sender got an update but has no heartbeat.
 	Wanted []ProcessKey
-	// ReadsUpdates is true if the sender understands updates. Hosts of earlier releases do not.
-	ReadsUpdates bool
+	// UnderstandsUpdates is true if the sender understands updates. Hosts of earlier releases do not.
+	UnderstandsUpdates bool
 }
 
 // Update says that a host has reached a sequence number since its last complete heartbeat.
@@ -55,7 +53,7 @@
 			n.announced = append(n.announced, p)
 		}
 		switch {
-		case p.live && p.readsUpdates && !isNews:
+		case p.live && p.understandsUpdates && !isNews:
 			n.updated = append(n.updated, p)
 		case p.live, p.heartbeat.Leaving && isNews:
 			n.complete = append(n.complete, p)
@@ -67,10 +65,10 @@
 // messageTo returns what to tell one host. One that understands updates gets the sender's own heartbeat, those that it may not have, and updates.
 // Any other gets complete heartbeats only, and hears from time to time that this host understands updates.
 func (r *Roster) messageTo(now time.Time, to target, n news) Message {
-	if p := to.peer; p == nil || !p.readsUpdates {
-		return Message{To: to.address, Gossip: Gossip{Heartbeats: r.heartbeats(n.announced), ReadsUpdates: r.shouldAnnounce(now, p)}}
+	if p := to.peer; p == nil || !p.understandsUpdates {
+		return Message{To: to.address, Gossip: Gossip{Heartbeats: r.heartbeats(n.announced), UnderstandsUpdates: r.shouldAnnounce(now, p)}}
 	}
-	return Message{To: to.address, ToReader: true, Gossip: Gossip{Heartbeats: r.heartbeats(n.complete), Updates: r.updates(n.updated), ReadsUpdates: true}}
+	return Message{To: to.address, Compact: true, Gossip: Gossip{Heartbeats: r.heartbeats(n.complete), Updates: r.updates(n.updated), UnderstandsUpdates: true}}
 }
 
 // reply returns the answer to a message: the heartbeats that its sender wants, and what this host wants of those that it was sent updates of.
@@ -80,14 +78,14 @@
 	if p == nil {
 		return Message{}, false
 	}
-	m = Message{To: p.heartbeat.Address, ToReader: true, Gossip: Gossip{Heartbeats: []Heartbeat{r.cfg.Self}, ReadsUpdates: true}}
+	m = Message{To: p.heartbeat.Address, Compact: true, Gossip: Gossip{Heartbeats: []Heartbeat{r.cfg.Self}, UnderstandsUpdates: true}}
 	for _, key := range g.Wanted[:min(len(g.Wanted), r.cfg.MaxHeartbeats)] {
 		if wanted := r.processes[key]; wanted != nil {
 			m.Gossip.Heartbeats = append(m.Gossip.Heartbeats, wanted.heartbeat)
 		}
 	}
 	self := r.cfg.Self.processKey()
-	for _, u := range g.Updates {
+	for _, u := range g.Updates[:min(len(g.Updates), r.cfg.MaxUpdates)] {
 		if r.processes[u.Process] == nil && u.Process != self {
 			m.Gossip.Wanted = append(m.Gossip.Wanted, u.Process)
 		}
@@ -160,72 +158,8 @@
 	if p == nil {
 		return nil
 	}
-	p.readsUpdates = true
+	p.understandsUpdates = true
 	heartbeat := p.heartbeat
 	heartbeat.Sequence = u.Sequence
 	return r.merge(now, heartbeat, false)
 }
-
-// targets returns where to send a round: up to Fanout random live hosts, most of them in this host's data centre, since messages within it are
-// cheaper; one random host that is unreachable or has left, so that hosts find each other again after a partition; and seeds.
-func (r *Roster) targets() []target {
-	var near, far, unreachable []*peer
-	for _, id := range r.sorted {
-		p := r.peers[id]
-		switch {
-		case !p.live:
-			unreachable = append(unreachable, p)
-		case p.heartbeat.DataCentre == r.cfg.Self.DataCentre:
-			near = append(near, p)
-		default:
-			far = append(far, p)
-		}
-	}
-	fromNear := max(r.cfg.Fanout-1, r.cfg.Fanout-len(far))
-	chosen := slices.Clone(r.sample(near, fromNear))
-	chosen = append(chosen, r.sample(far, r.cfg.Fanout-len(chosen))...)
-	chosen = append(chosen, r.sample(unreachable, 1)...)
-	var targets []target
-	for _, p := range chosen {
-		targets = append(targets, target{address: p.heartbeat.Address, peer: p})
-	}
-	return r.withoutRepeats(append(targets, r.seeds(len(near)+len(far))...))
-}
-
-// seedInterval is how many rounds a host that knows others lets pass until it sends to a seed, as long as that is not live.
-const seedInterval = 10
-
-// seeds returns the seeds to send to: all while fewer than Fanout hosts are live, else now and then one that is not live. Hosts that were cut
-// off for so long that both sides have forgotten each other find each other again at the seeds.
-func (r *Roster) seeds(live int) []target {
-	var targets []target
-	for _, seed := range r.cfg.Seeds {
-		targets = append(targets, target{address: seed})
-	}
-	if live < r.cfg.Fanout || len(targets) == 0 {
-		return targets
-	}
-	if r.cfg.Self.Sequence%seedInterval != 0 {
-		return nil
-	}
-	chosen := targets[r.cfg.Random.IntN(len(targets))]
-	for _, p := range r.peers {
-		if p.live && p.heartbeat.Address == chosen.address {
-			return nil
-		}
-	}
-	return []target{chosen}
-}
-
-// target is where a message is sent; peer is nil for a seed of which no heartbeat has arrived.
-type target struct {
-	address string
-	peer    *peer
-}
-
-// withoutRepeats returns the targets sorted by address, without this host and with each address once.
-func (r *Roster) withoutRepeats(targets []target) []target {
-	targets = slices.DeleteFunc(targets, func(t target) bool { return t.address == r.cfg.Self.Address })
-	slices.SortStableFunc(targets, func(a, b target) int { return cmp.Compare(a.address, b.address) })
-	return slices.CompactFunc(targets, func(a, b target) bool { return a.address == b.address })
-}
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -60,8 +60,8 @@
 type Message struct {
 	To     string
 	Gossip Gossip
-	// ToReader is true if the receiver understands updates.
-	ToReader bool
+	// Compact is true if the receiver understands updates.
+	Compact bool
 }
 
 // Change reports that a host became live or stopped being live.
@@ -89,9 +89,9 @@
 	// changedAt is when the heartbeat last changed by more than its sequence number.
 	changedAt time.Time
 	live      bool
-	// readsUpdates is true once the process has said that it understands updates, and announcedAt is when it was last told that this host does.
-	readsUpdates bool
-	announcedAt  time.Time
+	// understandsUpdates is true once the process has said that it understands updates, and announcedAt is when it was last told that this host does.
+	understandsUpdates bool
+	announcedAt        time.Time
 }
 
 // New returns a roster that contains only its own host.
@@ -112,8 +112,8 @@
 	for _, u := range g.Updates {
 		changes = append(changes, r.update(now, u)...)
 	}
-	if p := r.peers[from]; p != nil && g.ReadsUpdates {
-		p.readsUpdates = true
+	if p := r.peers[from]; p != nil && g.UnderstandsUpdates {
+		p.understandsUpdates = true
 	}
 	if m, ok := r.reply(from, g); ok {
 		answer = append(answer, m)
--- a/fleet/roster/roster_test.go
+++ b/fleet/roster/roster_test.go
@@ -97,13 +97,13 @@
 	}
 	g := m.Gossip
 	if c.earlier[address(from)] {
-		g.ReadsUpdates = false
+		g.UnderstandsUpdates = false
 	}
 	if c.earlier[m.To] {
-		if m.ToReader {
+		if m.Compact {
 			return
 		}
-		g.ReadsUpdates = false
+		g.UnderstandsUpdates = false
 	}
 	changes, answer := to.Receive(c.now, id(from), g)
 	for _, m := range answer {
