Soak: give endpoints addresses of their own

Cause: an endpoint listens again on its port after a crash, at 127.0.0.1 among the ports that the kernel gives to outgoing connections. The fault is the soak's, not the hosts'. Change: the link of an endpoint listens at an address of the run's own network, as the hosts do.

--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -62,7 +62,8 @@
 	e := &endpoint{site: s, name: name, service: service, version: version}
 	e.runCtx, e.cancelRun = context.WithCancel(context.Background())
 	e.Endpoint = standin.NewEndpoint(s.store, name, service, e.serve)
-	link, err := network.NewLink(e.Listener.Addr().String())
+	// An endpoint that is back after a crash listens where it did before. At 127.0.0.1 another connection may have that port by then.
+	link, err := network.NewLinkAt(s.address(endpointKind, len(s.endpoints))+":0", e.Listener.Addr().String())
 	if err != nil {
 		return nil, err
 	}
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -212,10 +212,13 @@
 	s.wg.Wait()
 }
 
-// address returns an IP address of a host. Kind 1 is the one on which the host listens, and kind 2 the one that it publishes,
-// which leads other hosts through the links to it.
-func (s *Site) address(kind, host int) string {
-	return fmt.Sprintf("127.%d.%d.%d", s.cfg.Network, kind, host+1)
+// endpointKind is the kind of an endpoint's address.
+const endpointKind = 3
+
+// address returns the IP address of a host or endpoint by its number. Kind 1 is the one on which the host listens, kind 2 the one that it
+// publishes, which leads other hosts through the links to it, and endpointKind that of an endpoint.
+func (s *Site) address(kind, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", s.cfg.Network, kind, number+1)
 }
 
 func (s *Site) filePath(format string, args ...any) string {
