--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -3,7 +3,10 @@
 // heartbeat has not advanced for too long. No list of hosts is published: a host starts from the addresses of a few seeds,
 // which may be out of date.
 //
-// The package does no I/O. Tick, Leave and JoinMessage return the messages for the caller to send.
+// In a fleet that has run for a while, nearly all that changes is the sequence numbers of heartbeats. Hosts that understand updates are sent only
+// these, and ask for a heartbeat that they lack.
+//
+// The package does no I/O. Tick, Receive, Leave and JoinMessage return the messages for the caller to send.
 //
 // Source: van Renesse, Minsky and Hayden, "A Gossip-Style Failure Detection Service", 1998.
 package roster
