--- a/entry/peer/message_test.go
+++ b/entry/peer/message_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -93,13 +94,45 @@
 	raw, err := Encode(Datagram{From: "a", SlotRequests: []SlotRequest{FromSlotRequested(slotRequest)}})
 	require.NoError(f, err)
 	f.Add(raw)
-	f.Fuzz(func(_ *testing.T, raw []byte) {
-		if d, err := Decode(raw); err == nil {
-			for _, r := range d.SlotRequests {
-				_ = r.ToPool(d.From)
-			}
+	gossipRaw, err := EncodeAll(Datagram{From: "a", Extensions: Extensions{Gossip: &gossip, PartLookups: []PartLookup{lookup}}})
+	require.NoError(f, err)
+	f.Add(gossipRaw[0])
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d, err := Decode(raw)
+		if err != nil {
+			return
+		}
+		for _, r := range d.SlotRequests {
+			_ = r.ToPool(d.From)
 		}
+		receiveAny(t, d)
+	})
+}
+
+// receiveAny passes what a datagram says of the fleet to a roster, twice, since the first message of a host is answered otherwise. What the
+// roster sends must be readable, and no more than a few hosts long.
+func receiveAny(t *testing.T, d Datagram) {
+	now := time.Unix(1000, 0)
+	r := roster.New(roster.Config{
+		Self: roster.Heartbeat{Host: "self", Address: "127.0.0.1:1"}, Fanout: 3, MaxHeartbeats: 4, MaxUpdates: 4, NewsPeriod: time.Second,
+		SuspectAfter: time.Minute, ForgetAfter: time.Hour, Random: rand.New(rand.NewPCG(1, 2)),
 	})
+	g, _ := d.ToRoster()
+	for range 2 {
+		now = now.Add(time.Second)
+		_, answer := r.Receive(now, d.From, g)
+		messages, _ := r.Tick(now)
+		for _, m := range append(messages, answer...) {
+			require.LessOrEqual(t, len(m.Gossip.Heartbeats), 5)
+			require.LessOrEqual(t, len(m.Gossip.Updates)+len(m.Gossip.Wanted), 4)
+			raw, err := EncodeAll(GossipMessage(m))
+			require.NoError(t, err)
+			for _, datagram := range raw {
+				_, err := Decode(datagram)
+				require.NoError(t, err)
+			}
+		}
+	}
 }
 
 // BenchmarkAdditions reports the encoded size of the message about one stream to one replica, and of the report of one limit.
