--- a/fleet/roster/gossip_test.go
+++ b/fleet/roster/gossip_test.go
@@ -90,7 +90,7 @@
 	c := newCluster(largeFleet)
 	c.runRounds(30 * oneSecond)
 	c.startHost(7, 2)
-	c.runRounds(5 * oneSecond)
+	c.runRounds(int(5 * time.Second / roundInterval)) // the time in which a change of configuration is to be in force
 	for i := range largeFleet {
 		require.True(t, c.hosts[address(i)].HasSentHeartbeats(id(7), 1), "at %s", id(i))
 	}
