Compare the engines of one group for a slot, not all of a pool

Each host likewise asked all engines of its own list for the one that served a prefix last, for each request. A request is compared at the engines that cache its prompt, and at the group to which its prefix falls, or the second of two if the first is clearly busier, and at further groups only while none has a free slot. Engines whose load alone rules them out are not looked up. Pools of up to 160 engines have one group. Ruled out: groups agreed on between hosts, with a keeper each. They divide messages as well, but the load bound, limits and the retry budget of a service need its counts in one place, or exchanged.

--- a/fleet/chat/prompt.go
+++ b/fleet/chat/prompt.go
@@ -42,6 +42,14 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// CachedParts returns the parts that are worth recording as cached at an engine that ran the prompt: the shared ones, or the only one.
+func (p Prompt) CachedParts() []Part {
+	if len(p.Parts) == 1 {
+		return p.Parts
+	}
+	return p.SharedParts()
+}
+
 // SharedPrefix returns the ID of the last part that a prompt may share with others, which stands for the whole shared
 // prefix; 0 when there is none.
 func (p Prompt) SharedPrefix() PartID {
--- a/fleet/pool/bench_test.go
+++ b/fleet/pool/bench_test.go
@@ -1,22 +1,42 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
 
-// BenchmarkSlotRequest requests and releases one slot at a keeper of 140 engines with 1,000 requests running.
+// BenchmarkSlotRequest requests and releases one slot at a keeper whose engines run three requests each.
 func BenchmarkSlotRequest(b *testing.B) {
-	sim := newSimulation(nil, 140, 16)
-	for i := range 1000 {
-		sim.request(1, prompt(i%457, 10000), time.Hour, time.Second)
+	for _, engines := range []int{100, 140, 3000, 8000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			sim := newSimulation(nil, engines, 16)
+			for i := range 3 * engines {
+				sim.request(1, prompt(i%(2*engines), 10000), time.Hour, time.Second)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				ticket := Ticket{"host", uint64(1_000_000 + i)}
+				sim.keeper.Update(sim.now, SlotRequested{Ticket: ticket, Service: assistant, Prompt: prompt(i%(2*engines), 10000), TimeLeft: time.Second})
+				sim.keeper.Update(sim.now, SlotReleased{Ticket: ticket, Service: assistant, Result: Completed})
+				sim.now = sim.now.Add(time.Millisecond)
+			}
+		})
 	}
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		ticket := Ticket{"host", uint64(1_000_000 + i)}
-		sim.keeper.Update(sim.now, SlotRequested{Ticket: ticket, Service: assistant, Prompt: prompt(i%457, 10000), TimeLeft: time.Second})
-		sim.keeper.Update(sim.now, SlotReleased{Ticket: ticket, Service: assistant, Result: Completed})
-		sim.now = sim.now.Add(time.Millisecond)
+}
+
+// BenchmarkLastEndpoint looks up the engine that served a prefix last, as each host does for each of its requests.
+func BenchmarkLastEndpoint(b *testing.B) {
+	for _, engines := range []int{100, 3000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			sim := newSimulation(nil, engines, 16)
+			for i := range 2 * engines {
+				sim.request(1, prompt(i, 10000), time.Hour, time.Second)
+			}
+			for i := 0; b.Loop(); i++ {
+				sim.keeper.LastEndpoint(sim.now, assistant, prompt(i%(2*engines), 10000))
+			}
+		})
 	}
 }
 
@@ -26,17 +46,3 @@
 		newSimulation(nil, 3000, 16)
 	}
 }
-
-// BenchmarkSlotRequestWith3000Engines requests and releases one slot at a keeper of 3,000 engines with 10,000 requests running.
-func BenchmarkSlotRequestWith3000Engines(b *testing.B) {
-	sim := newSimulation(nil, 3000, 16)
-	for i := range 10000 {
-		sim.request(1, prompt(i%4570, 10000), time.Hour, time.Second)
-	}
-	for i := 0; b.Loop(); i++ {
-		ticket := Ticket{"host", uint64(1_000_000 + i)}
-		sim.keeper.Update(sim.now, SlotRequested{Ticket: ticket, Service: assistant, Prompt: prompt(i%4570, 10000), TimeLeft: time.Second})
-		sim.keeper.Update(sim.now, SlotReleased{Ticket: ticket, Service: assistant, Result: Completed})
-		sim.now = sim.now.Add(time.Millisecond)
-	}
-}
--- a/fleet/pool/cache_list.go
+++ b/fleet/pool/cache_list.go
@@ -86,7 +86,7 @@
 func (s *service) cacheListed(now time.Time, e CacheListed) []Command {
 	if st := s.endpoints[e.Instance.ID]; st != nil && st.record.Instance == e.Instance {
 		for _, part := range e.Parts {
-			st.addPart(now, part.ID)
+			s.addPart(now, st, part.ID)
 			st.listedTokens[part.ID] = part.Tokens
 		}
 	}
--- a/fleet/pool/cache_update.go
+++ b/fleet/pool/cache_update.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		for _, part := range cached.Parts {
-			st.addPart(now, part)
+			s.addPart(now, st, part)
 		}
 	}
 }
--- a/fleet/pool/choice.go
+++ b/fleet/pool/choice.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"balsamknot.org/fleet/chat"
@@ -20,7 +21,7 @@
 // minFetchTokens is the smallest number of tokens for which one engine fetches from the cache of another.
 const minFetchTokens = 64
 
-// scan is one pass over a service's endpoints for a request.
+// scan is the comparison of endpoints for a request.
 type scan struct {
 	now     time.Time
 	request SlotRequested
@@ -45,24 +46,31 @@
 	bestCachedMissingTokens int
 }
 
-// choose returns the endpoint with the lowest cost among those with a free slot; ok is false when there is none.
+// choose returns the endpoint with the lowest cost among those with a free slot that it compares: the engines that are known to cache the
+// prompt, and the group to which its prefix falls, or further groups if these have none. ok is false when there is none in the whole service.
 // Suspect endpoints are chosen only when there is no other. When no endpoint is known to cache the prompt's last shared
-// part, the LastEndpoint of the request is preferred. choose checks each endpoint once.
+// part, the LastEndpoint of the request is preferred.
 func (s *service) choose(now time.Time, e SlotRequested) (c choice, ok bool) {
 	sc := scan{now: now, request: e, isEngine: s.engine != nil, loadLimit: s.loadLimit(), rendezvousKey: rendezvousKey(e.Prompt), reachableShare: s.reachableShare, share: s.share(e)}
 	if len(s.limiters) > 0 {
 		sc.unlimited = s.unlimitedLoad(now)
 	}
-	for _, st := range s.sorted {
-		sc.consider(st)
+	if sc.isEngine {
+		s.considerCaching(&sc)
 	}
+	s.groups.forEach(groupKey(e), func(g *group) bool {
+		for _, st := range g.members {
+			sc.considerTarget(st)
+		}
+		return !sc.settled()
+	})
 	c = sc.best
 	switch {
 	case c.target == nil:
 		return choice{}, false
 	case !sc.isEngine:
 		return c, true
-	case sc.lastEndpoint != nil && sc.bestCachedMissingTokens >= e.Prompt.LastSharedPartTokens():
+	case sc.lastEndpoint != nil && (sc.bestCached == nil || sc.bestCachedMissingTokens >= e.Prompt.LastSharedPartTokens()):
 		return choice{target: sc.lastEndpoint}, true
 	}
 	if s.engine.CacheTransfer && sc.bestCached != nil && sc.bestCachedMissingTokens <= c.missingTokens-minFetchTokens {
@@ -71,28 +79,72 @@
 	return c, true
 }
 
-// consider compares one endpoint with the best so far.
-func (sc *scan) consider(st *endpointState) {
-	missingTokens := 0
-	if sc.isEngine {
-		missingTokens = st.missingTokens(sc.now, sc.request.Prompt)
+// groupKey returns the key from which the groups for a request follow. Requests without a shared prefix are spread over all groups.
+func groupKey(e SlotRequested) uint64 {
+	if key := rendezvousKey(e.Prompt); key != 0 {
+		return key
 	}
-	suspect := st.suspect(sc.now)
-	// A leaving engine can still serve its cache to others; a suspect one may not respond.
-	if !suspect && (sc.bestCached == nil || missingTokens < sc.bestCachedMissingTokens) {
-		sc.bestCached, sc.bestCachedMissingTokens = st, missingTokens
+	return e.Ticket.Number
+}
+
+// considerCaching compares the engines that are known to cache shared parts of the prompt, and the one that the entry names.
+func (s *service) considerCaching(sc *scan) {
+	for _, part := range slices.Backward(sc.request.Prompt.SharedParts()) {
+		for _, st := range s.caching[part.ID] {
+			sc.considerSource(st)
+			sc.considerTarget(st)
+		}
 	}
-	id := st.record.Instance.ID
-	if !st.hasFreeSlot(sc.now, sc.loadLimit, st.capacity(sc.share, sc.isEngine)) || !sc.request.accepts(st.record) || !sc.limitAllows(st) {
+	st := s.endpoints[sc.request.LastEndpoint]
+	if st == nil {
 		return
 	}
-	if id == sc.request.LastEndpoint && !suspect {
+	if sc.considerTarget(st) && !st.suspect(sc.now) {
 		sc.lastEndpoint = st
 	}
-	c := cost{suspect: suspect, amount: sc.endpointCost(st, missingTokens)}
-	if sc.best.target == nil || c.less(sc.bestCost) {
-		sc.best, sc.bestCost = choice{target: st, missingTokens: missingTokens}, c
+}
+
+// settled reports whether no further group needs to be compared.
+func (sc *scan) settled() bool { return sc.best.target != nil && !sc.bestCost.suspect }
+
+// considerSource compares an engine with the one that caches the most of the prompt so far. A leaving engine can still serve its cache to
+// others; a suspect one may not respond.
+func (sc *scan) considerSource(st *endpointState) {
+	if st.suspect(sc.now) {
+		return
+	}
+	missingTokens := st.missingTokens(sc.now, sc.request.Prompt)
+	if sc.bestCached == nil || missingTokens < sc.bestCachedMissingTokens {
+		sc.bestCached, sc.bestCachedMissingTokens = st, missingTokens
+	}
+}
+
+// considerTarget compares an endpoint with the best so far, and reports whether the request may get it.
+func (sc *scan) considerTarget(st *endpointState) bool {
+	if !st.hasFreeSlot(sc.now, sc.loadLimit, st.capacity(sc.share, sc.isEngine)) || !sc.request.accepts(st.record) || !sc.limitAllows(st) {
+		return false
+	}
+	// Most endpoints are ruled out by their load alone, which costs less than looking up what they cache.
+	if !sc.better(st, 0) {
+		return true
 	}
+	missingTokens := 0
+	if sc.isEngine {
+		missingTokens = st.missingTokens(sc.now, sc.request.Prompt)
+	}
+	if sc.better(st, missingTokens) {
+		sc.best, sc.bestCost = choice{target: st, missingTokens: missingTokens}, sc.costOf(st, missingTokens)
+	}
+	return true
+}
+
+// better reports whether an endpoint that lacks missingTokens of the prompt would be the best so far.
+func (sc *scan) better(st *endpointState, missingTokens int) bool {
+	return sc.best.target == nil || sc.costOf(st, missingTokens).less(sc.bestCost)
+}
+
+func (sc *scan) costOf(st *endpointState, missingTokens int) cost {
+	return cost{suspect: st.suspect(sc.now), amount: sc.endpointCost(st, missingTokens)}
 }
 
 // limitAllows reports whether the endpoint's limit, if it has one, allows the request now.
@@ -129,14 +181,12 @@
 	if prefix == 0 {
 		return ""
 	}
-	var best endpoint.ID
-	latest := now.Add(-partLifetime)
-	for _, st := range s.sorted {
-		if used, ok := st.cachedParts[prefix]; ok && used.After(latest) {
-			best, latest = st.record.Instance.ID, used
+	for _, st := range s.caching[prefix] {
+		if now.Sub(st.cachedParts[prefix]) < partLifetime {
+			return st.record.Instance.ID
 		}
 	}
-	return best
+	return ""
 }
 
 // cost orders the endpoints for a request: suspect ones last, then by amount, which is the result of endpointCost.
--- a/fleet/pool/endpoint_state.go
+++ b/fleet/pool/endpoint_state.go
@@ -46,7 +46,9 @@
 type endpointState struct {
 	record endpoint.Record
 	// hash is the hash of the endpoint's ID for rendezvous hashing.
-	hash    uint64
+	hash uint64
+	// group is the one of the service's groups to which the endpoint belongs; nil after its removal.
+	group   *group
 	running int
 	// cachedParts holds the time of the last use of each part of a prompt that the endpoint is assumed to cache.
 	cachedParts map[chat.PartID]time.Time
@@ -71,34 +73,17 @@
 	return &endpointState{record: r, hash: xxhash.Sum64String(string(r.Instance.ID)), cachedParts: make(map[chat.PartID]time.Time), listedTokens: make(map[chat.PartID]int)}
 }
 
-// start counts a request as running and records the parts of its prompt as cached. With several parts, the last one is left
-// out, since no other prompt shares it.
-func (st *endpointState) start(now time.Time, p chat.Prompt) {
-	st.addRunning(now, 1)
-	for i, part := range p.Parts {
-		if i == len(p.Parts)-1 && len(p.Parts) > 1 {
-			return
-		}
-		st.addPart(now, part.ID)
-	}
-}
-
-// addPart records that the endpoint has a part of a prompt in its cache.
-func (st *endpointState) addPart(now time.Time, part chat.PartID) {
-	st.cachedParts[part] = now
-	if len(st.cachedParts) > maxParts {
-		st.evictParts(now)
-	}
-}
-
-// evictParts removes the parts that have not been used within partLifetime.
-func (st *endpointState) evictParts(now time.Time) {
+// evictParts removes the parts that have not been used within partLifetime and returns them.
+func (st *endpointState) evictParts(now time.Time) []chat.PartID {
+	var evicted []chat.PartID
 	for id, used := range st.cachedParts {
 		if now.Sub(used) > partLifetime {
 			delete(st.cachedParts, id)
 			delete(st.listedTokens, id)
+			evicted = append(evicted, id)
 		}
 	}
+	return evicted
 }
 
 // finish ends a request and updates the failure statistics.
--- /dev/null
+++ b/fleet/pool/group.go
@@ -0,0 +1,95 @@
+package pool
+
+import "slices"
+
+const (
+	// maxGroupSize is how many endpoints a group has at most, on average over the groups of a service.
+	maxGroupSize = 160
+	// groupLoadFactor and groupLoadMargin bound the load of the group that a prompt's prefix chooses first: with more running requests an
+	// endpoint than groupLoadFactor times those of the second one, plus groupLoadMargin, the second comes first.
+	groupLoadFactor = 1.25
+	groupLoadMargin = 1.0
+)
+
+// group is a part of the endpoints of a large service. Which group an endpoint belongs to follows from the hash of its ID alone.
+type group struct {
+	// members is in order of ID.
+	members []*endpointState
+	// running is the number of slots held at the members.
+	running int
+}
+
+// load returns the mean number of requests that run at a member.
+func (g *group) load() float64 { return float64(g.running) / float64(max(len(g.members), 1)) }
+
+// groups divides the endpoints of a service, so that the keeper compares those of one group for a request instead of all of them. There
+// are a power of two of them: when it doubles, each group is divided into two.
+//
+// Of the two groups that follow from a prompt's prefix, the first is taken unless it is clearly busier than the second, so that keepers
+// without cache information choose the same group, and no group is overloaded by the prefixes that fall to it.
+//
+// Source: Mitzenmacher, IEEE Transactions on Parallel and Distributed Systems 12, 2001, on the power of two choices; Mirrokni, Thorup and
+// Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2018.
+type groups []*group
+
+// newGroups divides endpoints, which are in order of ID, into groups of about maxSize at most.
+func newGroups(endpoints []*endpointState, maxSize int) groups {
+	count := 1
+	for len(endpoints) > count*maxSize {
+		count *= 2
+	}
+	gs := make(groups, count)
+	for i := range gs {
+		gs[i] = &group{}
+	}
+	for _, st := range endpoints {
+		g := gs.of(st)
+		g.members = append(g.members, st)
+		g.running += st.running
+		st.group = g
+	}
+	return gs
+}
+
+// of returns the group of an endpoint.
+func (gs groups) of(st *endpointState) *group { return gs[st.hash&gs.mask()] }
+
+func (gs groups) mask() uint64 { return uint64(len(gs) - 1) }
+
+// first returns the index of the group to which a key falls.
+func (gs groups) first(key uint64) uint64 {
+	hash := mix64(key)
+	first, second := hash&gs.mask(), hash>>32&gs.mask()
+	if gs[first].load() > groupLoadFactor*gs[second].load()+groupLoadMargin {
+		return second
+	}
+	return first
+}
+
+// forEach calls do for each group, the one to which the key falls first, until do returns false.
+func (gs groups) forEach(key uint64, do func(*group) bool) {
+	first := gs.first(key)
+	for i := range uint64(len(gs)) {
+		if !do(gs[first^i]) {
+			return
+		}
+	}
+}
+
+// add adds an endpoint to its group.
+func (gs groups) add(st *endpointState) {
+	g := gs.of(st)
+	at, _ := searchEndpoint(g.members, st.record.Instance.ID)
+	g.members = slices.Insert(g.members, at, st)
+	g.running += st.running
+	st.group = g
+}
+
+// remove removes an endpoint from its group.
+func (gs groups) remove(st *endpointState) {
+	if at, found := searchEndpoint(st.group.members, st.record.Instance.ID); found {
+		st.group.members = slices.Delete(st.group.members, at, at+1)
+		st.group.running -= st.running
+	}
+	st.group = nil
+}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -43,7 +43,11 @@
 	available int
 	limited   int
 	running   int
-	heldSlots map[Ticket]*heldSlot
+	// groups divides sorted into groups of maxGroupSize, and caching finds the engines that cache a part of a prompt.
+	groups       groups
+	maxGroupSize int
+	caching      cacheIndex
+	heldSlots    map[Ticket]*heldSlot
 	// queue is in ascending order of sortKey.
 	queue  []queuedRequest
 	budget retryBudget
@@ -88,6 +92,7 @@
 func newService(name site.ServiceName, cfg Config) *service {
 	return &service{
 		name: name, cfg: cfg, sent: make(map[chat.PartID]sentUpdate), pending: make(map[chat.PartID]CachedParts), endpoints: make(map[endpoint.ID]*endpointState), heldSlots: make(map[Ticket]*heldSlot), meanHoldTime: initialHoldTime,
+		groups: newGroups(nil, maxGroupSize), maxGroupSize: maxGroupSize, caching: make(cacheIndex),
 		budget: newRetryBudget(cfg), serial: make(serialRuns), limiters: make(map[endpoint.Instance]*limiter), statements: make(map[endpoint.Instance]statement), reachableShare: 1,
 	}
 }
@@ -107,8 +112,9 @@
 	st.limiter = s.limiters[r.Instance]
 	s.applyStatement(st)
 	s.endpoints[r.Instance.ID] = st
-	at, _ := s.index(r.Instance.ID)
+	at, _ := searchEndpoint(s.sorted, r.Instance.ID)
 	s.sorted = slices.Insert(s.sorted, at, st)
+	s.addToGroup(st)
 	s.addToTotals(st, 1)
 	return s.drainQueue(now)
 }
@@ -119,15 +125,40 @@
 		return
 	}
 	delete(s.endpoints, id)
-	if at, found := s.index(id); found {
+	if at, found := searchEndpoint(s.sorted, id); found {
 		s.sorted = slices.Delete(s.sorted, at, at+1)
 	}
+	s.groups.remove(st)
+	for part := range st.cachedParts {
+		s.caching.evicted(part, st)
+	}
 	s.addToTotals(st, -1)
 }
 
-// index returns the index of an endpoint in sorted, or where it would be inserted.
-func (s *service) index(id endpoint.ID) (at int, found bool) {
-	return slices.BinarySearchFunc(s.sorted, id, func(st *endpointState, id endpoint.ID) int { return cmp.Compare(st.record.Instance.ID, id) })
+// searchEndpoint returns the index of an endpoint in a list in order of ID, or where it would be inserted.
+func searchEndpoint(sorted []*endpointState, id endpoint.ID) (at int, found bool) {
+	return slices.BinarySearchFunc(sorted, id, func(st *endpointState, id endpoint.ID) int { return cmp.Compare(st.record.Instance.ID, id) })
+}
+
+// addToGroup adds an endpoint, which sorted holds already, to its group, and divides the groups if they have grown too large.
+func (s *service) addToGroup(st *endpointState) {
+	if len(s.sorted) > len(s.groups)*s.maxGroupSize {
+		s.groups = newGroups(s.sorted, s.maxGroupSize)
+		return
+	}
+	s.groups.add(st)
+}
+
+// addPart records that an engine has a part of a prompt in its cache.
+func (s *service) addPart(now time.Time, st *endpointState, part chat.PartID) {
+	st.cachedParts[part] = now
+	s.caching.used(part, st)
+	if len(st.cachedParts) <= maxParts {
+		return
+	}
+	for _, expired := range st.evictParts(now) {
+		s.caching.evicted(expired, st)
+	}
 }
 
 // addToTotals adds an endpoint to the totals of the service; a sign of -1 subtracts it.
@@ -146,8 +177,11 @@
 func (s *service) acquireSlot(now time.Time, grant Grant, st *endpointState, p chat.Prompt, serial SerialKey) {
 	s.heldSlots[grant.Ticket] = &heldSlot{endpoint: st, grant: grant, grantedAt: now, renewedAt: now, serial: serial}
 	s.serial.begin(serial, grant.Ticket)
-	st.start(now, p)
+	st.addRunning(now, 1)
 	s.addRunning(st, 1)
+	for _, part := range p.CachedParts() {
+		s.addPart(now, st, part.ID)
+	}
 }
 
 // releaseSlot frees a held slot and records the result of the request at the endpoint.
@@ -162,6 +196,7 @@
 func (s *service) addRunning(st *endpointState, change int) {
 	if s.endpoints[st.record.Instance.ID] == st {
 		s.running += change
+		st.group.running += change
 	}
 }
 
