Begin chats at engines of their callers' data centre

Cause: the cost of an engine did not know its data centre, so that five of six chats of a deployment with six began elsewhere: all their events and those of their later turns crossed data centres, at 1.4 ms each way, and over links that can be cut.

--- a/fleet/pool/endpoint_state.go
+++ b/fleet/pool/endpoint_state.go
@@ -22,6 +22,9 @@
 	// rendezvousCost is the cost of the last endpoint in the rendezvous order of a prefix, in milliseconds. It makes keepers
 	// without cache information choose the same engine.
 	rendezvousCost = 4.0
+	// remoteEngineCost is the cost of an engine in another data centre, in milliseconds: less than that of processing the shared prefix of a
+	// short chat again, so that chats stay where they are cached, and begin in the data centre of their callers.
+	remoteEngineCost = 4.0
 	// remoteCost is the cost of a runner in another data centre, expressed as a number of running requests.
 	remoteCost = 1.5
 	// queuedCost is the cost of a runner with no free slot, expressed as a number of running requests.
@@ -147,6 +150,9 @@
 func (st *endpointState) engineCost(now time.Time, e SlotRequested, missingTokens int, key uint64, unlimited load) float64 {
 	own := st.load(now)
 	cost := float64(missingTokens)/prefillTokensPerMs + engineFailureCost*st.failureRisk(e) + rendezvousCost*st.rendezvousRank(key)
+	if st.record.DataCentre != e.DataCentre {
+		cost += remoteEngineCost
+	}
 	if st.limiter.avoided(now) {
 		own = load{running: max(own.running, unlimited.running), recent: max(own.recent, unlimited.recent)}
 		cost += limitedEngineCost
