Count the bytes between hosts by kind of message

Cause: the counter of bytes sent did not say whether a host is busy as a keeper, as a reader or with membership, so that operators of a large fleet could not tell which role makes a host hot, and each measurement here needed a patch. Change: entry_message_bytes_sent_total{kind}. Test: TestKindFollowsFromTheMessagesOfADatagram; the page of metrics is compared with what is served.

--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -281,7 +281,7 @@
 func (m *membership) sendTo(address string, d peer.Datagram) {
 	d.From = m.n.cfg.Host
 	size, err := m.socket.Send(address, d)
-	m.n.meter.recordDatagram(size)
+	m.n.meter.recordDatagram(d.Kind(), size)
 	if err != nil {
 		event.LogText(m.n.log, zerolog.DebugLevel, event.DatagramSendFailed).Str("To", address).Err(err).Send()
 	}
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -56,6 +57,9 @@
 	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened} {
 		m.set.NewCounter(name)
 	}
+	for _, kind := range peer.Kinds {
+		m.set.NewCounter(messageBytes(kind))
+	}
 	m.set.NewGauge("entry_requests_in_flight", func() float64 { return float64(n.callers.inFlight.Load()) })
 	m.set.NewGauge("entry_belief_age_seconds", func() float64 { return n.storeView.age(timer.BootClock()).Seconds() })
 	m.set.NewGauge("entry_set_version", func() float64 { return float64(n.storeView.setVersion()) })
@@ -125,9 +129,15 @@
 func (m *meter) recordTunnel() { m.set.GetOrCreateCounter(tunnelsOpened).Inc() }
 
 // recordDatagram counts a datagram to another host and its size in bytes.
-func (m *meter) recordDatagram(bytes int) {
+func (m *meter) recordDatagram(kind peer.Kind, bytes int) {
 	m.set.GetOrCreateCounter(datagramsSent).Inc()
 	m.set.GetOrCreateCounter(datagramBytes).Add(bytes)
+	m.set.GetOrCreateCounter(messageBytes(kind)).Add(bytes)
+}
+
+// messageBytes returns the name of the series that counts the bytes of a kind of datagrams.
+func messageBytes(kind peer.Kind) string {
+	return `entry_message_bytes_sent_total{kind="` + string(kind) + `"}`
 }
 
 // labelValue returns a service's name without the characters that are not allowed in a label value: quotes, backslashes and
