Show which release a host runs, and how many hosts still run an earlier one

Cause: operators who replace all hosts could not see how far the replacement is: neither the log nor a metric named a release.

--- a/entry/main.go
+++ b/entry/main.go
@@ -55,6 +55,7 @@
 	path := flags.StringLong("settings", "", "settings file of this host (INI)")
 	level := flags.StringEnumLong("log-level", "lowest level of log lines to write", "info", "debug", "warn", "error")
 	check := flags.BoolLong("check", "check the settings and exit")
+	version := flags.BoolLong("version", "print the release and exit")
 	if err := ff.Parse(flags, args); err != nil {
 		fmt.Fprintln(os.Stderr, ffhelp.Flags(flags))
 		if errors.Is(err, ff.ErrHelp) {
@@ -63,6 +64,10 @@
 		fmt.Fprintln(os.Stderr, "entry:", err)
 		return exitUsage
 	}
+	if *version {
+		fmt.Println(release())
+		return exitOK
+	}
 	cfg, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "entry:", err)
@@ -94,7 +99,7 @@
 	defer logWriter.Close()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(logWriter).Level(minLevel).With().Timestamp().Str("Host", string(cfg.Host)).Logger()
-	n := node.New(node.Config{Settings: cfg, Log: log, Timers: timers})
+	n := node.New(node.Config{Settings: cfg, Log: log, Timers: timers, Release: release()})
 	go func() {
 		for range reloads {
 			n.Reload(settings.Load(path))
--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -397,6 +397,13 @@
 	return max(len(m.live)+m.roster.UnreachableCount(), 1)
 }
 
+// earlierReleaseCount returns roster.Roster.EarlierReleaseCount.
+func (m *membership) earlierReleaseCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.EarlierReleaseCount()
+}
+
 // reachableShare returns pool.FleetCounted.ReachableShare.
 func (m *membership) reachableShare() float64 {
 	return float64(m.liveCount()) / float64(m.knownCount())
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -64,6 +64,7 @@
 	m.set.NewGauge("entry_belief_age_seconds", func() float64 { return n.storeView.age(timer.BootClock()).Seconds() })
 	m.set.NewGauge("entry_set_version", func() float64 { return float64(n.storeView.setVersion()) })
 	m.set.NewGauge("entry_hosts_live", func() float64 { return float64(n.membership.liveCount()) })
+	m.set.NewGauge("entry_hosts_earlier_release", func() float64 { return float64(n.membership.earlierReleaseCount()) })
 	m.set.NewGauge("entry_endpoint_connections_total", func() float64 { return float64(n.endpointConns.Dials()) })
 	m.set.NewGauge("entry_limited_endpoints", func() float64 { return float64(n.slots.limitedCount()) })
 	m.set.NewGauge("entry_relayed_endpoints", func() float64 { return float64(n.paths.goneCount()) })
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -30,6 +30,8 @@
 	Settings settings.Host
 	Log      zerolog.Logger
 	Timers   *timer.Scheduler
+	// Release is the release of the program, for the log.
+	Release string
 	// EndpointDialer connects to endpoints; nil means over TCP.
 	EndpointDialer connection.Dialer
 }
@@ -41,6 +43,7 @@
 	settings atomic.Pointer[settings.Host]
 	log      zerolog.Logger
 	timers   *timer.Scheduler
+	release  string
 
 	store         *platform.Store
 	engines       *platform.EngineClient
@@ -94,7 +97,7 @@
 	if cfg.EndpointDialer == nil {
 		cfg.EndpointDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: dialTimeout, DeadPeerTimeout: connDeadAfter})
 	}
-	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, store: platform.NewStore(cfg.Settings.StoreAddress)}
+	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, release: cfg.Release, store: platform.NewStore(cfg.Settings.StoreAddress)}
 	n.settings.Store(&cfg.Settings)
 	n.paths = newPathTracker(n, cfg.EndpointDialer)
 	n.relayDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: peerDialTimeout, DeadPeerTimeout: connDeadAfter})
@@ -120,7 +123,7 @@
 	if err := n.listen(ctx); err != nil {
 		return err
 	}
-	event.LogText(n.log, zerolog.InfoLevel, event.NodeStarted).Str("Callers", n.cfg.CallerAddress).Send()
+	event.LogText(n.log, zerolog.InfoLevel, event.NodeStarted).Str("Callers", n.cfg.CallerAddress).Str("Release", n.release).Send()
 	n.wg.Go(n.membership.serve)
 	n.wg.Go(func() { n.membership.runStartupRounds(workCtx) })
 	n.wg.Go(func() { n.storeView.refreshLoop(workCtx) })
--- a/fleet/roster/gossip_test.go
+++ b/fleet/roster/gossip_test.go
@@ -85,6 +85,28 @@
 	}
 }
 
+// While the first 20 of 60 hosts run the earlier release, each host counts those of them that are live, so that operators see how far an upgrade is.
+func TestHostsCountThoseOfTheEarlierRelease(t *testing.T) {
+	t.Parallel()
+	const hosts, earlier = 60, 20
+	c := newCluster(hosts)
+	for i := range earlier {
+		c.earlier[address(i)] = true
+	}
+	c.runRounds(30 * oneSecond)
+	for i := earlier; i < hosts; i++ {
+		require.Equal(t, earlier, c.hosts[address(i)].EarlierReleaseCount(), "at %s", id(i))
+	}
+	for i := range earlier {
+		delete(c.earlier, address(i))
+		c.startHost(i, 2)
+	}
+	c.runRounds(30 * oneSecond)
+	for i := range hosts {
+		require.Zero(t, c.hosts[address(i)].EarlierReleaseCount(), "at %s", id(i))
+	}
+}
+
 func TestHostThatRestartsIsKnownEverywhereSoon(t *testing.T) {
 	t.Parallel()
 	c := newCluster(largeFleet)
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -266,6 +266,18 @@
 	return n
 }
 
+// EarlierReleaseCount returns the number of live hosts that are not known to understand updates: those of earlier releases, and for a moment
+// those that have just started.
+func (r *Roster) EarlierReleaseCount() int {
+	n := 0
+	for _, p := range r.peers {
+		if p.live && !p.understandsUpdates {
+			n++
+		}
+	}
+	return n
+}
+
 // minCapacityFraction is the fraction of the highest number of cores that a host needs to have high capacity.
 const minCapacityFraction = 0.7
 
