Use the first set only once its endpoints are known

Cause: a host put its first set in force before it had passed on the endpoints of the same read. A request that arrived in between was refused at once, 'no place: NoEndpoint'. Every start of a host has that window; it grows with the number of endpoints. Change: there is no set until the endpoints that were read with it are registered; requests wait for that as they do for the first read. Test: TestFirstSetIsUsedOnceItsEndpointsAreKnown failed before (13 of 150 endpoints known).

--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -113,8 +113,14 @@
 	}
 }
 
-// set returns the set in force, nil before the first one, and whether its lease allows its use.
+// set returns the set in force and whether its lease allows its use. It is nil before the first one, until the endpoints that were read with
+// it are known to the other parts of this host.
 func (v *storeView) set(now time.Time) (*site.Set, bool) {
+	select {
+	case <-v.loaded:
+	default:
+		return nil, false
+	}
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	return v.catalogue.Set(), v.catalogue.Valid(now)
