Distribute complete copies of the store within data centres, and compress each change once

Cause: at a start of all hosts each fetched the complete copy from one of two readers. Ruled out: slots. Change: a reader sends a copy of 64 KB or more to one host of each data centre and refers the others to hosts there that have it, four each. A host that finds none asks the reader again and is served. Small copies and hosts of earlier releases are served as before; the encoding is the same. A fetch that goes on is no longer cut off.

--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -240,7 +240,7 @@
 // peerHandler serves other hosts: the copy of the store, and tunnels to endpoints.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+peer.StoreUpdatePath, peer.StoreUpdateHandler(n.storeView.changesAfter))
+	mux.Handle("GET "+peer.StoreUpdatePath, peer.StoreUpdateHandler(newCopyServer(n.storeView)))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
 			n.paths.serveTunnel(w, r)
--- a/entry/node/readers.go
+++ b/entry/node/readers.go
@@ -71,32 +71,34 @@
 	}
 }
 
-// fetchChanges fetches the changes after a revision from a reader and applies them.
+// fetchChanges fetches the changes after a revision from a reader, or from a host to which the reader refers, and applies them.
 func (v *storeView) fetchChanges(ctx context.Context, reader host.ID, after catalogue.Revision) error {
-	address, known := v.n.membership.readerAddress(reader)
-	if !known {
-		return eris.Errorf("fetch from reader %s: unknown host", reader)
-	}
-	sentAt := timer.BootClock()
-	update, err := peer.FetchStoreUpdate(ctx, v.client, address, after)
-	if err != nil {
+	q := peer.UpdateQuery{After: after, Asker: catalogue.Asker{Host: v.n.cfg.Host, DataCentre: v.n.cfg.DataCentre}}
+	holder, err := v.fetchFrom(ctx, reader, q)
+	if err != nil || holder == "" {
 		return err
 	}
-	v.apply(sentAt.Add(-time.Duration(update.AgeMs)*time.Millisecond), update.Entries, update.Revision, update.Full)
-	return nil
+	q.Direct = true
+	if _, err := v.fetchFrom(ctx, holder, q); err == nil {
+		return nil
+	}
+	_, err = v.fetchFrom(ctx, reader, q)
+	return err
 }
 
-// changesAfter returns the changes after a revision, to be sent to another host; false while this host has no copy.
-func (v *storeView) changesAfter(after catalogue.Revision) (peer.StoreUpdate, bool) {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	if v.history.Revision() == 0 {
-		return peer.StoreUpdate{}, false
+// fetchFrom sends a query to a host and applies the update. If holder is not empty, that host has the update, and nothing was applied.
+func (v *storeView) fetchFrom(ctx context.Context, id host.ID, q peer.UpdateQuery) (holder host.ID, err error) {
+	address, known := v.n.membership.readerAddress(id)
+	if !known {
+		return "", eris.Errorf("fetch from reader %s: unknown host", id)
 	}
-	entries, full := v.history.Since(after)
-	return peer.StoreUpdate{
-		Revision: v.history.Revision(), Full: full, Entries: entries, AgeMs: v.catalogue.Age(timer.BootClock()).Milliseconds() + 1,
-	}, true
+	sentAt := timer.BootClock()
+	update, holder, err := peer.FetchStoreUpdate(ctx, v.client, address, q)
+	if err != nil || holder != "" {
+		return holder, err
+	}
+	v.apply(sentAt.Add(-time.Duration(update.AgeMs)*time.Millisecond), update.Entries, update.Revision, update.Full)
+	return "", nil
 }
 
 // handle processes the messages between readers and other hosts. It replies to probes, which also subscribe their senders to
--- a/entry/peer/store_update.go
+++ b/entry/peer/store_update.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"bytes"
 	"compress/flate"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -13,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamknot.org/fleet/catalogue"
+	"balsamknot.org/fleet/host"
 )
 
 // Probe queries the state of a reader's copy of the platform's store. The reader replies with a ProbeReply.
@@ -58,66 +61,190 @@
 	Entries []catalogue.Entry
 }
 
+// CompressedEntries is a list of entries as it stands in an encoded StoreUpdate: CBOR in DEFLATE blocks that refer to nothing before them, so
+// that one list can be part of many updates.
+type CompressedEntries []byte
+
+// CompressEntries encodes and compresses a list of entries.
+func CompressEntries(entries []catalogue.Entry) (CompressedEntries, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.DefaultCompression)
+	if err != nil {
+		return nil, eris.Wrap(err, "compress entries")
+	}
+	if err := cbor.NewEncoder(w).Encode(entries); err != nil {
+		return nil, eris.Wrap(err, "encode entries")
+	}
+	if err := w.Flush(); err != nil {
+		return nil, eris.Wrap(err, "compress entries")
+	}
+	return out.Bytes(), nil
+}
+
+// OutgoingUpdate is a StoreUpdate to be sent.
+type OutgoingUpdate struct {
+	Revision catalogue.Revision
+	Full     bool
+	AgeMs    int64
+	Entries  CompressedEntries
+}
+
+// updateArrayHead is the first byte of an encoded StoreUpdate, a CBOR array of four elements.
+const updateArrayHead = 0x84
+
+// writeTo writes the update as FetchStoreUpdate reads it: a StoreUpdate, compressed with DEFLATE.
+func (u OutgoingUpdate) writeTo(w io.Writer) error {
+	head, err := flate.NewWriter(w, flate.NoCompression)
+	if err != nil {
+		return eris.Wrap(err, "write store update")
+	}
+	fields := []byte{updateArrayHead}
+	for _, field := range []any{u.Revision, u.Full, u.AgeMs} {
+		raw, err := cbor.Marshal(field)
+		if err != nil {
+			return eris.Wrap(err, "encode store update")
+		}
+		fields = append(fields, raw...)
+	}
+	if _, err := head.Write(fields); err != nil {
+		return eris.Wrap(err, "write store update")
+	}
+	if err := head.Flush(); err != nil {
+		return eris.Wrap(err, "write store update")
+	}
+	if _, err := w.Write(u.Entries); err != nil {
+		return eris.Wrap(err, "write store update")
+	}
+	// The writer of the head ends the stream with an empty block.
+	return eris.Wrap(head.Close(), "write store update")
+}
+
 // StoreUpdatePath is the path under which hosts serve a StoreUpdate to each other.
 const StoreUpdatePath = "/Knowledge"
 
-// afterParam is the query parameter for the revision that the requesting host has.
-const afterParam = "After"
+// UpdateQuery asks a host for a StoreUpdate.
+type UpdateQuery struct {
+	// After is the revision of the asking host's copy; 0 if it has none.
+	After catalogue.Revision
+	// Asker is the asking host; hosts of earlier releases do not name it.
+	Asker catalogue.Asker
+	// Direct is true if the host that is asked must not refer to another one.
+	Direct bool
+}
+
+// Query parameters of an UpdateQuery, by the names of its fields.
+const (
+	afterParam      = "After"
+	hostParam       = "Host"
+	dataCentreParam = "DataCentre"
+	directParam     = "Direct"
+)
+
+// holderHeader names the host that has the update, in a response with status 303.
+const holderHeader = "Holder"
+
+func (q UpdateQuery) encode() string {
+	values := url.Values{
+		afterParam: {strconv.FormatInt(int64(q.After), 10)}, hostParam: {string(q.Asker.Host)}, dataCentreParam: {string(q.Asker.DataCentre)},
+	}
+	if q.Direct {
+		values.Set(directParam, strconv.FormatBool(true))
+	}
+	return values.Encode()
+}
+
+func parseUpdateQuery(values url.Values) (UpdateQuery, error) {
+	after, err := strconv.ParseInt(values.Get(afterParam), 10, 64)
+	if err != nil {
+		return UpdateQuery{}, eris.Wrap(err, "parse query for a store update")
+	}
+	return UpdateQuery{
+		After: catalogue.Revision(after), Direct: values.Get(directParam) != "",
+		Asker: catalogue.Asker{Host: host.ID(values.Get(hostParam)), DataCentre: host.DataCentre(values.Get(dataCentreParam))},
+	}, nil
+}
+
+// ErrNoCopy means that a host has no copy of the store yet.
+var ErrNoCopy = errors.New("this host has no copy of the store yet")
+
+// UpdateSource is a host's copy of the store, as far as the handler needs it.
+type UpdateSource interface {
+	// PrepareUpdate returns the update for a query, or the host that has it. The error is ErrNoCopy while this host has none.
+	PrepareUpdate(ctx context.Context, q UpdateQuery) (u OutgoingUpdate, holder host.ID, err error)
+	// UpdateSent reports the end of the transfer of an update that PrepareUpdate returned.
+	UpdateSent(q UpdateQuery, err error)
+}
 
-// StoreUpdateHandler serves the update that load returns for a revision, compressed with DEFLATE. It responds with status 503
-// when ok is false, because the host has no copy of the store yet.
-func StoreUpdateHandler(load func(after catalogue.Revision) (update StoreUpdate, ok bool)) http.Handler {
+// StoreUpdateHandler serves updates from a copy of the store. It responds with status 503 when the host has none, and with 303 and the
+// header Holder to refer to another host.
+func StoreUpdateHandler(source UpdateSource) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseInt(r.URL.Query().Get(afterParam), 10, 64)
+		q, err := parseUpdateQuery(r.URL.Query())
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		update, ok := load(catalogue.Revision(after))
-		if !ok {
+		update, holder, err := source.PrepareUpdate(r.Context(), q)
+		switch {
+		case errors.Is(err, ErrNoCopy):
 			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		out, err := flate.NewWriter(w, flate.BestSpeed)
-		if err != nil {
+		case err != nil:
 			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		if err := cbor.NewEncoder(out).Encode(update); err == nil {
-			_ = out.Close()
+		case holder != "":
+			w.Header().Set(holderHeader, string(holder))
+			w.WriteHeader(http.StatusSeeOther)
+		default:
+			source.UpdateSent(q, update.writeTo(w))
 		}
 	})
 }
 
-// maxUpdateBytes limits the size of an update after decompression, and fetchTimeout the time for a whole fetch.
+// maxUpdateBytes limits the size of an update after decompression, and fetchTimeout the time without progress of a fetch.
 const (
 	maxUpdateBytes = 32 << 20
 	fetchTimeout   = 1500 * time.Millisecond
 )
 
-// FetchStoreUpdate requests from the host at address (ip:port) the changes after a revision.
-func FetchStoreUpdate(ctx context.Context, client *http.Client, address string, after catalogue.Revision) (StoreUpdate, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+// FetchStoreUpdate requests an update from the host at address (ip:port). If holder is not empty, that host has it.
+func FetchStoreUpdate(ctx context.Context, client *http.Client, address string, q UpdateQuery) (update StoreUpdate, holder host.ID, err error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	target := url.URL{
-		Scheme: "http", Host: address, Path: StoreUpdatePath,
-		RawQuery: url.Values{afterParam: {strconv.FormatInt(int64(after), 10)}}.Encode(),
-	}
+	stalled := time.AfterFunc(fetchTimeout, cancel)
+	defer stalled.Stop()
+	target := url.URL{Scheme: "http", Host: address, Path: StoreUpdatePath, RawQuery: q.encode()}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return StoreUpdate{}, eris.Wrapf(err, "fetch store update from %s", address)
+		return StoreUpdate{}, "", eris.Wrapf(err, "fetch store update from %s", address)
 	}
 	response, err := client.Do(r)
 	if err != nil {
-		return StoreUpdate{}, eris.Wrapf(err, "fetch store update from %s", address)
+		return StoreUpdate{}, "", eris.Wrapf(err, "fetch store update from %s", address)
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return StoreUpdate{}, eris.Errorf("fetch store update from %s: status %d", address, response.StatusCode)
+	switch holder := response.Header.Get(holderHeader); {
+	case response.StatusCode == http.StatusSeeOther && holder != "":
+		return StoreUpdate{}, host.ID(holder), nil
+	case response.StatusCode != http.StatusOK:
+		return StoreUpdate{}, "", eris.Errorf("fetch store update from %s: status %d", address, response.StatusCode)
+	}
+	body := &progressReader{in: response.Body, stalled: stalled}
+	if err := cbor.NewDecoder(io.LimitReader(flate.NewReader(body), maxUpdateBytes)).Decode(&update); err != nil {
+		return StoreUpdate{}, "", eris.Wrapf(err, "decode store update from %s", address)
 	}
-	var update StoreUpdate
-	if err := cbor.NewDecoder(io.LimitReader(flate.NewReader(response.Body), maxUpdateBytes)).Decode(&update); err != nil {
-		return StoreUpdate{}, eris.Wrapf(err, "decode store update from %s", address)
+	return update, "", nil
+}
+
+// progressReader postpones the end of a fetch with each part that arrives.
+type progressReader struct {
+	in      io.Reader
+	stalled *time.Timer
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.in.Read(p)
+	if n > 0 {
+		r.stalled.Reset(fetchTimeout)
 	}
-	return update, nil
+	return n, err
 }
--- /dev/null
+++ b/entry/peer/store_update_test.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/fleet/catalogue"
+	"balsamknot.org/fleet/host"
+)
+
+// fixedSource serves one update, or refers to a host unless the query is direct.
+type fixedSource struct {
+	update  OutgoingUpdate
+	holder  host.ID
+	err     error
+	queries []UpdateQuery
+	sent    []error
+}
+
+func (s *fixedSource) PrepareUpdate(_ context.Context, q UpdateQuery) (OutgoingUpdate, host.ID, error) {
+	s.queries = append(s.queries, q)
+	if q.Direct {
+		return s.update, "", s.err
+	}
+	return s.update, s.holder, s.err
+}
+
+func (s *fixedSource) UpdateSent(_ UpdateQuery, err error) { s.sent = append(s.sent, err) }
+
+func serveUpdates(t *testing.T, s *fixedSource) (address string) {
+	t.Helper()
+	server := httptest.NewServer(StoreUpdateHandler(s))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestUpdateOfCompressedEntriesIsReadAsSent(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{0, 1, 3000} {
+		entries, _ := storeHistory(size).Since(0)
+		compressed, err := CompressEntries(entries)
+		require.NoError(t, err)
+		s := &fixedSource{update: OutgoingUpdate{Revision: 7, Full: true, AgeMs: 12, Entries: compressed}}
+		q := UpdateQuery{After: 3, Asker: catalogue.Asker{Host: "host-1", DataCentre: "a"}}
+		update, holder, err := FetchStoreUpdate(t.Context(), http.DefaultClient, serveUpdates(t, s), q)
+		require.NoError(t, err)
+		require.Empty(t, holder)
+		require.Equal(t, StoreUpdate{Revision: 7, Full: true, AgeMs: 12, Entries: entries}, update)
+		require.Equal(t, []UpdateQuery{q}, s.queries)
+		require.Equal(t, []error{nil}, s.sent)
+	}
+}
+
+func TestHostIsReferredUnlessItAsksDirectly(t *testing.T) {
+	t.Parallel()
+	s := &fixedSource{holder: "host-7"}
+	address := serveUpdates(t, s)
+	_, holder, err := FetchStoreUpdate(t.Context(), http.DefaultClient, address, UpdateQuery{})
+	require.NoError(t, err)
+	require.Equal(t, host.ID("host-7"), holder)
+	require.Empty(t, s.sent)
+	_, holder, _ = FetchStoreUpdate(t.Context(), http.DefaultClient, address, UpdateQuery{Direct: true})
+	require.Empty(t, holder)
+}
+
+func TestHostWithoutACopyAndMalformedQueriesAreErrors(t *testing.T) {
+	t.Parallel()
+	address := serveUpdates(t, &fixedSource{err: ErrNoCopy})
+	_, _, err := FetchStoreUpdate(t.Context(), http.DefaultClient, address, UpdateQuery{})
+	require.ErrorContains(t, err, "status 503")
+	address = serveUpdates(t, &fixedSource{err: errors.New("compress")})
+	_, _, err = FetchStoreUpdate(t.Context(), http.DefaultClient, address, UpdateQuery{})
+	require.ErrorContains(t, err, "status 500")
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+StoreUpdatePath+"?After=x", nil)
+	require.NoError(t, err)
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusBadRequest, response.StatusCode)
+}
--- a/fleet/catalogue/history.go
+++ b/fleet/catalogue/history.go
@@ -27,6 +27,8 @@
 	// completeAfter is the revision after which every change is recorded. Earlier removals, and entries that were removed and written again, may
 	// be missing.
 	completeAfter Revision
+	// generation counts the changes of what Since returns.
+	generation uint64
 }
 
 type versionedEntry struct {
@@ -49,6 +51,7 @@
 		entries = append(slices.Clone(entries), h.unlistedTombstones(entries)...)
 		if h.completeAfter == 0 {
 			h.completeAfter = revision
+			h.generation++
 		}
 	}
 	for _, e := range entries {
@@ -70,6 +73,7 @@
 		if changedAt <= current.revision {
 			return
 		}
+		h.generation++
 		if full && e.Revision == 0 {
 			// It is not known whether the entry changed.
 			h.completeAfter = max(h.completeAfter, revision)
@@ -77,6 +81,7 @@
 			return
 		}
 	}
+	h.generation++
 	h.entries[e.Key] = versionedEntry{entry: e, revision: changedAt, recordedAt: now}
 	h.newestChange = max(h.newestChange, changedAt)
 }
@@ -101,6 +106,7 @@
 	for key, v := range h.entries {
 		if v.entry.Removed && now.Sub(v.recordedAt) > tombstoneRetention {
 			delete(h.entries, key)
+			h.generation++
 			h.completeAfter = max(h.completeAfter, v.revision)
 		}
 	}
@@ -112,6 +118,9 @@
 // NewestChange returns the revision of the newest change that is recorded. It stays the same when a read changes nothing.
 func (h *History) NewestChange() Revision { return h.newestChange }
 
+// Generation counts the changes of the history: while it stays the same, so does what Since returns for a revision.
+func (h *History) Generation() uint64 { return h.generation }
+
 // Since returns the entries that changed after a revision, sorted by key. full is true when changes after that revision
 // may be missing; entries then lists all existing keys instead, and the receiver removes those not listed.
 func (h *History) Since(after Revision) (entries []Entry, full bool) {
