Reply to hosts that are not in the roster yet

Cause: a reader or a keeper sends replies to the address that the roster has for the asking host, and drops them silently if there is none. After a start of all hosts, hosts hear of the few readers at once, by heartbeats that are passed on, but the readers hear of each of hundreds of hosts only later. Played with all logs on the large site (195 hosts killed at once): both readers had the copy 60 ms after their start, and 174 of 195 hosts waited 150 ms for a reply to their first probe ('no answer'), then read the store themselves; the median host had its set 0.33 s after its start, and 133 requests were refused meanwhile. Slot requests to keepers were lost alike. Ruled out: readers that are busy (they had answered nothing to most hosts, but the store's answers within 20 ms). Change: a message from a host that is not in the roster is answered at the address from which it came. That is kept for 5 s, for 4,096 hosts at most. Copies of the store are distributed from 32 KB on.

--- a/entry/node/copies.go
+++ b/entry/node/copies.go
@@ -30,7 +30,7 @@
 
 const (
 	// minReferredBytes is the size of a complete copy, compressed, from which it is distributed within data centres.
-	minReferredBytes = 64 << 10
+	minReferredBytes = 32 << 10
 	// maxCopyFollowers is how many hosts get the copy from one that is no reader.
 	maxCopyFollowers = 4
 	// copyTransferTime is the time after which a host that was referred to another is taken to have the copy.
--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -33,6 +33,9 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	// senders holds the hosts that are not in the roster yet and sent this one a message, such as a slot request: they get their reply at the
+	// address from which it came.
+	senders map[host.ID]sender
 	// backoffs holds the hosts that did not reply to a slot request in time and have sent no reply since.
 	backoffs map[host.ID]hostBackoff
 	live     []host.ID
@@ -40,6 +43,12 @@
 	highCapacity []host.ID
 }
 
+// sender is where a message came from, and when.
+type sender struct {
+	address string
+	at      time.Time
+}
+
 // hostBackoff describes a host that does not reply to slot requests.
 type hostBackoff struct {
 	// until is the time until which no slot is requested from the host.
@@ -74,6 +83,12 @@
 	maxHostBackoff = 8 * time.Second
 )
 
+const (
+	// senderLifetime is how long the address of a sender that is not in the roster is kept, and maxSenders how many are.
+	senderLifetime = 5 * time.Second
+	maxSenders     = 4096
+)
+
 const (
 	// discoveryTimeout limits how long a new process waits to discover other hosts, and discoveryPollInterval is the time between
 	// its checks. discoveryExtraWait is how long it waits for further hosts once it has discovered one.
@@ -84,7 +99,7 @@
 
 func newMembership(n *Node) *membership {
 	return &membership{
-		n: n, backoffs: make(map[host.ID]hostBackoff),
+		n: n, backoffs: make(map[host.ID]hostBackoff), senders: make(map[host.ID]sender),
 		roster: roster.New(roster.Config{
 			Self: roster.Heartbeat{
 				Host: n.cfg.Host, Address: n.peerAddress(cmp.Or(n.cfg.PublishedAddress, n.cfg.Address)), DataCentre: n.cfg.DataCentre, Cores: n.cfg.Cores,
@@ -135,8 +150,9 @@
 }
 
 // handle processes the heartbeats of a datagram and passes the other messages on to the node's other parts.
-func (m *membership) handle(_ netip.AddrPort, d peer.Datagram) {
+func (m *membership) handle(from netip.AddrPort, d peer.Datagram) {
 	now := timer.BootClock()
+	m.recordSender(now, d.From, from)
 	if gossip, ok := d.ToRoster(); ok {
 		m.mu.Lock()
 		changes, answer := m.roster.Receive(now, d.From, gossip)
@@ -152,6 +168,36 @@
 	m.n.streams.handle(now, d)
 }
 
+// recordSender records where a message came from if its sender is not in the roster: when many hosts start together, some know this one
+// before it knows them.
+func (m *membership) recordSender(now time.Time, id host.ID, from netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.roster.Address(id); !known && id != m.n.cfg.Host && from.IsValid() && len(m.senders) < maxSenders {
+		m.senders[id] = sender{address: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), at: now}
+	}
+}
+
+// dropOldSenders removes the senders that have not sent anything for senderLifetime. mu must be held.
+func (m *membership) dropOldSenders(now time.Time) {
+	for id, s := range m.senders {
+		if now.Sub(s.at) > senderLifetime {
+			delete(m.senders, id)
+		}
+	}
+}
+
+// address returns where a host gets messages; false for an unknown host and for this one.
+func (m *membership) address(id host.ID) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if address, known := m.roster.Address(id); known {
+		return address, true
+	}
+	s, known := m.senders[id]
+	return s.address, known
+}
+
 // sendJoinMessage sends known heartbeats and crashes to the sender of a message if changes say that it became live, by its start or
 // after it was unreachable, so that it need not wait for the next round.
 func (m *membership) sendJoinMessage(now time.Time, from host.ID, changes []roster.Change) {
@@ -224,6 +270,7 @@
 	m.mu.Lock()
 	messages, changes := m.roster.Tick(now)
 	m.refreshIfChanged(changes)
+	m.dropOldSenders(now)
 	m.mu.Unlock()
 	m.handleChanges(now, changes)
 	m.n.slots.update(now, pool.FleetCounted{ReachableShare: m.reachableShare()})
@@ -247,10 +294,7 @@
 
 // send sends a datagram to a host; it does nothing for an unknown host and for this one. Delivery is not confirmed.
 func (m *membership) send(to host.ID, d peer.Datagram) {
-	m.mu.Lock()
-	address, known := m.roster.Address(to)
-	m.mu.Unlock()
-	if known {
+	if address, known := m.address(to); known {
 		m.sendTo(address, d)
 	}
 }
