Bound a fetch of the store's copy as a whole, too

Cause: since a fetch goes on as long as bytes arrive, so that a host which sends a byte now and then would keep the only goroutine that refreshes the copy waiting for ever; the set would expire. Change: 4 s for a whole fetch, beside 1.5 s without progress. Test: TestFetchOfAnUpdateThatNeverEndsIsGivenUp.

--- a/entry/peer/store_update.go
+++ b/entry/peer/store_update.go
@@ -199,15 +199,17 @@
 	})
 }
 
-// maxUpdateBytes limits the size of an update after decompression, and fetchTimeout the time without progress of a fetch.
+// maxUpdateBytes limits the size of an update after decompression, fetchTimeout the time without progress of a fetch, and maxFetchTime the time
+// of a whole one: less than a set may be used without confirmation.
 const (
 	maxUpdateBytes = 32 << 20
 	fetchTimeout   = 1500 * time.Millisecond
+	maxFetchTime   = 4 * time.Second
 )
 
 // FetchStoreUpdate requests an update from the host at address (ip:port). If holder is not empty, that host has it.
 func FetchStoreUpdate(ctx context.Context, client *http.Client, address string, q UpdateQuery) (update StoreUpdate, holder host.ID, err error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, maxFetchTime)
 	defer cancel()
 	stalled := time.AfterFunc(fetchTimeout, cancel)
 	defer stalled.Stop()
--- a/entry/peer/store_update_test.go
+++ b/entry/peer/store_update_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -84,3 +85,21 @@
 	defer response.Body.Close()
 	require.Equal(t, http.StatusBadRequest, response.StatusCode)
 }
+
+// A host that sends a byte now and then, without end, does not keep the asking host waiting for ever.
+func TestFetchOfAnUpdateThatNeverEndsIsGivenUp(t *testing.T) {
+	t.Parallel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			// Empty blocks of DEFLATE that are not the last one.
+			if _, err := w.Write([]byte{0, 0, 0, 0xff, 0xff}); err != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}))
+	t.Cleanup(server.Close)
+	_, _, err := FetchStoreUpdate(t.Context(), http.DefaultClient, strings.TrimPrefix(server.URL, "http://"), UpdateQuery{})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
