Join the groups of a pool again when few endpoints are left

A pool that once had 3,000 engines and shrinks to 100 kept 32 groups of three, among which new chats were placed. Found on reading the diff. Change: groups are made anew when fewer than a quarter of what they may hold is left. Test: TestGroupsAreJoinedWhenFewEnginesAreLeft failed before (4 groups, 1 expected).

--- a/fleet/pool/group.go
+++ b/fleet/pool/group.go
@@ -5,6 +5,9 @@
 const (
 	// maxGroupSize is how many endpoints a group has at most, on average over the groups of a service.
 	maxGroupSize = 160
+	// minGroupShare is the part of maxGroupSize below which groups are joined: a quarter, so that endpoints that come and go do not divide and
+	// join them by turns.
+	minGroupShare = 4
 	// groupLoadFactor and groupLoadMargin bound the load of the group that a prompt's prefix chooses first: with more running requests an
 	// endpoint than groupLoadFactor times those of the second one, plus groupLoadMargin, the second comes first.
 	groupLoadFactor = 1.25
@@ -23,7 +26,7 @@
 func (g *group) load() float64 { return float64(g.running) / float64(max(len(g.members), 1)) }
 
 // groups divides the endpoints of a service, so that the keeper compares those of one group for a request instead of all of them. There
-// are a power of two of them: when it doubles, each group is divided into two.
+// are a power of two of them: when their number doubles, each group is divided into two, and joined again when few endpoints are left.
 //
 // Of the two groups that follow from a prompt's prefix, the first is taken unless it is clearly busier than the second, so that keepers
 // without cache information choose the same group, and no group is overloaded by the prefixes that fall to it.
--- a/fleet/pool/group_test.go
+++ b/fleet/pool/group_test.go
@@ -96,6 +96,27 @@
 	require.Equal(t, len(s.sorted), members)
 }
 
+// A pool that shrinks to a few engines has one group again, with all of them, and one that changes by a few keeps its groups.
+func TestGroupsAreJoinedWhenFewEnginesAreLeft(t *testing.T) {
+	t.Parallel()
+	sim := newLargePool(t, maxGroupSize)
+	s := sim.keeper.service(assistant)
+	for i := range largePool - 161 {
+		sim.keeper.Update(sim.now, EndpointRemoved{ID: engineID(i)})
+		require.Len(t, s.groups, 4)
+	}
+	for i := largePool - 161; i < largePool-60; i++ {
+		sim.keeper.Update(sim.now, EndpointRemoved{ID: engineID(i)})
+	}
+	require.Len(t, s.groups, 1)
+	require.Equal(t, s.sorted, s.groups[0].members)
+	for i := range 60 {
+		sim.request(1, prompt(i, 4000), time.Minute, time.Second)
+	}
+	require.Equal(t, 60, sim.granted[1])
+	require.Zero(t, sim.overLimitGrants)
+}
+
 // Calls of a plain service have no prompt: they are spread over all groups of its runners.
 func TestCallsWithoutAPromptAreSpreadOverAllGroups(t *testing.T) {
 	t.Parallel()
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -114,7 +114,8 @@
 	s.endpoints[r.Instance.ID] = st
 	at, _ := searchEndpoint(s.sorted, r.Instance.ID)
 	s.sorted = slices.Insert(s.sorted, at, st)
-	s.addToGroup(st)
+	s.groups.add(st)
+	s.regroup()
 	s.addToTotals(st, 1)
 	return s.drainQueue(now)
 }
@@ -129,6 +130,7 @@
 		s.sorted = slices.Delete(s.sorted, at, at+1)
 	}
 	s.groups.remove(st)
+	s.regroup()
 	for part := range st.cachedParts {
 		s.caching.evicted(part, st)
 	}
@@ -140,13 +142,12 @@
 	return slices.BinarySearchFunc(sorted, id, func(st *endpointState, id endpoint.ID) int { return cmp.Compare(st.record.Instance.ID, id) })
 }
 
-// addToGroup adds an endpoint, which sorted holds already, to its group, and divides the groups if they have grown too large.
-func (s *service) addToGroup(st *endpointState) {
-	if len(s.sorted) > len(s.groups)*s.maxGroupSize {
+// regroup divides the endpoints anew if the groups have grown too large, or so small that a choice among one of them would be poor.
+func (s *service) regroup() {
+	capacity := len(s.groups) * s.maxGroupSize
+	if len(s.sorted) > capacity || len(s.groups) > 1 && len(s.sorted) < capacity/minGroupShare {
 		s.groups = newGroups(s.sorted, s.maxGroupSize)
-		return
 	}
-	s.groups.add(st)
 }
 
 // addPart records that an engine has a part of a prompt in its cache.
