Read the store's era, and show in log and metrics when it changes

To tell whether hosts lost changes because the store returned from an older copy: the header that states the store's era was read nowhere, and no line or metric said at which position a host's copy stands.

Nothing else depends on the era yet: TestHostsFollowTheStoreAfterItReturnedFromAnOlderCopy still fails, and its log shows the revision fall (BK1205) without BK1201 after it.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -32,6 +32,7 @@
 	DocumentRefused        Number = 1202
 	PlatformUnreachable    Number = 1203
 	PlatformReachable      Number = 1204
+	StoreReturned          Number = 1205
 	KeeperAssigned         Number = 1301
 	KeeperWithdrawn        Number = 1302
 	EndpointLost           Number = 1303
@@ -96,6 +97,7 @@
 	{DocumentRefused, "document refused", "A published document failed its check and changed nothing.", "Run balsamknot check and publish a corrected set."},
 	{PlatformUnreachable, "platform unreachable", "Reading the platform failed; the last documents stay in force.", "Check the platform; the fleet goes on."},
 	{PlatformReachable, "platform back", "Reading the platform works again.", "None."},
+	{StoreReturned, "store returned from an older copy", "The platform's store has lost its last changes; Lost tells up to which revision this host had read it.", "Check that the newest set is published again."},
 	{KeeperAssigned, "endpoint kept", "This node became the keeper of an endpoint.", "None."},
 	{KeeperWithdrawn, "endpoint handed over", "Another node became the keeper of an endpoint.", "None."},
 	{EndpointLost, "endpoint lost", "An endpoint broke off or can't be reached.", "Check the endpoint."},
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -51,6 +51,9 @@
 	// lastStoreReadAt is when this host's last read of the store was sent; zero if that read failed.
 	lastStoreReadAt time.Time
 
+	// era is that of the newest read of the store that stated one.
+	era platform.Era
+
 	// refreshFailing is true from a failed refresh until one succeeds; errReaderStarting and errReaderNotReading do not change
 	// it. Only the goroutine of refreshLoop uses it.
 	refreshFailing bool
@@ -221,6 +224,7 @@
 	if err != nil {
 		return 0, err
 	}
+	v.recordEra(page)
 	entries := make([]catalogue.Entry, len(page.Changes))
 	for i, c := range page.Changes {
 		entries[i] = catalogue.Entry{Key: c.Key, Value: c.Value, Removed: c.Removed, Revision: catalogue.Revision(c.Revision)}
@@ -229,6 +233,35 @@
 	return minWatchInterval, nil
 }
 
+// recordEra logs and counts a return of the store from an older copy.
+func (v *storeView) recordEra(page platform.Page) {
+	v.mu.Lock()
+	before, had := v.era, v.catalogue.Revision()
+	if page.EraStated {
+		v.era = page.Era
+	}
+	v.mu.Unlock()
+	if page.EraStated && page.Era != before && had > 0 {
+		v.n.meter.recordStoreReturn()
+		event.LogText(v.n.log, zerolog.WarnLevel, event.StoreReturned).Int64("Era", int64(page.Era)).Int64("Revision", int64(page.Revision)).
+			Int64("EarlierEra", int64(before)).Int64("Lost", int64(had)).Send()
+	}
+}
+
+// storeEra returns the era of the store that this host read last.
+func (v *storeView) storeEra() platform.Era {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.era
+}
+
+// storeRevision returns the revision up to which this host's copy goes.
+func (v *storeView) storeRevision() catalogue.Revision {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.catalogue.Revision()
+}
+
 // readStore watches the store for changes after the copy's revision. It reads the whole store, and full is true, if there is no
 // copy yet or the store no longer has the changes after that revision.
 func (v *storeView) readStore(ctx context.Context) (page platform.Page, full bool, err error) {
