--- a/entry/node/copies.go
+++ b/entry/node/copies.go
@@ -17,8 +17,8 @@
 
 	mu           sync.Mutex
 	distribution *catalogue.Distribution
-	// compressed holds the compressed entries after a revision, as of the generation of the history.
-	compressed map[catalogue.Revision]entriesAfter
+	// compressed holds the compressed entries after a position, as of the generation of the history.
+	compressed map[catalogue.Position]entriesAfter
 	generation uint64
 }
 
@@ -44,14 +44,14 @@
 )
 
 func newCopyServer(v *storeView) *copyServer {
-	return &copyServer{view: v, compressed: make(map[catalogue.Revision]entriesAfter), distribution: catalogue.NewDistribution(catalogue.DistributionConfig{
+	return &copyServer{view: v, compressed: make(map[catalogue.Position]entriesAfter), distribution: catalogue.NewDistribution(catalogue.DistributionConfig{
 		MinBytes: minReferredBytes, MaxFollowers: maxCopyFollowers, TransferTime: copyTransferTime, Lifetime: copyHolderLifetime,
 	})}
 }
 
 // PrepareUpdate implements peer.UpdateSource.
 func (c *copyServer) PrepareUpdate(ctx context.Context, q peer.UpdateQuery) (u peer.OutgoingUpdate, holder host.ID, err error) {
-	u, err = c.load(q.After)
+	u, err = c.load(c.position(q))
 	if err != nil || !u.Full || q.Direct {
 		return u, "", err
 	}
@@ -84,8 +84,16 @@
 	return c.distribution.Refer(timer.BootClock(), a, size)
 }
 
-// load returns the changes after a revision. Hosts that ask for the same changes get the same compressed entries.
-func (c *copyServer) load(after catalogue.Revision) (peer.OutgoingUpdate, error) {
+// position returns the position of the asking host's copy. That of a host of an earlier release is taken to be in this host's era.
+func (c *copyServer) position(q peer.UpdateQuery) catalogue.Position {
+	if !q.EraStated {
+		q.After.Era = c.view.position().Era
+	}
+	return q.After
+}
+
+// load returns the changes after a position. Hosts that ask for the same changes get the same compressed entries.
+func (c *copyServer) load(after catalogue.Position) (peer.OutgoingUpdate, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u, list, compressed, err := c.snapshot(after)
@@ -99,19 +107,19 @@
 	return u, nil
 }
 
-// snapshot returns the update after a revision as of now. If its entries are not compressed yet, list holds them. mu must be held.
-func (c *copyServer) snapshot(after catalogue.Revision) (u peer.OutgoingUpdate, list []catalogue.Entry, compressed bool, err error) {
+// snapshot returns the update after a position as of now. If its entries are not compressed yet, list holds them. mu must be held.
+func (c *copyServer) snapshot(after catalogue.Position) (u peer.OutgoingUpdate, list []catalogue.Entry, compressed bool, err error) {
 	c.view.mu.RLock()
 	defer c.view.mu.RUnlock()
 	history := c.view.history
-	if history.Revision() == 0 {
+	if !history.Position().Loaded() {
 		return u, nil, false, peer.ErrNoCopy
 	}
 	if c.generation != history.Generation() {
 		clear(c.compressed)
 		c.generation = history.Generation()
 	}
-	u = peer.OutgoingUpdate{Revision: history.Revision(), AgeMs: c.view.catalogue.Age(timer.BootClock()).Milliseconds() + 1}
+	u = peer.OutgoingUpdate{Position: history.Position(), AgeMs: c.view.catalogue.Age(timer.BootClock()).Milliseconds() + 1}
 	if found, ok := c.compressed[after]; ok {
 		u.Full, u.Entries = found.full, found.entries
 		return u, nil, true, nil
--- a/entry/node/copies_test.go
+++ b/entry/node/copies_test.go
@@ -24,7 +24,7 @@
 		}
 		entries = append(entries, catalogue.Entry{Key: fmt.Sprintf("k/%d", i), Value: value})
 	}
-	n.storeView.history.Record(timer.BootClock(), entries, 7, true)
+	n.storeView.history.Record(timer.BootClock(), entries, catalogue.Position{Revision: 7}, true)
 }
 
 func asker(i int) peer.UpdateQuery {
@@ -62,17 +62,17 @@
 	n := newIdleNode(t, closedAddress(t))
 	server := newCopyServer(n.storeView)
 	largeCopy(n)
-	first, err := server.load(0)
+	first, err := server.load(catalogue.Position{})
 	require.NoError(t, err)
-	second, err := server.load(0)
+	second, err := server.load(catalogue.Position{})
 	require.NoError(t, err)
 	require.Same(t, &first.Entries[0], &second.Entries[0])
-	n.storeView.history.Record(timer.BootClock(), []catalogue.Entry{{Key: "k/1", Removed: true}}, 8, false)
-	third, err := server.load(0)
+	n.storeView.history.Record(timer.BootClock(), []catalogue.Entry{{Key: "k/1", Removed: true}}, catalogue.Position{Revision: 8}, false)
+	third, err := server.load(catalogue.Position{})
 	require.NoError(t, err)
 	require.NotSame(t, &first.Entries[0], &third.Entries[0])
-	require.Equal(t, catalogue.Revision(8), third.Revision)
-	changes, err := server.load(7)
+	require.Equal(t, catalogue.Position{Revision: 8}, third.Position)
+	changes, err := server.load(catalogue.Position{Revision: 7})
 	require.NoError(t, err)
 	require.False(t, changes.Full)
 	require.Less(t, len(changes.Entries), len(third.Entries)/10)
--- a/entry/node/membership_test.go
+++ b/entry/node/membership_test.go
@@ -30,10 +30,7 @@
 		require.NoError(t, socket.Close())
 		<-done
 	})
-	ask := func(d peer.Datagram) peer.Datagram {
-		d.From = "host-9"
-		_, err := socket.Send(n.peerAddress(n.cfg.Address), d)
-		require.NoError(t, err)
+	receive := func() peer.Datagram {
 		select {
 		case reply := <-replies:
 			return reply
@@ -42,7 +39,15 @@
 			return peer.Datagram{}
 		}
 	}
-	require.Equal(t, uint64(3), ask(peer.Datagram{Probes: []peer.Probe{{Nonce: 3}}}).ProbeReplies[0].Nonce)
+	ask := func(d peer.Datagram) peer.Datagram {
+		d.From = "host-9"
+		_, err := socket.Send(n.peerAddress(n.cfg.Address), d)
+		require.NoError(t, err)
+		return receive()
+	}
+	require.Equal(t, uint64(3), ask(peer.Datagram{Probes: []peer.Probe{{Nonce: 3}}}).Extensions.CopyStates[0].Nonce)
+	require.Equal(t, uint64(3), receive().ProbeReplies[0].Nonce, "for a host of an earlier release")
+	require.Equal(t, uint64(4), ask(peer.Datagram{Extensions: peer.Extensions{CopyProbes: []peer.CopyProbe{{Nonce: 4}}}}).Extensions.CopyStates[0].Nonce)
 	reply := ask(peer.Datagram{SlotRequests: []peer.SlotRequest{{Number: 5, Service: "plain", TimeLeftMs: 1000}}})
 	require.Equal(t, uint64(5), reply.SlotReplies[0].Number)
 	require.Equal(t, peer.Granted, reply.SlotReplies[0].Kind)
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -45,6 +45,7 @@
 	blockedByParts   = "entry_requests_blocked_by_parts_total"
 	tunnelsOpened    = "entry_tunnels_opened_total"
 	storeReturns     = "entry_store_returns_total"
+	droppedReads     = "entry_store_reads_dropped_total"
 )
 
 // meter holds the metrics of a node.
@@ -55,7 +56,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads} {
 		m.set.NewCounter(name)
 	}
 	for _, kind := range peer.Kinds {
@@ -64,8 +65,8 @@
 	m.set.NewGauge("entry_requests_in_flight", func() float64 { return float64(n.callers.inFlight.Load()) })
 	m.set.NewGauge("entry_belief_age_seconds", func() float64 { return n.storeView.age(timer.BootClock()).Seconds() })
 	m.set.NewGauge("entry_set_version", func() float64 { return float64(n.storeView.setVersion()) })
-	m.set.NewGauge("entry_store_era", func() float64 { return float64(n.storeView.storeEra()) })
-	m.set.NewGauge("entry_store_revision", func() float64 { return float64(n.storeView.storeRevision()) })
+	m.set.NewGauge("entry_store_era", func() float64 { return float64(n.storeView.position().Era) })
+	m.set.NewGauge("entry_store_revision", func() float64 { return float64(n.storeView.position().Revision) })
 	m.set.NewGauge("entry_hosts_live", func() float64 { return float64(n.membership.liveCount()) })
 	m.set.NewGauge("entry_hosts_earlier_release", func() float64 { return float64(n.membership.earlierReleaseCount()) })
 	m.set.NewGauge("entry_endpoint_connections_total", func() float64 { return float64(n.endpointConns.Dials()) })
@@ -112,6 +113,9 @@
 // recordStoreReturn counts a return of the platform's store from an older copy.
 func (m *meter) recordStoreReturn() { m.set.GetOrCreateCounter(storeReturns).Inc() }
 
+// recordDroppedRead counts what was read in an earlier era of the store than that of this host's copy.
+func (m *meter) recordDroppedRead() { m.set.GetOrCreateCounter(droppedReads).Inc() }
+
 // recordInterruption counts a run whose answer was missing or incomplete.
 func (m *meter) recordInterruption() { m.set.GetOrCreateCounter(interruptedRuns).Inc() }
 
--- a/entry/node/readers.go
+++ b/entry/node/readers.go
@@ -19,19 +19,21 @@
 	v.mu.Lock()
 	v.lastNonce++
 	nonce := v.lastNonce
-	revision := v.catalogue.Revision()
+	position := v.catalogue.Position()
 	v.mu.Unlock()
-	v.n.membership.send(reader, peer.Datagram{Probes: []peer.Probe{{Nonce: nonce}}})
-	reply, err := v.awaitProbeReply(ctx, nonce, reader)
+	v.n.membership.send(reader, v.probe(sentAt, reader, nonce))
+	state, err := v.awaitState(ctx, nonce, reader)
 	if err != nil {
 		return err
 	}
-	age := time.Duration(reply.AgeMs) * time.Millisecond
+	age := time.Duration(state.AgeMs) * time.Millisecond
 	switch {
-	case reply.AgeMs < 0:
+	case state.AgeMs < 0:
 		return eris.Wrapf(errReaderStarting, "ask reader %s", reader)
-	case reply.NewestChange > revision:
-		err = v.fetchChanges(ctx, reader, revision)
+	case state.NewestChange.Era < position.Era:
+		return eris.Wrapf(errEarlierEra, "ask reader %s", reader)
+	case state.NewestChange.After(position):
+		err = v.fetchChanges(ctx, reader, position, state.NewestChange)
 	default:
 		v.confirmUnchanged(sentAt.Add(-age))
 	}
@@ -40,7 +42,7 @@
 		return err
 	case age > staleReaderAge:
 		return eris.Errorf("ask reader %s: its knowledge is %s old", reader, age)
-	case !reply.ReadsPlatform:
+	case !state.ReadsPlatform:
 		return eris.Wrapf(errReaderNotReading, "ask reader %s", reader)
 	}
 	return nil
@@ -53,35 +55,59 @@
 // errReaderStarting means that a reader has no copy yet because it has just started.
 var errReaderStarting = errors.New("the reader has no copy of the store yet")
 
-// awaitProbeReply waits for the reply to a probe, for at most probeTimeout. Late replies to earlier probes are dropped.
-func (v *storeView) awaitProbeReply(ctx context.Context, nonce uint64, reader host.ID) (peer.ProbeReply, error) {
+// errEarlierEra means that what was read is from before the store returned from an older copy, or that a reader has not noticed that yet.
+var errEarlierEra = errors.New("it is from an earlier era of the store")
+
+// probe returns the probe for a reader. A host that was not heard to know eras may be one of an earlier release.
+func (v *storeView) probe(now time.Time, reader host.ID, nonce uint64) peer.Datagram {
+	if v.knowsEras(now, reader) {
+		return peer.Datagram{Extensions: peer.Extensions{CopyProbes: []peer.CopyProbe{{Nonce: nonce}}}}
+	}
+	return peer.Datagram{Probes: []peer.Probe{{Nonce: nonce}}}
+}
+
+// knowsEras reports whether a host was heard to know eras a short time ago. If it was not, that is found out anew, since it may have been
+// replaced by one of an earlier release.
+func (v *storeView) knowsEras(now time.Time, id host.ID) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	heardAt, heard := v.knowEras[id]
+	return heard && now.Sub(heardAt) < eraKnowledgeTTL
+}
+
+// awaitState waits for the reply to a probe, for at most probeTimeout. Late replies to earlier probes are dropped.
+func (v *storeView) awaitState(ctx context.Context, nonce uint64, reader host.ID) (peer.CopyState, error) {
 	t := time.NewTimer(probeTimeout)
 	defer t.Stop()
 	for {
 		select {
-		case reply := <-v.probeReplies:
-			if reply.Nonce == nonce {
-				return reply, nil
+		case state := <-v.copyStates:
+			if state.Nonce == nonce {
+				return state, nil
 			}
 		case <-t.C:
-			return peer.ProbeReply{}, eris.Errorf("ask reader %s: no answer", reader)
+			return peer.CopyState{}, eris.Errorf("ask reader %s: no answer", reader)
 		case <-ctx.Done():
-			return peer.ProbeReply{}, eris.Wrapf(ctx.Err(), "ask reader %s", reader)
+			return peer.CopyState{}, eris.Wrapf(ctx.Err(), "ask reader %s", reader)
 		}
 	}
 }
 
-// fetchChanges fetches the changes after a revision from a reader, or from a host to which the reader refers, and applies them.
-func (v *storeView) fetchChanges(ctx context.Context, reader host.ID, after catalogue.Revision) error {
-	q := peer.UpdateQuery{After: after, Asker: catalogue.Asker{Host: v.n.cfg.Host, DataCentre: v.n.cfg.DataCentre}}
+// fetchChanges fetches the changes after a position from a reader, or from a host to which the reader refers, and applies them. newest is that of
+// the reader's newest change; a host that had the copy before the store returned from an older one may not have it yet.
+func (v *storeView) fetchChanges(ctx context.Context, reader host.ID, after, newest catalogue.Position) error {
+	q := peer.UpdateQuery{
+		After: after, EraStated: true, Asker: catalogue.Asker{Host: v.n.cfg.Host, DataCentre: v.n.cfg.DataCentre},
+	}
 	holder, err := v.fetchFrom(ctx, reader, q)
 	if err != nil || holder == "" {
 		return err
 	}
 	q.Direct = true
-	if _, err := v.fetchFrom(ctx, holder, q); err == nil {
+	if _, err := v.fetchFrom(ctx, holder, q); err == nil && !newest.After(v.position()) {
 		return nil
 	}
+	q.After = v.position()
 	_, err = v.fetchFrom(ctx, reader, q)
 	return err
 }
@@ -97,43 +123,84 @@
 	if err != nil || holder != "" {
 		return holder, err
 	}
-	v.apply(sentAt.Add(-time.Duration(update.AgeMs)*time.Millisecond), update.Entries, update.Revision, update.Full)
-	return "", nil
+	err = v.apply(sentAt.Add(-time.Duration(update.AgeMs)*time.Millisecond), update.Entries, update.Position(q.After.Era), update.Full)
+	return "", eris.Wrapf(err, "fetch from reader %s", id)
 }
 
 // handle processes the messages between readers and other hosts. It replies to probes, which also subscribe their senders to
-// notices, and passes probe replies to awaitProbeReply. It wakes refreshLoop when a notice reports a change that this host lacks,
-// or that the sender can't read the platform any more.
+// notices, and passes replies to awaitState. It wakes refreshLoop when a notice reports a change that this host lacks, or that the
+// sender can't read the platform any more.
 func (v *storeView) handle(now time.Time, d peer.Datagram) {
 	for _, probe := range d.Probes {
-		v.mu.Lock()
-		reply := peer.ProbeReply{Nonce: probe.Nonce, NewestChange: v.history.NewestChange(), AgeMs: v.catalogue.Age(now).Milliseconds() + 1}
-		if v.history.Revision() == 0 {
-			reply.AgeMs = -1
-		}
-		reply.ReadsPlatform = now.Sub(v.lastStoreReadAt) < recentReadWindow
-		v.subscribers[d.From] = now
-		v.mu.Unlock()
-		v.n.membership.send(d.From, peer.Datagram{ProbeReplies: []peer.ProbeReply{reply}})
+		state := v.stateFor(now, d.From, probe.Nonce, false)
+		// The first of the two tells a host of this release that the second, for one of an earlier release, is not for it.
+		v.n.membership.send(d.From, peer.Datagram{Extensions: peer.Extensions{CopyStates: []peer.CopyState{state}}})
+		v.n.membership.send(d.From, peer.Datagram{ProbeReplies: []peer.ProbeReply{state.WithoutEra()}})
 	}
-	for _, reply := range d.ProbeReplies {
+	for _, probe := range d.Extensions.CopyProbes {
+		state := v.stateFor(now, d.From, probe.Nonce, true)
+		v.n.membership.send(d.From, peer.Datagram{Extensions: peer.Extensions{CopyStates: []peer.CopyState{state}}})
+	}
+	states, notices := v.inOwnEra(now, d)
+	for _, state := range states {
 		select {
-		case v.probeReplies <- reply:
+		case v.copyStates <- state:
 		default:
 		}
 	}
-	for _, notice := range d.Notices {
+	for _, notice := range notices {
+		v.handleNotice(now, d.From, notice)
+	}
+}
+
+// stateFor subscribes a host to notices and returns the state of this host's copy.
+func (v *storeView) stateFor(now time.Time, id host.ID, nonce uint64, knowsEras bool) peer.CopyState {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.subscribers[id] = subscriber{probedAt: now, knowsEras: knowsEras}
+	state := peer.CopyState{
+		Nonce: nonce, NewestChange: v.history.NewestChange(), AgeMs: v.catalogue.Age(now).Milliseconds() + 1,
+		ReadsPlatform: now.Sub(v.lastStoreReadAt) < recentReadWindow,
+	}
+	if !v.history.Position().Loaded() {
+		state.AgeMs = -1
+	}
+	return state
+}
+
+// inOwnEra returns the states and notices of a datagram. Those without an era are taken to be in this host's era, or are left out if their
+// sender knows eras: it also sends them with one.
+func (v *storeView) inOwnEra(now time.Time, d peer.Datagram) (states []peer.CopyState, notices []peer.CopyNotice) {
+	states, notices = d.Extensions.CopyStates, d.Extensions.CopyNotices
+	if len(states)+len(notices) > 0 {
 		v.mu.Lock()
-		shouldRefresh := notice.NewestChange > v.catalogue.Revision() || notice.ReadFailed
-		if notice.ReadFailed {
-			v.selector.RecordFailure(now, catalogue.Step{Reader: d.From})
-		} else {
-			v.selector.RecordSuccess(catalogue.Step{Reader: d.From})
-		}
+		v.knowEras[d.From] = now
 		v.mu.Unlock()
-		if shouldRefresh {
-			v.wake()
-		}
+	}
+	if len(d.ProbeReplies)+len(d.Notices) == 0 || v.knowsEras(now, d.From) {
+		return states, notices
+	}
+	era := v.position().Era
+	for _, reply := range d.ProbeReplies {
+		states = append(states, reply.InEra(era))
+	}
+	for _, notice := range d.Notices {
+		notices = append(notices, notice.InEra(era))
+	}
+	return states, notices
+}
+
+func (v *storeView) handleNotice(now time.Time, from host.ID, notice peer.CopyNotice) {
+	v.mu.Lock()
+	shouldRefresh := notice.NewestChange.After(v.catalogue.Position()) || notice.ReadFailed
+	if notice.ReadFailed {
+		v.selector.RecordFailure(now, catalogue.Step{Reader: from})
+	} else {
+		v.selector.RecordSuccess(catalogue.Step{Reader: from})
+	}
+	v.mu.Unlock()
+	if shouldRefresh {
+		v.wake()
 	}
 }
 
@@ -145,19 +212,31 @@
 	}
 }
 
+// subscriber is a host that gets notices of changes.
+type subscriber struct {
+	// probedAt is when its last probe arrived.
+	probedAt  time.Time
+	knowsEras bool
+}
+
 // notifySubscribers sends a notice to all hosts that probed this one within subscriptionTTL and removes the others.
-func (v *storeView) notifySubscribers(now time.Time, notice peer.Notice) {
+func (v *storeView) notifySubscribers(now time.Time, notice peer.CopyNotice) {
+	withEra := peer.Datagram{Extensions: peer.Extensions{CopyNotices: []peer.CopyNotice{notice}}}
+	withoutEra := peer.Datagram{Notices: []peer.Notice{notice.WithoutEra()}}
 	v.mu.Lock()
-	var recipients []host.ID
-	for id, probedAt := range v.subscribers {
-		if now.Sub(probedAt) > subscriptionTTL {
+	recipients := make(map[host.ID]peer.Datagram, len(v.subscribers))
+	for id, s := range v.subscribers {
+		switch {
+		case now.Sub(s.probedAt) > subscriptionTTL:
 			delete(v.subscribers, id)
-			continue
+		case s.knowsEras:
+			recipients[id] = withEra
+		default:
+			recipients[id] = withoutEra
 		}
-		recipients = append(recipients, id)
 	}
 	v.mu.Unlock()
-	for _, id := range recipients {
-		v.n.membership.send(id, peer.Datagram{Notices: []peer.Notice{notice}})
+	for id, d := range recipients {
+		v.n.membership.send(id, d)
 	}
 }
--- a/entry/node/store_return_test.go
+++ b/entry/node/store_return_test.go
@@ -115,7 +115,5 @@
 
 // readUpTo reports whether the host's copy contains all changes up to a revision of the store.
 func (v *storeView) readUpTo(revision int64) bool {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return int64(v.catalogue.Revision()) >= revision
+	return int64(v.position().Revision) >= revision
 }
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -42,18 +43,17 @@
 	inForce  *site.Set
 	history  *catalogue.History
 	selector *catalogue.SourceSelector
-	// lastNonce is the number of the last probe, and probeReplies receives the replies to probes.
-	lastNonce    uint64
-	probeReplies chan peer.ProbeReply
-	// subscribers holds the hosts that get notices of changes, with the time of their last probe.
-	subscribers map[host.ID]time.Time
+	// lastNonce is the number of the last probe, and copyStates receives the replies to probes.
+	lastNonce  uint64
+	copyStates chan peer.CopyState
+	// subscribers holds the hosts that get notices of changes.
+	subscribers map[host.ID]subscriber
+	// knowEras holds the hosts that send and read messages with an era, with the time at which one was last received.
+	knowEras map[host.ID]time.Time
 
 	// lastStoreReadAt is when this host's last read of the store was sent; zero if that read failed.
 	lastStoreReadAt time.Time
 
-	// era is that of the newest read of the store that stated one.
-	era platform.Era
-
 	// refreshFailing is true from a failed refresh until one succeeds; errReaderStarting and errReaderNotReading do not change
 	// it. Only the goroutine of refreshLoop uses it.
 	refreshFailing bool
@@ -96,13 +96,16 @@
 	platformBackoff = 2 * time.Second
 	// subscriptionTTL is how long after its last probe a host gets notices of changes.
 	subscriptionTTL = 3 * time.Second
+	// eraKnowledgeTTL is how long a host is taken to know eras of the store after it was heard to do so.
+	eraKnowledgeTTL = 10 * time.Second
 	// readerConnIdleTimeout is how long an idle connection to a reader is kept.
 	readerConnIdleTimeout = 10 * time.Second
 )
 
 func newStoreView(n *Node) *storeView {
 	return &storeView{
-		n: n, wakeups: make(chan struct{}, 1), loaded: make(chan struct{}), probeReplies: make(chan peer.ProbeReply, 1), subscribers: make(map[host.ID]time.Time),
+		n: n, wakeups: make(chan struct{}, 1), loaded: make(chan struct{}), copyStates: make(chan peer.CopyState, 1),
+		subscribers: make(map[host.ID]subscriber), knowEras: make(map[host.ID]time.Time),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: n.dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: readerConnIdleTimeout, DisableCompression: true,
 		}},
@@ -140,7 +143,7 @@
 func (v *storeView) age(now time.Time) time.Duration {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	if v.catalogue.Revision() == 0 {
+	if !v.catalogue.Position().Loaded() {
 		return -time.Millisecond
 	}
 	return v.catalogue.Age(now)
@@ -168,10 +171,11 @@
 	v.catalogue.SetLease(d)
 }
 
-// tick removes endpoints that did not register again within recoveryGrace after an outage.
+// tick removes endpoints that did not register again within recoveryGrace after an outage, and hosts that were not heard lately.
 func (v *storeView) tick(now time.Time) {
 	v.mu.Lock()
 	change := v.catalogue.Tick()
+	maps.DeleteFunc(v.knowEras, func(_ host.ID, heardAt time.Time) bool { return now.Sub(heardAt) >= eraKnowledgeTTL })
 	v.mu.Unlock()
 	v.propagate(now, change)
 }
@@ -182,7 +186,7 @@
 	for ctx.Err() == nil {
 		sentAt := timer.BootClock()
 		v.mu.Lock()
-		loaded, age := v.catalogue.Revision() > 0, v.catalogue.Age(sentAt)
+		loaded, age := v.catalogue.Position().Loaded(), v.catalogue.Age(sentAt)
 		if !loaded {
 			age = sentAt.Sub(v.startedAt)
 		}
@@ -220,62 +224,46 @@
 	if step.Reader != "" {
 		return minProbeInterval, v.queryReader(ctx, sentAt, step.Reader)
 	}
-	page, full, err := v.readStore(ctx)
+	page, position, full, err := v.readStore(ctx)
 	if err != nil {
 		return 0, err
 	}
-	v.recordEra(page)
 	entries := make([]catalogue.Entry, len(page.Changes))
 	for i, c := range page.Changes {
 		entries[i] = catalogue.Entry{Key: c.Key, Value: c.Value, Removed: c.Removed, Revision: catalogue.Revision(c.Revision)}
 	}
-	v.apply(sentAt, entries, catalogue.Revision(page.Revision), full)
-	return minWatchInterval, nil
+	return minWatchInterval, v.apply(sentAt, entries, position, full)
 }
 
-// recordEra logs and counts a return of the store from an older copy.
-func (v *storeView) recordEra(page platform.Page) {
-	v.mu.Lock()
-	before, had := v.era, v.catalogue.Revision()
-	if page.EraStated {
-		v.era = page.Era
-	}
-	v.mu.Unlock()
-	if page.EraStated && page.Era != before && had > 0 {
-		v.n.meter.recordStoreReturn()
-		event.LogText(v.n.log, zerolog.WarnLevel, event.StoreReturned).Int64("Era", int64(page.Era)).Int64("Revision", int64(page.Revision)).
-			Int64("EarlierEra", int64(before)).Int64("Lost", int64(had)).Send()
+// readStore watches the store for changes after the copy's position. It reads the whole store, and full is true, if there is no copy yet, the
+// store no longer has the changes after that position, or it returned from an older copy and has given their revisions out again.
+func (v *storeView) readStore(ctx context.Context) (page platform.Page, at catalogue.Position, full bool, err error) {
+	position := v.position()
+	if position.Loaded() {
+		page, err = v.n.store.Watch(ctx, "", platform.Revision(position.Revision), watchWait)
+		at = positionOf(page, position.Era)
+		if err != nil && !errors.Is(err, platform.ErrHistoryLost) || err == nil && at.Era <= position.Era {
+			return page, at, false, err
+		}
 	}
+	page, err = v.n.store.Range(ctx, "")
+	return page, positionOf(page, position.Era), true, err
 }
 
-// storeEra returns the era of the store that this host read last.
-func (v *storeView) storeEra() platform.Era {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.era
+// positionOf returns the position of a read. A store that states no era is taken to be in that of the copy.
+func positionOf(page platform.Page, copyEra catalogue.Era) catalogue.Position {
+	at := catalogue.Position{Era: copyEra, Revision: catalogue.Revision(page.Revision)}
+	if page.EraStated {
+		at.Era = catalogue.Era(page.Era)
+	}
+	return at
 }
 
-// storeRevision returns the revision up to which this host's copy goes.
-func (v *storeView) storeRevision() catalogue.Revision {
+// position returns that of this host's copy.
+func (v *storeView) position() catalogue.Position {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.catalogue.Revision()
-}
-
-// readStore watches the store for changes after the copy's revision. It reads the whole store, and full is true, if there is no
-// copy yet or the store no longer has the changes after that revision.
-func (v *storeView) readStore(ctx context.Context) (page platform.Page, full bool, err error) {
-	v.mu.RLock()
-	revision := v.catalogue.Revision()
-	v.mu.RUnlock()
-	if revision > 0 {
-		page, err = v.n.store.Watch(ctx, "", platform.Revision(revision), watchWait)
-		if !errors.Is(err, platform.ErrHistoryLost) {
-			return page, false, err
-		}
-	}
-	page, err = v.n.store.Range(ctx, "")
-	return page, true, err
+	return v.catalogue.Position()
 }
 
 // decode decodes entries. One that can't be decoded is logged; an undecodable registration is treated as the removal of its
@@ -340,28 +328,52 @@
 	}
 	v.mu.Unlock()
 	if err != nil && couldRead {
-		v.notifySubscribers(now, peer.Notice{ReadFailed: true})
+		v.notifySubscribers(now, peer.CopyNotice{ReadFailed: true})
 	}
 }
 
 // confirmUnchanged records that the copy contains every change made before sentAt.
-func (v *storeView) confirmUnchanged(sentAt time.Time) { v.apply(sentAt, nil, 0, false) }
+func (v *storeView) confirmUnchanged(sentAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.catalogue.Confirm(timer.BootClock(), sentAt)
+}
 
-// apply merges the result of a read that was sent at sentAt, and notifies the subscribers if it changed an entry.
-func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, revision catalogue.Revision, full bool) {
+// apply merges the result of a read that was sent at sentAt and ended at a position, and notifies the subscribers if it changed an entry. The
+// error is errEarlierEra, and nothing is merged, if this host's copy is from a later era.
+func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool) error {
 	update := v.decode(entries)
-	update.SentAt, update.Revision, update.Full = sentAt, revision, full
+	update.SentAt, update.Position, update.Full = sentAt, at, full
 	now := timer.BootClock()
 	v.mu.Lock()
-	newestBefore := v.history.NewestChange()
-	v.history.Record(now, entries, revision, full)
+	before, newestBefore := v.catalogue.Position(), v.history.NewestChange()
+	if !before.Admits(at, full) {
+		v.mu.Unlock()
+		v.n.meter.recordDroppedRead()
+		event.LogText(v.n.log, zerolog.WarnLevel, event.EarlierEraDropped).Int64("Era", int64(at.Era)).Int64("OwnEra", int64(before.Era)).Send()
+		return errEarlierEra
+	}
+	v.history.Record(now, entries, at, full)
 	newest := v.history.NewestChange()
 	change := v.catalogue.Apply(now, update)
 	v.mu.Unlock()
+	v.recordReturn(before, at, change)
 	v.propagate(now, change)
-	if newest > newestBefore {
-		v.notifySubscribers(now, peer.Notice{NewestChange: newest})
+	if newest.After(newestBefore) {
+		v.notifySubscribers(now, peer.CopyNotice{NewestChange: newest})
+	}
+	return nil
+}
+
+// recordReturn logs and counts a return of the store from an older copy, if one lies between two positions.
+func (v *storeView) recordReturn(before, after catalogue.Position, change catalogue.Change) {
+	if !before.Loaded() || after.Era == before.Era {
+		return
 	}
+	v.n.meter.recordStoreReturn()
+	event.LogText(v.n.log, zerolog.WarnLevel, event.StoreReturned).Int64("Era", int64(after.Era)).Int64("Revision", int64(after.Revision)).
+		Int64("EarlierEra", int64(before.Era)).Int64("Lost", int64(before.Revision)).Int("Changed", len(change.Endpoints)).
+		Int("Missing", change.Missing).Send()
 }
 
 // propagate logs a change of the catalogue and passes it on to the other parts of this host. A set is in force after the endpoints that
--- a/entry/peer/extension.go
+++ b/entry/peer/extension.go
@@ -19,9 +19,20 @@
 	From        host.ID      `cbor:"1,keyasint"`
 	PartLookups []PartLookup `cbor:"2,keyasint,omitempty"`
 	Gossip      *Gossip      `cbor:"3,keyasint,omitempty"`
+	// CopyProbes, CopyStates and CopyNotices are Probes, ProbeReplies and Notices of hosts that know the eras of the store.
+	CopyProbes  []CopyProbe  `cbor:"4,keyasint,omitempty"`
+	CopyStates  []CopyState  `cbor:"5,keyasint,omitempty"`
+	CopyNotices []CopyNotice `cbor:"6,keyasint,omitempty"`
 }
 
-func (e Extensions) empty() bool { return len(e.PartLookups) == 0 && e.Gossip == nil }
+func (e Extensions) empty() bool {
+	return len(e.PartLookups) == 0 && e.Gossip == nil && !e.aboutCopies()
+}
+
+// aboutCopies reports whether the extensions are about copies of the platform's store.
+func (e Extensions) aboutCopies() bool {
+	return len(e.CopyProbes)+len(e.CopyStates)+len(e.CopyNotices) > 0
+}
 
 // PartLookup asks the keeper of a service which software versions have an engine that caches a part of a prompt at the length that the part
 // has in one request. The reply is a PartReply.
--- a/entry/peer/kind.go
+++ b/entry/peer/kind.go
@@ -42,7 +42,7 @@
 		return KindCacheUpdate
 	case len(d.Crashes) > 0:
 		return KindCrash
-	case len(d.Probes)+len(d.ProbeReplies)+len(d.Notices) > 0:
+	case len(d.Probes)+len(d.ProbeReplies)+len(d.Notices) > 0 || d.Extensions.aboutCopies():
 		return KindStore
 	}
 	return KindOther
--- a/entry/peer/store_update.go
+++ b/entry/peer/store_update.go
@@ -59,6 +59,18 @@
 	// AgeMs is the age of the sender's copy, as in ProbeReply.
 	AgeMs   int64
 	Entries []catalogue.Entry
+
+	// Era is that of Revision. It is sent as a header; hosts of earlier releases do not, and EraStated is false.
+	Era       catalogue.Era `cbor:"-"`
+	EraStated bool          `cbor:"-"`
+}
+
+// Position returns the position of the update. That of a host of an earlier release is taken to be in the receiver's era.
+func (u StoreUpdate) Position(receiver catalogue.Era) catalogue.Position {
+	if !u.EraStated {
+		return catalogue.Position{Era: receiver, Revision: u.Revision}
+	}
+	return catalogue.Position{Era: u.Era, Revision: u.Revision}
 }
 
 // CompressedEntries is a list of entries as it stands in an encoded StoreUpdate: CBOR in DEFLATE blocks that refer to nothing before them, so
@@ -83,7 +95,7 @@
 
 // OutgoingUpdate is a StoreUpdate to be sent.
 type OutgoingUpdate struct {
-	Revision catalogue.Revision
+	Position catalogue.Position
 	Full     bool
 	AgeMs    int64
 	Entries  CompressedEntries
@@ -99,7 +111,7 @@
 		return eris.Wrap(err, "write store update")
 	}
 	fields := []byte{updateArrayHead}
-	for _, field := range []any{u.Revision, u.Full, u.AgeMs} {
+	for _, field := range []any{u.Position.Revision, u.Full, u.AgeMs} {
 		raw, err := cbor.Marshal(field)
 		if err != nil {
 			return eris.Wrap(err, "encode store update")
@@ -124,8 +136,9 @@
 
 // UpdateQuery asks a host for a StoreUpdate.
 type UpdateQuery struct {
-	// After is the revision of the asking host's copy; 0 if it has none.
-	After catalogue.Revision
+	// After is the position of the asking host's copy; zero if it has none. Hosts of earlier releases do not state its era, and EraStated is false.
+	After     catalogue.Position
+	EraStated bool
 	// Asker is the asking host; hosts of earlier releases do not name it.
 	Asker catalogue.Asker
 	// Direct is true if the host that is asked must not refer to another one.
@@ -135,21 +148,28 @@
 // Query parameters of an UpdateQuery, by the names of its fields.
 const (
 	afterParam      = "After"
+	eraParam        = "Era"
 	hostParam       = "Host"
 	dataCentreParam = "DataCentre"
 	directParam     = "Direct"
 )
 
-// holderHeader names the host that has the update, in a response with status 303.
-const holderHeader = "Holder"
+// Headers of a response: holderHeader names the host that has the update, with status 303; eraHeader is the era of the update.
+const (
+	holderHeader = "Holder"
+	eraHeader    = "Era"
+)
 
 func (q UpdateQuery) encode() string {
 	values := url.Values{
-		afterParam: {strconv.FormatInt(int64(q.After), 10)}, hostParam: {string(q.Asker.Host)}, dataCentreParam: {string(q.Asker.DataCentre)},
+		afterParam: {strconv.FormatInt(int64(q.After.Revision), 10)}, hostParam: {string(q.Asker.Host)}, dataCentreParam: {string(q.Asker.DataCentre)},
 	}
 	if q.Direct {
 		values.Set(directParam, strconv.FormatBool(true))
 	}
+	if q.EraStated {
+		values.Set(eraParam, strconv.FormatInt(int64(q.After.Era), 10))
+	}
 	return values.Encode()
 }
 
@@ -158,10 +178,22 @@
 	if err != nil {
 		return UpdateQuery{}, eris.Wrap(err, "parse query for a store update")
 	}
-	return UpdateQuery{
-		After: catalogue.Revision(after), Direct: values.Get(directParam) != "",
+	q := UpdateQuery{
+		After: catalogue.Position{Revision: catalogue.Revision(after)}, Direct: values.Get(directParam) != "",
 		Asker: catalogue.Asker{Host: host.ID(values.Get(hostParam)), DataCentre: host.DataCentre(values.Get(dataCentreParam))},
-	}, nil
+	}
+	if values.Has(eraParam) {
+		if q.After.Era, err = parseEra(values.Get(eraParam)); err != nil {
+			return UpdateQuery{}, eris.Wrap(err, "parse query for a store update")
+		}
+		q.EraStated = true
+	}
+	return q, nil
+}
+
+func parseEra(text string) (catalogue.Era, error) {
+	era, err := strconv.ParseInt(text, 10, 64)
+	return catalogue.Era(era), eris.Wrap(err, "parse era")
 }
 
 // ErrNoCopy means that a host has no copy of the store yet.
@@ -194,6 +226,7 @@
 			w.Header().Set(holderHeader, string(holder))
 			w.WriteHeader(http.StatusSeeOther)
 		default:
+			w.Header().Set(eraHeader, strconv.FormatInt(int64(update.Position.Era), 10))
 			source.UpdateSent(q, update.writeTo(w))
 		}
 	})
@@ -233,6 +266,12 @@
 	if err := cbor.NewDecoder(io.LimitReader(flate.NewReader(body), maxUpdateBytes)).Decode(&update); err != nil {
 		return StoreUpdate{}, "", eris.Wrapf(err, "decode store update from %s", address)
 	}
+	if text := response.Header.Get(eraHeader); text != "" {
+		if update.Era, err = parseEra(text); err != nil {
+			return StoreUpdate{}, "", eris.Wrapf(err, "decode store update from %s", address)
+		}
+		update.EraStated = true
+	}
 	return update, "", nil
 }
 
--- a/entry/peer/store_update_bench_test.go
+++ b/entry/peer/store_update_bench_test.go
@@ -17,13 +17,13 @@
 		entries = append(entries, catalogue.Entry{Key: fmt.Sprintf("endpoints/i-%010x", uint64(i)*0x9e3779b97f4a7c15>>24), Value: []byte(value)})
 	}
 	h := catalogue.NewHistory()
-	h.Record(time.Unix(1000, 0), entries, 1, true)
+	h.Record(time.Unix(1000, 0), entries, catalogue.Position{Revision: 1}, true)
 	return h
 }
 
 // BenchmarkCompressEntries compresses the copy of a store with 3,000 endpoints, once for all hosts that ask for it.
 func BenchmarkCompressEntries(b *testing.B) {
-	entries, _ := storeHistory(3000).Since(0)
+	entries, _ := storeHistory(3000).Since(catalogue.Position{})
 	size := 0
 	for b.Loop() {
 		compressed, err := CompressEntries(entries)
@@ -37,13 +37,13 @@
 
 // BenchmarkWriteUpdate writes that copy for one host.
 func BenchmarkWriteUpdate(b *testing.B) {
-	entries, _ := storeHistory(3000).Since(0)
+	entries, _ := storeHistory(3000).Since(catalogue.Position{})
 	compressed, err := CompressEntries(entries)
 	if err != nil {
 		b.Fatal(err)
 	}
 	for b.Loop() {
-		if err := (OutgoingUpdate{Revision: 1, Full: true, Entries: compressed}).writeTo(io.Discard); err != nil {
+		if err := (OutgoingUpdate{Position: catalogue.Position{Revision: 1}, Full: true, Entries: compressed}).writeTo(io.Discard); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -15,9 +15,6 @@
 	"balsamknot.org/fleet/site"
 )
 
-// Revision is the platform's counter of changes. A read of changes starts after a revision.
-type Revision int64
-
 // Config holds the time limits of a Catalogue.
 type Config struct {
 	// Lease is how long the set may be used after the newest successful read was sent, which confirms it.
@@ -35,8 +32,8 @@
 	SentAt time.Time
 	// Full is true when the update lists the whole state. Endpoints that it does not list have been removed.
 	Full bool
-	// Revision is the revision after which the next read continues.
-	Revision Revision
+	// Position is the position after which the next read continues. The catalogue's Position must admit it.
+	Position Position
 	// Set is nil when the update contains no new set.
 	Set *site.Set
 	// Endpoints are all registrations in a full update, otherwise the new or changed ones. Removed names endpoints that are no
@@ -50,13 +47,17 @@
 	Set       *site.Set
 	Endpoints []endpoint.Record
 	Removed   []endpoint.ID
+	// Missing is how many endpoints are kept although they are no longer registered, until the grace period after an outage ends.
+	Missing int
 }
 
 // Catalogue is the local copy. It is not safe for concurrent use.
 type Catalogue struct {
-	cfg      Config
-	set      *site.Set
-	revision Revision
+	cfg Config
+	set *site.Set
+	// setEra is the era of the read that contained the set.
+	setEra   Era
+	position Position
 	// confirmedAt is when the newest applied read was sent: the copy contains every change made before.
 	confirmedAt time.Time
 	endpoints   map[endpoint.ID]endpoint.Record
@@ -74,16 +75,27 @@
 	}
 }
 
-// Apply merges an update that arrived at time now and returns what changed. A set whose version is not higher than that of
-// the set in force is ignored. An update whose read was sent before that of an earlier update does not change the
-// copy's age, and only a full update can move the revision back.
+// Confirm records that the copy contains every change made before sentAt. It takes a long time without a confirmation for an outage.
+func (c *Catalogue) Confirm(now, sentAt time.Time) {
+	if !c.confirmedAt.IsZero() && sentAt.Sub(c.confirmedAt) > c.cfg.OutageThreshold {
+		c.graceEnd = now.Add(c.cfg.RecoveryGrace)
+	}
+	if sentAt.After(c.confirmedAt) {
+		c.confirmedAt = sentAt
+	}
+}
+
+// Apply merges an update that arrived at time now and returns what changed. A set whose version is lower than that of the set in force is
+// ignored; one with the same version replaces it only if the store has returned from an older copy since, and was written to again. An update
+// whose read was sent before that of an earlier update does not change the copy's age, and only a full update can move the position back.
 func (c *Catalogue) Apply(now time.Time, u Update) Change {
-	if !c.confirmedAt.IsZero() && u.SentAt.Sub(c.confirmedAt) > c.cfg.OutageThreshold {
+	c.Confirm(now, u.SentAt)
+	if c.position.Loaded() && u.Position.Era > c.position.Era {
 		c.graceEnd = now.Add(c.cfg.RecoveryGrace)
 	}
 	var change Change
-	if u.Set != nil && (c.set == nil || u.Set.Version > c.set.Version) {
-		c.set = u.Set
+	if c.replacesSet(u) {
+		c.set, c.setEra = u.Set, u.Position.Era
 		change.Set = u.Set
 	}
 	for _, record := range u.Endpoints {
@@ -102,15 +114,24 @@
 			change.Removed = append(change.Removed, id)
 		}
 	}
-	if u.SentAt.After(c.confirmedAt) {
-		c.confirmedAt = u.SentAt
-	}
-	if u.Revision > c.revision || u.Full {
-		c.revision = u.Revision
+	if u.Position.After(c.position) || u.Full {
+		c.position = u.Position
 	}
+	change.Missing = len(c.pendingRemovals)
 	return change
 }
 
+// replacesSet reports whether the set of an update is to be in force.
+func (c *Catalogue) replacesSet(u Update) bool {
+	switch {
+	case u.Set == nil:
+		return false
+	case c.set == nil, u.Set.Version > c.set.Version:
+		return true
+	}
+	return u.Set.Version == c.set.Version && u.Position.Era > c.setEra
+}
+
 // unlisted returns the known endpoints that a full update does not list, in order.
 func (c *Catalogue) unlisted(u Update) []endpoint.ID {
 	listed := make(map[endpoint.ID]bool, len(u.Endpoints))
@@ -167,8 +188,8 @@
 // Set returns the set in force, or nil before the first one. Valid says whether it may be used.
 func (c *Catalogue) Set() *site.Set { return c.set }
 
-// Revision returns the revision after which the next read continues, or 0 before the first update.
-func (c *Catalogue) Revision() Revision { return c.revision }
+// Position returns the position after which the next read continues; it is not loaded before the first update.
+func (c *Catalogue) Position() Position { return c.position }
 
 // Age returns the time since the newest applied read was sent. It has no meaning before the first update.
 func (c *Catalogue) Age(now time.Time) time.Duration { return now.Sub(c.confirmedAt) }
--- a/fleet/catalogue/catalogue_test.go
+++ b/fleet/catalogue/catalogue_test.go
@@ -21,6 +21,9 @@
 	return New(Config{Lease: 4 * time.Second, RecoveryGrace: 2 * time.Second, OutageThreshold: 2500 * time.Millisecond})
 }
 
+// atRevision returns a position in the first era.
+func atRevision(r Revision) Position { return Position{Revision: r} }
+
 func record(id string, leaving bool) endpoint.Record {
 	return endpoint.Record{Instance: endpoint.Instance{ID: endpoint.ID(id)}, Leaving: leaving}
 }
@@ -29,18 +32,18 @@
 	t.Parallel()
 	c := newCatalogue()
 	require.False(t, c.Valid(at(0)))
-	c.Apply(at(0), Update{SentAt: at(0), Revision: 5, Set: &site.Set{Version: 7}})
-	c.Apply(at(1), Update{SentAt: at(1), Revision: 6, Set: &site.Set{Version: 6}})
+	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(5), Set: &site.Set{Version: 7}})
+	c.Apply(at(1), Update{SentAt: at(1), Position: atRevision(6), Set: &site.Set{Version: 6}})
 	require.Equal(t, site.Version(7), c.Set().Version)
 }
 
 func TestTheLeaseCountsFromWhenTheReadWasSent(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(3*time.Second), Update{SentAt: at(0), Revision: 1, Set: &site.Set{Version: 1}})
+	c.Apply(at(3*time.Second), Update{SentAt: at(0), Position: atRevision(1), Set: &site.Set{Version: 1}})
 	require.True(t, c.Valid(at(3999*time.Millisecond)))
 	require.False(t, c.Valid(at(4*time.Second)))
-	c.Apply(at(5*time.Second), Update{SentAt: at(4500 * time.Millisecond), Revision: 1})
+	c.Apply(at(5*time.Second), Update{SentAt: at(4500 * time.Millisecond), Position: atRevision(1)})
 	require.True(t, c.Valid(at(5*time.Second)))
 	c.Apply(at(6*time.Second), Update{SentAt: at(2 * time.Second)})
 	require.Equal(t, 1500*time.Millisecond, c.Age(at(6*time.Second)), "an older confirmation must not move the age back")
@@ -49,13 +52,13 @@
 func TestRegistrationExpiredDuringOutageIsKeptForRecoveryGrace(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Revision: 1, Full: true, Endpoints: []endpoint.Record{record("back", false), record("lost", false), record("leaving", true)}})
+	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Endpoints: []endpoint.Record{record("back", false), record("lost", false), record("leaving", true)}})
 	recoveredAt := 6 * time.Second
-	change := c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Revision: 2, Removed: []endpoint.ID{"back", "lost", "leaving"}})
+	change := c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Removed: []endpoint.ID{"back", "lost", "leaving"}})
 	require.Equal(t, []endpoint.ID{"leaving"}, change.Removed)
-	c.Apply(at(recoveredAt+time.Second), Update{SentAt: at(recoveredAt + time.Second), Revision: 3, Endpoints: []endpoint.Record{record("back", false)}})
+	c.Apply(at(recoveredAt+time.Second), Update{SentAt: at(recoveredAt + time.Second), Position: atRevision(3), Endpoints: []endpoint.Record{record("back", false)}})
 	require.Empty(t, c.Tick().Removed)
-	c.Apply(at(recoveredAt+2100*time.Millisecond), Update{SentAt: at(recoveredAt + 2*time.Second), Revision: 3})
+	c.Apply(at(recoveredAt+2100*time.Millisecond), Update{SentAt: at(recoveredAt + 2*time.Second), Position: atRevision(3)})
 	require.Equal(t, []endpoint.ID{"lost"}, c.Tick().Removed)
 	require.Len(t, c.endpoints, 1)
 }
@@ -64,12 +67,12 @@
 func TestEndpointIsRemovedOnlyByAReadSentAfterTheGracePeriod(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Revision: 1, Full: true, Endpoints: []endpoint.Record{record("back", false), record("lost", false)}})
+	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Endpoints: []endpoint.Record{record("back", false), record("lost", false)}})
 	recoveredAt := 6 * time.Second
-	c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Revision: 2, Removed: []endpoint.ID{"back", "lost"}})
+	c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Removed: []endpoint.ID{"back", "lost"}})
 	require.Empty(t, c.Tick().Removed)
 	change := c.Apply(at(recoveredAt+4*time.Second), Update{
-		SentAt: at(recoveredAt + 3900*time.Millisecond), Revision: 4, Endpoints: []endpoint.Record{record("back", false)},
+		SentAt: at(recoveredAt + 3900*time.Millisecond), Position: atRevision(4), Endpoints: []endpoint.Record{record("back", false)},
 	})
 	require.Empty(t, change.Endpoints, "it was never removed")
 	require.Equal(t, []endpoint.ID{"lost"}, c.Tick().Removed)
@@ -78,8 +81,8 @@
 func TestRemovalWithoutOutageTakesEffectAtOnce(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Revision: 1, Full: true, Endpoints: []endpoint.Record{record("a", false), record("b", false)}})
-	change := c.Apply(at(time.Second), Update{SentAt: at(time.Second), Revision: 2, Full: true, Endpoints: []endpoint.Record{record("b", false)}})
+	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Endpoints: []endpoint.Record{record("a", false), record("b", false)}})
+	change := c.Apply(at(time.Second), Update{SentAt: at(time.Second), Position: atRevision(2), Full: true, Endpoints: []endpoint.Record{record("b", false)}})
 	require.Equal(t, []endpoint.ID{"a"}, change.Removed)
 }
 
@@ -162,24 +165,24 @@
 	before, again := Entry{Key: "e", Value: []byte("v"), Revision: 3}, Entry{Key: "e", Value: []byte("v"), Revision: 9}
 	const removedAt, readAt = 7, 12
 	for name, read := range map[string]func(reader *History){
-		"whole store": func(reader *History) { reader.Record(start, []Entry{again}, readAt, true) },
-		"changes":     func(reader *History) { reader.Record(start, []Entry{again}, readAt, false) },
+		"whole store": func(reader *History) { reader.Record(start, []Entry{again}, atRevision(readAt), true) },
+		"changes":     func(reader *History) { reader.Record(start, []Entry{again}, atRevision(readAt), false) },
 		"all entries of another reader": func(reader *History) {
-			reader.Record(start, []Entry{{Key: "e", Value: []byte("v")}}, readAt, true)
+			reader.Record(start, []Entry{{Key: "e", Value: []byte("v")}}, atRevision(readAt), true)
 		},
 		"changes of another reader": func(reader *History) {
-			reader.Record(start, []Entry{{Key: "e", Value: []byte("v")}}, readAt, false)
+			reader.Record(start, []Entry{{Key: "e", Value: []byte("v")}}, atRevision(readAt), false)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			reader := NewHistory()
-			reader.Record(start, []Entry{before}, 5, true)
+			reader.Record(start, []Entry{before}, atRevision(5), true)
 			read(reader)
-			require.Greater(t, reader.NewestChange(), Revision(removedAt))
-			entries, _ := reader.Since(removedAt)
+			require.True(t, reader.NewestChange().After(atRevision(removedAt)))
+			entries, _ := reader.Since(atRevision(removedAt))
 			require.Len(t, entries, 1)
-			entries, _ = reader.Since(readAt)
+			entries, _ = reader.Since(atRevision(readAt))
 			require.Empty(t, entries)
 		})
 	}
@@ -190,11 +193,11 @@
 	t.Parallel()
 	h := NewHistory()
 	entry := Entry{Key: "e", Value: []byte("v"), Revision: 3}
-	h.Record(start, []Entry{entry}, 5, true)
-	require.Equal(t, Revision(3), h.NewestChange())
-	h.Record(start, []Entry{entry}, 8, true)
-	require.Equal(t, Revision(3), h.NewestChange())
-	require.Equal(t, Revision(8), h.Revision())
+	h.Record(start, []Entry{entry}, atRevision(5), true)
+	require.Equal(t, atRevision(3), h.NewestChange())
+	h.Record(start, []Entry{entry}, atRevision(8), true)
+	require.Equal(t, atRevision(3), h.NewestChange())
+	require.Equal(t, atRevision(8), h.Position())
 }
 
 func TestFollowerConvergesToReaderHistory(t *testing.T) {
@@ -214,13 +217,13 @@
 				want[key] = string(entry.Value)
 			}
 			if revision == 1 || rapid.IntRange(0, 4).Draw(r, "full") == 0 {
-				reader.Record(now, entriesOf(want), revision, true)
+				reader.Record(now, entriesOf(want), atRevision(revision), true)
 			} else {
-				reader.Record(now, []Entry{entry}, revision, false)
+				reader.Record(now, []Entry{entry}, atRevision(revision), false)
 			}
 			if rapid.Bool().Draw(r, "fetch") {
-				entries, full := reader.Since(follower.Revision())
-				follower.Record(now, entries, reader.Revision(), full)
+				entries, full := reader.Since(follower.Position())
+				follower.Record(now, entries, reader.Position(), full)
 				require.Equal(r, want, valuesOf(follower))
 			}
 		}
--- a/fleet/catalogue/history.go
+++ b/fleet/catalogue/history.go
@@ -18,72 +18,81 @@
 	Revision Revision `cbor:"-"`
 }
 
-// History holds the newest entry of each key, so that a reader can send other hosts what changed after the revision they
+// History holds the newest entry of each key, so that a reader can send other hosts what changed after the position that they
 // have. Removed keys are kept as tombstones for a limited time. It is not safe for concurrent use.
 type History struct {
 	entries      map[string]versionedEntry
-	revision     Revision
-	newestChange Revision
-	// completeAfter is the revision after which every change is recorded. Earlier removals, and entries that were removed and written again, may
+	position     Position
+	newestChange Position
+	// completeAfter is the position after which every change is recorded. Earlier removals, and entries that were removed and written again, may
 	// be missing.
-	completeAfter Revision
+	completeAfter Position
 	// generation counts the changes of what Since returns.
 	generation uint64
 }
 
 type versionedEntry struct {
 	entry      Entry
-	revision   Revision
+	changedAt  Position
 	recordedAt time.Time
 }
 
 // tombstoneRetention is how long the tombstone of a removed key is kept.
 const tombstoneRetention = 30 * time.Second
 
-// NewHistory returns an empty history, at revision 0.
+// NewHistory returns an empty history, at the zero Position.
 func NewHistory() *History { return &History{entries: make(map[string]versionedEntry)} }
 
-// Record merges the entries of a read that ended at a revision. When full is true, keys that the read does not list are
-// recorded as removed. An entry equal to the recorded one may have been removed and written again in between: a read of the store tells by
-// the entry's revision. Other readers do not send it, but list only changes unless full is true.
-func (h *History) Record(now time.Time, entries []Entry, revision Revision, full bool) {
+// Record merges the entries of a read that ended at a position, which must be one that the history's Position admits. When full is true, keys
+// that the read does not list are recorded as removed. An entry equal to the recorded one may have been removed and written again in between:
+// a read of the store tells by the entry's revision. Other readers do not send it, but list only changes unless full is true.
+func (h *History) Record(now time.Time, entries []Entry, at Position, full bool) {
 	if full {
 		entries = append(slices.Clone(entries), h.unlistedTombstones(entries)...)
-		if h.completeAfter == 0 {
-			h.completeAfter = revision
-			h.generation++
+		if !h.completeAfter.Loaded() || at.Era > h.position.Era {
+			h.begin(at)
 		}
 	}
 	for _, e := range entries {
-		h.recordEntry(now, e, revision, full)
+		h.recordEntry(now, e, at, full)
 	}
-	h.revision = max(h.revision, revision)
+	h.position = later(h.position, at)
 	h.dropOldTombstones(now)
 }
 
-// recordEntry merges one entry of a read that ended at a revision.
-func (h *History) recordEntry(now time.Time, e Entry, revision Revision, full bool) {
-	changedAt := revision
+// begin notes that changes are recorded after a position: that of the first read of the whole store, or of the first one in an era. Hosts with
+// an earlier position get all entries.
+func (h *History) begin(at Position) {
+	if h.completeAfter.Loaded() {
+		h.newestChange = at
+	}
+	h.completeAfter = at
+	h.generation++
+}
+
+// recordEntry merges one entry of a read that ended at a position.
+func (h *History) recordEntry(now time.Time, e Entry, at Position, full bool) {
+	changedAt := at
 	if e.Revision != 0 {
 		// Later pages of a range may be newer than its revision, which is that of the first page.
-		changedAt = min(e.Revision, revision)
+		changedAt.Revision = min(e.Revision, at.Revision)
 	}
 	current, known := h.entries[e.Key]
 	if known && current.entry.Removed == e.Removed && bytes.Equal(current.entry.Value, e.Value) {
-		if changedAt <= current.revision {
+		if !changedAt.After(current.changedAt) {
 			return
 		}
 		h.generation++
 		if full && e.Revision == 0 {
 			// It is not known whether the entry changed.
-			h.completeAfter = max(h.completeAfter, revision)
-			h.newestChange = max(h.newestChange, revision)
+			h.completeAfter = later(h.completeAfter, at)
+			h.newestChange = later(h.newestChange, at)
 			return
 		}
 	}
 	h.generation++
-	h.entries[e.Key] = versionedEntry{entry: e, revision: changedAt, recordedAt: now}
-	h.newestChange = max(h.newestChange, changedAt)
+	h.entries[e.Key] = versionedEntry{entry: e, changedAt: changedAt, recordedAt: now}
+	h.newestChange = later(h.newestChange, changedAt)
 }
 
 // unlistedTombstones returns tombstones for the keys that a full read does not list.
@@ -107,27 +116,27 @@
 		if v.entry.Removed && now.Sub(v.recordedAt) > tombstoneRetention {
 			delete(h.entries, key)
 			h.generation++
-			h.completeAfter = max(h.completeAfter, v.revision)
+			h.completeAfter = later(h.completeAfter, v.changedAt)
 		}
 	}
 }
 
-// Revision returns the highest revision recorded, or 0 before the first read.
-func (h *History) Revision() Revision { return h.revision }
+// Position returns how far the history goes.
+func (h *History) Position() Position { return h.position }
 
-// NewestChange returns the revision of the newest change that is recorded. It stays the same when a read changes nothing.
-func (h *History) NewestChange() Revision { return h.newestChange }
+// NewestChange returns the position of the newest change that is recorded. It stays the same when a read changes nothing.
+func (h *History) NewestChange() Position { return h.newestChange }
 
-// Generation counts the changes of the history: while it stays the same, so does what Since returns for a revision.
+// Generation counts the changes of the history: while it stays the same, so does what Since returns for a position.
 func (h *History) Generation() uint64 { return h.generation }
 
-// Since returns the entries that changed after a revision, sorted by key. full is true when changes after that revision
+// Since returns the entries that changed after a position, sorted by key. full is true when changes after that position
 // may be missing; entries then lists all existing keys instead, and the receiver removes those not listed.
-func (h *History) Since(after Revision) (entries []Entry, full bool) {
-	full = after < h.completeAfter
+func (h *History) Since(after Position) (entries []Entry, full bool) {
+	full = h.completeAfter.After(after)
 	for _, v := range h.entries {
 		switch {
-		case full && !v.entry.Removed, !full && v.revision > after:
+		case full && !v.entry.Removed, !full && v.changedAt.After(after):
 			entries = append(entries, v.entry)
 		}
 	}
