Keep endpoints that have left out of use when the store returns from an older copy

Requests reached an endpoint that had reported that it leaves, or that was gone, on hosts that had read so: the copy from which the store came back still had it as ready, and its registration there counted like a new one.

A registration in the copy does not make an instance ready again that has announced that it leaves. One of an instance that had been removed, or that is earlier than the one known, is held back until it is written again, or for 5 s, by which the registration of an endpoint that has ended runs out. An earlier instance thus no longer ends the later one, which counted as evidence of a crash.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -98,7 +98,7 @@
 	{DocumentRefused, "document refused", "A published document failed its check and changed nothing.", "Run balsamknot check and publish a corrected set."},
 	{PlatformUnreachable, "platform unreachable", "Reading the platform failed; the last documents stay in force.", "Check the platform; the fleet goes on."},
 	{PlatformReachable, "platform back", "Reading the platform works again.", "None."},
-	{StoreReturned, "store returned from an older copy", "The platform's store has lost its last changes; Lost tells up to which revision this host had read it, Missing how many endpoints are kept until they register again.", "Check that the newest set is published again."},
+	{StoreReturned, "store returned from an older copy", "The platform's store has lost its last changes; Lost tells up to which revision this host had read it, Missing how many endpoints are kept until they register again, Held how many that had been removed get no requests for now.", "Check that the newest set is published again."},
 	{EarlierEraDropped, "read of an earlier era dropped", "What the store or another host sent is from before the store returned from an older copy.", "If it repeats: the store's copies answer side by side, or the era went back; restart hosts only in the latter case."},
 	{KeeperAssigned, "endpoint kept", "This node became the keeper of an endpoint.", "None."},
 	{KeeperWithdrawn, "endpoint handed over", "Another node became the keeper of an endpoint.", "None."},
--- a/entry/node/store_return_test.go
+++ b/entry/node/store_return_test.go
@@ -106,6 +106,31 @@
 	require.Equal(s.t, movedBefore+calls, s.moved.RunCount(), "requests were run by the service of the older set")
 }
 
+// An endpoint has reported that it leaves, or was removed, when the store returns from a copy in which it is ready.
+func TestEndpointThatHasLeftGetsNoRequestsAfterTheStoreReturnedFromAnOlderCopy(t *testing.T) {
+	t.Parallel()
+	for i, tc := range []struct {
+		name  string
+		leave func(e *standin.Endpoint)
+	}{
+		{"leaving", (*standin.Endpoint).RegisterDraining},
+		{"removed", (*standin.Endpoint).Deregister},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := newReturnSite(t, 3, 130+i)
+			tc.leave(s.leaving)
+			s.awaitEveryRevisionRead()
+			s.store.ReturnFromCopy(1, 0)
+			for _, node := range s.nodes {
+				require.Eventually(t, func() bool { return node.log.contains("BK1205") }, convergenceLimit, 5*time.Millisecond)
+			}
+			require.Equal(t, map[int]int{http.StatusOK: callsPerHost * len(s.nodes)}, s.statuses("/again/", "k1"))
+			require.Zero(t, s.leaving.RunCount())
+		})
+	}
+}
+
 // knowsLeaving reports whether the host has a registration by which an endpoint leaves.
 func (n *testNode) knowsLeaving(id string) bool { return n.log.contains(registrationLine(id, true)) }
 
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -66,6 +66,8 @@
 	recoveryGrace = 2200 * time.Millisecond
 	// outageThreshold is the time without a confirmation that is treated as an outage of the platform.
 	outageThreshold = 2500 * time.Millisecond
+	// returnHold is how long an endpoint that was removed gets no requests if an older copy of the store has its registration.
+	returnHold = 5 * time.Second
 	// watchWait is how long the store waits for a change before it answers a watch.
 	watchWait = 1000 * time.Millisecond
 	// minWatchInterval is the least time from a successful read of the store to the next refresh, and minProbeInterval that from
@@ -116,7 +118,7 @@
 		}),
 		startedAt: timer.BootClock(),
 		catalogue: catalogue.New(catalogue.Config{
-			Lease: n.cfg.RevokeLimit - leaseMargin, RecoveryGrace: recoveryGrace, OutageThreshold: outageThreshold,
+			Lease: n.cfg.RevokeLimit - leaseMargin, RecoveryGrace: recoveryGrace, OutageThreshold: outageThreshold, ReturnHold: returnHold,
 		}),
 	}
 }
@@ -171,10 +173,11 @@
 	v.catalogue.SetLease(d)
 }
 
-// tick removes endpoints that did not register again within recoveryGrace after an outage, and hosts that were not heard lately.
+// tick removes endpoints that did not register again within recoveryGrace after an outage, uses those that were held back for returnHold, and
+// forgets hosts that were not heard lately.
 func (v *storeView) tick(now time.Time) {
 	v.mu.Lock()
-	change := v.catalogue.Tick()
+	change := v.catalogue.Tick(now)
 	maps.DeleteFunc(v.knowEras, func(_ host.ID, heardAt time.Time) bool { return now.Sub(heardAt) >= eraKnowledgeTTL })
 	v.mu.Unlock()
 	v.propagate(now, change)
@@ -373,7 +376,7 @@
 	v.n.meter.recordStoreReturn()
 	event.LogText(v.n.log, zerolog.WarnLevel, event.StoreReturned).Int64("Era", int64(after.Era)).Int64("Revision", int64(after.Revision)).
 		Int64("EarlierEra", int64(before.Era)).Int64("Lost", int64(before.Revision)).Int("Changed", len(change.Endpoints)).
-		Int("Missing", change.Missing).Send()
+		Int("Missing", change.Missing).Int("Held", change.Held).Send()
 }
 
 // propagate logs a change of the catalogue and passes it on to the other parts of this host. A set is in force after the endpoints that
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -8,6 +8,8 @@
 package catalogue
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +26,9 @@
 	RecoveryGrace time.Duration
 	// OutageThreshold is the time without a successful read after which the next update is treated as the end of an outage.
 	OutageThreshold time.Duration
+	// ReturnHold is how long an endpoint that was removed, and is registered again in an older copy of the store, gets no requests unless it
+	// registers anew: longer than the registration of one that has ended lasts.
+	ReturnHold time.Duration
 }
 
 // Update is the result of one read of the platform, made by this host or by a reader.
@@ -47,8 +52,9 @@
 	Set       *site.Set
 	Endpoints []endpoint.Record
 	Removed   []endpoint.ID
-	// Missing is how many endpoints are kept although they are no longer registered, until the grace period after an outage ends.
-	Missing int
+	// Missing is how many endpoints are kept although they are no longer registered, until the grace period after an outage ends, and Held how
+	// many are registered and get no requests for now.
+	Missing, Held int
 }
 
 // Catalogue is the local copy. It is not safe for concurrent use.
@@ -66,12 +72,21 @@
 	pendingRemovals map[endpoint.ID]time.Time
 	// graceEnd is the time until which removals are deferred after the last outage.
 	graceEnd time.Time
+	departed departures
+	// held holds registrations from an older copy of the store, of endpoints that had been removed before.
+	held map[endpoint.ID]heldRegistration
+}
+
+type heldRegistration struct {
+	record endpoint.Record
+	until  time.Time
 }
 
 // New returns an empty catalogue. Its set is not valid until Apply has received one.
 func New(cfg Config) *Catalogue {
 	return &Catalogue{
 		cfg: cfg, endpoints: make(map[endpoint.ID]endpoint.Record), pendingRemovals: make(map[endpoint.ID]time.Time),
+		departed: newDepartures(), held: make(map[endpoint.ID]heldRegistration),
 	}
 }
 
@@ -92,6 +107,9 @@
 	c.Confirm(now, u.SentAt)
 	if c.position.Loaded() && u.Position.Era > c.position.Era {
 		c.graceEnd = now.Add(c.cfg.RecoveryGrace)
+		u.Endpoints = c.withoutDeparted(now, u.Endpoints)
+	} else if u.Full {
+		c.dropUnlistedHeld(u)
 	}
 	var change Change
 	if c.replacesSet(u) {
@@ -99,13 +117,15 @@
 		change.Set = u.Set
 	}
 	for _, record := range u.Endpoints {
-		delete(c.pendingRemovals, record.Instance.ID)
-		if c.endpoints[record.Instance.ID] != record {
-			c.endpoints[record.Instance.ID] = record
-			change.Endpoints = append(change.Endpoints, record)
+		if c.held[record.Instance.ID].record == record && u.Full {
+			continue
 		}
+		change.Endpoints = append(change.Endpoints, c.register(record, !u.Full)...)
 	}
 	removed := u.Removed
+	for _, id := range removed {
+		delete(c.held, id)
+	}
 	if u.Full {
 		removed = append(slices.Clone(removed), c.unlisted(u)...)
 	}
@@ -117,7 +137,7 @@
 	if u.Position.After(c.position) || u.Full {
 		c.position = u.Position
 	}
-	change.Missing = len(c.pendingRemovals)
+	change.Missing, change.Held = len(c.pendingRemovals), len(c.held)
 	return change
 }
 
@@ -132,6 +152,39 @@
 	return u.Set.Version == c.set.Version && u.Position.Era > c.setEra
 }
 
+// register notes the registration of an endpoint, which was written after the copy's position or is in a read of the whole store, and returns it
+// if that changed the catalogue.
+func (c *Catalogue) register(record endpoint.Record, written bool) []endpoint.Record {
+	id := record.Instance.ID
+	delete(c.pendingRemovals, id)
+	delete(c.held, id)
+	record = c.departed.registered(record, written)
+	if c.endpoints[id] == record {
+		return nil
+	}
+	c.endpoints[id] = record
+	return []endpoint.Record{record}
+}
+
+// withoutDeparted returns the registrations in an older copy of the store but for those of endpoints that were removed, and of earlier instances
+// of others. It holds these back: they may have ended long ago.
+func (c *Catalogue) withoutDeparted(now time.Time, records []endpoint.Record) []endpoint.Record {
+	clear(c.held)
+	return slices.DeleteFunc(slices.Clone(records), func(record endpoint.Record) bool {
+		id := record.Instance.ID
+		departed := c.departed.wasRemoved(record.Instance) || c.endpoints[id].Instance.StartedAt > record.Instance.StartedAt
+		if departed {
+			c.held[id] = heldRegistration{record: record, until: now.Add(c.cfg.ReturnHold)}
+		}
+		return departed
+	})
+}
+
+// dropUnlistedHeld drops the registrations held back that a full update does not list.
+func (c *Catalogue) dropUnlistedHeld(u Update) {
+	maps.DeleteFunc(c.held, func(_ endpoint.ID, h heldRegistration) bool { return !slices.Contains(u.Endpoints, h.record) })
+}
+
 // unlisted returns the known endpoints that a full update does not list, in order.
 func (c *Catalogue) unlisted(u Update) []endpoint.ID {
 	listed := make(map[endpoint.ID]bool, len(u.Endpoints))
@@ -161,24 +214,35 @@
 		}
 		return false
 	}
-	delete(c.endpoints, id)
-	delete(c.pendingRemovals, id)
+	c.drop(now, record)
 	return true
 }
 
-// Tick removes the endpoints that did not register again within the grace period after an outage, and returns them. A copy that is confirmed
-// only up to a time within that period may lack registrations that have come back since.
-func (c *Catalogue) Tick() Change {
+func (c *Catalogue) drop(now time.Time, record endpoint.Record) {
+	delete(c.endpoints, record.Instance.ID)
+	delete(c.pendingRemovals, record.Instance.ID)
+	c.departed.removed(now, record.Instance)
+}
+
+// Tick removes the endpoints that did not register again within the grace period after an outage, and returns them with those whose registration
+// is no longer held back. A copy that is confirmed only up to a time within these periods may lack changes that were made since.
+func (c *Catalogue) Tick(now time.Time) Change {
 	var change Change
 	for id, deadline := range c.pendingRemovals {
 		if c.confirmedAt.Before(deadline) {
 			continue
 		}
-		delete(c.pendingRemovals, id)
-		delete(c.endpoints, id)
+		c.drop(now, c.endpoints[id])
 		change.Removed = append(change.Removed, id)
 	}
+	for _, held := range c.held {
+		if !c.confirmedAt.Before(held.until) {
+			change.Endpoints = append(change.Endpoints, c.register(held.record, false)...)
+		}
+	}
+	c.departed.expire(now)
 	slices.Sort(change.Removed)
+	slices.SortFunc(change.Endpoints, func(a, b endpoint.Record) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) })
 	return change
 }
 
--- a/fleet/catalogue/catalogue_test.go
+++ b/fleet/catalogue/catalogue_test.go
@@ -18,7 +18,7 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 func newCatalogue() *Catalogue {
-	return New(Config{Lease: 4 * time.Second, RecoveryGrace: 2 * time.Second, OutageThreshold: 2500 * time.Millisecond})
+	return New(Config{Lease: 4 * time.Second, RecoveryGrace: 2 * time.Second, OutageThreshold: 2500 * time.Millisecond, ReturnHold: 5 * time.Second})
 }
 
 // atRevision returns a position in the first era.
@@ -57,9 +57,9 @@
 	change := c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Removed: []endpoint.ID{"back", "lost", "leaving"}})
 	require.Equal(t, []endpoint.ID{"leaving"}, change.Removed)
 	c.Apply(at(recoveredAt+time.Second), Update{SentAt: at(recoveredAt + time.Second), Position: atRevision(3), Endpoints: []endpoint.Record{record("back", false)}})
-	require.Empty(t, c.Tick().Removed)
+	require.Empty(t, c.Tick(c.confirmedAt).Removed)
 	c.Apply(at(recoveredAt+2100*time.Millisecond), Update{SentAt: at(recoveredAt + 2*time.Second), Position: atRevision(3)})
-	require.Equal(t, []endpoint.ID{"lost"}, c.Tick().Removed)
+	require.Equal(t, []endpoint.ID{"lost"}, c.Tick(c.confirmedAt).Removed)
 	require.Len(t, c.endpoints, 1)
 }
 
@@ -70,12 +70,12 @@
 	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Endpoints: []endpoint.Record{record("back", false), record("lost", false)}})
 	recoveredAt := 6 * time.Second
 	c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Removed: []endpoint.ID{"back", "lost"}})
-	require.Empty(t, c.Tick().Removed)
+	require.Empty(t, c.Tick(c.confirmedAt).Removed)
 	change := c.Apply(at(recoveredAt+4*time.Second), Update{
 		SentAt: at(recoveredAt + 3900*time.Millisecond), Position: atRevision(4), Endpoints: []endpoint.Record{record("back", false)},
 	})
 	require.Empty(t, change.Endpoints, "it was never removed")
-	require.Equal(t, []endpoint.ID{"lost"}, c.Tick().Removed)
+	require.Equal(t, []endpoint.ID{"lost"}, c.Tick(c.confirmedAt).Removed)
 }
 
 func TestRemovalWithoutOutageTakesEffectAtOnce(t *testing.T) {
--- /dev/null
+++ b/fleet/catalogue/departure_test.go
@@ -0,0 +1,94 @@
+package catalogue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/fleet/endpoint"
+)
+
+func instanceRecord(id string, startedAt int64, leaving bool) endpoint.Record {
+	r := record(id, leaving)
+	r.Instance.StartedAt = startedAt
+	return r
+}
+
+// The store returns from a copy in which an endpoint that leaves is still ready.
+func TestEndpointThatLeavesIsNotReadyInAnOlderCopy(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 500), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, true)}})
+	change := c.Apply(at(1), Update{SentAt: at(1), Position: inEra(2, 480), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, false)}})
+	require.Empty(t, change.Endpoints)
+	require.True(t, c.endpoints["a"].Leaving)
+	c.Apply(at(2), Update{SentAt: at(2), Position: inEra(2, 481), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, false)}})
+	require.True(t, c.endpoints["a"].Leaving)
+	change = c.Apply(at(3), Update{SentAt: at(3), Position: inEra(2, 482), Endpoints: []endpoint.Record{instanceRecord("a", 1, false)}})
+	require.Equal(t, []endpoint.Record{instanceRecord("a", 1, false)}, change.Endpoints, "it registered anew")
+	change = c.Apply(at(4), Update{SentAt: at(4), Position: inEra(3, 470), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 2, false)}})
+	require.Equal(t, []endpoint.Record{instanceRecord("a", 2, false)}, change.Endpoints, "a later instance is ready")
+}
+
+func TestRemovedEndpointThatAnOlderCopyHasGetsNoRequestsUntilItRegisters(t *testing.T) {
+	t.Parallel()
+	ended, lapsed, other := instanceRecord("ended", 1, false), instanceRecord("lapsed", 1, false), instanceRecord("other", 1, false)
+	all := []endpoint.Record{ended, lapsed, other}
+	newReturned := func() (*Catalogue, Change) {
+		c := newCatalogue()
+		c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 490), Full: true, Endpoints: all})
+		c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 500), Removed: []endpoint.ID{"ended", "lapsed"}})
+		return c, c.Apply(at(2), Update{SentAt: at(2), Position: inEra(2, 480), Full: true, Endpoints: all})
+	}
+	c, change := newReturned()
+	require.Empty(t, change.Endpoints)
+	require.Empty(t, change.Removed)
+	require.Equal(t, 2, change.Held)
+	change = c.Apply(at(3), Update{SentAt: at(3), Position: inEra(2, 483), Full: true, Endpoints: all})
+	require.Empty(t, change.Endpoints, "a whole read is no sign that they registered")
+	change = c.Apply(at(4), Update{SentAt: at(4), Position: inEra(2, 484), Endpoints: []endpoint.Record{lapsed}, Removed: []endpoint.ID{"ended"}})
+	require.Equal(t, []endpoint.Record{lapsed}, change.Endpoints)
+	c.Confirm(at(time.Minute), at(time.Minute))
+	require.Empty(t, c.Tick(at(time.Minute)).Endpoints)
+
+	c, _ = newReturned()
+	c.Apply(at(3), Update{SentAt: at(3), Position: inEra(2, 483), Full: true, Endpoints: []endpoint.Record{lapsed, other}})
+	c.Confirm(at(time.Minute), at(time.Minute))
+	require.Equal(t, []endpoint.Record{lapsed}, c.Tick(at(time.Minute)).Endpoints, "a whole read does not list the other")
+
+	c, _ = newReturned()
+	c.Confirm(at(4*time.Second), at(4*time.Second))
+	require.Empty(t, c.Tick(at(4*time.Second)).Endpoints)
+	c.Confirm(at(6*time.Second), at(6*time.Second))
+	require.Equal(t, []endpoint.Record{ended, lapsed}, c.Tick(at(6*time.Second)).Endpoints, "it is still registered")
+}
+
+// A copy has the earlier instance of an endpoint that has restarted since: no sign that the later one ended.
+func TestEarlierInstanceInAnOlderCopyDoesNotReplaceTheLaterOne(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	earlier, restarted := instanceRecord("a", 1, false), instanceRecord("a", 2, false)
+	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 500), Full: true, Endpoints: []endpoint.Record{restarted}})
+	change := c.Apply(at(1), Update{SentAt: at(1), Position: inEra(2, 480), Full: true, Endpoints: []endpoint.Record{earlier}})
+	require.Empty(t, change.Endpoints)
+	require.Empty(t, change.Removed)
+	require.Equal(t, 1, change.Missing)
+	require.Equal(t, 1, change.Held)
+	change = c.Apply(at(2), Update{SentAt: at(2), Position: inEra(2, 481), Endpoints: []endpoint.Record{restarted}})
+	require.Empty(t, change.Endpoints)
+	c.Confirm(at(time.Minute), at(time.Minute))
+	require.Empty(t, c.Tick(at(time.Minute)).Removed)
+}
+
+func TestDepartedEndpointsAreForgotten(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 1), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, true), record("b", true)}})
+	c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 2), Full: true})
+	c.Apply(at(2), Update{SentAt: at(2), Position: inEra(1, 3), Endpoints: []endpoint.Record{record("b", false)}})
+	require.False(t, c.endpoints["b"].Leaving)
+	c.Tick(at(departureMemory + time.Second))
+	require.Empty(t, c.departed.removedAt)
+	require.Empty(t, c.departed.leaving)
+}
--- a/fleet/catalogue/position_test.go
+++ b/fleet/catalogue/position_test.go
@@ -138,5 +138,5 @@
 	require.Equal(t, 2, change.Missing)
 	c.Apply(at(2*time.Second), Update{SentAt: at(2 * time.Second), Position: inEra(2, 481), Endpoints: []endpoint.Record{record("back", false)}})
 	c.Confirm(at(4*time.Second), at(3100*time.Millisecond))
-	require.Equal(t, []endpoint.ID{"lost"}, c.Tick().Removed)
+	require.Equal(t, []endpoint.ID{"lost"}, c.Tick(c.confirmedAt).Removed)
 }
