Give hosts that start after a return of the store the newest set, not that of the copy

A host without a path to the store that started after the store had returned from an older copy got the set of the copy from the others, and took a key that had been taken away: 4 of 4 requests in TestHostThatStartsAfterAReturnDoesNotGetAnOlderSet. The others had the newer set in force, but passed on what they had read.

A host passes on the newest set that it has read, until the operator writes one that is as new or newer. A host that starts and reads the copy itself still gets the older one until then.

TestSetThatIsWrittenAgainUnderTheSameVersionIsInForce covers one that was written again with other content; it passed before as well.

--- a/entry/node/store_return_test.go
+++ b/entry/node/store_return_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform/standin"
 )
 
@@ -131,6 +132,40 @@
 	}
 }
 
+// A host that has read the store only after its return gets the set from the others, not the older one of the copy.
+func TestHostThatStartsAfterAReturnDoesNotGetAnOlderSet(t *testing.T) {
+	t.Parallel()
+	s := newReturnSite(t, 2, 132)
+	s.store.Publish(2, "k2")
+	s.awaitEveryRevisionRead()
+	s.store.ReturnFromCopy(1, 0)
+	for _, node := range s.nodes {
+		require.Eventually(t, func() bool { return node.log.contains("BK1205") }, convergenceLimit, 5*time.Millisecond)
+	}
+	s.nodeWithoutStore = 2
+	s.addNodes(1, 132)
+	require.Equal(t, map[int]int{http.StatusUnauthorized: callsPerHost * len(s.nodes)}, s.statuses("/again/", "k1"))
+	require.Equal(t, map[int]int{http.StatusOK: callsPerHost * len(s.nodes)}, s.statuses("/again/", "k2"))
+}
+
+// After a return the operator writes again, under the same version, what was lost, but with another route.
+func TestSetThatIsWrittenAgainUnderTheSameVersionIsInForce(t *testing.T) {
+	t.Parallel()
+	s := newReturnSite(t, 3, 133)
+	s.store.Publish(2, "k2")
+	s.awaitEveryRevisionRead()
+	s.store.ReturnFromCopy(1, 0)
+	s.store.PublishMoved(2, "full", "k2")
+	for _, node := range s.nodes {
+		require.Eventually(t, func() bool {
+			set, valid := node.storeView.set(timer.BootClock())
+			return valid && set.Version == 2 && set.Routes[2].Backends[0].Service == "full"
+		}, convergenceLimit, 5*time.Millisecond)
+	}
+	require.Equal(t, map[int]int{http.StatusOK: callsPerHost * len(s.nodes)}, s.statuses("/moved/", "k2"))
+	require.Equal(t, callsPerHost*len(s.nodes), s.moved.RunCount())
+}
+
 // knowsLeaving reports whether the host has a registration by which an endpoint leaves.
 func (n *testNode) knowsLeaving(id string) bool { return n.log.contains(registrationLine(id, true)) }
 
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 
 	mu        sync.RWMutex
 	catalogue *catalogue.Catalogue
+	// setValue is the entry's value from which the catalogue's set was read.
+	setValue []byte
 	// inForce is the newest set whose endpoints, those of the same read, are known to the other parts of this host.
 	inForce  *site.Set
 	history  *catalogue.History
@@ -356,9 +359,9 @@
 		event.LogText(v.n.log, zerolog.WarnLevel, event.EarlierEraDropped).Int64("Era", int64(at.Era)).Int64("OwnEra", int64(before.Era)).Send()
 		return errEarlierEra
 	}
-	v.history.Record(now, entries, at, full)
-	newest := v.history.NewestChange()
 	change := v.catalogue.Apply(now, update)
+	v.history.Record(now, v.withNewestSet(entries, change.Set, full), at, full)
+	newest := v.history.NewestChange()
 	v.mu.Unlock()
 	v.recordReturn(before, at, change)
 	v.propagate(now, change)
@@ -368,6 +371,25 @@
 	return nil
 }
 
+// withNewestSet returns the entries of a read with the value of the newest set, of which changed tells that it is that of this read, in place of
+// an older one that the store may hold after a return. So a host that has no set yet gets from this one none that is older. mu must be held.
+func (v *storeView) withNewestSet(entries []catalogue.Entry, changed *site.Set, full bool) []catalogue.Entry {
+	i := slices.IndexFunc(entries, func(e catalogue.Entry) bool { return e.Key == platform.SetKey() })
+	switch {
+	case changed != nil && i >= 0:
+		v.setValue = entries[i].Value
+		return entries
+	case v.setValue == nil, i < 0 && !full:
+		return entries
+	}
+	entries = slices.Clone(entries)
+	if i < 0 {
+		return append(entries, catalogue.Entry{Key: platform.SetKey(), Value: v.setValue})
+	}
+	entries[i].Value, entries[i].Removed = v.setValue, false
+	return entries
+}
+
 // recordReturn logs and counts a return of the store from an older copy, if one lies between two positions.
 func (v *storeView) recordReturn(before, after catalogue.Position, change catalogue.Change) {
 	if !before.Loaded() || after.Era == before.Era {
