Soak: let the store return from an older copy

The operator writes the set again at once, endpoints at once or one after another; in the former case as many other changes as were lost come first. The checks are those of all other faults.

--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -58,6 +58,9 @@
 	SayLeaving
 	MakeBrittle
 	KillAllHosts
+	// ReturnStore makes the store refuse all reads until the end of the fault, and return from a copy that lacks its last Fault.Lost changes.
+	// They are written again then, slowly if Fault.Slow is set; else as many others as were lost come first.
+	ReturnStore
 )
 
 var actionNames = map[Action]string{
@@ -67,6 +70,7 @@
 	ForgetHistory: "ForgetHistory", MoveRoute: "MoveRoute", RevokeKey: "RevokeKey", SendPoison: "SendPoison",
 	SendPoisonBurst: "SendPoisonBurst", SendPoisonPart: "SendPoisonPart", LimitEndpoint: "LimitEndpoint",
 	AskRest: "AskRest", SayLeaving: "SayLeaving", MakeBrittle: "MakeBrittle", KillAllHosts: "KillAllHosts",
+	ReturnStore: "ReturnStore",
 }
 
 func (a Action) String() string { return actionNames[a] }
@@ -123,6 +127,9 @@
 	Sickness Misbehaviour
 	// PerSecond is the limit that LimitEndpoint makes an endpoint state.
 	PerSecond float64
+	// Lost and Slow are for ReturnStore.
+	Lost int
+	Slow bool
 }
 
 func (f Fault) String() string {
@@ -208,6 +215,9 @@
 	if cfg.Seed%statementSeeds == 0 {
 		faults = append(faults, statementFaults(cfg)...)
 	}
+	if cfg.Seed%returnSeeds == returnRemainder {
+		faults = append(faults, returnFaults(cfg)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
@@ -249,6 +259,35 @@
 	return faults
 }
 
+const (
+	// returnSeeds is how many seeds there are for each with the faults of returnFaults, which come from a generator of their own (returnStream):
+	// those with returnRemainder.
+	returnSeeds     = 4
+	returnRemainder = 2
+	returnStream    = 12
+	// returnGap is the mean time between two of these faults, and maxAway the longest time for which the store is away; every other time it is not.
+	returnGap = 4 * time.Second
+	maxAway   = 1200 * time.Millisecond
+	// maxLost is the largest number of changes that are lost.
+	maxLost = 12
+)
+
+// returnFaults returns faults in which the store returns from an older copy.
+func returnFaults(cfg Config) []Fault {
+	g := generator{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, returnStream))}
+	var faults []Fault
+	for at := initialDelay; at < cfg.Length; at += g.exponential(returnGap) {
+		f := Fault{At: at, Action: ReturnStore, Peer: -1, Lost: 1 + g.random.IntN(maxLost), Slow: g.random.IntN(2) == 0}
+		if g.random.IntN(2) == 0 {
+			f.For = time.Duration(g.random.Int64N(int64(maxAway)))
+		}
+		if f.At+f.For <= cfg.Length {
+			faults = append(faults, f)
+		}
+	}
+	return faults
+}
+
 // chooseActions selects up to maxGroups groups of actions, and half or all of the hosts as targets.
 func (g *generator) chooseActions() {
 	for _, i := range g.random.Perm(len(actionGroups))[:1+g.random.IntN(maxGroups)] {
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -96,6 +96,8 @@
 	case schedule.ForgetHistory:
 		defer s.startHostFault(checker.AllHosts)()
 		s.store.DropHistory()
+	case schedule.ReturnStore:
+		s.returnStore(f, wait)
 	case schedule.MoveRoute:
 		s.publishChange(func() { s.routeMoves++ })
 	case schedule.RevokeKey:
@@ -104,6 +106,38 @@
 	}
 }
 
+// slowWriteInterval is the time between two changes that are written again slowly.
+const slowWriteInterval = 150 * time.Millisecond
+
+// returnStore makes the store return from an older copy. The operator writes its configuration again at once, endpoints follow.
+func (s *Site) returnStore(f schedule.Fault, wait func()) {
+	defer s.startHostFault(checker.AllHosts)()
+	if f.For > 0 {
+		s.addOutage(1)
+		wait()
+	}
+	s.publishMu.Lock()
+	lost := s.store.ReturnFromCopy(f.Lost, 0)
+	for _, change := range lost {
+		if change.IsSet() {
+			s.store.WriteAgain(change)
+		}
+	}
+	s.publishMu.Unlock()
+	if f.For > 0 {
+		s.addOutage(-1)
+	}
+	if !f.Slow {
+		s.store.WriteOthers(f.Lost)
+	}
+	for _, change := range lost {
+		if f.Slow {
+			time.Sleep(slowWriteInterval)
+		}
+		s.store.WriteAgain(change)
+	}
+}
+
 // addOutage starts (delta 1) or ends (delta -1) an outage of the store. Outages may overlap.
 func (s *Site) addOutage(delta int) {
 	s.publishMu.Lock()
