Repeat to other hosts that an endpoint leaves

What an endpoint says in an answer is passed on to the keeper, the standbys and the relay through which the answer came, each by one datagram. After that the endpoint gets no requests whose answers would say it again, so that a host that missed the datagram never learnt it; and one to whom it mattered later, such as another relay within the same second, was not told at all.

Each such host is told when it first matters, and again after 0.2, 0.6 and 1.2 s, decided in fleet/announcement.

TestHostIsToldAgainThatAnEndpointLeaves loses the first datagram. Before, none followed.

--- a/entry/node/rest_test.go
+++ b/entry/node/rest_test.go
@@ -12,6 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform/standin"
 )
@@ -223,6 +227,28 @@
 	}
 }
 
+// The first datagram that tells another host so is lost; the endpoint gets no more requests whose answers would say it again.
+func TestHostIsToldAgainThatAnEndpointLeaves(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	s.addEndpoint("i-a", "plain", nil)
+	s.startNodes(1, 27)
+	n := s.nodes[0]
+	relay := newPeerStub(t, n, "127.0.27.9:0")
+	relay.send(peer.Datagram{Extensions: peer.Extensions{CopyProbes: []peer.CopyProbe{{Nonce: 1}}}})
+	relay.receive()
+	now := timer.BootClock()
+	leaves := pool.StatementReported{Service: "plain", Instance: endpoint.Instance{ID: "i-a", StartedAt: 1}, Leaving: true, ObservedAt: now}
+	n.slots.update(now, leaves)
+	require.Equal(t, []host.ID{"host-9"}, n.slots.announceLeaving(now, leaves, []host.ID{"host-9"}))
+	for range leavingRepeats() {
+		statement := relay.receive().Extras.Statements[0]
+		require.Equal(t, endpoint.ID("i-a"), statement.Endpoint)
+		require.True(t, statement.Leaving)
+	}
+}
+
 // The endpoint asks the host that connects to it, which is the relay and can't read the answer.
 func TestRestThatAnEndpointAskedARelayForBindsTheRelay(t *testing.T) {
 	t.Parallel()
--- a/entry/node/slot_manager.go
+++ b/entry/node/slot_manager.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/announcement"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
@@ -38,6 +39,8 @@
 	// sentStatements holds what else this host told them last about each endpoint, and rests what endpoints asked this host for.
 	sentStatements map[endpoint.Instance]sentStatement
 	rests          *rest.Table
+	// leavings are this host's announcements of endpoints that said that they leave.
+	leavings *announcement.Schedule
 }
 
 // heldSlot is a slot that a request of this host holds.
@@ -77,6 +80,7 @@
 		n:                n, runCtx: context.Background(), startedAt: timer.BootClock(), replies: make(map[uint64]chan pool.Command), heldSlots: make(map[pool.Ticket]heldSlot),
 		keeper: pool.New(poolConfig(n.cfg)), sentLimits: make(map[endpoint.Instance]sentLimit),
 		sentStatements: make(map[endpoint.Instance]sentStatement), rests: rest.NewTable(),
+		leavings: announcement.NewSchedule(announcement.Config{Repeats: leavingRepeats(), Memory: leavingMemory}),
 	}
 }
 
@@ -88,8 +92,11 @@
 	s.execute(commands)
 }
 
-// tick lets the local keeper enforce its time-outs and send cache updates.
-func (s *slotManager) tick(now time.Time) { s.update(now, pool.Tick{}) }
+// tick lets the local keeper enforce its time-outs and send cache updates, and repeats which endpoints leave.
+func (s *slotManager) tick(now time.Time) {
+	s.update(now, pool.Tick{})
+	s.repeatLeavings(now)
+}
 
 // execute carries out commands of the local keeper: replies go to the requests that wait for them, here or on other hosts.
 func (s *slotManager) execute(commands []pool.Command) {
--- a/entry/node/statements.go
+++ b/entry/node/statements.go
@@ -21,10 +21,17 @@
 const (
 	// statementRepeatInterval is how often this host repeats to the keepers what an endpoint says.
 	statementRepeatInterval = time.Second
+	// leavingMemory is how long a host that was told that an endpoint leaves is not told so again, but for leavingRepeats.
+	leavingMemory = time.Minute
 	// maxStatementsPerDatagram limits the reports in one datagram.
 	maxStatementsPerDatagram = 16
 )
 
+// leavingRepeats returns when a host is told again that an endpoint leaves, after the first time.
+func leavingRepeats() []time.Duration {
+	return []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond}
+}
+
 // sentStatement is what this host last told the keepers about an endpoint.
 type sentStatement struct {
 	leaving bool
@@ -60,8 +67,37 @@
 	if said.Leaving && !known.Leaving {
 		s.recordLeaving(now, q.instance)
 	}
-	if s.mustSendStatement(now, e) {
-		s.sendStatements(s.tellWhom(q, x.Relay()), []pool.StatementReported{e})
+	to := s.tellWhom(q, x.Relay())
+	if untold := s.announceLeaving(now, e, to); !s.mustSendStatement(now, e) {
+		to = untold
+	}
+	s.sendStatements(to, []pool.StatementReported{e})
+}
+
+// announceLeaving returns those of the hosts that were not told yet that an endpoint leaves, if it does.
+func (s *slotManager) announceLeaving(now time.Time, e pool.StatementReported, to []host.ID) []host.ID {
+	if !e.Leaving {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leavings.Announce(now, e.Instance, to)
+}
+
+// repeatLeavings tells hosts again which endpoints leave.
+func (s *slotManager) repeatLeavings(now time.Time) {
+	s.mu.Lock()
+	due := s.leavings.Due(now)
+	var statements []pool.StatementReported
+	if len(due) > 0 {
+		statements = s.keeper.Statements()
+	}
+	s.mu.Unlock()
+	for _, a := range due {
+		i := slices.IndexFunc(statements, func(e pool.StatementReported) bool { return e.Instance == a.Instance })
+		if i >= 0 {
+			s.sendStatements([]host.ID{a.To}, statements[i:i+1])
+		}
 	}
 }
 
