Take a whole read of the same era for the newest word of endpoints

Only what the first read of an era holds may be outdated; that is noted with the registration, until another one replaces it. What the catalogue keeps of endpoints that have left is in a file of its own.

TestEndpointThatStaysAfterAllIsReadyByAWholeReadOfTheSameEra failed before.

The instance that a later one replaces is remembered like one that was removed, and forgotten as these are. Catalogue.Set, which only a test read, is gone, and the history counts a change once.

--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -72,21 +71,19 @@
 	pendingRemovals map[endpoint.ID]time.Time
 	// graceEnd is the time until which removals are deferred after the last outage.
 	graceEnd time.Time
-	departed departures
-	// held holds registrations from an older copy of the store, of endpoints that had been removed before.
-	held map[endpoint.ID]heldRegistration
-}
-
-type heldRegistration struct {
-	record endpoint.Record
-	until  time.Time
+	// departed holds the instances of endpoints that are no longer registered.
+	departed map[endpoint.Instance]departure
+	// held holds registrations from an older copy of the store, of endpoints that had departed before, and outdated those of endpoints that had
+	// announced that they leave. Both are from the first read of the era.
+	held     map[endpoint.ID]heldRegistration
+	outdated map[endpoint.ID]endpoint.Record
 }
 
 // New returns an empty catalogue. Its set is not valid until Apply has received one.
 func New(cfg Config) *Catalogue {
 	return &Catalogue{
 		cfg: cfg, endpoints: make(map[endpoint.ID]endpoint.Record), pendingRemovals: make(map[endpoint.ID]time.Time),
-		departed: newDepartures(), held: make(map[endpoint.ID]heldRegistration),
+		departed: make(map[endpoint.Instance]departure), held: make(map[endpoint.ID]heldRegistration), outdated: make(map[endpoint.ID]endpoint.Record),
 	}
 }
 
@@ -108,6 +105,7 @@
 	if c.position.Loaded() && u.Position.Era > c.position.Era {
 		c.graceEnd = now.Add(c.cfg.RecoveryGrace)
 		u.Endpoints = c.withoutDeparted(now, u.Endpoints)
+		c.noteOutdated(u.Endpoints)
 	} else if u.Full {
 		c.dropUnlistedHeld(u)
 	}
@@ -117,10 +115,15 @@
 		change.Set = u.Set
 	}
 	for _, record := range u.Endpoints {
-		if c.held[record.Instance.ID].record == record && u.Full {
+		switch id := record.Instance.ID; {
+		case u.Full && c.held[id].record == record:
 			continue
+		case u.Full && c.outdated[id] == record:
+			record.Leaving = true
+		default:
+			delete(c.outdated, id)
 		}
-		change.Endpoints = append(change.Endpoints, c.register(record, !u.Full)...)
+		change.Endpoints = append(change.Endpoints, c.register(now, record)...)
 	}
 	removed := u.Removed
 	for _, id := range removed {
@@ -152,13 +155,15 @@
 	return u.Set.Version == c.set.Version && u.Position.Era > c.setEra
 }
 
-// register notes the registration of an endpoint, which was written after the copy's position or is in a read of the whole store, and returns it
-// if that changed the catalogue.
-func (c *Catalogue) register(record endpoint.Record, written bool) []endpoint.Record {
+// register notes the registration of an endpoint and returns it if that changed the catalogue.
+func (c *Catalogue) register(now time.Time, record endpoint.Record) []endpoint.Record {
 	id := record.Instance.ID
 	delete(c.pendingRemovals, id)
 	delete(c.held, id)
-	record = c.departed.registered(record, written)
+	if earlier, known := c.endpoints[id]; known && earlier.Instance != record.Instance {
+		c.noteDeparture(now, earlier)
+	}
+	delete(c.departed, record.Instance)
 	if c.endpoints[id] == record {
 		return nil
 	}
@@ -166,25 +171,6 @@
 	return []endpoint.Record{record}
 }
 
-// withoutDeparted returns the registrations in an older copy of the store but for those of endpoints that were removed, and of earlier instances
-// of others. It holds these back: they may have ended long ago.
-func (c *Catalogue) withoutDeparted(now time.Time, records []endpoint.Record) []endpoint.Record {
-	clear(c.held)
-	return slices.DeleteFunc(slices.Clone(records), func(record endpoint.Record) bool {
-		id := record.Instance.ID
-		departed := c.departed.wasRemoved(record.Instance) || c.endpoints[id].Instance.StartedAt > record.Instance.StartedAt
-		if departed {
-			c.held[id] = heldRegistration{record: record, until: now.Add(c.cfg.ReturnHold)}
-		}
-		return departed
-	})
-}
-
-// dropUnlistedHeld drops the registrations held back that a full update does not list.
-func (c *Catalogue) dropUnlistedHeld(u Update) {
-	maps.DeleteFunc(c.held, func(_ endpoint.ID, h heldRegistration) bool { return !slices.Contains(u.Endpoints, h.record) })
-}
-
 // unlisted returns the known endpoints that a full update does not list, in order.
 func (c *Catalogue) unlisted(u Update) []endpoint.ID {
 	listed := make(map[endpoint.ID]bool, len(u.Endpoints))
@@ -221,7 +207,7 @@
 func (c *Catalogue) drop(now time.Time, record endpoint.Record) {
 	delete(c.endpoints, record.Instance.ID)
 	delete(c.pendingRemovals, record.Instance.ID)
-	c.departed.removed(now, record.Instance)
+	c.noteDeparture(now, record)
 }
 
 // Tick removes the endpoints that did not register again within the grace period after an outage, and returns them with those whose registration
@@ -237,10 +223,10 @@
 	}
 	for _, held := range c.held {
 		if !c.confirmedAt.Before(held.until) {
-			change.Endpoints = append(change.Endpoints, c.register(held.record, false)...)
+			change.Endpoints = append(change.Endpoints, c.register(now, held.released())...)
 		}
 	}
-	c.departed.expire(now)
+	c.forgetDepartures(now)
 	slices.Sort(change.Removed)
 	slices.SortFunc(change.Endpoints, func(a, b endpoint.Record) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) })
 	return change
@@ -249,9 +235,6 @@
 // SetLease replaces Config.Lease, also for the set already in force.
 func (c *Catalogue) SetLease(d time.Duration) { c.cfg.Lease = d }
 
-// Set returns the set in force, or nil before the first one. Valid says whether it may be used.
-func (c *Catalogue) Set() *site.Set { return c.set }
-
 // Position returns the position after which the next read continues; it is not loaded before the first update.
 func (c *Catalogue) Position() Position { return c.position }
 
--- a/fleet/catalogue/catalogue_test.go
+++ b/fleet/catalogue/catalogue_test.go
@@ -34,7 +34,7 @@
 	require.False(t, c.Valid(at(0)))
 	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(5), Set: &site.Set{Version: 7}})
 	c.Apply(at(1), Update{SentAt: at(1), Position: atRevision(6), Set: &site.Set{Version: 6}})
-	require.Equal(t, site.Version(7), c.Set().Version)
+	require.Equal(t, site.Version(7), c.set.Version)
 }
 
 func TestTheLeaseCountsFromWhenTheReadWasSent(t *testing.T) {
--- a/fleet/catalogue/history.go
+++ b/fleet/catalogue/history.go
@@ -82,9 +82,9 @@
 		if !changedAt.After(current.changedAt) {
 			return
 		}
-		h.generation++
 		if full && e.Revision == 0 {
 			// It is not known whether the entry changed.
+			h.generation++
 			h.completeAfter = later(h.completeAfter, at)
 			h.newestChange = later(h.newestChange, at)
 			return
--- /dev/null
+++ b/fleet/catalogue/return.go
@@ -0,0 +1,73 @@
+package catalogue
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"balsamknot.org/fleet/endpoint"
+)
+
+// departureMemory is how long an endpoint that is no longer registered is remembered: longer than the time by which a copy of the store is older
+// than what it replaces.
+const departureMemory = time.Minute
+
+// departure is the end of an instance's registration.
+type departure struct {
+	at time.Time
+	// leaving is true if the instance had announced that it leaves.
+	leaving bool
+}
+
+// heldRegistration is the registration of an instance that had departed, in an older copy of the store.
+type heldRegistration struct {
+	record  endpoint.Record
+	until   time.Time
+	leaving bool
+}
+
+// released returns the registration as it is to be used after the hold.
+func (h heldRegistration) released() endpoint.Record {
+	record := h.record
+	record.Leaving = record.Leaving || h.leaving
+	return record
+}
+
+func (c *Catalogue) noteDeparture(now time.Time, record endpoint.Record) {
+	c.departed[record.Instance] = departure{at: now, leaving: record.Leaving}
+}
+
+func (c *Catalogue) forgetDepartures(now time.Time) {
+	maps.DeleteFunc(c.departed, func(_ endpoint.Instance, d departure) bool { return now.Sub(d.at) > departureMemory })
+}
+
+// withoutDeparted returns the registrations in an older copy of the store but for those of instances that had departed, and of earlier instances
+// of endpoints that have restarted. It holds these back: they may have ended long ago.
+func (c *Catalogue) withoutDeparted(now time.Time, records []endpoint.Record) []endpoint.Record {
+	clear(c.held)
+	return slices.DeleteFunc(slices.Clone(records), func(record endpoint.Record) bool {
+		id := record.Instance.ID
+		d, departed := c.departed[record.Instance]
+		if !departed && c.endpoints[id].Instance.StartedAt <= record.Instance.StartedAt {
+			return false
+		}
+		c.held[id] = heldRegistration{record: record, until: now.Add(c.cfg.ReturnHold), leaving: d.leaving}
+		return true
+	})
+}
+
+// noteOutdated notes which registrations in an older copy of the store are as ready, of endpoints that have announced since that they leave.
+func (c *Catalogue) noteOutdated(records []endpoint.Record) {
+	clear(c.outdated)
+	for _, record := range records {
+		known := c.endpoints[record.Instance.ID]
+		if known.Leaving && known.Instance == record.Instance && !record.Leaving {
+			c.outdated[record.Instance.ID] = record
+		}
+	}
+}
+
+// dropUnlistedHeld drops the registrations held back that a full update does not list.
+func (c *Catalogue) dropUnlistedHeld(u Update) {
+	maps.DeleteFunc(c.held, func(_ endpoint.ID, h heldRegistration) bool { return !slices.Contains(u.Endpoints, h.record) })
+}
--- a/fleet/catalogue/departure_test.go
+++ b/fleet/catalogue/return_test.go
@@ -27,6 +27,14 @@
 	require.True(t, c.endpoints["a"].Leaving)
 	change = c.Apply(at(3), Update{SentAt: at(3), Position: inEra(2, 482), Endpoints: []endpoint.Record{instanceRecord("a", 1, false)}})
 	require.Equal(t, []endpoint.Record{instanceRecord("a", 1, false)}, change.Endpoints, "it registered anew")
+	c.Apply(at(3), Update{SentAt: at(3), Position: inEra(2, 482), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, false)}})
+	require.False(t, c.endpoints["a"].Leaving)
+	c.Apply(at(3), Update{SentAt: at(3), Position: inEra(2, 483), Endpoints: []endpoint.Record{instanceRecord("a", 1, true)}})
+	other := instanceRecord("a", 1, false)
+	other.Address = "10.0.0.1:80"
+	change = c.Apply(at(3), Update{SentAt: at(3), Position: inEra(2, 484), Full: true, Endpoints: []endpoint.Record{other}})
+	require.Equal(t, []endpoint.Record{other}, change.Endpoints, "what is not in the copy was written after it, also in a whole read")
+	c.Apply(at(3), Update{SentAt: at(3), Position: inEra(2, 485), Endpoints: []endpoint.Record{instanceRecord("a", 1, true)}})
 	change = c.Apply(at(4), Update{SentAt: at(4), Position: inEra(3, 470), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 2, false)}})
 	require.Equal(t, []endpoint.Record{instanceRecord("a", 2, false)}, change.Endpoints, "a later instance is ready")
 }
@@ -64,6 +72,17 @@
 	require.Equal(t, []endpoint.Record{ended, lapsed}, c.Tick(at(6*time.Second)).Endpoints, "it is still registered")
 }
 
+// Whatever the copy has, and however long it is registered there, the instance had announced that it leaves.
+func TestLeavingEndpointThatWasRemovedDoesNotBecomeReadyAfterTheHold(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 490), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, true)}})
+	c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 500), Removed: []endpoint.ID{"a"}})
+	c.Apply(at(2), Update{SentAt: at(2), Position: inEra(2, 480), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, false)}})
+	c.Confirm(at(6*time.Second), at(6*time.Second))
+	require.Equal(t, []endpoint.Record{instanceRecord("a", 1, true)}, c.Tick(at(6*time.Second)).Endpoints)
+}
+
 // A copy has the earlier instance of an endpoint that has restarted since: no sign that the later one ended.
 func TestEarlierInstanceInAnOlderCopyDoesNotReplaceTheLaterOne(t *testing.T) {
 	t.Parallel()
@@ -81,14 +100,23 @@
 	require.Empty(t, c.Tick(at(time.Minute)).Removed)
 }
 
+// Without a return of the store, a whole read is as good as a read of changes: an endpoint that stays after all is ready again.
+func TestEndpointThatStaysAfterAllIsReadyByAWholeReadOfTheSameEra(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 5), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, true)}})
+	change := c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 9), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, false)}})
+	require.Equal(t, []endpoint.Record{instanceRecord("a", 1, false)}, change.Endpoints)
+}
+
 func TestDepartedEndpointsAreForgotten(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
 	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 1), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 1, true), record("b", true)}})
-	c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 2), Full: true})
+	c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 2), Full: true, Endpoints: []endpoint.Record{instanceRecord("a", 2, false)}})
+	require.Contains(t, c.departed, instanceRecord("a", 1, true).Instance)
 	c.Apply(at(2), Update{SentAt: at(2), Position: inEra(1, 3), Endpoints: []endpoint.Record{record("b", false)}})
 	require.False(t, c.endpoints["b"].Leaving)
 	c.Tick(at(departureMemory + time.Second))
-	require.Empty(t, c.departed.removedAt)
-	require.Empty(t, c.departed.leaving)
+	require.Empty(t, c.departed)
 }
