--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -102,11 +102,12 @@
 // whose read was sent before that of an earlier update does not change the copy's age, and only a full update can move the position back.
 func (c *Catalogue) Apply(now time.Time, u Update) Change {
 	c.Confirm(now, u.SentAt)
-	if c.position.Loaded() && u.Position.Era > c.position.Era {
+	switch {
+	case c.position.Loaded() && u.Position.Era > c.position.Era:
 		c.graceEnd = now.Add(c.cfg.RecoveryGrace)
 		u.Endpoints = c.withoutDeparted(now, u.Endpoints)
 		c.noteOutdated(u.Endpoints)
-	} else if u.Full {
+	case u.Full:
 		c.dropUnlistedHeld(u)
 	}
 	var change Change
@@ -114,17 +115,7 @@
 		c.set, c.setEra = u.Set, u.Position.Era
 		change.Set = u.Set
 	}
-	for _, record := range u.Endpoints {
-		switch id := record.Instance.ID; {
-		case u.Full && c.held[id].record == record:
-			continue
-		case u.Full && c.outdated[id] == record:
-			record.Leaving = true
-		default:
-			delete(c.outdated, id)
-		}
-		change.Endpoints = append(change.Endpoints, c.register(now, record)...)
-	}
+	change.Endpoints = c.registerAll(now, u)
 	removed := u.Removed
 	for _, id := range removed {
 		delete(c.held, id)
@@ -155,6 +146,23 @@
 	return u.Set.Version == c.set.Version && u.Position.Era > c.setEra
 }
 
+// registerAll notes the registrations of an update and returns those that changed the catalogue.
+func (c *Catalogue) registerAll(now time.Time, u Update) []endpoint.Record {
+	var changed []endpoint.Record
+	for _, record := range u.Endpoints {
+		switch id := record.Instance.ID; {
+		case u.Full && c.held[id].record == record:
+			continue
+		case u.Full && c.outdated[id] == record:
+			record.Leaving = true
+		default:
+			delete(c.outdated, id)
+		}
+		changed = append(changed, c.register(now, record)...)
+	}
+	return changed
+}
+
 // register notes the registration of an endpoint and returns it if that changed the catalogue.
 func (c *Catalogue) register(now time.Time, record endpoint.Record) []endpoint.Record {
 	id := record.Instance.ID
