Pass on the newest set of a read that holds several

A read of changes may hold several versions of the set. The first of them was kept as the newest, so that after the next read of the whole store, as after a loss of history, hosts that started got an older set than the one in force.

The value that is kept is the one from which the set in force was decoded. TestNewestSetOfAReadIsPassedOn failed before (version 2 in place of 3).

--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -272,10 +271,9 @@
 	return v.catalogue.Position()
 }
 
-// decode decodes entries. One that can't be decoded is logged; an undecodable registration is treated as the removal of its
-// endpoint.
-func (v *storeView) decode(entries []catalogue.Entry) catalogue.Update {
-	var update catalogue.Update
+// decode decodes entries; setValue is the value from which the update's set was decoded. An entry that can't be decoded is logged; an
+// undecodable registration is treated as the removal of its endpoint.
+func (v *storeView) decode(entries []catalogue.Entry) (update catalogue.Update, setValue []byte) {
 	for _, e := range entries {
 		publication, err := platform.Decode(platform.Change{Key: e.Key, Value: e.Value, Removed: e.Removed})
 		if err != nil {
@@ -283,14 +281,14 @@
 		}
 		switch {
 		case publication.Set != nil:
-			update.Set = publication.Set
+			update.Set, setValue = publication.Set, e.Value
 		case publication.Endpoint != nil:
 			update.Endpoints = append(update.Endpoints, *publication.Endpoint)
 		case publication.Removed != "":
 			update.Removed = append(update.Removed, publication.Removed)
 		}
 	}
-	return update
+	return update, setValue
 }
 
 // recordStep reports the outcome of a step to the source selector and logs when refreshing starts to fail or works again.
@@ -348,7 +346,7 @@
 // apply merges the result of a read that was sent at sentAt and ended at a position, and notifies the subscribers if it changed an entry. The
 // error is errEarlierEra, and nothing is merged, if this host's copy is from a later era.
 func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool) error {
-	update := v.decode(entries)
+	update, setValue := v.decode(entries)
 	update.SentAt, update.Position, update.Full = sentAt, at, full
 	now := timer.BootClock()
 	v.mu.Lock()
@@ -360,7 +358,10 @@
 		return errEarlierEra
 	}
 	change := v.catalogue.Apply(now, update)
-	v.history.Record(now, v.withNewestSet(entries, change.Set, full), at, full)
+	if change.Set != nil {
+		v.setValue = setValue
+	}
+	v.history.Record(now, v.withNewestSet(entries, full), at, full)
 	newest := v.history.NewestChange()
 	v.mu.Unlock()
 	v.recordReturn(before, at, change)
@@ -371,23 +372,22 @@
 	return nil
 }
 
-// withNewestSet returns the entries of a read with the value of the newest set, of which changed tells that it is that of this read, in place of
-// an older one that the store may hold after a return. So a host that has no set yet gets from this one none that is older. mu must be held.
-func (v *storeView) withNewestSet(entries []catalogue.Entry, changed *site.Set, full bool) []catalogue.Entry {
-	i := slices.IndexFunc(entries, func(e catalogue.Entry) bool { return e.Key == platform.SetKey() })
-	switch {
-	case changed != nil && i >= 0:
-		v.setValue = entries[i].Value
-		return entries
-	case v.setValue == nil, i < 0 && !full:
-		return entries
+// withNewestSet returns the entries of a read with the newest set in place of those that it holds, which may be older after a return of the
+// store. So a host that has no set yet gets from this one none that is older than its own. mu must be held.
+func (v *storeView) withNewestSet(entries []catalogue.Entry, full bool) []catalogue.Entry {
+	newest := catalogue.Entry{Key: platform.SetKey(), Value: v.setValue}
+	others := make([]catalogue.Entry, 0, len(entries)+1)
+	for _, e := range entries {
+		if e.Key != newest.Key {
+			others = append(others, e)
+			continue
+		}
+		newest.Revision = e.Revision
 	}
-	entries = slices.Clone(entries)
-	if i < 0 {
-		return append(entries, catalogue.Entry{Key: platform.SetKey(), Value: v.setValue})
+	if v.setValue == nil || (len(others) == len(entries) && !full) {
+		return entries
 	}
-	entries[i].Value, entries[i].Removed = v.setValue, false
-	return entries
+	return append(others, newest)
 }
 
 // recordReturn logs and counts a return of the store from an older copy, if one lies between two positions.
--- a/entry/node/store_view_test.go
+++ b/entry/node/store_view_test.go
@@ -13,6 +13,7 @@
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
+	"balsamknot.org/platform"
 	"balsamknot.org/platform/standin"
 )
 
@@ -52,3 +53,24 @@
 		require.Len(t, known, version*endpoints)
 	}
 }
+
+// One read may hold several versions of the set. What hosts that start get later is the newest, also after a read of the whole store.
+func TestNewestSetOfAReadIsPassedOn(t *testing.T) {
+	t.Parallel()
+	n := newIdleNode(t, closedAddress(t))
+	set := func(version, revision int) catalogue.Entry {
+		return catalogue.Entry{Key: platform.SetKey(), Value: fmt.Appendf(nil, `{"version":%d}`, version), Revision: catalogue.Revision(revision)}
+	}
+	v := n.storeView
+	position := catalogue.Position{Era: 1, Revision: 10}
+	require.NoError(t, v.apply(timer.BootClock(), []catalogue.Entry{set(1, 9)}, position, true))
+	position.Revision = 13
+	require.NoError(t, v.apply(timer.BootClock(), []catalogue.Entry{set(2, 11), set(3, 12)}, position, false))
+	for _, full := range []bool{false, true} {
+		position.Revision++
+		require.NoError(t, v.apply(timer.BootClock(), []catalogue.Entry{set(3, 12)}, position, full))
+		entries, _ := v.history.Since(catalogue.Position{})
+		require.Len(t, entries, 1)
+		require.JSONEq(t, `{"version":3}`, string(entries[0].Value))
+	}
+}
