Add a review case: a key that was taken away works again (CONFIG)

What breaks: the store returns from a copy of before a key was taken away. A host that starts then, and meets no other host in its first 30 ms, reads the store itself, puts the older configuration in force and runs requests with the key, later than 5 s after its removal was acknowledged. The other hosts know the newer configuration and aren't asked.

--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -21,6 +22,8 @@
 	items    map[string]storeItem
 	events   []storeItem
 	changed  chan struct{}
+	// era rises with each Return.
+	era int64
 	// watches counts the watches that came in at each address.
 	watches map[string]int
 	// silent is true while the store accepts calls and never answers them.
@@ -36,7 +39,7 @@
 
 // StartStore starts a store at an address (ip:port).
 func StartStore(address string) *Store {
-	s := &Store{revision: 100, items: make(map[string]storeItem), changed: make(chan struct{}), watches: make(map[string]int)}
+	s := &Store{revision: 100, era: 1, items: make(map[string]storeItem), changed: make(chan struct{}), watches: make(map[string]int)}
 	s.listener = Listen(address)
 	s.serveAt(s.listener)
 	return s
@@ -104,6 +107,30 @@
 	s.changed = make(chan struct{})
 }
 
+// Copy is a copy of the store.
+type Copy struct {
+	revision int64
+	items    map[string]storeItem
+	events   []storeItem
+}
+
+// Copy returns a copy of the store as it is now.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, items: maps.Clone(s.items), events: slices.Clone(s.events)}
+}
+
+// Return makes the store lose what was written after a copy, as after a return from it. Its revisions are given out again.
+func (s *Store) Return(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.items, s.events = c.revision, maps.Clone(c.items), slices.Clone(c.events)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *Store) isSilent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,7 +149,10 @@
 		<-r.Context().Done()
 		return
 	}
-	w.Header().Set(Header("Era"), "1")
+	s.mu.Lock()
+	era := strconv.FormatInt(s.era, 10)
+	s.mu.Unlock()
+	w.Header().Set(Header("Era"), era)
 	w.Header().Set("Content-Type", "application/json")
 	query := r.URL.Query()
 	switch r.URL.Path {
