--- a/review/1/main.go
+++ b/review/1/main.go
@@ -28,7 +28,7 @@
 	// drain is how long the endpoint serves on after it has reported that it leaves, and restart the time from the removal of its registration
 	// to the new one.
 	drain   = 2500 * time.Millisecond
-	restart = 100 * time.Millisecond
+	restart = 30 * time.Millisecond
 	// killAfter is the time from the new registration to the end of the host's process.
 	killAfter = 34 * time.Second
 	lastAfter = 50 * time.Second
