--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -67,6 +67,8 @@
 	single atomic.Bool
 	// heardAt is when the last bytes arrived, in nanoseconds of timer.BootClock.
 	heardAt atomic.Int64
+	// peerEnded is true once a read found that the endpoint ended the connection.
+	peerEnded atomic.Bool
 	// connectedAt is when the connection was established, by timer.BootClock.
 	connectedAt time.Time
 	// expires is the time from which the connection is not used again, because the endpoint may be closing it.
@@ -162,7 +164,7 @@
 	if relayed, ok := conn.(Relayed); ok {
 		c.relay = relayed.Relay()
 	}
-	c.limited = &limitedReader{r: conn, left: unlimited, heardAt: &c.heardAt}
+	c.limited = &limitedReader{r: conn, left: unlimited, heardAt: &c.heardAt, peerEnded: &c.peerEnded}
 	c.reader = bufio.NewReaderSize(c.limited, readerSize)
 	return c, nil
 }
@@ -171,8 +173,9 @@
 type limitedReader struct {
 	r    io.Reader
 	left int64
-	// heardAt is pooledConn.heardAt.
-	heardAt *atomic.Int64
+	// heardAt and peerEnded are those of pooledConn.
+	heardAt   *atomic.Int64
+	peerEnded *atomic.Bool
 }
 
 // unlimited is the value of limitedReader.left without a limit.
@@ -190,6 +193,9 @@
 	if n > 0 {
 		l.heardAt.Store(timer.BootClock().UnixNano())
 	}
+	if endedByPeer(err) {
+		l.peerEnded.Store(true)
+	}
 	return n, err
 }
 
--- a/entry/node/answer_body.go
+++ b/entry/node/answer_body.go
@@ -86,12 +86,13 @@
 }
 
 // readAnswerBody reads the whole body of an answer that is not streamed. After an error, the body needs no Release.
-func (n *Node) readAnswerBody(x *connection.Exchange) (*answerBody, error) {
+func (n *Node) readAnswerBody(q *request, x *connection.Exchange) (*answerBody, error) {
 	body := &answerBody{memory: &n.answerMemory}
 	if err := body.read(x.Response.Body); err != nil {
 		body.Release()
 		return nil, err
 	}
+	n.recordUnmarkedEnd(q, x)
 	x.Finish()
 	return body, nil
 }
--- a/entry/node/endpoint_link_test.go
+++ b/entry/node/endpoint_link_test.go
@@ -101,6 +101,9 @@
 	closed    chan struct{}
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *linkConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(*net.TCPConn).SyscallConn() }
+
 // Read implements net.Conn. What arrives over a silent link is lost.
 func (c *linkConn) Read(p []byte) (int, error) {
 	for {
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -46,6 +46,7 @@
 	tunnelsOpened    = "entry_tunnels_opened_total"
 	storeReturns     = "entry_store_returns_total"
 	droppedReads     = "entry_store_reads_dropped_total"
+	unmarkedEnds     = "entry_unmarked_ends_total"
 )
 
 // meter holds the metrics of a node.
@@ -56,7 +57,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, unmarkedEnds} {
 		m.set.NewCounter(name)
 	}
 	for _, kind := range peer.Kinds {
@@ -116,6 +117,9 @@
 // recordDroppedRead counts what was read in an earlier era of the store than that of this host's copy.
 func (m *meter) recordDroppedRead() { m.set.GetOrCreateCounter(droppedReads).Inc() }
 
+// recordUnmarkedEnd counts an answer that only the end of its connection ended.
+func (m *meter) recordUnmarkedEnd() { m.set.GetOrCreateCounter(unmarkedEnds).Inc() }
+
 // recordInterruption counts a run whose answer was missing or incomplete.
 func (m *meter) recordInterruption() { m.set.GetOrCreateCounter(interruptedRuns).Inc() }
 
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -257,7 +257,7 @@
 	case q.route.Streaming && status == http.StatusOK:
 		return n.streamEvents(q, a, id, x)
 	}
-	body, err := n.readAnswerBody(x)
+	body, err := n.readAnswerBody(q, x)
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
@@ -277,7 +277,7 @@
 
 // endpointFailed handles an answer with a status of 500 or above: it is passed on, unless another endpoint is to be tried.
 func (n *Node) endpointFailed(q *request, a *attempt.Attempt, id endpoint.ID, x *connection.Exchange) (pool.Result, attempt.Command) {
-	body, err := n.readAnswerBody(x)
+	body, err := n.readAnswerBody(q, x)
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
@@ -327,6 +327,7 @@
 	for {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			n.recordUnmarkedEnd(q, x)
 			x.Finish()
 			n.startStream(q, a, x)
 			n.recordCompletion(q, x)
