Do not give up open connections for a silence from before their endpoint was found alive

What callers see: an endpoint that is silent for a second, as a paused process is, and whose accept queue is full takes no new connections. When it goes on, a host's own attempt may have failed while a relay's succeeds. The host then took its path for silent, and closed at once all connections to the endpoint that had received nothing for 700 ms: those of sound answers that had waited for the same silence. Streams that can't be resumed were cut, and calls that can't be repeated got 502.

Cause: the silence of a connection was counted from its last byte, also the part in which nobody had heard the endpoint. It says something about the path only from when a relay has shown that the endpoint is alive.

Change: the table of paths notes since when that is known, and connections are given up after 700 ms of it, unless a direct connection has succeeded since.

--- a/entry/node/cut_off_test.go
+++ b/entry/node/cut_off_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/platform/standin"
 )
 
@@ -341,3 +342,46 @@
 	wg.Wait()
 	requireServed(t, sent, served, 0, 0)
 }
+
+func TestAnswerOfAnEndpointThatWasSilentIsNotCutOnceItTakesConnectionsAgain(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	goOn := make(chan struct{})
+	e := s.addEndpoint("i-a", "engines", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/draft/x" {
+			_, _ = io.WriteString(w, wholeStream)
+			return
+		}
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-goOn:
+			_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+		case <-r.Context().Done():
+		}
+	})
+	s.startNodes(2, 109)
+	n := s.nodes[0]
+	begun := make(chan struct{})
+	result := make(chan string, 1)
+	go func() {
+		defer close(result)
+		response, err := http.DefaultTransport.RoundTrip(standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/draft/x", "silent-1", "k1", nil))
+		close(begun)
+		if err != nil {
+			return
+		}
+		defer response.Body.Close()
+		text, _ := io.ReadAll(response.Body)
+		result <- string(text)
+	}()
+	<-begun
+	time.Sleep(stallTimeout)
+	n.links.cut(cutNewSilent, e.Listener.Addr().String())
+	require.Equal(t, http.StatusOK, n.call(t, http.MethodPost, "/stream/x", "other-1", "k1").StatusCode, "through the other host")
+	n.links.cut(uncut)
+	require.Eventually(t, func() bool { return n.log.contains(`"Event":"` + event.PathRestored.String() + `"`) }, time.Minute, time.Millisecond)
+	close(goOn)
+	require.Equal(t, wholeStream, <-result)
+}
--- a/entry/node/endpoint_link_test.go
+++ b/entry/node/endpoint_link_test.go
@@ -20,6 +20,8 @@
 	cutReset
 	// cutNew refuses new connections; open ones live on.
 	cutNew
+	// cutNewSilent loses the packets of new connections, as a full accept queue does; open ones live on.
+	cutNewSilent
 )
 
 // endpointLinks is the Dialer of one host, whose path to the endpoints can be cut.
@@ -41,7 +43,7 @@
 // Dial implements connection.Dialer.
 func (l *endpointLinks) Dial(ctx context.Context, address string) (net.Conn, error) {
 	switch l.formOf(address, true) {
-	case cutSilent:
+	case cutSilent, cutNewSilent:
 		ctx, cancel := context.WithTimeout(ctx, linkDialTimeout)
 		defer cancel()
 		<-ctx.Done()
--- a/entry/node/paths.go
+++ b/entry/node/paths.go
@@ -39,7 +39,8 @@
 	// relayTimeout limits the time for a tunnel through one relay, and maxRelays how many are tried.
 	relayTimeout = 150 * time.Millisecond
 	maxRelays    = 3
-	// stallTimeout is how long a connection over a path that went silent may receive nothing before it is given up.
+	// stallTimeout is how long a connection over a path that went silent may receive nothing before it is given up. It runs from when the
+	// endpoint was found to be alive: it may have been silent itself before.
 	stallTimeout = 700 * time.Millisecond
 )
 
@@ -251,7 +252,7 @@
 func (p *pathTracker) tick(now time.Time) {
 	p.update(now, relay.Tick{})
 	p.mu.Lock()
-	silent := p.table.SilentAddresses()
+	silent := p.table.SilentAddresses(now, stallTimeout)
 	p.mu.Unlock()
 	for _, address := range silent {
 		p.n.endpointConns.AbortSilent(now, address, stallTimeout)
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -116,11 +116,12 @@
 type path struct {
 	record endpoint.Record
 	state  state
-	// silent is that of the Bypassed event.
-	silent  bool
-	lostAt  time.Time
-	heardAt time.Time
-	probeAt time.Time
+	// silent is that of the Bypassed event, and silentSince when the endpoint was found to be alive behind a path that is silent.
+	silent      bool
+	silentSince time.Time
+	lostAt      time.Time
+	heardAt     time.Time
+	probeAt     time.Time
 	// losses counts the losses of which each came within flapWindow of the one before.
 	losses int
 	// holdsSince is when the path that is gone could be connected to again; zero if the last connection failed.
@@ -163,7 +164,7 @@
 	case Heard:
 		t.heard(now, e.Address)
 	case Failed:
-		t.failed(e.Address)
+		t.failed(now, e.Address)
 	case Bypassed:
 		return t.bypassed(now, e)
 	case Unavailable:
@@ -239,11 +240,14 @@
 }
 
 // failed notes that a path does not hold; a doubted one is lost with it.
-func (t *Table) failed(address string) {
+func (t *Table) failed(now time.Time, address string) {
 	p := t.paths[address]
 	if p == nil {
 		return
 	}
+	if p.state == doubted || !p.holdsSince.IsZero() {
+		p.silentSince = now
+	}
 	p.holdsSince = time.Time{}
 	if p.state == doubted {
 		p.state = lost
@@ -271,7 +275,9 @@
 		return nil
 	}
 	if p.state == lost {
-		p.silent = p.silent || e.Silent
+		if e.Silent && !p.silent {
+			p.silent, p.silentSince = true, now
+		}
 		return nil
 	}
 	commands := []Command{t.lose(now, e.Address, lost, e.Silent)}
@@ -297,7 +303,7 @@
 		p.lostAt = now
 		p.probeAt = now
 	}
-	p.state, p.silent, p.holdsSince = s, silent, time.Time{}
+	p.state, p.silent, p.silentSince, p.holdsSince = s, silent, now, time.Time{}
 	return Lost{Endpoint: p.record.Instance.ID, Address: address, Silent: silent, Doubted: s == doubted}
 }
 
@@ -361,9 +367,15 @@
 // GoneCount returns the number of endpoints whose path is gone or doubted.
 func (t *Table) GoneCount() int { return len(t.gone) }
 
-// SilentAddresses returns the addresses to which the path is gone and open connections are likely to be dead.
-func (t *Table) SilentAddresses() []string {
-	return slices.DeleteFunc(slices.Clone(t.gone), func(address string) bool { p := t.paths[address]; return p.state != lost || !p.silent })
+// SilentAddresses returns the addresses to which the path has been gone and silent for d although their endpoints are alive, so that
+// connections on which nothing arrived meanwhile are dead.
+func (t *Table) SilentAddresses(now time.Time, d time.Duration) []string {
+	return slices.DeleteFunc(slices.Clone(t.gone), func(address string) bool { return !t.paths[address].silentFor(now, d) })
+}
+
+// silentFor reports whether the path has been silent for d, without a connection since.
+func (p *path) silentFor(now time.Time, d time.Duration) bool {
+	return p.state == lost && p.silent && p.holdsSince.IsZero() && now.Sub(p.silentSince) >= d
 }
 
 // Endpoint returns the endpoint that is registered at an address; empty if there is none.
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -69,13 +69,30 @@
 	table := newTable()
 	table.Update(at(0), Bypassed{Address: "a1", Silent: true})
 	table.Update(at(0), Bypassed{Address: "a2", Silent: true})
-	require.Equal(t, []string{"a1", "a2"}, table.SilentAddresses())
+	require.Equal(t, []string{"a1", "a2"}, table.SilentAddresses(at(stall), stall))
 	table.Update(at(time.Second), Failed{"a3"})
-	require.Equal(t, []string{"a1", "a2", "a3"}, table.SilentAddresses())
+	require.Equal(t, []string{"a1", "a2", "a3"}, table.SilentAddresses(at(time.Second+stall), stall))
 	table.Update(at(time.Second), Connected{"a4"})
 	require.True(t, table.Gone("a3"))
 }
 
+// stall is how long a path must be silent in these tests.
+const stall = 700 * time.Millisecond
+
+func TestConnectionsAreJudgedByTheSilenceSinceTheirEndpointWasFoundAlive(t *testing.T) {
+	t.Parallel()
+	table := newTable()
+	table.Update(at(0), Heard{"a1"})
+	found := 2 * time.Second
+	table.Update(at(found), Bypassed{Address: "a1", Silent: true})
+	require.Empty(t, table.SilentAddresses(at(found), stall), "the endpoint may have been silent until now")
+	require.Empty(t, table.SilentAddresses(at(found+stall-1), stall))
+	table.Update(at(found+stall-1), Failed{"a1"})
+	require.Equal(t, []string{"a1"}, table.SilentAddresses(at(found+stall), stall), "a probe that fails doesn't begin the time anew")
+	table.Update(at(found+stall), Connected{"a1"})
+	require.Empty(t, table.SilentAddresses(at(found+2*stall), stall))
+}
+
 func TestPathsAreNotDoubtedWhileTheServiceIsHeardOf(t *testing.T) {
 	t.Parallel()
 	table := newTable()
