Read no document of the platform whose end is not marked

The same cause elsewhere: the client of the platform's documents took the end of a connection for the end of the document. Cut between two sections, a set still is a valid set, with routes or services missing. A document must say where it ends, else the read failed and the last one stays in force.

--- a/fleet/platform/client.go
+++ b/fleet/platform/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/revision"
 )
 
@@ -75,6 +76,9 @@
 	if err != nil {
 		return revision.Document{}, false, eris.Wrapf(err, "platform %s: parse response header %s", address, RevisionHeader)
 	}
+	if !answer.EndMarked(response) {
+		return revision.Document{}, false, fmt.Errorf("platform %s: the end of document %s is not marked", address, name)
+	}
 	value, err := io.ReadAll(io.LimitReader(response.Body, maxDocumentBytes+1))
 	if err != nil {
 		return revision.Document{}, false, eris.Wrapf(err, "read document body from platform %s", address)
