Soak: endpoints that end as processes do, fall silent, are replaced in place, or register again just after an outage

The ends of endpoints were resets until now, so that the soak could not see an answer that ends in order without being complete. It checks the promises that it checked before: whole answers, ORDER, LOST, DRAIN, keys.

--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -61,6 +61,14 @@
 	// ReturnStore makes the store refuse all reads until the end of the fault, and return from a copy that lacks its last Fault.Lost changes.
 	// They are written again then, slowly if Fault.Slow is set; else as many others as were lost come first.
 	ReturnStore
+	// EndEndpoint makes an endpoint send streams whose end only the end of the connection marks, and ends it at the end of the fault as the
+	// kernel ends a process: its connections end in order. SilenceEndpoints makes all endpoints of a service send nothing until the end of the
+	// fault; they go on then. ReplaceEndpoint lets an endpoint leave and at the end of the fault start in place with another software version.
+	// LapseService removes the registrations of a service's endpoints while the store refuses all reads, and writes them again just after.
+	EndEndpoint
+	SilenceEndpoints
+	ReplaceEndpoint
+	LapseService
 )
 
 var actionNames = map[Action]string{
@@ -70,7 +78,8 @@
 	ForgetHistory: "ForgetHistory", MoveRoute: "MoveRoute", RevokeKey: "RevokeKey", SendPoison: "SendPoison",
 	SendPoisonBurst: "SendPoisonBurst", SendPoisonPart: "SendPoisonPart", LimitEndpoint: "LimitEndpoint",
 	AskRest: "AskRest", SayLeaving: "SayLeaving", MakeBrittle: "MakeBrittle", KillAllHosts: "KillAllHosts",
-	ReturnStore: "ReturnStore",
+	ReturnStore: "ReturnStore", EndEndpoint: "EndEndpoint", SilenceEndpoints: "SilenceEndpoints", ReplaceEndpoint: "ReplaceEndpoint",
+	LapseService: "LapseService",
 }
 
 func (a Action) String() string { return actionNames[a] }
@@ -218,6 +227,9 @@
 	if cfg.Seed%returnSeeds == returnRemainder {
 		faults = append(faults, returnFaults(cfg)...)
 	}
+	if cfg.Seed%endpointSeeds == endpointRemainder {
+		faults = append(faults, endpointFaults(cfg)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -30,7 +30,7 @@
 	service string
 	link    *network.Link
 	// version is the software version of the endpoint, which its events name.
-	version string
+	version atomic.Value
 	// misbehaviour is a schedule.Misbehaviour, or 0 if the endpoint responds correctly.
 	misbehaviour atomic.Int64
 
@@ -59,7 +59,8 @@
 )
 
 func (s *Site) newEndpoint(name, service, version string) (*endpoint, error) {
-	e := &endpoint{site: s, name: name, service: service, version: version}
+	e := &endpoint{site: s, name: name, service: service}
+	e.version.Store(version)
 	e.runCtx, e.cancelRun = context.WithCancel(context.Background())
 	e.Endpoint = standin.NewEndpoint(s.store, name, service, e.serve)
 	// An endpoint that is back after a crash listens where it did before. At 127.0.0.1 another connection may have that port by then.
@@ -84,13 +85,27 @@
 	e.Close()
 }
 
+// currentVersion returns the software version of the endpoint, and setVersion changes it for what it registers and sends from now on.
+func (e *endpoint) currentVersion() string { return e.version.Load().(string) }
+
+func (e *endpoint) setVersion(version string) {
+	e.version.Store(version)
+	e.SetVersion(version)
+}
+
 // crash closes the listener and all connections and aborts all requests that are being executed, until restart is called as often.
 // It does not change the registration.
-func (e *endpoint) crash() {
+func (e *endpoint) crash() { e.stop(e.link.Refuse) }
+
+// end is crash with connections that end in order, as the kernel ends those of a process.
+func (e *endpoint) end() { e.stop(e.link.End) }
+
+// stop ends the endpoint's connections, by disconnect, and all requests that are being executed.
+func (e *endpoint) stop(disconnect func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.crashFaults++
-	e.link.Refuse()
+	disconnect()
 	e.cancelRun()
 	e.runCtx, e.cancelRun = context.WithCancel(context.Background())
 }
@@ -244,7 +259,7 @@
 	case standin.SharesPart(r, poisonPartPrefix):
 		id := r.Header.Get(standin.RequestIDHeader)
 		e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
-		_, _ = io.WriteString(w, eventText(id, e.version, 1))
+		_, _ = io.WriteString(w, eventText(id, e.currentVersion(), 1))
 		_ = http.NewResponseController(w).Flush()
 	default:
 		return
@@ -282,7 +297,7 @@
 		if !timer.Sleep(ctx, eventInterval) {
 			panic(http.ErrAbortHandler)
 		}
-		text := eventText(id, e.version, n)
+		text := eventText(id, e.currentVersion(), n)
 		if misbehaviour == schedule.TruncateResponse && n == after+2 {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = http.NewResponseController(w).Flush()
@@ -310,7 +325,7 @@
 			network.Reset(conn)
 			return
 		}
-		_, err = io.WriteString(conn, eventText(id, e.version, n))
+		_, err = io.WriteString(conn, eventText(id, e.currentVersion(), n))
 	}
 }
 
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -34,17 +34,11 @@
 
 // apply starts a fault, waits for its duration and ends it.
 func (s *Site) apply(ctx context.Context, f schedule.Fault) {
-	p, e := s.hosts[f.Host], s.endpoints[f.Endpoint]
+	e := s.endpoints[f.Endpoint]
 	wait := func() { timer.Sleep(ctx, f.For) }
 	switch f.Action {
-	case schedule.KillHost, schedule.StopHost:
-		s.restartHost(p, f.Action, wait)
-	case schedule.PauseHost:
-		defer s.startHostFault(f.Host)()
-		defer p.pause()()
-		wait()
-	case schedule.ReloadHost:
-		p.reload()
+	case schedule.KillHost, schedule.StopHost, schedule.PauseHost, schedule.ReloadHost, schedule.KillAllHosts:
+		s.applyToHosts(f, wait)
 	case schedule.ImpairLink, schedule.BreakLink, schedule.SilenceLink:
 		s.disruptLink(f, wait)
 	case schedule.CrashEndpoint:
@@ -78,10 +72,28 @@
 		s.sendPoisonPart(ctx, f)
 	case schedule.AskRest, schedule.SayLeaving, schedule.MakeBrittle:
 		s.applyStatement(f, e, wait)
+	case schedule.EndEndpoint, schedule.SilenceEndpoints, schedule.ReplaceEndpoint, schedule.LapseService:
+		s.applyToProcesses(f, e, wait)
+	default:
+		s.applyToStore(f, wait)
+	}
+}
+
+// applyToHosts applies a fault of one host, or of all.
+func (s *Site) applyToHosts(f schedule.Fault, wait func()) {
+	p := s.hosts[f.Host]
+	switch f.Action {
+	case schedule.KillHost, schedule.StopHost:
+		s.restartHost(p, f.Action, wait)
+	case schedule.PauseHost:
+		defer s.startHostFault(f.Host)()
+		defer p.pause()()
+		wait()
+	case schedule.ReloadHost:
+		p.reload()
 	case schedule.KillAllHosts:
 		s.restartAllHosts(wait)
 	default:
-		s.applyToStore(f, wait)
 	}
 }
 
--- a/standin/network/link.go
+++ b/standin/network/link.go
@@ -112,6 +112,19 @@
 	l.Break()
 }
 
+// End closes the listener and ends every open connection in order, as the kernel does for a process that is killed after all that it sent was
+// read. Listen ends it.
+func (l *Link) End() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.listener.Close()
+	for p := range l.conns {
+		if tcp, ok := p.client.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+	}
+}
+
 // Listen listens again at the same address after Refuse. It does nothing if the address is in use.
 func (l *Link) Listen() error {
 	l.mu.Lock()
