--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -116,7 +116,8 @@
 type path struct {
 	record endpoint.Record
 	state  state
-	// silent is that of the Bypassed event, and silentSince when the endpoint was found to be alive behind a path that is silent.
+	// silent is that of the Bypassed event, and silentSince when the path was found to be silent although the endpoint, or others of the service
+	// behind lost paths, are alive.
 	silent      bool
 	silentSince time.Time
 	lostAt      time.Time
@@ -245,12 +246,9 @@
 	if p == nil {
 		return
 	}
-	if p.state == doubted || !p.holdsSince.IsZero() {
-		p.silentSince = now
-	}
 	p.holdsSince = time.Time{}
 	if p.state == doubted {
-		p.state = lost
+		p.state, p.silentSince = lost, now
 	}
 }
 
@@ -367,13 +365,13 @@
 // GoneCount returns the number of endpoints whose path is gone or doubted.
 func (t *Table) GoneCount() int { return len(t.gone) }
 
-// SilentAddresses returns the addresses to which the path has been gone and silent for d although their endpoints are alive, so that
-// connections on which nothing arrived meanwhile are dead.
+// SilentAddresses returns the addresses whose path was found to be silent at least d ago and has not been connected to since, so that connections
+// on which nothing arrived meanwhile are dead.
 func (t *Table) SilentAddresses(now time.Time, d time.Duration) []string {
 	return slices.DeleteFunc(slices.Clone(t.gone), func(address string) bool { return !t.paths[address].silentFor(now, d) })
 }
 
-// silentFor reports whether the path has been silent for d, without a connection since.
+// silentFor reports whether the path was found to be silent at least d ago, and the last connection failed.
 func (p *path) silentFor(now time.Time, d time.Duration) bool {
 	return p.state == lost && p.silent && p.holdsSince.IsZero() && now.Sub(p.silentSince) >= d
 }
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -93,6 +93,20 @@
 	require.Empty(t, table.SilentAddresses(at(found+2*stall), stall))
 }
 
+func TestConnectionsOverAPathThatFlapsAreGivenUp(t *testing.T) {
+	t.Parallel()
+	table := newTable()
+	table.Update(at(0), Bypassed{Address: "a1", Silent: true})
+	table.Update(at(100*time.Millisecond), Connected{"a1"})
+	table.Update(at(time.Second), Bypassed{Address: "a1", Silent: true})
+	table.Update(at(1500*time.Millisecond), Connected{"a1"})
+	require.Empty(t, table.SilentAddresses(at(1900*time.Millisecond), stall), "a connection succeeded since")
+	table.Update(at(2*time.Second), Failed{"a1"})
+	require.Equal(t, []string{"a1"}, table.SilentAddresses(at(2*time.Second), stall))
+	table.Update(at(2500*time.Millisecond), Connected{"a1"})
+	require.Empty(t, table.SilentAddresses(at(2900*time.Millisecond), stall))
+}
+
 func TestPathsAreNotDoubtedWhileTheServiceIsHeardOf(t *testing.T) {
 	t.Parallel()
 	table := newTable()
