Apply the changes of an answer of the store in the order of their revisions

Cause: the changes of one answer of a watch were sorted into registrations and removals, and the removals were applied last. An endpoint that was removed and written again within one answer was dropped until its registration changed once more.

What callers saw: the hosts that read the store themselves did without an endpoint that was replaced in place, took its service for one of a single version half a minute later, and let streams that the new version began go on at the old one. After an outage in which registrations lapsed and were back in the same answer, live endpoints were dropped for good.

Change: an update holds an ordered list of typed changes, and Catalogue.applyChange alone applies one to the copy. What changed is returned in the same order, and the other parts of the host are told in it. A history passes changes on in the order in which they were made, also those of another reader, which have no revision of their own. An answer that ends before the copy's position is not applied again. The stream registry counts the version of an earlier registration as seen until it is replaced.

Why it works: the last change of a key in an answer is the last one that the copy sees, and a removal that the grace period defers is cancelled by the registration that follows it.

--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -17,7 +17,6 @@
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/site"
-	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform/standin"
 )
@@ -96,7 +95,7 @@
 	s.store.Publish(1, "k1")
 	s.addEndpoint("i-a", "engines", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	s.startNodes(1, 19)
-	s.nodes[0].haveRunFor(stream.Lifetime)
+	s.nodes[0].haveRunForLifetime()
 	r := s.nodes[0].call(t, http.MethodPost, "/stream/x", "id-1", "k1", standin.LastEventIDHeader, "9")
 	require.Empty(t, readText(t, r))
 	require.Equal(t, "seal-i-a", r.Header.Get(standin.SealHeader))
--- a/entry/node/site_test.go
+++ b/entry/node/site_test.go
@@ -216,3 +216,10 @@
 	defer listener.Close()
 	return listener.Addr().String()
 }
+
+// awaitEveryRevisionRead waits until all hosts have read what the store holds.
+func (s *testSite) awaitEveryRevisionRead() {
+	for _, node := range s.nodes {
+		require.Eventually(s.t, func() bool { return node.storeView.readUpTo(s.store.Revision()) }, time.Minute, 5*time.Millisecond)
+	}
+}
--- a/entry/node/store_return_test.go
+++ b/entry/node/store_return_test.go
@@ -84,13 +84,6 @@
 	}
 }
 
-// awaitEveryRevisionRead waits until all hosts have read what the store holds.
-func (s *returnSite) awaitEveryRevisionRead() {
-	for _, node := range s.nodes {
-		require.Eventually(s.t, func() bool { return node.storeView.readUpTo(s.store.Revision()) }, time.Minute, 5*time.Millisecond)
-	}
-}
-
 // requireCurrent waits until all hosts have the set with version 2, and checks that from then on they serve what the store holds.
 func (s *returnSite) requireCurrent() {
 	s.t.Helper()
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -13,6 +13,7 @@
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/catalogue"
+	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/interruption"
 	"balsamknot.org/fleet/pool"
@@ -179,10 +180,10 @@
 // forgets hosts that were not heard lately.
 func (v *storeView) tick(now time.Time) {
 	v.mu.Lock()
-	change := v.catalogue.Tick(now)
+	difference := v.catalogue.Tick(now)
 	maps.DeleteFunc(v.knowEras, func(_ host.ID, heardAt time.Time) bool { return now.Sub(heardAt) >= eraKnowledgeTTL })
 	v.mu.Unlock()
-	v.propagate(now, change)
+	v.propagate(now, difference)
 }
 
 // refreshLoop keeps the copy fresh until ctx ends. It first waits a short time to discover other hosts, which may be readers.
@@ -271,9 +272,10 @@
 	return v.catalogue.Position()
 }
 
-// decode decodes entries; setValue is the value from which the update's set was decoded. An entry that can't be decoded is logged; an
-// undecodable registration is treated as the removal of its endpoint.
-func (v *storeView) decode(entries []catalogue.Entry) (update catalogue.Update, setValue []byte) {
+// decode returns the changes of entries, in the same order, and the value from which each set was decoded. An entry that can't be decoded is
+// logged; an undecodable registration is treated as the removal of its endpoint.
+func (v *storeView) decode(entries []catalogue.Entry) (changes []catalogue.Change, setValues map[*site.Set][]byte) {
+	setValues = make(map[*site.Set][]byte)
 	for _, e := range entries {
 		publication, err := platform.Decode(platform.Change{Key: e.Key, Value: e.Value, Removed: e.Removed})
 		if err != nil {
@@ -281,14 +283,15 @@
 		}
 		switch {
 		case publication.Set != nil:
-			update.Set, setValue = publication.Set, e.Value
+			changes = append(changes, catalogue.Published{Set: publication.Set})
+			setValues[publication.Set] = e.Value
 		case publication.Endpoint != nil:
-			update.Endpoints = append(update.Endpoints, *publication.Endpoint)
+			changes = append(changes, catalogue.Registered{Record: *publication.Endpoint})
 		case publication.Removed != "":
-			update.Removed = append(update.Removed, publication.Removed)
+			changes = append(changes, catalogue.Removed{ID: publication.Removed})
 		}
 	}
-	return update, setValue
+	return changes, setValues
 }
 
 // recordStep reports the outcome of a step to the source selector and logs when refreshing starts to fail or works again.
@@ -346,8 +349,7 @@
 // apply merges the result of a read that was sent at sentAt and ended at a position, and notifies the subscribers if it changed an entry. The
 // error is errEarlierEra, and nothing is merged, if this host's copy is from a later era.
 func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool) error {
-	update, setValue := v.decode(entries)
-	update.SentAt, update.Position, update.Full = sentAt, at, full
+	changes, setValues := v.decode(entries)
 	now := timer.BootClock()
 	v.mu.Lock()
 	before, newestBefore := v.catalogue.Position(), v.history.NewestChange()
@@ -357,15 +359,17 @@
 		event.LogText(v.n.log, zerolog.WarnLevel, event.EarlierEraDropped).Int64("Era", int64(at.Era)).Int64("OwnEra", int64(before.Era)).Send()
 		return errEarlierEra
 	}
-	change := v.catalogue.Apply(now, update)
-	if change.Set != nil {
-		v.setValue = setValue
+	difference := v.catalogue.Apply(now, catalogue.Update{SentAt: sentAt, Position: at, Full: full, Changes: changes})
+	if difference.Set != nil {
+		v.setValue = setValues[difference.Set]
+	}
+	if !before.Includes(at, full) {
+		v.history.Record(now, v.withNewestSet(entries, full), at, full)
 	}
-	v.history.Record(now, v.withNewestSet(entries, full), at, full)
 	newest := v.history.NewestChange()
 	v.mu.Unlock()
-	v.recordReturn(before, at, change)
-	v.propagate(now, change)
+	v.recordReturn(before, at, difference)
+	v.propagate(now, difference)
 	if newest.After(newestBefore) {
 		v.notifySubscribers(now, peer.CopyNotice{NewestChange: newest})
 	}
@@ -391,27 +395,34 @@
 }
 
 // recordReturn logs and counts a return of the store from an older copy, if one lies between two positions.
-func (v *storeView) recordReturn(before, after catalogue.Position, change catalogue.Change) {
+func (v *storeView) recordReturn(before, after catalogue.Position, difference catalogue.Difference) {
 	if !before.Loaded() || after.Era == before.Era {
 		return
 	}
 	v.n.meter.recordStoreReturn()
 	event.LogText(v.n.log, zerolog.WarnLevel, event.StoreReturned).Int64("Era", int64(after.Era)).Int64("Revision", int64(after.Revision)).
-		Int64("EarlierEra", int64(before.Era)).Int64("Lost", int64(before.Revision)).Int("Changed", len(change.Endpoints)).
-		Int("Missing", change.Missing).Int("Held", change.Held).Send()
+		Int64("EarlierEra", int64(before.Era)).Int64("Lost", int64(before.Revision)).Int("Changed", len(difference.Endpoints)).
+		Int("Missing", difference.Missing).Int("Held", difference.Held).Send()
 }
 
-// propagate logs a change of the catalogue and passes it on to the other parts of this host. A set is in force after the endpoints that
+// propagate logs a difference of the catalogue and passes it on to the other parts of this host. A set is in force after the endpoints that
 // came with it: a request that is admitted earlier would find none.
-func (v *storeView) propagate(now time.Time, change catalogue.Change) {
-	if change.Set != nil {
-		for _, service := range change.Set.Services {
+func (v *storeView) propagate(now time.Time, difference catalogue.Difference) {
+	if difference.Set != nil {
+		for _, service := range difference.Set.Services {
 			v.n.slots.update(now, pool.ServiceChanged{Service: service})
 		}
 	}
-	v.propagateEndpoints(now, change)
-	if change.Set != nil {
-		v.putInForce(now, change.Set)
+	for _, change := range difference.Endpoints {
+		switch change := change.(type) {
+		case catalogue.Registered:
+			v.propagateRegistration(now, change.Record)
+		case catalogue.Removed:
+			v.propagateRemoval(now, change.ID)
+		}
+	}
+	if difference.Set != nil {
+		v.putInForce(now, difference.Set)
 	}
 }
 
@@ -424,21 +435,20 @@
 	v.loadedOnce.Do(func() { close(v.loaded) })
 }
 
-func (v *storeView) propagateEndpoints(now time.Time, change catalogue.Change) {
-	for _, record := range change.Endpoints {
-		record.Leaving = record.Leaving || v.n.slots.saidLeaving(record)
-		event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRegistered).Str("Endpoint", string(record.Instance.ID)).
-			Str("Service", string(record.Service)).Bool("Leaving", record.Leaving).Send()
-		v.n.paths.update(now, relay.Registered{Record: record})
-		v.n.crashes.update(now, interruption.Registered{Record: record})
-		v.n.streams.update(now, stream.Registered{Record: record})
-		v.n.slots.update(now, pool.EndpointRegistered{Record: record})
-	}
-	for _, id := range change.Removed {
-		event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRemoved).Str("Endpoint", string(id)).Send()
-		v.n.paths.update(now, relay.Removed{ID: id})
-		v.n.crashes.update(now, interruption.Removed{ID: id})
-		v.n.streams.update(now, stream.Removed{ID: id})
-		v.n.slots.update(now, pool.EndpointRemoved{ID: id})
-	}
+func (v *storeView) propagateRegistration(now time.Time, record endpoint.Record) {
+	record.Leaving = record.Leaving || v.n.slots.saidLeaving(record)
+	event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRegistered).Str("Endpoint", string(record.Instance.ID)).
+		Str("Service", string(record.Service)).Bool("Leaving", record.Leaving).Send()
+	v.n.paths.update(now, relay.Registered{Record: record})
+	v.n.crashes.update(now, interruption.Registered{Record: record})
+	v.n.streams.update(now, stream.Registered{Record: record})
+	v.n.slots.update(now, pool.EndpointRegistered{Record: record})
+}
+
+func (v *storeView) propagateRemoval(now time.Time, id endpoint.ID) {
+	event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRemoved).Str("Endpoint", string(id)).Send()
+	v.n.paths.update(now, relay.Removed{ID: id})
+	v.n.crashes.update(now, interruption.Removed{ID: id})
+	v.n.streams.update(now, stream.Removed{ID: id})
+	v.n.slots.update(now, pool.EndpointRemoved{ID: id})
 }
--- a/entry/node/stream_origin_test.go
+++ b/entry/node/stream_origin_test.go
@@ -31,8 +31,8 @@
 	require.Empty(t, s.wentOn)
 }
 
-// haveRunFor makes a node's process look as if it had started d earlier and seen the same registrations since.
-func (n *testNode) haveRunFor(d time.Duration) {
+// haveRunForLifetime makes a node's process look as if it had started stream.Lifetime earlier and seen the same registrations since.
+func (n *testNode) haveRunForLifetime() {
 	n.slots.mu.Lock()
 	var records []endpoint.Record
 	for _, instance := range n.slots.keeper.Candidates(pool.SlotRequested{Service: "engines"}) {
@@ -43,7 +43,7 @@
 	n.streams.mu.Lock()
 	defer n.streams.mu.Unlock()
 	now := timer.BootClock()
-	n.streams.registry = stream.NewRegistry(now.Add(-d))
+	n.streams.registry = stream.NewRegistry(now.Add(-stream.Lifetime))
 	for _, record := range records {
 		n.streams.registry.Update(now, stream.Registered{Record: record})
 	}
@@ -54,7 +54,7 @@
 	s := newVersionSite(t, false, standin.DefaultVersion, standin.DefaultVersion)
 	s.startNodes(1, 181)
 	require.Equal(t, http.StatusServiceUnavailable, s.takeUp(s.nodes[0], "s"), "another version may have left before it started")
-	s.nodes[0].haveRunFor(stream.Lifetime)
+	s.nodes[0].haveRunForLifetime()
 	for i := range 10 {
 		require.Equal(t, http.StatusOK, s.takeUp(s.nodes[0], fmt.Sprintf("s-%d", i)))
 	}
@@ -134,7 +134,7 @@
 	s := newVersionSite(t, false, standin.DefaultVersion)
 	s.startNodes(1, 184)
 	n := s.nodes[0]
-	n.haveRunFor(stream.Lifetime)
+	n.haveRunForLifetime()
 	require.Equal(t, http.StatusOK, s.takeUp(n, "s-1"))
 	n.storeFrontend.Stall()
 	require.Eventually(t, func() bool { return n.storeView.age(timer.BootClock()) > staleAge }, time.Minute, time.Millisecond)
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -8,7 +8,8 @@
 package catalogue
 
 import (
-	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -38,19 +39,32 @@
 	Full bool
 	// Position is the position after which the next read continues. The catalogue's Position must admit it.
 	Position Position
-	// Set is nil when the update contains no new set.
-	Set *site.Set
-	// Endpoints are all registrations in a full update, otherwise the new or changed ones. Removed names endpoints that are no
-	// longer registered.
-	Endpoints []endpoint.Record
-	Removed   []endpoint.ID
+	// Changes are in the order in which they were made. A full update has all registrations and the set, in any order.
+	Changes []Change
 }
 
-// Change is the difference that Apply or Tick made to the catalogue. Set is nil when the set in force stayed the same.
-type Change struct {
-	Set       *site.Set
-	Endpoints []endpoint.Record
-	Removed   []endpoint.ID
+// Change is a change of the platform's state: Published, Registered or Removed.
+type Change interface{ change() }
+
+// Published is a set that the operator published.
+type Published struct{ Set *site.Set }
+
+// Registered is a new or changed registration of an endpoint.
+type Registered struct{ Record endpoint.Record }
+
+// Removed means that an endpoint is no longer registered.
+type Removed struct{ ID endpoint.ID }
+
+func (Published) change()  {}
+func (Registered) change() {}
+func (Removed) change()    {}
+
+// Difference is what Apply or Tick changed in the catalogue.
+type Difference struct {
+	// Set is the set in force, nil if it stayed the same.
+	Set *site.Set
+	// Endpoints holds the changes of endpoints, each Registered or Removed, in order.
+	Endpoints []Change
 	// Missing is how many endpoints are kept although they are no longer registered, until the grace period after an outage ends, and Held how
 	// many are registered and get no requests for now.
 	Missing, Held int
@@ -97,74 +111,81 @@
 	}
 }
 
-// Apply merges an update that arrived at time now and returns what changed. A set whose version is lower than that of the set in force is
-// ignored; one with the same version replaces it only if the store has returned from an older copy since, and was written to again. An update
-// whose read was sent before that of an earlier update does not change the copy's age, and only a full update can move the position back.
-func (c *Catalogue) Apply(now time.Time, u Update) Change {
+// Apply merges an update that arrived at time now, change by change, and returns what changed. A set whose version is lower than that of the set in
+// force is ignored; one with the same version replaces it only if the store has returned from an older copy since, and was written to again. An
+// update whose read was sent before that of an earlier update does not change the copy's age. Only a full update can move the position back: the
+// copy already has the changes of any other one that ends before it.
+func (c *Catalogue) Apply(now time.Time, u Update) Difference {
 	c.Confirm(now, u.SentAt)
+	var d Difference
+	if !c.position.Includes(u.Position, u.Full) {
+		c.merge(now, u, &d)
+		c.position = u.Position
+	}
+	d.Missing, d.Held = len(c.pendingRemovals), len(c.held)
+	return d
+}
+
+// merge applies the changes of an update to the copy and adds to d what changed.
+func (c *Catalogue) merge(now time.Time, u Update, d *Difference) {
 	switch {
 	case c.position.Loaded() && u.Position.Era > c.position.Era:
 		c.graceEnd = now.Add(c.cfg.RecoveryGrace)
-		u.Endpoints = c.withoutDeparted(now, u.Endpoints)
-		c.noteOutdated(u.Endpoints)
+		u.Changes = c.withoutDeparted(now, u.Changes)
+		c.noteOutdated(u.Changes)
 	case u.Full:
 		c.dropUnlistedHeld(u)
 	}
-	var change Change
-	if c.replacesSet(u) {
-		c.set, c.setEra = u.Set, u.Position.Era
-		change.Set = u.Set
-	}
-	change.Endpoints = c.registerAll(now, u)
-	removed := u.Removed
-	for _, id := range removed {
-		delete(c.held, id)
+	for _, change := range u.Changes {
+		c.applyChange(now, u, change, d)
 	}
 	if u.Full {
-		removed = append(slices.Clone(removed), c.unlisted(u)...)
-	}
-	for _, id := range removed {
-		if c.remove(now, id) {
-			change.Removed = append(change.Removed, id)
+		for _, id := range c.unlisted(u) {
+			d.Endpoints = append(d.Endpoints, c.remove(now, id)...)
 		}
 	}
-	if u.Position.After(c.position) || u.Full {
-		c.position = u.Position
+}
+
+// applyChange applies one change of an update to the copy and adds to d what changed.
+func (c *Catalogue) applyChange(now time.Time, u Update, change Change, d *Difference) {
+	switch change := change.(type) {
+	case Published:
+		if c.replacesSet(change.Set, u.Position.Era) {
+			c.set, c.setEra, d.Set = change.Set, u.Position.Era, change.Set
+		}
+	case Registered:
+		d.Endpoints = append(d.Endpoints, c.registerRead(now, change.Record, u.Full)...)
+	case Removed:
+		delete(c.held, change.ID)
+		delete(c.outdated, change.ID)
+		d.Endpoints = append(d.Endpoints, c.remove(now, change.ID)...)
 	}
-	change.Missing, change.Held = len(c.pendingRemovals), len(c.held)
-	return change
 }
 
-// replacesSet reports whether the set of an update is to be in force.
-func (c *Catalogue) replacesSet(u Update) bool {
-	switch {
-	case u.Set == nil:
-		return false
-	case c.set == nil, u.Set.Version > c.set.Version:
+// replacesSet reports whether a set that was read in an era is to be in force.
+func (c *Catalogue) replacesSet(set *site.Set, era Era) bool {
+	if c.set == nil || set.Version > c.set.Version {
 		return true
 	}
-	return u.Set.Version == c.set.Version && u.Position.Era > c.setEra
+	return set.Version == c.set.Version && era > c.setEra
 }
 
-// registerAll notes the registrations of an update and returns those that changed the catalogue.
-func (c *Catalogue) registerAll(now time.Time, u Update) []endpoint.Record {
-	var changed []endpoint.Record
-	for _, record := range u.Endpoints {
-		switch id := record.Instance.ID; {
-		case u.Full && c.held[id].record == record:
-			continue
-		case u.Full && c.outdated[id] == record:
-			record.Leaving = true
-		default:
-			delete(c.outdated, id)
-		}
-		changed = append(changed, c.register(now, record)...)
+// registerRead notes a registration that was read, and returns it if that changed the catalogue. A full read tells nothing new of registrations that
+// an older copy of the store had.
+func (c *Catalogue) registerRead(now time.Time, record endpoint.Record, full bool) []Change {
+	switch id := record.Instance.ID; {
+	case full && c.held[id].record == record:
+		return nil
+	case full && c.outdated[id] == record:
+		record.Leaving = true
+	default:
+		delete(c.outdated, id)
 	}
-	return changed
+	return c.register(now, record)
 }
 
 // register notes the registration of an endpoint and returns it if that changed the catalogue.
-func (c *Catalogue) register(now time.Time, record endpoint.Record) []endpoint.Record {
+func (c *Catalogue) register(now time.Time, record endpoint.Record) []Change {
 	id := record.Instance.ID
 	delete(c.pendingRemovals, id)
 	delete(c.held, id)
@@ -176,13 +197,13 @@
 		return nil
 	}
 	c.endpoints[id] = record
-	return []endpoint.Record{record}
+	return []Change{Registered{record}}
 }
 
-// unlisted returns the known endpoints that a full update does not list, in order.
+// unlisted returns the known endpoints that a full update does not list, in order of ID.
 func (c *Catalogue) unlisted(u Update) []endpoint.ID {
-	listed := make(map[endpoint.ID]bool, len(u.Endpoints))
-	for _, record := range u.Endpoints {
+	listed := make(map[endpoint.ID]bool, len(u.Changes))
+	for record := range registrations(u.Changes) {
 		listed[record.Instance.ID] = true
 	}
 	var unlistedIDs []endpoint.ID
@@ -195,49 +216,56 @@
 	return unlistedIDs
 }
 
-// remove deletes an endpoint and reports whether it did. During the grace period after an outage it defers the removal of
+// registrations returns the records that changes register, in order.
+func registrations(changes []Change) iter.Seq[endpoint.Record] {
+	return func(yield func(endpoint.Record) bool) {
+		for _, change := range changes {
+			if r, ok := change.(Registered); ok && !yield(r.Record) {
+				return
+			}
+		}
+	}
+}
+
+// remove deletes an endpoint and returns its removal if it did. During the grace period after an outage it defers the removal of
 // endpoints that had not announced that they leave: their registration may have expired only because of the outage.
-func (c *Catalogue) remove(now time.Time, id endpoint.ID) bool {
+func (c *Catalogue) remove(now time.Time, id endpoint.ID) []Change {
 	record, known := c.endpoints[id]
 	if !known {
-		return false
+		return nil
 	}
 	if now.Before(c.graceEnd) && !record.Leaving {
 		if _, pending := c.pendingRemovals[id]; !pending {
 			c.pendingRemovals[id] = c.graceEnd
 		}
-		return false
+		return nil
 	}
-	c.drop(now, record)
-	return true
+	return c.drop(now, record)
 }
 
-func (c *Catalogue) drop(now time.Time, record endpoint.Record) {
+func (c *Catalogue) drop(now time.Time, record endpoint.Record) []Change {
 	delete(c.endpoints, record.Instance.ID)
 	delete(c.pendingRemovals, record.Instance.ID)
 	c.noteDeparture(now, record)
+	return []Change{Removed{record.Instance.ID}}
 }
 
 // Tick removes the endpoints that did not register again within the grace period after an outage, and returns them with those whose registration
 // is no longer held back. A copy that is confirmed only up to a time within these periods may lack changes that were made since.
-func (c *Catalogue) Tick(now time.Time) Change {
-	var change Change
-	for id, deadline := range c.pendingRemovals {
-		if c.confirmedAt.Before(deadline) {
-			continue
+func (c *Catalogue) Tick(now time.Time) Difference {
+	var d Difference
+	for _, id := range slices.Sorted(maps.Keys(c.pendingRemovals)) {
+		if !c.confirmedAt.Before(c.pendingRemovals[id]) {
+			d.Endpoints = append(d.Endpoints, c.drop(now, c.endpoints[id])...)
 		}
-		c.drop(now, c.endpoints[id])
-		change.Removed = append(change.Removed, id)
 	}
-	for _, held := range c.held {
-		if !c.confirmedAt.Before(held.until) {
-			change.Endpoints = append(change.Endpoints, c.register(now, held.released())...)
+	for _, id := range slices.Sorted(maps.Keys(c.held)) {
+		if held := c.held[id]; !c.confirmedAt.Before(held.until) {
+			d.Endpoints = append(d.Endpoints, c.register(now, held.released())...)
 		}
 	}
 	c.forgetDepartures(now)
-	slices.Sort(change.Removed)
-	slices.SortFunc(change.Endpoints, func(a, b endpoint.Record) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) })
-	return change
+	return d
 }
 
 // SetLease replaces Config.Lease, also for the set already in force.
--- a/fleet/catalogue/catalogue_test.go
+++ b/fleet/catalogue/catalogue_test.go
@@ -28,19 +28,37 @@
 	return endpoint.Record{Instance: endpoint.Instance{ID: endpoint.ID(id)}, Leaving: leaving}
 }
 
+func published(set *site.Set) []Change { return []Change{Published{set}} }
+
+func registered(records ...endpoint.Record) []Change {
+	var changes []Change
+	for _, r := range records {
+		changes = append(changes, Registered{r})
+	}
+	return changes
+}
+
+func removed(ids ...endpoint.ID) []Change {
+	var changes []Change
+	for _, id := range ids {
+		changes = append(changes, Removed{id})
+	}
+	return changes
+}
+
 func TestApplyIgnoresLowerSetVersion(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
 	require.False(t, c.Valid(at(0)))
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(5), Set: &site.Set{Version: 7}})
-	c.Apply(at(1), Update{SentAt: at(1), Position: atRevision(6), Set: &site.Set{Version: 6}})
+	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(5), Changes: published(&site.Set{Version: 7})})
+	c.Apply(at(1), Update{SentAt: at(1), Position: atRevision(6), Changes: published(&site.Set{Version: 6})})
 	require.Equal(t, site.Version(7), c.set.Version)
 }
 
 func TestTheLeaseCountsFromWhenTheReadWasSent(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(3*time.Second), Update{SentAt: at(0), Position: atRevision(1), Set: &site.Set{Version: 1}})
+	c.Apply(at(3*time.Second), Update{SentAt: at(0), Position: atRevision(1), Changes: published(&site.Set{Version: 1})})
 	require.True(t, c.Valid(at(3999*time.Millisecond)))
 	require.False(t, c.Valid(at(4*time.Second)))
 	c.Apply(at(5*time.Second), Update{SentAt: at(4500 * time.Millisecond), Position: atRevision(1)})
@@ -52,14 +70,14 @@
 func TestRegistrationExpiredDuringOutageIsKeptForRecoveryGrace(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Endpoints: []endpoint.Record{record("back", false), record("lost", false), record("leaving", true)}})
+	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Changes: registered(record("back", false), record("lost", false), record("leaving", true))})
 	recoveredAt := 6 * time.Second
-	change := c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Removed: []endpoint.ID{"back", "lost", "leaving"}})
-	require.Equal(t, []endpoint.ID{"leaving"}, change.Removed)
-	c.Apply(at(recoveredAt+time.Second), Update{SentAt: at(recoveredAt + time.Second), Position: atRevision(3), Endpoints: []endpoint.Record{record("back", false)}})
-	require.Empty(t, c.Tick(c.confirmedAt).Removed)
+	change := c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Changes: removed("back", "lost", "leaving")})
+	require.Equal(t, removed("leaving"), change.Endpoints)
+	c.Apply(at(recoveredAt+time.Second), Update{SentAt: at(recoveredAt + time.Second), Position: atRevision(3), Changes: registered(record("back", false))})
+	require.Empty(t, c.Tick(c.confirmedAt).Endpoints)
 	c.Apply(at(recoveredAt+2100*time.Millisecond), Update{SentAt: at(recoveredAt + 2*time.Second), Position: atRevision(3)})
-	require.Equal(t, []endpoint.ID{"lost"}, c.Tick(c.confirmedAt).Removed)
+	require.Equal(t, removed("lost"), c.Tick(c.confirmedAt).Endpoints)
 	require.Len(t, c.endpoints, 1)
 }
 
@@ -67,23 +85,23 @@
 func TestEndpointIsRemovedOnlyByAReadSentAfterTheGracePeriod(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Endpoints: []endpoint.Record{record("back", false), record("lost", false)}})
+	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Changes: registered(record("back", false), record("lost", false))})
 	recoveredAt := 6 * time.Second
-	c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Removed: []endpoint.ID{"back", "lost"}})
-	require.Empty(t, c.Tick(c.confirmedAt).Removed)
+	c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Changes: removed("back", "lost")})
+	require.Empty(t, c.Tick(c.confirmedAt).Endpoints)
 	change := c.Apply(at(recoveredAt+4*time.Second), Update{
-		SentAt: at(recoveredAt + 3900*time.Millisecond), Position: atRevision(4), Endpoints: []endpoint.Record{record("back", false)},
+		SentAt: at(recoveredAt + 3900*time.Millisecond), Position: atRevision(4), Changes: registered(record("back", false)),
 	})
 	require.Empty(t, change.Endpoints, "it was never removed")
-	require.Equal(t, []endpoint.ID{"lost"}, c.Tick(c.confirmedAt).Removed)
+	require.Equal(t, removed("lost"), c.Tick(c.confirmedAt).Endpoints)
 }
 
 func TestRemovalWithoutOutageTakesEffectAtOnce(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Endpoints: []endpoint.Record{record("a", false), record("b", false)}})
-	change := c.Apply(at(time.Second), Update{SentAt: at(time.Second), Position: atRevision(2), Full: true, Endpoints: []endpoint.Record{record("b", false)}})
-	require.Equal(t, []endpoint.ID{"a"}, change.Removed)
+	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Changes: registered(record("a", false), record("b", false))})
+	change := c.Apply(at(time.Second), Update{SentAt: at(time.Second), Position: atRevision(2), Full: true, Changes: registered(record("b", false))})
+	require.Equal(t, removed("a"), change.Endpoints)
 }
 
 func newSelector(self host.ID) *SourceSelector {
--- a/fleet/catalogue/history.go
+++ b/fleet/catalogue/history.go
@@ -35,6 +35,14 @@
 	entry      Entry
 	changedAt  Position
 	recordedAt time.Time
+	// generation is that of the history when the entry was recorded: entries of other hosts, whose changes have no revision of their own, are
+	// in its order.
+	generation uint64
+}
+
+// compare orders entries by their last change.
+func (e versionedEntry) compare(f versionedEntry) int {
+	return cmp.Or(e.changedAt.Compare(f.changedAt), cmp.Compare(e.generation, f.generation))
 }
 
 // tombstoneRetention is how long the tombstone of a removed key is kept.
@@ -91,7 +99,7 @@
 		}
 	}
 	h.generation++
-	h.entries[e.Key] = versionedEntry{entry: e, changedAt: changedAt, recordedAt: now}
+	h.entries[e.Key] = versionedEntry{entry: e, changedAt: changedAt, recordedAt: now, generation: h.generation}
 	h.newestChange = later(h.newestChange, changedAt)
 }
 
@@ -130,16 +138,19 @@
 // Generation counts the changes of the history: while it stays the same, so does what Since returns for a position.
 func (h *History) Generation() uint64 { return h.generation }
 
-// Since returns the entries that changed after a position, sorted by key. full is true when changes after that position
+// Since returns the entries that changed after a position, in the order of their last changes. full is true when changes after that position
 // may be missing; entries then lists all existing keys instead, and the receiver removes those not listed.
 func (h *History) Since(after Position) (entries []Entry, full bool) {
 	full = h.completeAfter.After(after)
+	var changed []versionedEntry
 	for _, v := range h.entries {
-		switch {
-		case full && !v.entry.Removed, !full && v.changedAt.After(after):
-			entries = append(entries, v.entry)
+		if full && !v.entry.Removed || !full && v.changedAt.After(after) {
+			changed = append(changed, v)
 		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(changed, versionedEntry.compare)
+	for _, v := range changed {
+		entries = append(entries, v.entry)
+	}
 	return entries, full
 }
--- a/fleet/catalogue/position.go
+++ b/fleet/catalogue/position.go
@@ -33,6 +33,9 @@
 	return !p.Loaded() || q.Era == p.Era || (q.Era > p.Era && full)
 }
 
+// Includes reports whether a copy at p has the changes of a read that ended at q already. A full read is the state at q, and replaces the copy.
+func (p Position) Includes(q Position, full bool) bool { return !full && p.After(q) }
+
 // later returns the later of two positions.
 func later(p, q Position) Position {
 	if q.After(p) {
--- a/fleet/catalogue/return.go
+++ b/fleet/catalogue/return.go
@@ -41,25 +41,31 @@
 	maps.DeleteFunc(c.departed, func(_ endpoint.Instance, d departure) bool { return now.Sub(d.at) > departureMemory })
 }
 
-// withoutDeparted returns the registrations in an older copy of the store but for those of instances that had departed, and of earlier instances
-// of endpoints that have restarted. It holds these back: they may have ended long ago.
-func (c *Catalogue) withoutDeparted(now time.Time, records []endpoint.Record) []endpoint.Record {
+// withoutDeparted returns the changes of a read of an older copy of the store but for the registrations of instances that had departed, and of
+// earlier instances of endpoints that have restarted. It holds these back: they may have ended long ago.
+func (c *Catalogue) withoutDeparted(now time.Time, changes []Change) []Change {
 	clear(c.held)
-	return slices.DeleteFunc(slices.Clone(records), func(record endpoint.Record) bool {
-		id := record.Instance.ID
-		d, departed := c.departed[record.Instance]
-		if !departed && c.endpoints[id].Instance.StartedAt <= record.Instance.StartedAt {
-			return false
-		}
-		c.held[id] = heldRegistration{record: record, until: now.Add(c.cfg.ReturnHold), leaving: d.leaving}
-		return true
+	return slices.DeleteFunc(slices.Clone(changes), func(change Change) bool {
+		r, ok := change.(Registered)
+		return ok && c.holdBack(now, r.Record)
 	})
 }
 
+// holdBack holds back a registration in an older copy of the store if its instance had departed, or was followed by a later one.
+func (c *Catalogue) holdBack(now time.Time, record endpoint.Record) bool {
+	id := record.Instance.ID
+	d, departed := c.departed[record.Instance]
+	if !departed && c.endpoints[id].Instance.StartedAt <= record.Instance.StartedAt {
+		return false
+	}
+	c.held[id] = heldRegistration{record: record, until: now.Add(c.cfg.ReturnHold), leaving: d.leaving}
+	return true
+}
+
 // noteOutdated notes which registrations in an older copy of the store are as ready, of endpoints that have announced since that they leave.
-func (c *Catalogue) noteOutdated(records []endpoint.Record) {
+func (c *Catalogue) noteOutdated(changes []Change) {
 	clear(c.outdated)
-	for _, record := range records {
+	for record := range registrations(changes) {
 		known := c.endpoints[record.Instance.ID]
 		if known.Leaving && known.Instance == record.Instance && !record.Leaving {
 			c.outdated[record.Instance.ID] = record
@@ -69,5 +75,7 @@
 
 // dropUnlistedHeld drops the registrations held back that a full update does not list.
 func (c *Catalogue) dropUnlistedHeld(u Update) {
-	maps.DeleteFunc(c.held, func(_ endpoint.ID, h heldRegistration) bool { return !slices.Contains(u.Endpoints, h.record) })
+	maps.DeleteFunc(c.held, func(_ endpoint.ID, h heldRegistration) bool {
+		return !slices.Contains(u.Changes, Change(Registered{h.record}))
+	})
 }
--- a/fleet/stream/stream.go
+++ b/fleet/stream/stream.go
@@ -97,16 +97,15 @@
 func (r *Registry) Update(now time.Time, event Event) Replicate {
 	switch e := event.(type) {
 	case Registered:
+		r.noteLastSeen(now, e.Record.Instance.ID)
 		r.endpoints[e.Record.Instance.ID] = e.Record
 		r.service(e.Record.Service).lastSeen[e.Record.Version] = now
 		if r.several(now, e.Record.Service) {
 			return r.takeLocal(e.Record.Service)
 		}
 	case Removed:
-		if record, ok := r.endpoints[e.ID]; ok {
-			r.service(record.Service).lastSeen[record.Version] = now
-			delete(r.endpoints, e.ID)
-		}
+		r.noteLastSeen(now, e.ID)
+		delete(r.endpoints, e.ID)
 	case Begun:
 		several := r.several(now, e.Origin.Service)
 		r.record(entry{origin: e.Origin, recordedAt: now, local: !several})
@@ -121,6 +120,13 @@
 	return Replicate{}
 }
 
+// noteLastSeen notes that the version of an endpoint's registration, if there is one, was registered until now.
+func (r *Registry) noteLastSeen(now time.Time, id endpoint.ID) {
+	if record, known := r.endpoints[id]; known {
+		r.service(record.Service).lastSeen[record.Version] = now
+	}
+}
+
 func (r *Registry) service(name site.ServiceName) *versions {
 	v := r.services[name]
 	if v == nil {
