Bind a stream to the only known version only if no newer one can be missed

Cause: a host that took a stream up without its origin bound it to the only version that it had seen if its copy of the store was up to 1 s old, without asking anyone, and up to 2.5 s old if nobody contradicted. Nobody does where nobody answers, and a copy of age a lacks what was registered in the last a.

What callers saw: at a host that was cut off from the store and the other hosts, streams of a version that had just come up went on at the old one.

Change: such a host always asks. The only version counts if a quorum of the hosts asked replies without an origin: so many that one of them would be a replica of it. Hosts that were lost in the last minute count as asked; a host that is alone needs no quorum. Without a quorum the engines' caches tell, as before, or a read of the store that was sent after the request arrived; meanwhile watches are short. Else the request is refused with 503 and Retry-After.

Why it works: the host that began the stream knew its version. If it knew the other one too, three replicas have the origin, and fewer hosts than that are missing from a quorum. A stream that is taken up began before the request arrived, and its version was registered before that, so that a later read of the store has it.

--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -37,11 +38,15 @@
 	loadedOnce sync.Once
 	// startedAt is when the process started, by the boot clock.
 	startedAt time.Time
+	// confirmationWaiters is how many calls of awaitChangesBefore wait.
+	confirmationWaiters atomic.Int64
 
 	mu        sync.RWMutex
 	catalogue *catalogue.Catalogue
 	// setValue is the entry's value from which the catalogue's set was read.
 	setValue []byte
+	// passedOnAt is when the newest read was sent whose changes are known to the other parts of this host.
+	passedOnAt time.Time
 	// inForce is the newest set whose endpoints, those of the same read, are known to the other parts of this host.
 	inForce  *site.Set
 	history  *catalogue.History
@@ -71,8 +76,14 @@
 	outageThreshold = 2500 * time.Millisecond
 	// returnHold is how long an endpoint that was removed gets no requests if an older copy of the store has its registration.
 	returnHold = 5 * time.Second
-	// watchWait is how long the store waits for a change before it answers a watch.
-	watchWait = 1000 * time.Millisecond
+	// watchWait is how long the store waits for a change before it answers a watch, and confirmingWatchWait that while callers wait for a copy
+	// that is up to date.
+	watchWait           = 1000 * time.Millisecond
+	confirmingWatchWait = 10 * time.Millisecond
+	// confirmationTimeout is how long a caller waits for such a copy: until the current watch has ended and the next one has begun.
+	// confirmationPollInterval is the time between checks.
+	confirmationTimeout      = watchWait + minWatchInterval
+	confirmationPollInterval = 20 * time.Millisecond
 	// minWatchInterval is the least time from a successful read of the store to the next refresh, and minProbeInterval that from
 	// a successful query of a reader. Both run from the start of the read or query. A notice from a reader ends them early.
 	minWatchInterval = 300 * time.Millisecond
@@ -154,6 +165,28 @@
 	return v.catalogue.Age(now)
 }
 
+// awaitChangesBefore waits until all parts of this host know every change of the store from before t, and reports whether they do. It gives up
+// after confirmationTimeout, when the copy is stale, or when ctx ends.
+func (v *storeView) awaitChangesBefore(ctx context.Context, t time.Time) bool {
+	v.confirmationWaiters.Add(1)
+	defer v.confirmationWaiters.Add(-1)
+	for waited := time.Duration(0); waited < confirmationTimeout; waited += confirmationPollInterval {
+		if v.knowsChangesBefore(t) {
+			return true
+		}
+		if v.age(timer.BootClock()) > staleAge || !timer.Sleep(ctx, confirmationPollInterval) {
+			return false
+		}
+	}
+	return false
+}
+
+func (v *storeView) knowsChangesBefore(t time.Time) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return !v.passedOnAt.Before(t)
+}
+
 // setVersion returns the version of the set in force; 0 before the first one.
 func (v *storeView) setVersion() site.Version {
 	v.mu.RLock()
@@ -246,7 +279,11 @@
 func (v *storeView) readStore(ctx context.Context) (page platform.Page, at catalogue.Position, full bool, err error) {
 	position := v.position()
 	if position.Loaded() {
-		page, err = v.n.store.Watch(ctx, "", platform.Revision(position.Revision), watchWait)
+		wait := watchWait
+		if v.confirmationWaiters.Load() > 0 {
+			wait = confirmingWatchWait
+		}
+		page, err = v.n.store.Watch(ctx, "", platform.Revision(position.Revision), wait)
 		at = positionOf(page, position.Era)
 		if err != nil && !errors.Is(err, platform.ErrHistoryLost) || err == nil && at.Era <= position.Era {
 			return page, at, false, err
@@ -344,6 +381,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.catalogue.Confirm(timer.BootClock(), sentAt)
+	v.notePassedOn(sentAt)
+}
+
+// notePassedOn records that the other parts of this host know every change made before sentAt. mu must be held.
+func (v *storeView) notePassedOn(sentAt time.Time) {
+	if sentAt.After(v.passedOnAt) {
+		v.passedOnAt = sentAt
+	}
 }
 
 // apply merges the result of a read that was sent at sentAt and ended at a position, and notifies the subscribers if it changed an entry. The
@@ -370,6 +415,9 @@
 	v.mu.Unlock()
 	v.recordReturn(before, at, difference)
 	v.propagate(now, difference)
+	v.mu.Lock()
+	v.notePassedOn(sentAt)
+	v.mu.Unlock()
 	if newest.After(newestBefore) {
 		v.notifySubscribers(now, peer.CopyNotice{NewestChange: newest})
 	}
--- a/entry/node/streams.go
+++ b/entry/node/streams.go
@@ -41,9 +41,8 @@
 	// queryResendInterval is the time after which a query is sent again, and queryTimeout that after which it is given up.
 	queryResendInterval = 15 * time.Millisecond
 	queryTimeout        = 60 * time.Millisecond
-	// freshAge is the age of the copy of the store up to which a host that has seen one version only takes a stream for begun there, and
-	// staleAge that up to which it does so if no other host it asks knows better.
-	freshAge = time.Second
+	// staleAge is the age of the copy of the store above which a host that has seen one version only does not take a stream for begun there,
+	// whatever others say.
 	staleAge = 2500 * time.Millisecond
 	// unknownOriginRetryAfter is the retry-after time for a stream whose origin this host does not know: another one may.
 	unknownOriginRetryAfter = 100 * time.Millisecond
@@ -137,36 +136,72 @@
 }
 
 // versionOf returns the version that began the stream that a request takes up. Without the stream's origin, it is the only version of the
-// service, if a host that has run for long enough has seen no other, and else the one whose engines cache the stream's prompt.
+// service, if that can be known, and else the one whose engines cache the stream's prompt.
 func (s *streamTracker) versionOf(q *request) (endpoint.Version, bool) {
+	arrivedAt := timer.BootClock()
 	id := stream.IDOf(q.call.Resumes)
-	now := timer.BootClock()
-	age := s.n.storeView.age(now)
-	s.mu.Lock()
-	version, known := s.registry.Origin(id)
-	count, only := s.registry.Versions(now, q.service)
-	seenAll := s.registry.SeenAll(now)
-	s.mu.Unlock()
-	switch {
-	case known:
+	if version, known := s.origin(id); known {
 		return version, true
-	case count == 1 && seenAll && age <= freshAge:
-		return only, true
 	}
-	version, several, othersSeenAll := s.ask(q.r.Context(), id, peer.StreamQuery{Stream: id, Service: q.service})
-	switch {
-	case version != "":
+	replies := s.ask(q.r.Context(), id, peer.StreamQuery{Stream: id, Service: q.service})
+	if replies.version != "" {
+		return replies.version, true
+	}
+	if replies.quorum {
+		if version, only := s.onlyVersion(q, replies); only {
+			return version, true
+		}
+	}
+	if version, known := s.versionByCache(q); known {
 		return version, true
-	case count == 1 && !several && (seenAll || othersSeenAll) && age <= staleAge:
-		return only, true
 	}
-	return s.versionByCache(q)
+	if _, only := s.onlyVersion(q, replies); !only || !s.n.storeView.awaitChangesBefore(q.r.Context(), arrivedAt) {
+		return "", false
+	}
+	return s.onlyVersion(q, replies)
+}
+
+// origin returns the version that began a stream, if this host knows it.
+func (s *streamTracker) origin(id stream.ID) (endpoint.Version, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Origin(id)
+}
+
+// onlyVersion returns the version of a service, if neither this host nor one that replied has seen another one, one of them has run for long
+// enough to have seen all that count, and this host's copy of the store is not stale.
+func (s *streamTracker) onlyVersion(q *request, replies originReplies) (endpoint.Version, bool) {
+	now := timer.BootClock()
+	age := s.n.storeView.age(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count, version := s.registry.Versions(now, q.service)
+	seenAll := replies.seenAll || s.registry.SeenAll(now)
+	return version, count == 1 && seenAll && !replies.several && age <= staleAge
+}
+
+// originReplies is what other hosts replied to a query for the origin of a stream.
+type originReplies struct {
+	// version is the origin, empty if none that replied knows it.
+	version endpoint.Version
+	// several is true if one of them has seen several versions of the service, and seenAll if one has run for long enough to have seen all
+	// that count.
+	several, seenAll bool
+	// quorum is true if one of them at least would be a replica of the origin. It is also true if there are no other hosts.
+	quorum bool
+}
+
+// originQuorum returns how many of the hosts that could be asked for an origin must reply without it so that one of its replicas is among
+// them.
+func originQuorum(others int) int {
+	asked := min(others, streamQueries)
+	return min(asked, max(asked-streamReplicas+1, 1))
 }
 
-// ask asks other hosts for the origin of a stream. It returns an empty version if none that replied in time knows it, whether one of
-// them has seen several versions of the service, and whether one of them has run for long enough to have seen all that count.
-func (s *streamTracker) ask(ctx context.Context, id stream.ID, query peer.StreamQuery) (version endpoint.Version, several, seenAll bool) {
+// ask asks other hosts for the origin of a stream and returns what those said that replied in time.
+func (s *streamTracker) ask(ctx context.Context, id stream.ID, query peer.StreamQuery) originReplies {
 	hosts := s.n.membership.streamHosts(id, streamQueries)
+	quorum := originQuorum(s.n.membership.knownCount() - 1)
 	nonce, replies := s.originQueries.begin(2 * streamQueries)
 	defer s.originQueries.end(nonce)
 	query.Nonce = nonce
@@ -179,25 +214,27 @@
 	resend, timeout := time.NewTimer(queryResendInterval), time.NewTimer(queryTimeout)
 	defer resend.Stop()
 	defer timeout.Stop()
+	all := originReplies{quorum: quorum == 0}
 	replied := make(map[host.ID]bool)
 	for len(replied) < len(hosts) {
 		select {
 		case reply := <-replies:
 			replied[reply.from] = true
-			several = several || reply.Several
-			seenAll = seenAll || s.n.membership.hasRunFor(reply.from, stream.Lifetime)
-			if reply.Version != "" {
-				return reply.Version, several, seenAll
+			all.several = all.several || reply.Several
+			all.seenAll = all.seenAll || s.n.membership.hasRunFor(reply.from, stream.Lifetime)
+			all.quorum = len(replied) >= quorum
+			if all.version = reply.Version; all.version != "" {
+				return all
 			}
 		case <-resend.C:
 			send()
 		case <-timeout.C:
-			return "", several, seenAll
+			return all
 		case <-ctx.Done():
-			return "", several, seenAll
+			return all
 		}
 	}
-	return "", several, seenAll
+	return all
 }
 
 // streamKey is the key by which the replicas of a stream are ranked.
--- a/fleet/stream/stream.go
+++ b/fleet/stream/stream.go
@@ -1,7 +1,7 @@
 // Package stream records which software version of a service's endpoints began each stream. What two versions write does not fit together,
 // so that a stream that broke off may only go on at the version that began it, also when its caller takes it up at another host.
 //
-// While a service has one version, nothing is exchanged between hosts: any stream began there. Once it has several, the host that begins a
+// While a service has one version, no origins are exchanged between hosts: any stream began there. Once it has several, the host that begins a
 // stream sends its origin to a few others, its replicas, which follow from the stream's ID: a host that needs the origin asks them.
 package stream
 
