Take a newer set from any host that has it, whatever the store's position

Cause: hosts compared positions in the store alone. After a return from an older copy a host may hold an older set at a later position than the hosts that hold the newer one: a reader never asks other hosts once it has a copy, and hosts that ask are told that nothing is new. Nothing between hosts named the version of a set.

What callers saw: at such a host, requests with a key that was taken away run until the operator writes again, however long it has been in touch with hosts that know better.

Change: each host announces the version of its newest set beside its heartbeats, in the new extension SetState. The versions rise with each write of the operator, also after a return, so that the highest one is the newest. catalogue.PeerSets decides what to fetch; a running host gives its copy of the store 0.2 s to bring the set first, so that an ordinary change is not transferred twice. GET /Set on the hosts' own port serves the set with the era of its read. Adopting it does not confirm the copy: the lease goes on from the last read. It goes into the history that hosts of earlier releases start from. Catalogue changes and what follows from them are now passed on one after another, so that an older set can't be put in force after a newer one.

A heartbeat to a host that understands updates grows by 6 to 9 bytes; heartbeats to others are followed by a datagram of 10 to 12, which they ignore.

--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -263,8 +263,11 @@
 }
 
 func (m *membership) sendHeartbeats(messages []roster.Message) {
+	state := peer.FromSetState(m.n.storeView.setState())
 	for _, message := range messages {
-		m.sendTo(message.To, peer.GossipMessage(message))
+		d := peer.GossipMessage(message)
+		d.Extensions.SetState = state
+		m.sendTo(message.To, d)
 	}
 }
 
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -127,6 +127,7 @@
 	n.wg.Go(n.membership.serve)
 	n.wg.Go(func() { n.membership.runStartupRounds(workCtx) })
 	n.wg.Go(func() { n.storeView.refreshLoop(workCtx) })
+	n.wg.Go(func() { n.storeView.followSets(workCtx) })
 	cancels := []func(){
 		n.timers.Every(tickInterval, func(time.Time, time.Duration) { n.tick() }),
 		n.timers.Every(heartbeatInterval, func(time.Time, time.Duration) { n.membership.tick(timer.BootClock()) }),
@@ -237,10 +238,11 @@
 // MetricsPath is the URL path of the metrics, in the Prometheus text format, on MetricsAddress.
 const MetricsPath = "/metrics"
 
-// peerHandler serves other hosts: the copy of the store, and tunnels to endpoints.
+// peerHandler serves other hosts: the copy of the store, the newest set, and tunnels to endpoints.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+peer.StoreUpdatePath, peer.StoreUpdateHandler(newCopyServer(n.storeView)))
+	mux.Handle("GET "+peer.SetPath, peer.SetHandler(n.storeView.newestSet))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
 			n.paths.serveTunnel(w, r)
--- a/entry/node/readers.go
+++ b/entry/node/readers.go
@@ -131,6 +131,7 @@
 // notices, and passes replies to awaitState. It wakes refreshLoop when a notice reports a change that this host lacks, or that the
 // sender can't read the platform any more.
 func (v *storeView) handle(now time.Time, d peer.Datagram) {
+	v.handleSetState(now, d)
 	for _, probe := range d.Probes {
 		state := v.stateFor(now, d.From, probe.Nonce, false)
 		// The first of the two tells a host of this release that the second, for one of an earlier release, is not for it.
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -36,13 +36,20 @@
 	loadedOnce sync.Once
 	// startedAt is when the process started, by the boot clock.
 	startedAt time.Time
+	// setWakeups ends the wait of followSets early.
+	setWakeups chan struct{}
+
+	// applying is held from a change of the catalogue until it is passed on, so that sets are put in force in their order.
+	applying sync.Mutex
 
 	mu        sync.RWMutex
 	catalogue *catalogue.Catalogue
 	// setValue is the entry's value from which the catalogue's set was read.
 	setValue []byte
 	// inForce is the newest set whose endpoints, those of the same read, are known to the other parts of this host.
-	inForce  *site.Set
+	inForce *site.Set
+	// peerSets decides about the sets that other hosts announce.
+	peerSets *catalogue.PeerSets
 	history  *catalogue.History
 	selector *catalogue.SourceSelector
 	// lastNonce is the number of the last probe, and copyStates receives the replies to probes.
@@ -108,12 +115,12 @@
 
 func newStoreView(n *Node) *storeView {
 	return &storeView{
-		n: n, wakeups: make(chan struct{}, 1), loaded: make(chan struct{}), copyStates: make(chan peer.CopyState, 1),
+		n: n, wakeups: make(chan struct{}, 1), setWakeups: make(chan struct{}, 1), loaded: make(chan struct{}), copyStates: make(chan peer.CopyState, 1),
 		subscribers: make(map[host.ID]subscriber), knowEras: make(map[host.ID]time.Time),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: n.dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: readerConnIdleTimeout, DisableCompression: true,
 		}},
-		history: catalogue.NewHistory(),
+		history: catalogue.NewHistory(), peerSets: newPeerSets(),
 		selector: catalogue.NewSourceSelector(catalogue.SourceSelectorConfig{
 			Self: n.cfg.Host, ActiveReaders: activeReaders, DirectReadAge: directReadAge, FirstReadDelay: firstReadDelay,
 			PlatformBackoff: platformBackoff, FailureBackoff: failureBackoff, StartupBackoff: startupBackoff, RecheckInterval: sourceRecheckInterval,
@@ -125,24 +132,6 @@
 	}
 }
 
-// set returns the set in force, nil before the first one, and whether its lease allows its use.
-func (v *storeView) set(now time.Time) (*site.Set, bool) {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.inForce, v.inForce != nil && v.catalogue.Valid(now)
-}
-
-// awaitFirstSet blocks until the first set is in force, ctx ends or d has passed.
-func (v *storeView) awaitFirstSet(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-v.loaded:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // age returns the age of the copy; negative while there is none.
 func (v *storeView) age(now time.Time) time.Duration {
 	v.mu.RLock()
@@ -153,22 +142,6 @@
 	return v.catalogue.Age(now)
 }
 
-// setVersion returns the version of the set in force; 0 before the first one.
-func (v *storeView) setVersion() site.Version {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	if v.inForce != nil {
-		return v.inForce.Version
-	}
-	return 0
-}
-
-// valid reports whether there is a set that may be used.
-func (v *storeView) valid(now time.Time) bool {
-	_, ok := v.set(now)
-	return ok
-}
-
 func (v *storeView) setLease(d time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -348,6 +321,8 @@
 func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool) error {
 	update, setValue := v.decode(entries)
 	update.SentAt, update.Position, update.Full = sentAt, at, full
+	v.applying.Lock()
+	defer v.applying.Unlock()
 	now := timer.BootClock()
 	v.mu.Lock()
 	before, newestBefore := v.catalogue.Position(), v.history.NewestChange()
@@ -415,15 +390,6 @@
 	}
 }
 
-func (v *storeView) putInForce(now time.Time, set *site.Set) {
-	v.mu.Lock()
-	v.inForce = set
-	v.mu.Unlock()
-	event.LogText(v.n.log, zerolog.InfoLevel, event.DocumentAccepted).Int64("Version", int64(set.Version)).
-		Dur("BeliefMs", v.age(now)).Send()
-	v.loadedOnce.Do(func() { close(v.loaded) })
-}
-
 func (v *storeView) propagateEndpoints(now time.Time, change catalogue.Change) {
 	for _, record := range change.Endpoints {
 		record.Leaving = record.Leaving || v.n.slots.saidLeaving(record)
--- a/entry/peer/extension.go
+++ b/entry/peer/extension.go
@@ -23,10 +23,12 @@
 	CopyProbes  []CopyProbe  `cbor:"4,keyasint,omitempty"`
 	CopyStates  []CopyState  `cbor:"5,keyasint,omitempty"`
 	CopyNotices []CopyNotice `cbor:"6,keyasint,omitempty"`
+	// SetState accompanies the heartbeats of the sender.
+	SetState *SetState `cbor:"7,keyasint,omitempty"`
 }
 
 func (e Extensions) empty() bool {
-	return len(e.PartLookups) == 0 && e.Gossip == nil && !e.aboutCopies()
+	return len(e.PartLookups) == 0 && e.Gossip == nil && e.SetState == nil && !e.aboutCopies()
 }
 
 // aboutCopies reports whether the extensions are about copies of the platform's store.
--- a/entry/peer/extension_test.go
+++ b/entry/peer/extension_test.go
@@ -68,3 +68,21 @@
 		require.ErrorContains(t, err, "extensions", raw)
 	}
 }
+
+// Recorded from the release that introduced them. Later ones must be able to read them, and those before ignore them.
+func TestRecordedSetStatesAreReadable(t *testing.T) {
+	t.Parallel()
+	for recorded, state := range map[string]SetState{
+		"a201616107a0": {}, "a201616107a101191267": {Version: 4711}, "a201616107a20119126702f5": {Version: 4711, InForce: true},
+	} {
+		raw, err := hex.DecodeString(recorded)
+		require.NoError(t, err)
+		d, err := Decode(raw)
+		require.NoError(t, err)
+		require.Equal(t, Datagram{From: "a", Extensions: Extensions{SetState: &state}}, d)
+		datagrams, err := EncodeAll(d)
+		require.NoError(t, err)
+		require.Equal(t, [][]byte{raw}, datagrams)
+		require.Equal(t, &state, FromSetState(state.ToCatalogue()))
+	}
+}
