Let a host that starts hear the others before it uses its first set

Change: the first set of a process is put in force by catalogue.PeerSets: once two hosts that run, or the only other one, have announced none newer; once all seeds have spoken, as in a start of all hosts; else at an age of 0.36 s, or 0.66 s if no other host was met. A newer set that was announced is fetched before. The copy of the store itself is read, passed on and confirmed as before.

Why it works: hosts that knew the process before its restart go on sending to it, each round of 0.3 s to one host that is not live, with the version of their set. It meets them within that time, whatever its seeds say.

TestSetIsUsedOnceItsEndpointsAreKnown runs the loop that puts a first set in force, in a process old enough to be alone. It checks the same as before, for both versions.

--- a/entry/node/membership.go
+++ b/entry/node/membership.go
@@ -15,6 +15,7 @@
 
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/catalogue"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/relay"
@@ -332,6 +333,13 @@
 	return candidates
 }
 
+// surroundings returns what a host whose process has this age knows of the others.
+func (m *membership) surroundings(age time.Duration) catalogue.Surroundings {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return catalogue.Surroundings{Age: age, Others: max(len(m.live), 1) - 1, Seeds: m.roster.Seeds()}
+}
+
 // liveCount returns the number of live hosts, this one included; it is at least 1.
 func (m *membership) liveCount() int {
 	m.mu.Lock()
--- a/entry/node/peer_sets.go
+++ b/entry/node/peer_sets.go
@@ -17,6 +17,11 @@
 )
 
 const (
+	// setConfirmations is how many hosts a process that starts must have heard before it puts its first set in force at once. Otherwise it waits
+	// until it is setDiscoveryTime old, or loneDiscoveryTime if it has met no host: a round of heartbeats of the others, or two.
+	setConfirmations  = 2
+	setDiscoveryTime  = heartbeatInterval + startupRoundInterval
+	loneDiscoveryTime = 2*heartbeatInterval + startupRoundInterval
 	// setFetchDelay is how long a newer set that another host announced may take to arrive with the copy of the store before it is fetched.
 	setFetchDelay = 200 * time.Millisecond
 	// setFetchBackoff is how long the set of a host is not fetched again after a fetch failed.
@@ -27,6 +32,7 @@
 
 func newPeerSets() *catalogue.PeerSets {
 	return catalogue.NewPeerSets(catalogue.PeerSetsConfig{
+		Confirmations: setConfirmations, DiscoveryTime: setDiscoveryTime, LoneDiscoveryTime: loneDiscoveryTime,
 		FetchDelay: setFetchDelay, FailureBackoff: setFetchBackoff, Lifetime: setStateLifetime, RecheckInterval: sourceRecheckInterval,
 	})
 }
@@ -58,9 +64,9 @@
 		return
 	}
 	v.mu.Lock()
-	newer := v.peerSets.Announced(now, d.From, d.Extensions.SetState.ToCatalogue(), v.ownSet())
+	next := v.peerSets.Announced(now, d.From, d.Extensions.SetState.ToCatalogue(), v.ownSet())
 	v.mu.Unlock()
-	if newer {
+	if next {
 		v.wakeSets()
 	}
 }
@@ -73,19 +79,23 @@
 	}
 }
 
-// followSets fetches newer sets that other hosts announce until ctx ends.
+// followSets puts the first set in force once that is safe, and fetches newer sets that other hosts announce, until ctx ends.
 func (v *storeView) followSets(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := timer.BootClock()
+		around := v.n.membership.surroundings(now.Sub(v.startedAt))
 		v.mu.Lock()
-		step := v.peerSets.Next(now, v.ownSet())
+		step := v.peerSets.Next(now, v.ownSet(), around)
 		v.mu.Unlock()
-		if step.Fetch == "" {
+		switch {
+		case step.Use:
+			v.useFirstSet(now)
+		case step.Fetch == "":
 			v.waitForSets(ctx, step.Wait)
-			continue
-		}
-		if err := v.fetchSet(ctx, step.Fetch); err != nil {
-			v.recordSetFailure(step.Fetch, err)
+		default:
+			if err := v.fetchSet(ctx, step.Fetch); err != nil {
+				v.recordSetFailure(step.Fetch, err)
+			}
 		}
 	}
 }
--- a/entry/node/set_in_force.go
+++ b/entry/node/set_in_force.go
@@ -44,11 +44,36 @@
 	return ok
 }
 
+// putInForce replaces the set in force, or if there is none the set with which followSets begins. applying must be held.
 func (v *storeView) putInForce(now time.Time, set *site.Set) {
 	v.mu.Lock()
-	v.inForce = set
+	starting := v.inForce == nil
+	if starting {
+		v.firstSet = set
+	} else {
+		v.inForce = set
+	}
+	v.mu.Unlock()
+	if starting {
+		v.wakeSets()
+		return
+	}
+	v.logInForce(now, set)
+}
+
+// useFirstSet puts the first set of this process in force.
+func (v *storeView) useFirstSet(now time.Time) {
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	v.mu.Lock()
+	set := v.firstSet
+	v.inForce, v.firstSet = set, nil
 	v.mu.Unlock()
+	v.logInForce(now, set)
+	close(v.loaded)
+}
+
+func (v *storeView) logInForce(now time.Time, set *site.Set) {
 	event.LogText(v.n.log, zerolog.InfoLevel, event.DocumentAccepted).Int64("Version", int64(set.Version)).
 		Dur("BeliefMs", v.age(now)).Send()
-	v.loadedOnce.Do(func() { close(v.loaded) })
 }
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -31,9 +31,8 @@
 	client *http.Client
 	// wakeups ends the wait between two refreshes early, after a notice from a reader.
 	wakeups chan struct{}
-	// loaded is closed, by means of loadedOnce, when the first set is in force.
-	loaded     chan struct{}
-	loadedOnce sync.Once
+	// loaded is closed when the first set is in force.
+	loaded chan struct{}
 	// startedAt is when the process started, by the boot clock.
 	startedAt time.Time
 	// setWakeups ends the wait of followSets early.
@@ -48,6 +47,8 @@
 	setValue []byte
 	// inForce is the newest set whose endpoints, those of the same read, are known to the other parts of this host.
 	inForce *site.Set
+	// firstSet is the first set of this process until it is in force, which followSets decides.
+	firstSet *site.Set
 	// peerSets decides about the sets that other hosts announce.
 	peerSets *catalogue.PeerSets
 	history  *catalogue.History
--- a/entry/node/store_view_test.go
+++ b/entry/node/store_view_test.go
@@ -32,6 +32,8 @@
 	t.Parallel()
 	s := newSite(t)
 	n := newIdleNode(t, s.store.Address())
+	n.storeView.startedAt = n.storeView.startedAt.Add(-loneDiscoveryTime)
+	go n.storeView.followSets(t.Context())
 	const endpoints = 150
 	for version := 1; version <= 2; version++ {
 		for i := range endpoints {
--- a/fleet/catalogue/peer_sets.go
+++ b/fleet/catalogue/peer_sets.go
@@ -9,8 +9,14 @@
 	"balsamknot.org/fleet/site"
 )
 
-// PeerSetsConfig holds the time limits of a PeerSets.
+// PeerSetsConfig holds the limits of a PeerSets.
 type PeerSetsConfig struct {
+	// Confirmations is how many hosts with a set in force, none of them a newer one, a host that starts must have heard before it uses its own
+	// set at once; fewer if fewer hosts are live.
+	Confirmations int
+	// DiscoveryTime is the age of a process from which it uses its own set without these, and LoneDiscoveryTime that of one that has met no other
+	// host: hosts that knew it before it restarted send it heartbeats within that time.
+	DiscoveryTime, LoneDiscoveryTime time.Duration
 	// FetchDelay is how long a host that has a set in force waits for a newer one to arrive with its copy before it fetches it from a host that
 	// announced it.
 	FetchDelay time.Duration
@@ -53,15 +59,15 @@
 	return &PeerSets{cfg: cfg, peers: make(map[host.ID]peerSet), retryAt: make(map[host.ID]time.Time)}
 }
 
-// Announced records an announcement of another host. It reports whether the version is higher than the given one, of this host's own newest set.
-func (p *PeerSets) Announced(now time.Time, from host.ID, state SetState, own SetState) (newer bool) {
+// Announced records an announcement of another host. It reports whether Next is to be called at once.
+func (p *PeerSets) Announced(now time.Time, from host.ID, state SetState, own SetState) (next bool) {
 	earlier, known := p.peers[from]
 	since := now
 	if known && earlier.state.Version == state.Version {
 		since = earlier.since
 	}
 	p.peers[from] = peerSet{state: state, heardAt: now, since: since}
-	return state.Version > own.Version
+	return state.Version > own.Version || !own.InForce
 }
 
 // FetchFailed records that the set of a host could not be fetched.
@@ -69,32 +75,81 @@
 	p.retryAt[from] = now.Add(p.cfg.FailureBackoff)
 }
 
-// SetStep is the next action of a host: to fetch the set of the host Fetch, or, if that is empty, to call Next again after Wait or the next
-// announcement of a newer set. Wait is 0 if only such an announcement matters.
+// Surroundings is what a host that starts knows of the others.
+type Surroundings struct {
+	// Age is that of the host's process.
+	Age time.Duration
+	// Others is how many other hosts are live.
+	Others int
+	// Seeds holds the seeds but this host, if there are any and all of them are live; otherwise it is empty.
+	Seeds []host.ID
+}
+
+// SetStep is the next action of a host: to fetch the set of the host Fetch, to put its own first set in force if Use is true, or else to call
+// Next again after Wait or the next announcement. Wait is 0 if only an announcement matters.
 type SetStep struct {
 	Fetch host.ID
+	Use   bool
 	Wait  time.Duration
 }
 
 // Next returns the next step of a host with a newest set of its own. A host without one gets it with its copy of the store.
-func (p *PeerSets) Next(now time.Time, own SetState) SetStep {
+func (p *PeerSets) Next(now time.Time, own SetState, around Surroundings) SetStep {
 	p.forget(now)
-	var step SetStep
 	if own.Version == 0 {
-		return step
+		return SetStep{}
+	}
+	newest, pending := p.newest(now, own)
+	switch {
+	case newest != "":
+		return SetStep{Fetch: newest}
+	case !own.InForce && p.mayUse(around):
+		return SetStep{Use: true}
+	case pending, !own.InForce:
+		return SetStep{Wait: p.cfg.RecheckInterval}
 	}
+	return SetStep{}
+}
+
+// newest returns the host from which to fetch now: that with the newest set of those with a newer one. pending reports whether there are any.
+func (p *PeerSets) newest(now time.Time, own SetState) (newest host.ID, pending bool) {
 	highest := own.Version
 	for _, id := range slices.Sorted(maps.Keys(p.peers)) {
-		peer := p.peers[id]
-		if peer.state.Version <= own.Version {
-			continue
+		version := p.peers[id].state.Version
+		pending = pending || version > own.Version
+		if version > highest && p.fetchable(now, id, own) {
+			newest, highest = id, version
 		}
-		step.Wait = p.cfg.RecheckInterval
-		if peer.state.Version > highest && p.fetchable(now, id, own) {
-			step.Fetch, highest = id, peer.state.Version
+	}
+	return newest, pending
+}
+
+// mayUse reports whether a host that starts, and can fetch no newer set, may use its own. Hosts that start together meet all seeds at once, and
+// need not wait for hosts that run.
+func (p *PeerSets) mayUse(around Surroundings) bool {
+	running := 0
+	for _, peer := range p.peers {
+		if peer.state.InForce {
+			running++
 		}
 	}
-	return step
+	switch {
+	case running > 0 && running >= min(p.cfg.Confirmations, around.Others):
+		return true
+	case len(around.Seeds) > 0 && p.heardAll(around.Seeds):
+		return true
+	case around.Others == 0:
+		return around.Age >= p.cfg.LoneDiscoveryTime
+	}
+	return around.Age >= p.cfg.DiscoveryTime
+}
+
+// heardAll reports whether all of these hosts have announced their sets.
+func (p *PeerSets) heardAll(ids []host.ID) bool {
+	return !slices.ContainsFunc(ids, func(id host.ID) bool {
+		_, heard := p.peers[id]
+		return !heard
+	})
 }
 
 // fetchable reports whether the set of a host is to be fetched now.
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -327,6 +327,28 @@
 	return p.heartbeat.Address, true
 }
 
+// Seeds returns the seeds but this host if there are any and all of them are live, and otherwise none.
+func (r *Roster) Seeds() []host.ID {
+	atAddress := make(map[string]host.ID, len(r.peers))
+	for id, p := range r.peers {
+		if p.live {
+			atAddress[p.heartbeat.Address] = id
+		}
+	}
+	var seeds []host.ID
+	for _, address := range r.cfg.Seeds {
+		id, live := atAddress[address]
+		switch {
+		case address == r.cfg.Self.Address:
+		case !live:
+			return nil
+		default:
+			seeds = append(seeds, id)
+		}
+	}
+	return seeds
+}
+
 // DataCentre returns the data centre of another host; empty for an unknown one.
 func (r *Roster) DataCentre(id host.ID) host.DataCentre {
 	if p := r.peers[id]; p != nil {
--- a/fleet/roster/roster_test.go
+++ b/fleet/roster/roster_test.go
@@ -184,3 +184,17 @@
 	r.Receive(time.Unix(1, 0), "a", Gossip{Heartbeats: []Heartbeat{{Host: "a", Cores: 0.8}, {Host: "b", Cores: 0.6}, {Host: "c", Cores: 0.2}, {Host: "d", Cores: 1, Leaving: true}}})
 	require.Equal(t, []host.ID{"a", "b"}, r.HighCapacity())
 }
+
+func TestSeedsAreReturnedOnlyIfAllOfThemAreLive(t *testing.T) {
+	t.Parallel()
+	c := newCluster(3)
+	require.Empty(t, c.hosts[address(2)].Seeds(), "it has met no host")
+	c.runRounds(3)
+	require.Equal(t, []host.ID{id(0), id(1)}, c.hosts[address(2)].Seeds())
+	require.Equal(t, []host.ID{id(1)}, c.hosts[address(0)].Seeds(), "it is one itself")
+	c.partitioned[address(1)] = true
+	c.runRounds(10)
+	require.Empty(t, c.hosts[address(2)].Seeds())
+	c.hosts[address(2)].SetSeeds(nil)
+	require.Empty(t, c.hosts[address(2)].Seeds())
+}
