Test the store's return with four of nine hosts cut off, and state the lag

The announcements of sets also end the wait of hosts whose readers were cut off from the store when it returned.

TestHostsFollowTheStoreAfterItReturnedFromAnOlderCopy has that site as a further case. It waits for the set without a limit of 2 s, so that it passes before the change, too: that a host takes a set from hosts that are not its readers is guarded by TestOlderSetInForceIsReplacedWhenAHostMeetsTheOthers. The hosts of the test beside it get other addresses, since those were next in the row of its cases.

--- a/entry/node/store_return_test.go
+++ b/entry/node/store_return_test.go
@@ -65,6 +65,7 @@
 		{name: "fewer changes, away, hosts cut off", hosts: 5, cutOff: 2, away: 500 * time.Millisecond},
 		{name: "more changes than were lost", hosts: 5, changes: 2 * lostChanges, away: 500 * time.Millisecond},
 		{name: "more changes, hosts cut off", hosts: 5, cutOff: 2, changes: 2 * lostChanges, away: 500 * time.Millisecond},
+		{name: "more changes, four of nine hosts cut off", hosts: 9, cutOff: 4, changes: 2 * lostChanges},
 		{name: "more changes, one host", hosts: 1, changes: 2 * lostChanges, away: 500 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -119,7 +120,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			s := newReturnSite(t, 3, 9+i)
+			s := newReturnSite(t, 3, 44+i)
 			tc.leave(s.leaving)
 			s.awaitEveryRevisionRead()
 			s.store.ReturnFromCopy(1, 0)
