Take a set that is written again late under its version

Cause: a reader passes its newest set on in place of an older one that the store holds after its return, as part of a copy in the new era. The receiver took that era for the set's own. When the operator then wrote the set again under the same version in that era, the receiver ignored it, as one that it had.

What callers saw: where the set that was written again differs from the one that was lost, hosts that copy the store from readers went on with the lost one until the next version.

Change: a reader states the era of the read that contained the set in a header of the copy, Set-Era, and Catalogue compares that. Without the header, from a host of an earlier release, it is that of the copy, as before.

Before, TestSetThatIsWrittenAgainLateUnderTheSameVersionIsInForce failed: host-2 had the lost set in force 30 s after the other had been written. Now it passes. TestSetThatIsWrittenAgainUnderTheSameVersionIsInForce did not show it, since there the set is written again before the hosts have read the store after its return.

--- a/entry/node/copies.go
+++ b/entry/node/copies.go
@@ -120,6 +120,7 @@
 		c.generation = history.Generation()
 	}
 	u = peer.OutgoingUpdate{Position: history.Position(), AgeMs: c.view.catalogue.Age(timer.BootClock()).Milliseconds() + 1}
+	_, u.SetEra = c.view.catalogue.SetVersion()
 	if found, ok := c.compressed[after]; ok {
 		u.Full, u.Entries = found.full, found.entries
 		return u, nil, true, nil
--- a/entry/node/readers.go
+++ b/entry/node/readers.go
@@ -123,7 +123,8 @@
 	if err != nil || holder != "" {
 		return holder, err
 	}
-	err = v.apply(sentAt.Add(-time.Duration(update.AgeMs)*time.Millisecond), update.Entries, update.Position(q.After.Era), update.Full)
+	sentAt = sentAt.Add(-time.Duration(update.AgeMs) * time.Millisecond)
+	err = v.applyWithSetEra(sentAt, update.Entries, update.Position(q.After.Era), update.Full, update.SetEra)
 	return "", eris.Wrapf(err, "fetch from reader %s", id)
 }
 
--- a/entry/node/store_return_test.go
+++ b/entry/node/store_return_test.go
@@ -167,6 +167,21 @@
 	require.Equal(t, callsPerHost*len(s.nodes), s.moved.RunCount())
 }
 
+// The same, once all hosts have read the store after its return: what they tell each other of the set is from before it.
+func TestSetThatIsWrittenAgainLateUnderTheSameVersionIsInForce(t *testing.T) {
+	t.Parallel()
+	s := newReturnSite(t, 4, 46)
+	s.revokeAndReturn()
+	s.awaitEveryRevisionRead()
+	s.store.PublishMoved(2, "full", "k2")
+	for _, node := range s.nodes {
+		require.Eventually(t, func() bool {
+			set, _ := node.storeView.set(timer.BootClock())
+			return set.Routes[2].Backends[0].Service == "full"
+		}, convergenceLimit, 5*time.Millisecond, "%s ignores it", node.cfg.Host)
+	}
+}
+
 // knowsLeaving reports whether the host has a registration by which an endpoint leaves.
 func (n *testNode) knowsLeaving(id string) bool { return n.log.contains(registrationLine(id, true)) }
 
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -320,8 +320,13 @@
 // apply merges the result of a read that was sent at sentAt and ended at a position, and notifies the subscribers if it changed an entry. The
 // error is errEarlierEra, and nothing is merged, if this host's copy is from a later era.
 func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool) error {
+	return v.applyWithSetEra(sentAt, entries, at, full, at.Era)
+}
+
+// applyWithSetEra is apply for the entries of a reader, which may hold a set that it read in an earlier era.
+func (v *storeView) applyWithSetEra(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool, setEra catalogue.Era) error {
 	update, setValue := v.decode(entries)
-	update.SentAt, update.Position, update.Full = sentAt, at, full
+	update.SentAt, update.Position, update.Full, update.SetEra = sentAt, at, full, setEra
 	v.applying.Lock()
 	defer v.applying.Unlock()
 	now := timer.BootClock()
--- a/entry/peer/store_update.go
+++ b/entry/peer/store_update.go
@@ -63,6 +63,8 @@
 	// Era is that of Revision. It is sent as a header; hosts of earlier releases do not, and EraStated is false.
 	Era       catalogue.Era `cbor:"-"`
 	EraStated bool          `cbor:"-"`
+	// SetEra is catalogue.Update.SetEra, sent as a header, too; hosts of earlier releases do not, and it is 0.
+	SetEra catalogue.Era `cbor:"-"`
 }
 
 // Position returns the position of the update. That of a host of an earlier release is taken to be in the receiver's era.
@@ -96,6 +98,7 @@
 // OutgoingUpdate is a StoreUpdate to be sent.
 type OutgoingUpdate struct {
 	Position catalogue.Position
+	SetEra   catalogue.Era
 	Full     bool
 	AgeMs    int64
 	Entries  CompressedEntries
@@ -154,10 +157,12 @@
 	directParam     = "Direct"
 )
 
-// Headers of a response: holderHeader names the host that has the update, with status 303; eraHeader is the era of the update.
+// Headers of a response: holderHeader names the host that has the update, with status 303; eraHeader is the era of the update, and setEraHeader
+// that of the set in it.
 const (
 	holderHeader = "Holder"
 	eraHeader    = "Era"
+	setEraHeader = "Set-Era"
 )
 
 func (q UpdateQuery) encode() string {
@@ -227,6 +232,7 @@
 			w.WriteHeader(http.StatusSeeOther)
 		default:
 			w.Header().Set(eraHeader, strconv.FormatInt(int64(update.Position.Era), 10))
+			w.Header().Set(setEraHeader, strconv.FormatInt(int64(update.SetEra), 10))
 			source.UpdateSent(q, update.writeTo(w))
 		}
 	})
@@ -266,13 +272,21 @@
 	if err := cbor.NewDecoder(io.LimitReader(flate.NewReader(body), maxUpdateBytes)).Decode(&update); err != nil {
 		return StoreUpdate{}, "", eris.Wrapf(err, "decode store update from %s", address)
 	}
-	if text := response.Header.Get(eraHeader); text != "" {
-		if update.Era, err = parseEra(text); err != nil {
-			return StoreUpdate{}, "", eris.Wrapf(err, "decode store update from %s", address)
+	return update, "", eris.Wrapf(update.readEras(response.Header), "decode store update from %s", address)
+}
+
+// readEras reads the headers that state eras.
+func (u *StoreUpdate) readEras(h http.Header) (err error) {
+	if text := h.Get(eraHeader); text != "" {
+		if u.Era, err = parseEra(text); err != nil {
+			return err
 		}
-		update.EraStated = true
+		u.EraStated = true
+	}
+	if text := h.Get(setEraHeader); text != "" {
+		u.SetEra, err = parseEra(text)
 	}
-	return update, "", nil
+	return err
 }
 
 // progressReader postpones the end of a fetch with each part that arrives.
--- a/entry/peer/store_update_test.go
+++ b/entry/peer/store_update_test.go
@@ -47,12 +47,12 @@
 		entries, _ := storeHistory(size).Since(catalogue.Position{})
 		compressed, err := CompressEntries(entries)
 		require.NoError(t, err)
-		s := &fixedSource{update: OutgoingUpdate{Position: catalogue.Position{Era: 4, Revision: 7}, Full: true, AgeMs: 12, Entries: compressed}}
+		s := &fixedSource{update: OutgoingUpdate{Position: catalogue.Position{Era: 4, Revision: 7}, SetEra: 3, Full: true, AgeMs: 12, Entries: compressed}}
 		q := UpdateQuery{After: catalogue.Position{Era: 2, Revision: 3}, EraStated: true, Asker: catalogue.Asker{Host: "host-1", DataCentre: "a"}}
 		update, holder, err := FetchStoreUpdate(t.Context(), http.DefaultClient, serveUpdates(t, s), q)
 		require.NoError(t, err)
 		require.Empty(t, holder)
-		require.Equal(t, StoreUpdate{Revision: 7, Era: 4, EraStated: true, Full: true, AgeMs: 12, Entries: entries}, update)
+		require.Equal(t, StoreUpdate{Revision: 7, Era: 4, EraStated: true, SetEra: 3, Full: true, AgeMs: 12, Entries: entries}, update)
 		require.Equal(t, []UpdateQuery{q}, s.queries)
 		require.Equal(t, []error{nil}, s.sent)
 	}
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -40,6 +40,8 @@
 	Position Position
 	// Set is nil when the update contains no new set.
 	Set *site.Set
+	// SetEra is the era of the read of the store that contained Set, if a reader passed that on from an earlier one; 0 if it is that of Position.
+	SetEra Era
 	// Endpoints are all registrations in a full update, otherwise the new or changed ones. Removed names endpoints that are no
 	// longer registered.
 	Endpoints []endpoint.Record
@@ -112,7 +114,7 @@
 	}
 	var change Change
 	if c.replacesSet(u) {
-		c.set, c.setEra = u.Set, u.Position.Era
+		c.set, c.setEra = u.Set, u.setEra()
 		change.Set = u.Set
 	}
 	change.Endpoints = c.registerAll(now, u)
@@ -143,9 +145,12 @@
 	case c.set == nil, u.Set.Version > c.set.Version:
 		return true
 	}
-	return u.Set.Version == c.set.Version && u.Position.Era > c.setEra
+	return u.Set.Version == c.set.Version && u.setEra() > c.setEra
 }
 
+// setEra returns the era of the read that contained the set.
+func (u Update) setEra() Era { return cmp.Or(u.SetEra, u.Position.Era) }
+
 // registerAll notes the registrations of an update and returns those that changed the catalogue.
 func (c *Catalogue) registerAll(now time.Time, u Update) []endpoint.Record {
 	var changed []endpoint.Record
--- a/fleet/catalogue/peer_sets_test.go
+++ b/fleet/catalogue/peer_sets_test.go
@@ -128,3 +128,14 @@
 	p.FetchFailed(now, "host-2")
 	require.Equal(t, SetStep{Use: true}, p.Next(now, SetState{Version: 4}, around))
 }
+
+func TestSetOfAnEarlierEraInAReadersCopyIsReplacedByOneOfTheSameVersion(t *testing.T) {
+	t.Parallel()
+	c, now := New(Config{Lease: 5 * time.Second}), time.Unix(1000, 0)
+	update := Update{SentAt: now, Full: true, Position: Position{Era: 4, Revision: 10}, Set: &site.Set{Version: 9}, SetEra: 3}
+	require.NotNil(t, c.Apply(now, update).Set)
+	require.Nil(t, c.Apply(now, update).Set)
+	update.SetEra = 0
+	require.NotNil(t, c.Apply(now, update).Set)
+	require.Nil(t, c.Apply(now, update).Set)
+}
