--- a/entry/node/readers.go
+++ b/entry/node/readers.go
@@ -123,7 +123,8 @@
 	if err != nil || holder != "" {
 		return holder, err
 	}
-	err = v.apply(sentAt.Add(-time.Duration(update.AgeMs)*time.Millisecond), update.Entries, update.Position(q.After.Era), update.Full)
+	sentAt = sentAt.Add(-time.Duration(update.AgeMs) * time.Millisecond)
+	err = v.applyWithSetEra(sentAt, update.Entries, update.Position(q.After.Era), update.Full, update.SetEra)
 	return "", eris.Wrapf(err, "fetch from reader %s", id)
 }
 
@@ -131,6 +132,7 @@
 // notices, and passes replies to awaitState. It wakes refreshLoop when a notice reports a change that this host lacks, or that the
 // sender can't read the platform any more.
 func (v *storeView) handle(now time.Time, d peer.Datagram) {
+	v.handleSetState(now, d)
 	for _, probe := range d.Probes {
 		state := v.stateFor(now, d.From, probe.Nonce, false)
 		// The first of the two tells a host of this release that the second, for one of an earlier release, is not for it.
--- a/entry/node/store_return_test.go
+++ b/entry/node/store_return_test.go
@@ -65,6 +65,7 @@
 		{name: "fewer changes, away, hosts cut off", hosts: 5, cutOff: 2, away: 500 * time.Millisecond},
 		{name: "more changes than were lost", hosts: 5, changes: 2 * lostChanges, away: 500 * time.Millisecond},
 		{name: "more changes, hosts cut off", hosts: 5, cutOff: 2, changes: 2 * lostChanges, away: 500 * time.Millisecond},
+		{name: "more changes, four of nine hosts cut off", hosts: 9, cutOff: 4, changes: 2 * lostChanges},
 		{name: "more changes, one host", hosts: 1, changes: 2 * lostChanges, away: 500 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -112,7 +113,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			s := newReturnSite(t, 3, 9+i)
+			s := newReturnSite(t, 3, 44+i)
 			tc.leave(s.leaving)
 			s.awaitEveryRevisionRead()
 			s.store.ReturnFromCopy(1, 0)
@@ -159,6 +160,21 @@
 	require.Equal(t, callsPerHost*len(s.nodes), s.moved.RunCount())
 }
 
+// The same, once all hosts have read the store after its return: what they tell each other of the set is from before it.
+func TestSetThatIsWrittenAgainLateUnderTheSameVersionIsInForce(t *testing.T) {
+	t.Parallel()
+	s := newReturnSite(t, 4, 46)
+	s.revokeAndReturn()
+	s.awaitEveryRevisionRead()
+	s.store.PublishMoved(2, "full", "k2")
+	for _, node := range s.nodes {
+		require.Eventually(t, func() bool {
+			set, _ := node.storeView.set(timer.BootClock())
+			return set.Routes[2].Backends[0].Service == "full"
+		}, convergenceLimit, 5*time.Millisecond, "%s ignores it", node.cfg.Host)
+	}
+}
+
 // knowsLeaving reports whether the host has a registration by which an endpoint leaves.
 func (n *testNode) knowsLeaving(id string) bool { return n.log.contains(registrationLine(id, true)) }
 
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -14,13 +14,8 @@
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/catalogue"
-	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
-	"balsamknot.org/fleet/interruption"
-	"balsamknot.org/fleet/pool"
-	"balsamknot.org/fleet/relay"
 	"balsamknot.org/fleet/site"
-	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
 )
@@ -33,13 +28,17 @@
 	client *http.Client
 	// wakeups ends the wait between two refreshes early, after a notice from a reader.
 	wakeups chan struct{}
-	// loaded is closed, by means of loadedOnce, when the first set is in force.
-	loaded     chan struct{}
-	loadedOnce sync.Once
+	// loaded is closed when the first set is in force.
+	loaded chan struct{}
 	// startedAt is when the process started, by the boot clock.
 	startedAt time.Time
 	// confirmationWaiters is how many calls of awaitChangesBefore wait.
 	confirmationWaiters atomic.Int64
+	// setWakeups ends the wait of followSets early.
+	setWakeups chan struct{}
+
+	// applying is held from a change of the catalogue until it is passed on, so that sets are put in force in their order.
+	applying sync.Mutex
 
 	mu        sync.RWMutex
 	catalogue *catalogue.Catalogue
@@ -48,7 +47,11 @@
 	// passedOnAt is when the newest read was sent whose changes are known to the other parts of this host.
 	passedOnAt time.Time
 	// inForce is the newest set whose endpoints, those of the same read, are known to the other parts of this host.
-	inForce  *site.Set
+	inForce *site.Set
+	// firstSet is the first set of this process until it is in force, which followSets decides.
+	firstSet *site.Set
+	// peerSets decides about the sets that other hosts announce.
+	peerSets *catalogue.PeerSets
 	history  *catalogue.History
 	selector *catalogue.SourceSelector
 	// lastNonce is the number of the last probe, and copyStates receives the replies to probes.
@@ -120,12 +123,12 @@
 
 func newStoreView(n *Node) *storeView {
 	return &storeView{
-		n: n, wakeups: make(chan struct{}, 1), loaded: make(chan struct{}), copyStates: make(chan peer.CopyState, 1),
+		n: n, wakeups: make(chan struct{}, 1), setWakeups: make(chan struct{}, 1), loaded: make(chan struct{}), copyStates: make(chan peer.CopyState, 1),
 		subscribers: make(map[host.ID]subscriber), knowEras: make(map[host.ID]time.Time),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: n.dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: readerConnIdleTimeout, DisableCompression: true,
 		}},
-		history: catalogue.NewHistory(),
+		history: catalogue.NewHistory(), peerSets: newPeerSets(),
 		selector: catalogue.NewSourceSelector(catalogue.SourceSelectorConfig{
 			Self: n.cfg.Host, ActiveReaders: activeReaders, DirectReadAge: directReadAge, FirstReadDelay: firstReadDelay,
 			PlatformBackoff: platformBackoff, FailureBackoff: failureBackoff, StartupBackoff: startupBackoff, RecheckInterval: sourceRecheckInterval,
@@ -137,24 +140,6 @@
 	}
 }
 
-// set returns the set in force, nil before the first one, and whether its lease allows its use.
-func (v *storeView) set(now time.Time) (*site.Set, bool) {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.inForce, v.inForce != nil && v.catalogue.Valid(now)
-}
-
-// awaitFirstSet blocks until the first set is in force, ctx ends or d has passed.
-func (v *storeView) awaitFirstSet(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-v.loaded:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // age returns the age of the copy; negative while there is none.
 func (v *storeView) age(now time.Time) time.Duration {
 	v.mu.RLock()
@@ -165,44 +150,6 @@
 	return v.catalogue.Age(now)
 }
 
-// awaitChangesBefore waits until all parts of this host know every change of the store from before t, and reports whether they do. It gives up
-// after confirmationTimeout, when the copy is stale, or when ctx ends.
-func (v *storeView) awaitChangesBefore(ctx context.Context, t time.Time) bool {
-	v.confirmationWaiters.Add(1)
-	defer v.confirmationWaiters.Add(-1)
-	for waited := time.Duration(0); waited < confirmationTimeout; waited += confirmationPollInterval {
-		if v.knowsChangesBefore(t) {
-			return true
-		}
-		if v.age(timer.BootClock()) > staleAge || !timer.Sleep(ctx, confirmationPollInterval) {
-			return false
-		}
-	}
-	return false
-}
-
-func (v *storeView) knowsChangesBefore(t time.Time) bool {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return !v.passedOnAt.Before(t)
-}
-
-// setVersion returns the version of the set in force; 0 before the first one.
-func (v *storeView) setVersion() site.Version {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	if v.inForce != nil {
-		return v.inForce.Version
-	}
-	return 0
-}
-
-// valid reports whether there is a set that may be used.
-func (v *storeView) valid(now time.Time) bool {
-	_, ok := v.set(now)
-	return ok
-}
-
 func (v *storeView) setLease(d time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -384,17 +331,17 @@
 	v.notePassedOn(sentAt)
 }
 
-// notePassedOn records that the other parts of this host know every change made before sentAt. mu must be held.
-func (v *storeView) notePassedOn(sentAt time.Time) {
-	if sentAt.After(v.passedOnAt) {
-		v.passedOnAt = sentAt
-	}
-}
-
 // apply merges the result of a read that was sent at sentAt and ended at a position, and notifies the subscribers if it changed an entry. The
 // error is errEarlierEra, and nothing is merged, if this host's copy is from a later era.
 func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool) error {
+	return v.applyWithSetEra(sentAt, entries, at, full, at.Era)
+}
+
+// applyWithSetEra is apply for the entries of a reader, which may hold a set that it read in an earlier era.
+func (v *storeView) applyWithSetEra(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool, setEra catalogue.Era) error {
 	changes, setValues := v.decode(entries)
+	v.applying.Lock()
+	defer v.applying.Unlock()
 	now := timer.BootClock()
 	v.mu.Lock()
 	before, newestBefore := v.catalogue.Position(), v.history.NewestChange()
@@ -404,7 +351,9 @@
 		event.LogText(v.n.log, zerolog.WarnLevel, event.EarlierEraDropped).Int64("Era", int64(at.Era)).Int64("OwnEra", int64(before.Era)).Send()
 		return errEarlierEra
 	}
-	difference := v.catalogue.Apply(now, catalogue.Update{SentAt: sentAt, Position: at, Full: full, Changes: changes})
+	difference := v.catalogue.Apply(now, catalogue.Update{
+		SentAt: sentAt, Position: at, Full: full, SetEra: setEra, Changes: changes,
+	})
 	if difference.Set != nil {
 		v.setValue = setValues[difference.Set]
 	}
@@ -452,51 +401,3 @@
 		Int64("EarlierEra", int64(before.Era)).Int64("Lost", int64(before.Revision)).Int("Changed", len(difference.Endpoints)).
 		Int("Missing", difference.Missing).Int("Held", difference.Held).Send()
 }
-
-// propagate logs a difference of the catalogue and passes it on to the other parts of this host. A set is in force after the endpoints that
-// came with it: a request that is admitted earlier would find none.
-func (v *storeView) propagate(now time.Time, difference catalogue.Difference) {
-	if difference.Set != nil {
-		for _, service := range difference.Set.Services {
-			v.n.slots.update(now, pool.ServiceChanged{Service: service})
-		}
-	}
-	for _, change := range difference.Endpoints {
-		switch change := change.(type) {
-		case catalogue.Registered:
-			v.propagateRegistration(now, change.Record)
-		case catalogue.Removed:
-			v.propagateRemoval(now, change.ID)
-		}
-	}
-	if difference.Set != nil {
-		v.putInForce(now, difference.Set)
-	}
-}
-
-func (v *storeView) putInForce(now time.Time, set *site.Set) {
-	v.mu.Lock()
-	v.inForce = set
-	v.mu.Unlock()
-	event.LogText(v.n.log, zerolog.InfoLevel, event.DocumentAccepted).Int64("Version", int64(set.Version)).
-		Dur("BeliefMs", v.age(now)).Send()
-	v.loadedOnce.Do(func() { close(v.loaded) })
-}
-
-func (v *storeView) propagateRegistration(now time.Time, record endpoint.Record) {
-	record.Leaving = record.Leaving || v.n.slots.saidLeaving(record)
-	event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRegistered).Str("Endpoint", string(record.Instance.ID)).
-		Str("Service", string(record.Service)).Bool("Leaving", record.Leaving).Send()
-	v.n.paths.update(now, relay.Registered{Record: record})
-	v.n.crashes.update(now, interruption.Registered{Record: record})
-	v.n.streams.update(now, stream.Registered{Record: record})
-	v.n.slots.update(now, pool.EndpointRegistered{Record: record})
-}
-
-func (v *storeView) propagateRemoval(now time.Time, id endpoint.ID) {
-	event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRemoved).Str("Endpoint", string(id)).Send()
-	v.n.paths.update(now, relay.Removed{ID: id})
-	v.n.crashes.update(now, interruption.Removed{ID: id})
-	v.n.streams.update(now, stream.Removed{ID: id})
-	v.n.slots.update(now, pool.EndpointRemoved{ID: id})
-}
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -8,6 +8,7 @@
 package catalogue
 
 import (
+	"cmp"
 	"iter"
 	"maps"
 	"slices"
@@ -39,6 +40,8 @@
 	Full bool
 	// Position is the position after which the next read continues. The catalogue's Position must admit it.
 	Position Position
+	// SetEra is the era of the read of the store that contained the set, if a reader passed that on from an earlier one; 0 if it is that of Position.
+	SetEra Era
 	// Changes are in the order in which they were made. A full update has all registrations and the set, in any order.
 	Changes []Change
 }
@@ -150,8 +153,8 @@
 func (c *Catalogue) applyChange(now time.Time, u Update, change Change, d *Difference) {
 	switch change := change.(type) {
 	case Published:
-		if c.replacesSet(change.Set, u.Position.Era) {
-			c.set, c.setEra, d.Set = change.Set, u.Position.Era, change.Set
+		if c.replacesSet(change.Set, u.setEra()) {
+			c.set, c.setEra, d.Set = change.Set, u.setEra(), change.Set
 		}
 	case Registered:
 		d.Endpoints = append(d.Endpoints, c.registerRead(now, change.Record, u.Full)...)
@@ -170,6 +173,9 @@
 	return set.Version == c.set.Version && era > c.setEra
 }
 
+// setEra returns the era of the read that contained the set.
+func (u Update) setEra() Era { return cmp.Or(u.SetEra, u.Position.Era) }
+
 // registerRead notes a registration that was read, and returns it if that changed the catalogue. A full read tells nothing new of registrations that
 // an older copy of the store had.
 func (c *Catalogue) registerRead(now time.Time, record endpoint.Record, full bool) []Change {
