Take an engine for unknown, not for empty, until it has listed its cache

Cause: after a start of all hosts the keeper of a service gave the lists of all engines together half a second, ten at a time and 400 ms each. An engine that was not asked by then, or did not reply, got an empty list, which counted as listed and was never asked for again. The lookup that decides whether a stream goes on then said that no version caches its prompt.

Change: fleet/pool keeps a state for each engine: unlisted, requested, listed. It requests the lists itself (ListCache, one engine each): one at a time for an engine, ten at a time in all, the ones that failed least first. A list that fails leaves the engine unlisted; it is asked again after 100 ms, doubled up to 2 s, with a time limit from 400 ms, doubled up to 1.6 s. Engines are asked only for 500 ms after a slot request of a new keeper or a lookup that can't be answered, and not by a host that may not be the keeper. Slot requests wait 60 ms, as before.

A lookup is answered once it can't change: several versions cache the part, or one does, or none, and every engine of any other version is listed or gone. An engine of another version may hold the part as well, as one that lost the request before its first event does, so that the first one found is not enough. Engines that register later or restart are unlisted; that one was born after the stream began is not concluded, since clocks of hosts differ.

A plain service is refused at once; a caller that left meanwhile is not answered.

TestNewKeeperListsTheCachesOfEngines reports an engine without a reply as failed, as the caller does now; it requires the same.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -126,7 +126,7 @@
 	{RegistrationUnreadable, "registration unreadable", "A registration in the platform's store can't be read and names no endpoint.", "Find who wrote it."},
 	{EndpointRegistered, "endpoint registered", "An endpoint registered itself, or changed what it says of itself.", "None."},
 	{EndpointRemoved, "endpoint gone", "An endpoint is no longer registered, or did not come back after an outage of the store.", "None, unless it should be there."},
-	{CacheListed, "cache listed", "A keeper that begins asked an engine what its cache holds; with an error, what lies there is read again.", "None."},
+	{CacheListed, "cache listed", "A keeper asked an engine what its cache holds; with an error, that remains unknown, and the engine is asked again while a stream that is taken up needs it.", "With errors from one engine for long: look at that engine."},
 	{EndpointLimited, "endpoint limited", "An endpoint's answer states how many requests a second (PerSecond) it takes from all hosts together, or another number than before; Unreadable if it is no number. Requests beyond it go to other endpoints or are refused.", "Find out what the endpoint lacks."},
 	{EndpointLimitEnded, "endpoint limit ended", "An endpoint's answer no longer states a limit; its requests increase over 6 s.", "None."},
 	{EndpointAskedRest, "endpoint asked for rest", "An endpoint turned a request away and wants no others from this host for RestMs; with a Relay, from the host through which the request went.", "None, unless it lasts: see what the endpoint lacks."},
--- a/entry/node/slot_manager.go
+++ b/entry/node/slot_manager.go
@@ -108,8 +108,8 @@
 		case pool.ShareLimits:
 			s.shareLimits(c)
 			continue
-		case pool.ListCaches:
-			s.n.wg.Go(func() { s.listCaches(c) })
+		case pool.ListCache:
+			s.n.wg.Go(func() { s.listCache(c) })
 			continue
 		}
 		ticket, reply := toSlotReply(c)
--- a/entry/node/stream_cache.go
+++ b/entry/node/stream_cache.go
@@ -12,21 +12,24 @@
 )
 
 const (
-	// partQueryInterval is the time after which a keeper is asked again, and partQueryTimeout that after which the query is given up: the
-	// keeper may have to list the engines' caches first.
-	partQueryInterval = 25 * time.Millisecond
-	partQueryTimeout  = 600 * time.Millisecond
+	// minPartQueryInterval is the time after which a keeper is asked again, since it may have to list the engines' caches first. It doubles
+	// each time, up to maxPartQueryInterval.
+	minPartQueryInterval = 25 * time.Millisecond
+	maxPartQueryInterval = 200 * time.Millisecond
+	// partQueryShare is the share of a caller's patience for which it is asked. The rest is left for the endpoint's first event.
+	partQueryShare = 0.7
 )
 
 // versionByCache returns the version at which a stream began that no host remembers, as after a start of all hosts: the last part of its
 // prompt belongs to the stream or its session, so that only engines which read it cache it, and those that ran another turn of the session
-// keep another number of tokens. It is not known if engines of several versions cache it, or none.
+// keep another number of tokens. It is not known if engines of several versions cache it, or none. While engines have not listed their
+// caches, the request waits for partQueryShare of its patience.
 func (s *streamTracker) versionByCache(q *request) (endpoint.Version, bool) {
 	parts := q.call.Prompt.Parts
-	if len(parts) == 0 {
+	if len(parts) == 0 || q.set.Services[q.service].Engine == nil {
 		return "", false
 	}
-	ctx, cancel := context.WithTimeout(q.r.Context(), partQueryTimeout)
+	ctx, cancel := context.WithTimeout(q.r.Context(), partQueryTimeLeft(q))
 	defer cancel()
 	own := parts[len(parts)-1]
 	lookup := peer.PartLookup{Service: q.service, Part: own.ID, MinTokens: own.Tokens}
@@ -40,12 +43,20 @@
 	return versions[0], true
 }
 
-// versionsCaching asks the keeper of a service which versions cache a part, until it has listed the caches or ctx ends.
+// partQueryTimeLeft returns how much longer a request may wait for its stream's version: until partQueryShare of the time has passed for which
+// its caller waits for the first event, but no longer than for its deadline.
+func partQueryTimeLeft(q *request) time.Duration {
+	patience := min(q.deadline.Sub(q.start), q.route.FirstEventPatience)
+	return time.Duration(partQueryShare*float64(patience)) - timer.BootClock().Sub(q.start)
+}
+
+// versionsCaching asks the keeper of a service which versions cache a part, until the keeper knows or ctx ends.
 func (s *streamTracker) versionsCaching(ctx context.Context, query peer.PartLookup) []endpoint.Version {
 	nonce, replies := s.partQueries.begin(1)
 	defer s.partQueries.end(nonce)
 	query.Nonce = nonce
-	ask := time.NewTicker(partQueryInterval)
+	interval := minPartQueryInterval
+	ask := time.NewTimer(interval)
 	defer ask.Stop()
 	for {
 		keeper := s.n.membership.keeper(timer.BootClock(), query.Service)
@@ -58,6 +69,8 @@
 		case versions := <-replies:
 			return versions
 		case <-ask.C:
+			interval = min(2*interval, maxPartQueryInterval)
+			ask.Reset(interval)
 		case <-ctx.Done():
 			return nil
 		}
@@ -77,12 +90,15 @@
 	}
 }
 
-// answerLookup tells a host which versions cache a part, once the engines' caches are listed. A host with an old copy of the store does not
-// reply: it may not know the engines of another version.
+// answerLookup tells a host which versions cache a part, once that is known. A host with an old copy of the store does not reply: it may not
+// know the engines of another version.
 func (s *streamTracker) answerLookup(now time.Time, to host.ID, nonce uint64, lookup pool.PartLookup) {
-	s.n.slots.update(now, pool.PartQueried{Service: lookup.Service})
+	if s.n.storeView.age(now) > staleAge {
+		return
+	}
+	s.n.slots.update(now, pool.PartQueried{Lookup: lookup, KeeperUnconfirmed: s.n.slots.justStarted()})
 	versions, known := s.n.slots.versionsCaching(lookup)
-	if !known || s.n.storeView.age(now) > staleAge {
+	if !known {
 		return
 	}
 	reply := peer.PartReply{Nonce: nonce, Versions: versions}
@@ -94,7 +110,7 @@
 	s.n.membership.send(to, d)
 }
 
-// versionsCaching returns what the local keeper knows; known is false while it lists the engines' caches.
+// versionsCaching returns what the local keeper knows; known is false while it lacks lists of engines' caches.
 func (s *slotManager) versionsCaching(lookup pool.PartLookup) (versions []endpoint.Version, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/node/stream_restart_test.go
+++ b/entry/node/stream_restart_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,6 +75,52 @@
 	require.LessOrEqual(t, s.mixed(), allowedMixed)
 }
 
+// takenUpAfterRestart begins streams, starts all nodes anew on another subnet, and takes the streams up again. before is called between the two
+// starts. It returns how many streams began and how many went on.
+func (s *versionSite) takenUpAfterRestart(streams, subnet int, before func()) (began, wentOn int) {
+	s.startNodes(3, subnet)
+	names := s.beginStreams(streams)
+	before()
+	s.restartAll(subnet + 1)
+	wentOn = s.takeUpStreams(names)
+	s.t.Logf("%d of %d streams went on, %d at another version", wentOn, len(names), s.mixed())
+	return len(names), wentOn
+}
+
+func TestStreamsGoOnAfterAllHostsStartedThoughManyEnginesListTheirCachesLate(t *testing.T) {
+	t.Parallel()
+	const streams, engines, listTime = 80, 64, 150 * time.Millisecond
+	var versions []string
+	for range engines / 2 {
+		versions = append(versions, standin.DefaultVersion, secondVersion)
+	}
+	s := newSessionSite(t, versions...)
+	began, wentOn := s.takenUpAfterRestart(streams, 191, func() {
+		for _, e := range s.engines {
+			e.BeforeCacheLists(func(*http.Request) { time.Sleep(listTime) })
+		}
+	})
+	require.Equal(t, began, wentOn)
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+}
+
+func TestStreamsGoOnAfterAllHostsStartedWhileOneEngineWasSilent(t *testing.T) {
+	t.Parallel()
+	const streams, silentLists = 40, 2
+	s := newSessionSite(t, standin.DefaultVersion, secondVersion, standin.DefaultVersion, secondVersion)
+	var lists atomic.Int64
+	began, wentOn := s.takenUpAfterRestart(streams, 193, func() {
+		s.engines[0].BeforeCacheLists(func(r *http.Request) {
+			if lists.Add(1) <= silentLists {
+				<-r.Context().Done()
+			}
+		})
+	})
+	require.Equal(t, began, wentOn)
+	require.Greater(t, lists.Load(), int64(silentLists))
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+}
+
 // beginStreams begins n streams at the nodes in turn and returns the names of those that began.
 func (s *versionSite) beginStreams(n int) []string {
 	var names []string
--- a/entry/node/streams.go
+++ b/entry/node/streams.go
@@ -128,6 +128,9 @@
 	}
 	version, known := s.versionOf(q)
 	if !known {
+		if q.disconnected() {
+			s.n.endDisconnected(q)
+		}
 		q.cause = "it is not known which version began the stream"
 		s.n.refuse(q, http.StatusServiceUnavailable, unknownOriginRetryAfter)
 		return false
--- a/fleet/pool/cache_list.go
+++ b/fleet/pool/cache_list.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,16 +10,19 @@
 	"balsamknot.org/fleet/site"
 )
 
-// ListCaches requests the cache contents of a service's engines. The caller replies with one CacheListed for each endpoint.
-type ListCaches struct {
+// ListCache requests the cache contents of an engine. The caller replies with one CacheListed, within TimeLimit.
+type ListCache struct {
 	Service   site.ServiceName
-	Endpoints []endpoint.Record
+	Endpoint  endpoint.Record
+	TimeLimit time.Duration
 }
 
-// CacheListed reports the cache contents of an engine. Parts is empty when the engine did not respond.
+// CacheListed reports the cache contents of an engine, or that the engine did not list them.
 type CacheListed struct {
 	Service  site.ServiceName
 	Instance endpoint.Instance
+	// Failed is true if there is no list, so that it remains unknown what the engine caches.
+	Failed bool
 	// Parts has the tokens that the engine keeps of each part.
 	Parts []chat.Part
 }
@@ -32,26 +36,86 @@
 	MinTokens, MaxTokens int
 }
 
-// PartQueried asks which versions cache a part of a prompt. The keeper lists the caches, once, if it has not; see Keeper.VersionsCaching.
-type PartQueried struct{ Service site.ServiceName }
-
-func (ListCaches) command() {}
-func (CacheListed) event()  {}
-func (PartQueried) event()  {}
+// PartQueried asks which versions cache a part of a prompt. While that is not known, the keeper lists the caches of the engines that it has not
+// listed; see Keeper.VersionsCaching. Whoever needs the answer repeats the event until there is one.
+type PartQueried struct {
+	Lookup PartLookup
+	// KeeperUnconfirmed is SlotRequested.KeeperUnconfirmed.
+	KeeperUnconfirmed bool
+}
 
-// cacheListWait is how long a keeper without cache information queues requests while it waits for the lists. Processing
-// a prompt again takes longer than that.
-const cacheListWait = 60 * time.Millisecond
+func (ListCache) command() {}
+func (CacheListed) event() {}
+func (PartQueried) event() {}
+
+const (
+	// cacheListWait is how long a keeper without cache information queues requests while it waits for the lists. Processing
+	// a prompt again takes longer than that.
+	cacheListWait = 60 * time.Millisecond
+	// listDemandPeriod is how long engines are asked for lists after the event that needs them: the first slot request, or a PartQueried.
+	listDemandPeriod = 500 * time.Millisecond
+	// maxConcurrentLists is how many engines of a service are asked at the same time. Each is asked once at a time.
+	maxConcurrentLists = 10
+	// minListTimeLimit is the time for an engine's first list, and minListBackoff the time after which an engine without one is asked again.
+	// Both double with each failure, up to maxListTimeLimit and maxListBackoff.
+	minListTimeLimit = 400 * time.Millisecond
+	maxListTimeLimit = 1600 * time.Millisecond
+	minListBackoff   = 100 * time.Millisecond
+	maxListBackoff   = 2 * time.Second
+)
 
-// cacheListing is the state of the cache listing that a new keeper does once, if no other keeper sent it the cache contents.
+// cacheListing is the state of the listing of a service's engines.
 type cacheListing struct {
-	// started is also set when another keeper has sent the cache contents, so that no listing is needed.
+	// started is true once slot requests need no further lists: the keeper has requested them, or another keeper has sent the cache
+	// contents. Those have no parts that only one request uses.
 	started bool
-	// listed is true if this keeper itself has requested lists: what other keepers send has no parts that only one request uses.
-	listed bool
-	// outstanding is the number of engines that have not been listed yet; after deadline requests no longer wait for them.
-	outstanding int
-	deadline    time.Time
+	// deadline is when slot requests no longer wait for lists.
+	deadline time.Time
+	// wantedUntil is when engines are no longer asked, unless another event needs their lists.
+	wantedUntil time.Time
+	// inFlight is the number of lists that are requested now.
+	inFlight int
+}
+
+// listState is what a keeper knows of an engine's cache from the engine itself.
+type listState int
+
+const (
+	// unlisted means that the engine may cache anything.
+	unlisted listState = iota
+	// listRequested means the same, and that the engine was asked.
+	listRequested
+	// listed means that the keeper knows what the engine cached when it was asked.
+	listed
+)
+
+// engineList is the state of the list of one engine.
+type engineList struct {
+	state listState
+	// failures is how often the engine was asked in vain, and retryAt when it may be asked again.
+	failures int
+	retryAt  time.Time
+}
+
+// due reports whether the engine may be asked now.
+func (l engineList) due(now time.Time) bool { return l.state == unlisted && !now.Before(l.retryAt) }
+
+// finish records the result of a request for the list.
+func (l *engineList) finish(now time.Time, failed bool) {
+	if !failed {
+		*l = engineList{state: listed}
+		return
+	}
+	l.state, l.retryAt = unlisted, now.Add(doubled(minListBackoff, l.failures, maxListBackoff))
+	l.failures++
+}
+
+// doubled returns d doubled n times, and at most limit.
+func doubled(d time.Duration, n int, limit time.Duration) time.Duration {
+	for ; n > 0 && d < limit; n-- {
+		d *= 2
+	}
+	return min(d, limit)
 }
 
 // listCaches starts the cache listing at the service's first request, unless another keeper has sent the cache contents or
@@ -60,54 +124,95 @@
 	if s.listing.started || s.engine == nil || e.KeeperUnconfirmed {
 		return nil
 	}
-	return s.startListing(now.Add(cacheListWait))
+	s.listing.started, s.listing.deadline = true, now.Add(cacheListWait)
+	return s.demandLists(now)
 }
 
-// queryPart starts the cache listing unless this keeper has done one. No request waits for it.
-func (s *service) queryPart(now time.Time) []Command {
-	if s.listing.listed || s.engine == nil {
+// queryPart requests the lists that a lookup needs. No slot request waits for them.
+func (s *service) queryPart(now time.Time, e PartQueried) []Command {
+	if s.engine == nil || e.KeeperUnconfirmed {
+		return nil
+	}
+	if _, known := s.versionsCaching(e.Lookup); known {
 		return nil
 	}
-	return s.startListing(now)
+	return s.demandLists(now)
 }
 
-// startListing requests the lists of all engines. Requests wait for them until deadline.
-func (s *service) startListing(deadline time.Time) []Command {
-	s.listing = cacheListing{started: true, listed: true, deadline: deadline}
-	list := ListCaches{Service: s.name}
+// demandLists requests lists from now on for listDemandPeriod.
+func (s *service) demandLists(now time.Time) []Command {
+	s.listing.wantedUntil = now.Add(listDemandPeriod)
+	return s.requestLists(now)
+}
+
+// requestLists requests the lists of engines that are due, as many as may be requested at the same time. Those that failed least come first.
+func (s *service) requestLists(now time.Time) []Command {
+	if !now.Before(s.listing.wantedUntil) || s.listing.inFlight >= maxConcurrentLists {
+		return nil
+	}
+	var due []*endpointState
 	for _, st := range s.sorted {
-		list.Endpoints = append(list.Endpoints, st.record)
+		if st.list.due(now) {
+			due = append(due, st)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *endpointState) int { return cmp.Compare(a.list.failures, b.list.failures) })
+	var commands []Command
+	for _, st := range due[:min(len(due), maxConcurrentLists-s.listing.inFlight)] {
+		st.list.state = listRequested
+		s.listing.inFlight++
+		commands = append(commands, ListCache{
+			Service: s.name, Endpoint: st.record, TimeLimit: doubled(minListTimeLimit, st.list.failures, maxListTimeLimit),
+		})
 	}
-	s.listing.outstanding = len(list.Endpoints)
-	return []Command{list}
+	return commands
 }
 
-// cacheListed records an engine's cache contents. If it was the last outstanding list, queued requests get their slots.
+// cacheListed records an engine's cache contents and requests the next list. If it was the last one for which slot requests wait, these get
+// their slots.
 func (s *service) cacheListed(now time.Time, e CacheListed) []Command {
+	s.listing.inFlight--
 	if st := s.endpoints[e.Instance.ID]; st != nil && st.record.Instance == e.Instance {
+		st.list.finish(now, e.Failed)
 		for _, part := range e.Parts {
 			s.addPart(now, st, part.ID)
 			st.listedTokens[part.ID] = part.Tokens
 		}
 	}
-	s.listing.outstanding--
-	return s.drainQueue(now)
+	return append(s.requestLists(now), s.drainQueue(now)...)
 }
 
 // VersionsCaching returns the software versions whose engines are known to cache a part of a prompt at the given length, in order. known is
-// false while the engines' lists are missing.
+// false while the list of an engine is missing that could add a version.
 func (k *Keeper) VersionsCaching(lookup PartLookup) (versions []endpoint.Version, known bool) {
-	s := k.service(lookup.Service)
-	if !s.listing.listed || s.listing.outstanding > 0 {
+	return k.service(lookup.Service).versionsCaching(lookup)
+}
+
+// versionsCaching returns Keeper.VersionsCaching. An engine that has not listed its cache may cache the part too, as one does that lost the
+// request before its first event, so that a version counts as the only one when all engines of the others are listed. Several remain several.
+func (s *service) versionsCaching(lookup PartLookup) (versions []endpoint.Version, known bool) {
+	if s.engine == nil {
 		return nil, false
 	}
+	var unknown []endpoint.Version
 	for _, st := range s.sorted {
-		if st.caches(lookup) {
+		switch {
+		case st.caches(lookup):
 			versions = append(versions, st.record.Version)
+		case st.list.state != listed:
+			unknown = append(unknown, st.record.Version)
 		}
 	}
 	slices.Sort(versions)
-	return slices.Compact(versions), true
+	versions = slices.Compact(versions)
+	if len(versions) > 1 {
+		return versions, true
+	}
+	addsVersion := func(v endpoint.Version) bool { return !slices.Contains(versions, v) }
+	if slices.ContainsFunc(unknown, addsVersion) {
+		return nil, false
+	}
+	return versions, true
 }
 
 // cacheBlock is the number of tokens that engines keep or evict together, so that they may keep fewer of a part than it has.
@@ -122,7 +227,9 @@
 	return !listed || tokens > lookup.MinTokens-cacheBlock && (lookup.MaxTokens == 0 || tokens <= lookup.MaxTokens)
 }
 
-// awaitsCacheLists reports whether requests are to stay queued until the cache lists have arrived.
+// awaitsCacheLists reports whether requests are to stay queued until each engine was asked for its list once.
 func (s *service) awaitsCacheLists(now time.Time) bool {
-	return s.listing.outstanding > 0 && now.Before(s.listing.deadline)
+	return now.Before(s.listing.deadline) && slices.ContainsFunc(s.sorted, func(st *endpointState) bool {
+		return st.list.state != listed && st.list.failures == 0
+	})
 }
--- a/fleet/pool/endpoint_state.go
+++ b/fleet/pool/endpoint_state.go
@@ -55,7 +55,8 @@
 	running int
 	// cachedParts holds the time of the last use of each part of a prompt that the endpoint is assumed to cache.
 	cachedParts map[chat.PartID]time.Time
-	// listedTokens holds how many tokens the engine keeps of each part, by its list.
+	// list is the state of the engine's cache list, and listedTokens holds how many tokens the engine keeps of each part by that.
+	list         engineList
 	listedTokens map[chat.PartID]int
 	// failureShare is the moving average of failures, from 0 for none to 1 for all requests.
 	failureShare float64
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -85,7 +85,7 @@
 	case CacheListed:
 		return k.service(e.Service).cacheListed(now, e)
 	case PartQueried:
-		return k.service(e.Service).queryPart(now)
+		return k.service(e.Lookup.Service).queryPart(now, e)
 	}
 	return nil
 }
--- a/fleet/pool/keeper_test.go
+++ b/fleet/pool/keeper_test.go
@@ -96,8 +96,8 @@
 			}
 			sim.running[id]++
 			sim.releases = append(sim.releases, release{sim.now.Add(sim.holdTime[c.Ticket]), c.Ticket, id})
-		case ListCaches:
-			sim.enginesToList = append(sim.enginesToList, c.Endpoints...)
+		case ListCache:
+			sim.enginesToList = append(sim.enginesToList, c.Endpoint)
 		case UpdateStandbys:
 			sim.updatesSent += len(c.Cached)
 		case Refuse:
@@ -386,7 +386,7 @@
 		request := func(i int) {
 			sim.request(0, prompt(i%36, 4000), time.Second, time.Second)
 			for _, e := range sim.enginesToList {
-				listed := CacheListed{Service: assistant, Instance: e.Instance}
+				listed := CacheListed{Service: assistant, Instance: e.Instance, Failed: !enginesRespond}
 				if enginesRespond {
 					listed.Parts = caches[e.Instance.ID]
 				}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -326,7 +326,7 @@
 	}
 	s.deleteEndedSerialRuns(now)
 	s.expireStatements(now)
-	commands := s.tickLimits(now)
+	commands := append(s.tickLimits(now), s.requestLists(now)...)
 	s.queue = slices.DeleteFunc(s.queue, func(q queuedRequest) bool {
 		if now.Before(q.deadline) {
 			return false
--- a/fleet/site/site.go
+++ b/fleet/site/site.go
@@ -56,6 +56,8 @@
 	Objective time.Duration
 	// MaxEventGap is the objective for the longest time between two events of a stream; 0 for routes without streams.
 	MaxEventGap time.Duration
+	// FirstEventPatience is how long callers wait for a stream's first event; 0 for routes without streams.
+	FirstEventPatience time.Duration
 	// Priority orders requests under load; 0 is the highest.
 	Priority int
 	// MaxEndpoints limits the number of endpoints to which one request may be sent.
