Let a host that is loading its copy of the store answer no lookup

Cause: a copy of the store is applied service by service and endpoint by endpoint, and its age counts as none until it is loaded. A lookup in between met a service without endpoints, so that no list was missing and no version cached the part.

The stream of such a lookup is refused at once, or, with the endpoints of one version registered alone, taken for one of that version.

Change: a host replies to lookups once its first set is in force, which is after the registrations of the same read. The asking host repeats its query.

--- a/entry/node/stream_cache.go
+++ b/entry/node/stream_cache.go
@@ -90,10 +90,10 @@
 	}
 }
 
-// answerLookup tells a host which versions cache a part, once that is known. A host with an old copy of the store does not reply: it may not
-// know the engines of another version.
+// answerLookup tells a host which versions cache a part, once that is known. A host with an old copy of the store, or none, does not reply: it
+// may not know the engines of another version.
 func (s *streamTracker) answerLookup(now time.Time, to host.ID, nonce uint64, lookup pool.PartLookup) {
-	if s.n.storeView.age(now) > staleAge {
+	if s.n.storeView.setVersion() == 0 || s.n.storeView.age(now) > staleAge {
 		return
 	}
 	s.n.slots.update(now, pool.PartQueried{Lookup: lookup, KeeperUnconfirmed: s.n.slots.justStarted()})
