Take after a stop's notice only requests that must end in time

Cause: whether a stopping host took a request and when it ended were two decisions. Streams were taken until 3.3 s after SIGTERM and other requests until 6.8 s, on the assumption that they need 4 s and half a second, and what took longer was cut 7.3 s after SIGTERM. Callers on kept connections saw streams and calls break off that the host could have refused.

Change: package fleet/drain decides both, without I/O and with the time passed in. For the 2.6 s that the load balancer needs to notice, all requests are taken as before. Then a request, when its body has been read, is taken only if its deadline (the earlier of the caller's and the route's timeout, which bounds its run) passes 0.1 s before the latest end of the drain; others get 503 with Retry-After and Connection: close before an endpoint has them. Once nothing is in flight no request is taken, and the next check that finds none ends the drain. The time limit is that of the settings at the begin of the stop.

Before the change TestRequestThatMayOutlastAStopIsRefusedAsNotRun: a stream and two calls sent over kept connections, and one whose body came late, ran and were cut (4 of 4). TestStreamTakenAfterTheNoticeOfAStopIsNotCut: 6 streams cut that were sent after the notice, 100 served, in two runs of two. With the change both pass. The property test of the package fails with the former bound of 4 s.

--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -36,11 +36,6 @@
 }
 
 const (
-	// maxStreamTime is how long a streamed answer may take, and maxCallTime any other: a draining host that may stop sooner refuses the
-	// request. Its caller may retry at another host after drainRetryAfter.
-	maxStreamTime   = 4 * time.Second
-	maxCallTime     = 500 * time.Millisecond
-	drainRetryAfter = 50 * time.Millisecond
 	// firstSetTimeout is how long a request waits for the first configuration set of a process that has just started.
 	firstSetTimeout = 250 * time.Millisecond
 	// notReadyRetryAfter is the retry-after time when the host has no configuration set, or one that is too old.
@@ -219,16 +214,13 @@
 	return true
 }
 
-// fitsIntoDrain refuses a request, and returns false, when the host may stop before its answer could end.
+// fitsIntoDrain refuses a request that was read to its end, and returns false, when the host may stop before its answer ends.
 func (c *callerHandler) fitsIntoDrain(q *request) bool {
-	timeNeeded := maxCallTime
-	if q.route.Streaming {
-		timeNeeded = maxStreamTime
-	}
-	if !c.n.stopsWithin(timer.BootClock(), timeNeeded) {
+	if c.n.stopping.takes(q) {
 		return true
 	}
 	q.cause = "host is draining and stops before the answer could end"
+	q.w.Header().Set("Connection", "close")
 	c.n.refuse(q, http.StatusServiceUnavailable, drainRetryAfter)
 	return false
 }
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -60,8 +60,7 @@
 	streams      *streamTracker
 	answerMemory answerMemory
 	draining     atomic.Bool
-	// stopAt is when a draining process ends at the latest, in nanoseconds of the boot clock; 0 before the drain.
-	stopAt atomic.Int64
+	stopping     *stopState
 
 	servers []*http.Server
 	wg      sync.WaitGroup
@@ -83,13 +82,6 @@
 	// headerTimeout limits the time for reading a request's headers, and maxHeaderBytes the size of a caller's headers.
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 16 << 10
-	// drainMargin is the time between the latest end of a drain and DrainLimit, after which the process may be killed.
-	drainMargin = 700 * time.Millisecond
-	// minDrain is the shortest time for which a draining host keeps serving, since the load balancer still sends it callers until
-	// a readiness check has failed.
-	minDrain = 2600 * time.Millisecond
-	// drainPollInterval is the time between checks of a draining host for requests in flight.
-	drainPollInterval = 50 * time.Millisecond
 )
 
 // New returns a node; Run opens its sockets and starts its goroutines.
@@ -97,7 +89,10 @@
 	if cfg.EndpointDialer == nil {
 		cfg.EndpointDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: dialTimeout, DeadPeerTimeout: connDeadAfter})
 	}
-	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, release: cfg.Release, store: platform.NewStore(cfg.Settings.StoreAddress)}
+	n := &Node{
+		cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, release: cfg.Release, store: platform.NewStore(cfg.Settings.StoreAddress),
+		stopping: newStopState(),
+	}
 	n.settings.Store(&cfg.Settings)
 	n.paths = newPathTracker(n, cfg.EndpointDialer)
 	n.relayDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: peerDialTimeout, DeadPeerTimeout: connDeadAfter})
@@ -167,41 +162,6 @@
 	n.streams.update(timer.BootClock(), stream.Tick{})
 }
 
-// drain prepares a planned stop. The readiness check starts to fail, so that the load balancer removes the host, and the other
-// hosts are told that it leaves. Requests that still arrive are served. drain returns when no request is in flight and no
-// other host has a tunnel, after at least minDrain, or drainMargin before DrainLimit. Requests that arrive when it is about to return are
-// refused, since the process would end before their answers.
-func (n *Node) drain() {
-	start := timer.BootClock()
-	refusing := false
-	n.stopAt.Store(start.Add(n.settings.Load().DrainLimit - drainMargin).UnixNano())
-	n.draining.Store(true)
-	n.membership.leave()
-	event.LogText(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.callers.inFlight.Load()).Send()
-	for {
-		time.Sleep(drainPollInterval)
-		now := timer.BootClock()
-		elapsed := now.Sub(start)
-		if elapsed >= minDrain {
-			n.callers.closeIdle(now)
-		}
-		idle := elapsed >= minDrain && n.callers.inFlight.Load() == 0 && n.paths.tunnelCount() == 0
-		switch {
-		case elapsed >= n.settings.Load().DrainLimit-drainMargin, idle && refusing:
-			return
-		case idle:
-			refusing = true
-			n.stopAt.Store(now.UnixNano())
-		}
-	}
-}
-
-// stopsWithin reports whether the node is draining and may end within d of now.
-func (n *Node) stopsWithin(now time.Time, d time.Duration) bool {
-	stopAt := n.stopAt.Load()
-	return stopAt != 0 && now.Add(d).UnixNano() > stopAt
-}
-
 // Ready reports whether the load balancer should send callers to the node: it is not draining, and its configuration set was
 // confirmed recently enough.
 func (n *Node) Ready() bool {
--- /dev/null
+++ b/fleet/drain/drain.go
@@ -0,0 +1,132 @@
+// Package drain decides how a host stops as planned: which requests it still takes, how long it lets the others run, and when it ends. It
+// keeps one promise: a request that is taken once the load balancer has had time to notice the stop ends before the host does. All others
+// are refused before an endpoint gets them.
+package drain
+
+import "time"
+
+// Config holds the times of a stop. They do not change after New.
+type Config struct {
+	// Notice is how long after its begin the load balancer may still send callers, all of which are served.
+	Notice time.Duration
+	// DeadlineMargin is how long before the end the deadline of a request must pass, so that its answer, or an error, is written.
+	DeadlineMargin time.Duration
+}
+
+// Drain is the state of a host's stop. It is not safe for concurrent use.
+type Drain struct {
+	cfg   Config
+	begun bool
+	// beganAt is when the stop began, and endAt when the host ends at the latest.
+	beganAt, endAt time.Time
+	// closed is true once no request was in flight after Notice: none is taken any more.
+	closed bool
+}
+
+// New returns the state of a host that has not been told to stop.
+func New(cfg Config) *Drain { return &Drain{cfg: cfg} }
+
+// Event is what the host reports or asks.
+type Event interface{ event() }
+
+// Begun means that the host was told to stop. The drain may take Limit.
+type Begun struct{ Limit time.Duration }
+
+// RequestRead means that a request was read to its end. Deadline is when it ends at the latest: the earlier of the caller's deadline and
+// the route's timeout.
+type RequestRead struct{ Deadline time.Time }
+
+// Tick means that time has passed. InFlight is the number of requests, also those that are still being read, and of tunnels of other hosts.
+type Tick struct{ InFlight int }
+
+func (Begun) event()       {}
+func (RequestRead) event() {}
+func (Tick) event()        {}
+
+// Command is what the host is to do. Update returns exactly one for each event.
+type Command interface{ command() }
+
+// Take lets a request go on.
+type Take struct{}
+
+// Refuse refuses a request that no endpoint has run.
+type Refuse struct{}
+
+// Continue lets the drain go on.
+type Continue struct {
+	// CloseIdle closes callers' idle connections.
+	CloseIdle bool
+}
+
+// Finish ends the drain: the connections that are left are closed.
+type Finish struct{}
+
+func (Take) command()     {}
+func (Refuse) command()   {}
+func (Continue) command() {}
+func (Finish) command()   {}
+
+// Update applies one event at time now and returns the command that follows from it.
+func (d *Drain) Update(now time.Time, event Event) Command {
+	switch e := event.(type) {
+	case Begun:
+		d.begin(now, e.Limit)
+	case RequestRead:
+		return d.decide(d.takes(now, e.Deadline))
+	case Tick:
+		return d.tick(now, e.InFlight)
+	}
+	return Continue{}
+}
+
+func (d *Drain) decide(take bool) Command {
+	if take {
+		return Take{}
+	}
+	return Refuse{}
+}
+
+func (d *Drain) begin(now time.Time, limit time.Duration) {
+	if d.begun {
+		return
+	}
+	d.begun, d.beganAt, d.endAt = true, now, now.Add(limit)
+}
+
+// takes reports whether a request with the deadline may be taken.
+func (d *Drain) takes(now, deadline time.Time) bool {
+	switch {
+	case !d.begun:
+		return true
+	case d.closed:
+		return false
+	}
+	return !d.noticed(now) || d.endsInTime(deadline)
+}
+
+// noticed reports whether the load balancer has had time to notice the stop.
+func (d *Drain) noticed(now time.Time) bool { return now.Sub(d.beganAt) >= d.cfg.Notice }
+
+// endsInTime reports whether a request with the deadline ends before the host does.
+func (d *Drain) endsInTime(deadline time.Time) bool {
+	return !deadline.Add(d.cfg.DeadlineMargin).After(d.endAt)
+}
+
+func (d *Drain) tick(now time.Time, inFlight int) Command {
+	switch {
+	case !d.begun:
+		return Continue{}
+	case !now.Before(d.endAt):
+		d.closed = true
+		return Finish{}
+	case !d.noticed(now):
+		return Continue{}
+	case inFlight > 0:
+		return Continue{CloseIdle: true}
+	case d.closed:
+		return Finish{}
+	}
+	// A request may have been read since inFlight was counted; it is at the next tick.
+	d.closed = true
+	return Continue{CloseIdle: true}
+}
