Refuse requests that still wait for a slot when a host is about to end

Cause: a request that was taken before or just after SIGTERM and waited for a slot could wait until the process ended. Its connection was closed although no endpoint had had it, or it was sent so late that it was cut. Its caller could not tell whether it had run.

Change: a request that no endpoint has run may wait until 4 s before the end of the drain, or longer if its deadline ends it in time. After that it gets 503 (cause "no place: HostStopping"), which is true, since its slot request is withdrawn first. One that an endpoint may have run goes on waiting.

--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -91,7 +91,7 @@
 		q.cause = "no place: " + pool.Resting.String()
 		return a.Update(now, attempt.SlotRefused{Reason: pool.Resting, RetryAfter: wait})
 	}
-	ticket, reply := n.slots.acquire(q.r.Context(), e)
+	ticket, reply := n.acquireSlot(q, a, e)
 	switch c := reply.(type) {
 	case pool.Grant:
 		n.recordGrant(q, c)
--- a/entry/node/stop_request_test.go
+++ b/entry/node/stop_request_test.go
@@ -160,6 +160,38 @@
 	assert.Zero(t, s.stuck.Load(), "requests that were refused ran")
 }
 
+// All slots of the only endpoint are taken until the process ends.
+func TestRequestThatWaitsForASlotAtAStopIsRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
+	s := newStoppingSite(t, 71)
+	var replies sync.WaitGroup
+	waiting := make([]reply, 2*standin.Slots+surgeSize)
+	for i := range waiting {
+		replies.Go(func() {
+			waiting[i] = newKeptConnection(t).call(s.host, "/stream/"+stuckPath, "waits-"+strconv.Itoa(i), longTimeout, nil)
+		})
+	}
+	require.Eventually(t, func() bool {
+		queued := 0
+		for _, n := range s.nodes {
+			_, waits := n.slots.counts()
+			queued += waits
+		}
+		return s.stuck.Load() > 0 && queued > 0
+	}, time.Minute, time.Millisecond)
+	s.host.stop()
+	replies.Wait()
+	<-s.host.exited
+	notRun := 0
+	for _, r := range waiting {
+		if r.err == nil && r.status == http.StatusServiceUnavailable {
+			notRun++
+		}
+	}
+	require.Equal(t, len(waiting)-int(s.stuck.Load()), notRun, "each request that did not run was refused")
+	require.Positive(t, s.host.log.count(`"Cause":"no place: HostStopping"`))
+}
+
 // Callers on kept connections have streams of nearly five seconds, one after another, until their host's process is gone.
 func TestStreamTakenAfterTheNoticeOfAStopIsNotCut(t *testing.T) {
 	t.Parallel()
--- a/fleet/attempt/attempt.go
+++ b/fleet/attempt/attempt.go
@@ -127,6 +127,9 @@
 // Sends returns how many endpoints the request was sent to, not including unreachable ones.
 func (a *Attempt) Sends() int { return a.sends }
 
+// MayHaveRun reports whether an endpoint may have run the request.
+func (a *Attempt) MayHaveRun() bool { return a.mayHaveRun || a.pending }
+
 // Update applies one event at time now and returns the next step.
 func (a *Attempt) Update(now time.Time, event Event) Command {
 	if _, notExecuted := event.(NotExecuted); !notExecuted && a.pending {
--- a/fleet/drain/drain.go
+++ b/fleet/drain/drain.go
@@ -9,6 +9,9 @@
 type Config struct {
 	// Notice is how long after its begin the load balancer may still send callers, all of which are served.
 	Notice time.Duration
+	// RunTime is the time that must be left, after Notice, for a request that was taken and waits for a slot to be sent to an endpoint,
+	// unless its deadline ends it in time.
+	RunTime time.Duration
 	// DeadlineMargin is how long before the end the deadline of a request must pass, so that its answer, or an error, is written.
 	DeadlineMargin time.Duration
 }
@@ -36,11 +39,15 @@
 // the route's timeout.
 type RequestRead struct{ Deadline time.Time }
 
+// SlotAwaited means that a request that was taken, and that no endpoint has run, waits for a slot.
+type SlotAwaited struct{ Deadline time.Time }
+
 // Tick means that time has passed. InFlight is the number of requests, also those that are still being read, and of tunnels of other hosts.
 type Tick struct{ InFlight int }
 
 func (Begun) event()       {}
 func (RequestRead) event() {}
+func (SlotAwaited) event() {}
 func (Tick) event()        {}
 
 // Command is what the host is to do. Update returns exactly one for each event.
@@ -54,8 +61,8 @@
 
 // Continue lets the drain go on.
 type Continue struct {
-	// CloseIdle closes callers' idle connections.
-	CloseIdle bool
+	// CloseIdle closes callers' idle connections, and EndWaits asks again, by SlotAwaited, for each request that waits for a slot.
+	CloseIdle, EndWaits bool
 }
 
 // Finish ends the drain: the connections that are left are closed.
@@ -73,6 +80,8 @@
 		d.begin(now, e.Limit)
 	case RequestRead:
 		return d.decide(d.takes(now, e.Deadline))
+	case SlotAwaited:
+		return d.decide(!d.begun || d.sends(now) || d.endsInTime(e.Deadline))
 	case Tick:
 		return d.tick(now, e.InFlight)
 	}
@@ -107,6 +116,11 @@
 // noticed reports whether the load balancer has had time to notice the stop.
 func (d *Drain) noticed(now time.Time) bool { return now.Sub(d.beganAt) >= d.cfg.Notice }
 
+// sends reports whether requests that wait for a slot are still sent to endpoints whatever their deadline.
+func (d *Drain) sends(now time.Time) bool {
+	return !d.noticed(now) || d.endAt.Sub(now) >= d.cfg.RunTime
+}
+
 // endsInTime reports whether a request with the deadline ends before the host does.
 func (d *Drain) endsInTime(deadline time.Time) bool {
 	return !deadline.Add(d.cfg.DeadlineMargin).After(d.endAt)
@@ -122,7 +136,7 @@
 	case !d.noticed(now):
 		return Continue{}
 	case inFlight > 0:
-		return Continue{CloseIdle: true}
+		return Continue{CloseIdle: true, EndWaits: !d.sends(now)}
 	case d.closed:
 		return Finish{}
 	}
--- a/fleet/drain/drain_test.go
+++ b/fleet/drain/drain_test.go
@@ -10,7 +10,7 @@
 
 var (
 	start  = time.Unix(1000, 0)
-	config = Config{Notice: 2600 * time.Millisecond, DeadlineMargin: 100 * time.Millisecond}
+	config = Config{Notice: 2600 * time.Millisecond, RunTime: 4 * time.Second, DeadlineMargin: 100 * time.Millisecond}
 )
 
 const limit = 7300 * time.Millisecond
@@ -25,16 +25,21 @@
 		e    Event
 		want Command
 	}{
-		"read before the notice":                      {2599 * time.Millisecond, RequestRead{at(never)}, Take{}},
-		"read after the notice, may outlast the stop": {2600 * time.Millisecond, RequestRead{at(7201 * time.Millisecond)}, Refuse{}},
-		"read after the notice, ends in time":         {2600 * time.Millisecond, RequestRead{at(7200 * time.Millisecond)}, Take{}},
-		"read late, ends in time":                     {7100 * time.Millisecond, RequestRead{at(7200 * time.Millisecond)}, Take{}},
-		"idle before the notice":                      {2500 * time.Millisecond, Tick{}, Continue{}},
-		"requests in flight after the notice":         {3 * time.Second, Tick{InFlight: 1}, Continue{CloseIdle: true}},
-		"requests in flight at the end":               {limit, Tick{InFlight: 1}, Finish{}},
+		"read before the notice":                        {2599 * time.Millisecond, RequestRead{at(never)}, Take{}},
+		"read after the notice, may outlast the stop":   {2600 * time.Millisecond, RequestRead{at(7201 * time.Millisecond)}, Refuse{}},
+		"read after the notice, ends in time":           {2600 * time.Millisecond, RequestRead{at(7200 * time.Millisecond)}, Take{}},
+		"read late, ends in time":                       {7100 * time.Millisecond, RequestRead{at(7200 * time.Millisecond)}, Take{}},
+		"waits while there is time to run":              {3300 * time.Millisecond, SlotAwaited{at(never)}, Take{}},
+		"waits when there is none":                      {3301 * time.Millisecond, SlotAwaited{at(never)}, Refuse{}},
+		"waits when there is none, but ends in time":    {3301 * time.Millisecond, SlotAwaited{at(7200 * time.Millisecond)}, Take{}},
+		"idle before the notice":                        {2500 * time.Millisecond, Tick{}, Continue{}},
+		"requests in flight after the notice":           {3 * time.Second, Tick{InFlight: 1}, Continue{CloseIdle: true}},
+		"requests in flight, no time to run for others": {4 * time.Second, Tick{InFlight: 1}, Continue{CloseIdle: true, EndWaits: true}},
+		"requests in flight at the end":                 {limit, Tick{InFlight: 1}, Finish{}},
 	} {
 		d := New(config)
 		require.Equal(t, Take{}, d.Update(start, RequestRead{at(never)}), "before the stop")
+		require.Equal(t, Take{}, d.Update(start, SlotAwaited{at(never)}), "before the stop")
 		d.Update(start, Begun{Limit: limit})
 		require.Equal(t, c.want, d.Update(at(c.now), c.e), name)
 	}
--- a/fleet/pool/event.go
+++ b/fleet/pool/event.go
@@ -197,6 +197,8 @@
 	AwaitsCopy
 	// Resting means that all endpoints that could take the request asked the request's host for rest.
 	Resting
+	// HostStopping means that the request's host is about to end, and that the request may not end before.
+	HostStopping
 )
 
 // String returns the reason as it is written to logs.
@@ -212,6 +214,8 @@
 		return "AwaitsCopy"
 	case Resting:
 		return "Resting"
+	case HostStopping:
+		return "HostStopping"
 	}
 	return "Unknown"
 }
