Give each step of a planned stop a time limit and a log line

Cause: what followed the drain waited without a bound: for the goroutines of the node, and in the program for the periodic callbacks, one of which reads the settings file. A part that hung kept the process until it was killed at DrainLimit.

Change: a stop is a sequence of steps (announce, drain, callers, connections, background, timers, log), each waited for up to its limit and all of them until 0.25 s before DrainLimit. A step that hangs is left behind. BK1008 says how long each step took and whether it was completed. The InFlight of BK1004 now counts the requests that were in flight when the drain ended, as its description says, and not those left after the connections were closed.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -26,6 +26,7 @@
 	NodePaused             Number = 1005
 	SettingsReloaded       Number = 1006
 	SettingsRefused        Number = 1007
+	StopStepEnded          Number = 1008
 	HostChanged            Number = 1101
 	PeerRejected           Number = 1102
 	DocumentAccepted       Number = 1201
@@ -92,6 +93,7 @@
 	{NodePaused, "node was paused", "The process did not run for the time given; its view is refreshed before it acts.", "Look for overcommitted hosts if it returns."},
 	{SettingsReloaded, "settings taken", "The settings file was read again; Changed names what differs. Addresses and names hold until the next start.", "None."},
 	{SettingsRefused, "settings refused", "The settings file can't be read or has faults; those in force stay.", "Mend the file; entry --check lists all faults."},
+	{StopStepEnded, "stop step ended", "A part of a planned stop has ended, or, with Completed false, was no longer waited for after TookMs; the stop goes on with the next one.", "With Completed false for a Step other than drain: report it as a defect if the host was not short of processor time."},
 	{HostChanged, "host changed state", "This node's view of a host moved.", "Suspect for long: check the host."},
 	{PeerRejected, "peer rejected", "A caller of the peer listener did not prove that it is a node of the fleet.", "Check FleetKey and who reaches the peer network."},
 	{DocumentAccepted, "document in force", "A higher revision of a document is in force on this node.", "None."},
--- a/entry/main.go
+++ b/entry/main.go
@@ -19,6 +19,7 @@
 
 	"balsamknot.org/entry/node"
 	"balsamknot.org/entry/settings"
+	"balsamknot.org/fleet/drain"
 	"balsamknot.org/fleet/logwriter"
 	"balsamknot.org/fleet/timer"
 )
@@ -92,22 +93,34 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	timers := timer.New()
-	defer timers.Stop()
 	logWriter := logwriter.New(logwriter.Config{
 		Out: os.Stdout, Rate: logRate, Burst: logBurst, BufferSize: logBufferSize, FlushInterval: logInterval, Now: timer.BootClock,
 	})
-	defer logWriter.Close()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(logWriter).Level(minLevel).With().Timestamp().Str("Host", string(cfg.Host)).Logger()
-	n := node.New(node.Config{Settings: cfg, Log: log, Timers: timers, Release: release()})
+	n := node.New(node.Config{Settings: cfg, Log: log, Timers: timers, Release: release(), FinalSteps: []drain.Step{
+		{Name: "timers", Limit: timersLimit, Run: timers.Stop},
+		{Name: "log", Limit: logCloseLimit, Run: logWriter.Close},
+	}})
 	go func() {
 		for range reloads {
 			n.Reload(settings.Load(path))
 		}
 	}()
-	defer timers.Every(settingsPollInterval, func(time.Time, time.Duration) { n.ReloadIfChanged(settings.Load(path)) })()
-	return n.Run(ctx)
+	timers.Every(settingsPollInterval, func(time.Time, time.Duration) { n.ReloadIfChanged(settings.Load(path)) })
+	if err := n.Run(ctx); err != nil {
+		logWriter.Close()
+		return err
+	}
+	return nil
 }
 
+// Time limits of the last steps of a stop: the end of periodic callbacks, one of which may read the settings file, and the last write of
+// the log.
+const (
+	timersLimit   = 100 * time.Millisecond
+	logCloseLimit = 200 * time.Millisecond
+)
+
 // settingsPollInterval is how often the settings file is read again, because it may change without a SIGHUP.
 const settingsPollInterval = 2 * time.Second
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -20,6 +20,7 @@
 	"balsamknot.org/entry/connection"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/entry/settings"
+	"balsamknot.org/fleet/drain"
 	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
@@ -34,6 +35,8 @@
 	Release string
 	// EndpointDialer connects to endpoints; nil means over TCP.
 	EndpointDialer connection.Dialer
+	// FinalSteps are run at the end of a stop, after the node's own steps.
+	FinalSteps []drain.Step
 }
 
 // Node is an entry host. New creates it, and Run must be called once.
@@ -61,9 +64,12 @@
 	answerMemory answerMemory
 	draining     atomic.Bool
 	stopping     *stopState
+	finalSteps   []drain.Step
 
 	servers []*http.Server
 	wg      sync.WaitGroup
+	// endBackground ends the timers and the goroutines that Run started, without waiting for them.
+	endBackground func()
 }
 
 const (
@@ -91,7 +97,7 @@
 	}
 	n := &Node{
 		cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, release: cfg.Release, store: platform.NewStore(cfg.Settings.StoreAddress),
-		stopping: newStopState(),
+		stopping: newStopState(), finalSteps: cfg.FinalSteps,
 	}
 	n.settings.Store(&cfg.Settings)
 	n.paths = newPathTracker(n, cfg.EndpointDialer)
@@ -110,7 +116,7 @@
 	return n
 }
 
-// Run serves until ctx ends, then drains and returns nil. The error is non-nil only if the node can't listen on its addresses.
+// Run serves until ctx ends, then stops the node as shutDown says and returns nil. The error is non-nil only if the node can't listen on its addresses.
 func (n *Node) Run(ctx context.Context) error {
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -129,20 +135,14 @@
 		n.timers.Every(slotRenewalInterval, func(time.Time, time.Duration) { n.slots.renewSlots(timer.BootClock()) }),
 		n.timers.Every(sweepInterval, func(time.Time, time.Duration) { n.sweep() }),
 	}
-	<-ctx.Done()
-	n.drain()
-	for _, cancel := range cancels {
-		cancel()
-	}
-	stopWork()
-	for _, server := range n.servers {
-		_ = server.Close()
+	n.endBackground = func() {
+		for _, cancel := range cancels {
+			cancel()
+		}
+		stopWork()
 	}
-	_ = n.membership.socket.Close()
-	n.endpointConns.Close()
-	n.paths.closeTunnels()
-	n.wg.Wait()
-	event.LogText(n.log, zerolog.InfoLevel, event.NodeStopped).Int64("InFlight", n.callers.inFlight.Load()).Send()
+	<-ctx.Done()
+	n.shutDown()
 	return nil
 }
 
--- a/entry/node/reload.go
+++ b/entry/node/reload.go
@@ -21,7 +21,8 @@
 }
 
 // Reload replaces the settings in force. If err is not nil, it only logs err and the old settings stay. Seeds, the limits of
-// load, retries and key revocation, and the time limit of a drain take effect at once, all other settings only after a restart.
+// load, retries and key revocation, and the time limit of a stop that has not begun take effect at once, all other settings only after a
+// restart.
 func (n *Node) Reload(cfg settings.Host, err error) {
 	if err != nil {
 		event.LogText(n.log, zerolog.WarnLevel, event.SettingsRefused).Err(err).Send()
--- a/entry/node/stop.go
+++ b/entry/node/stop.go
@@ -24,8 +24,10 @@
 }
 
 const (
-	// drainMargin is the time between the latest end of a drain and DrainLimit, after which the process may be killed.
+	// drainMargin is the time between the latest end of a drain and DrainLimit, after which the process may be killed. The steps that follow
+	// the drain have this time, less exitReserve for the end of the process itself.
 	drainMargin = 700 * time.Millisecond
+	exitReserve = 250 * time.Millisecond
 	// minDrain is the shortest time for which a draining host keeps serving, since the load balancer still sends it callers until
 	// a readiness check has failed.
 	minDrain = 2600 * time.Millisecond
@@ -39,6 +41,14 @@
 	drainRetryAfter = 50 * time.Millisecond
 )
 
+// Time limits of the steps of a stop.
+const (
+	announceLimit    = 100 * time.Millisecond
+	closeLimit       = 50 * time.Millisecond
+	backgroundLimit  = 100 * time.Millisecond
+	drainLimitBuffer = 2 * drainPollInterval
+)
+
 func newStopState() *stopState {
 	s := &stopState{drain: drain.New(drain.Config{Notice: minDrain, RunTime: minRunTime, DeadlineMargin: deadlineMargin})}
 	s.waits, s.endWaits = context.WithCancel(context.Background())
@@ -87,13 +97,39 @@
 	return ticket, reply
 }
 
-// drain stops the node from taking work, as planned. The readiness check starts to fail, so that the load balancer removes the host, and the
-// other hosts are told that it leaves. drain returns when the state machine of package drain ends it.
-func (n *Node) drain() {
-	n.stopping.update(drain.Begun{Limit: n.settings.Load().DrainLimit - drainMargin})
+// shutDown stops the node as planned: it drains, and ends what Run started. Each step has a time limit, so that the process ends before
+// DrainLimit even if one of them hangs.
+func (n *Node) shutDown() {
+	start := timer.BootClock()
+	limit := n.settings.Load().DrainLimit
+	n.stopping.update(drain.Begun{Limit: limit - drainMargin})
 	n.draining.Store(true)
-	n.membership.leave()
 	event.LogText(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.callers.inFlight.Load()).Send()
+	s := drain.NewSequence(drain.SequenceConfig{Now: timer.BootClock, End: start.Add(limit - exitReserve), Report: n.logStep})
+	s.Run(
+		drain.Step{Name: "announce", Limit: announceLimit, Run: n.membership.leave},
+		drain.Step{Name: "drain", Limit: limit - drainMargin + drainLimitBuffer, Run: n.drain},
+	)
+	cut := n.callers.inFlight.Load()
+	s.Run(
+		drain.Step{Name: "callers", Limit: closeLimit, Run: n.closeServers},
+		drain.Step{Name: "connections", Limit: closeLimit, Run: n.closeConnections},
+		drain.Step{Name: "background", Limit: backgroundLimit, Run: n.wg.Wait},
+	)
+	event.LogText(n.log, zerolog.InfoLevel, event.NodeStopped).Int64("InFlight", cut).Send()
+	s.Run(n.finalSteps...)
+}
+
+func (n *Node) logStep(r drain.StepResult) {
+	level := zerolog.InfoLevel
+	if !r.Completed {
+		level = zerolog.WarnLevel
+	}
+	event.LogText(n.log, level, event.StopStepEnded).Str("Step", r.Step).Bool("Completed", r.Completed).Dur("TookMs", r.Took).Send()
+}
+
+// drain serves callers until the state machine of package drain ends it.
+func (n *Node) drain() {
 	for {
 		time.Sleep(drainPollInterval)
 		command := n.stopping.update(drain.Tick{InFlight: int(n.callers.inFlight.Load()) + n.paths.tunnelCount()})
@@ -109,3 +145,17 @@
 		}
 	}
 }
+
+func (n *Node) closeServers() {
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+}
+
+// closeConnections closes the connections to other hosts and to endpoints, and ends what uses them.
+func (n *Node) closeConnections() {
+	n.endBackground()
+	_ = n.membership.socket.Close()
+	n.endpointConns.Close()
+	n.paths.closeTunnels()
+}
--- a/entry/node/stop_request_test.go
+++ b/entry/node/stop_request_test.go
@@ -241,3 +241,23 @@
 	require.Zero(t, cut.Load(), "streams cut that were sent after the notice; %d served, %d refused", served.Load(), refused.Load())
 	require.Positive(t, refused.Load())
 }
+
+// A goroutine of the node never ends.
+func TestStopWithAPartThatHangsEnds(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.store.Publish(1, "k1")
+	s.startNodes(1, 73)
+	n := s.nodes[0]
+	hang := make(chan struct{})
+	defer close(hang)
+	n.wg.Go(func() { <-hang })
+	n.stop()
+	select {
+	case <-n.exited:
+	case <-time.After(time.Minute):
+		t.Fatal("the stop waits for a part that hangs")
+	}
+	require.True(t, n.log.contains(`"Step":"background","Completed":false`))
+	require.True(t, n.log.contains(`"Step":"drain","Completed":true`))
+}
--- a/fleet/drain/drain.go
+++ b/fleet/drain/drain.go
@@ -1,6 +1,6 @@
 // Package drain decides how a host stops as planned: which requests it still takes, how long it lets the others run, and when it ends. It
 // keeps one promise: a request that is taken once the load balancer has had time to notice the stop ends before the host does. All others
-// are refused before an endpoint gets them.
+// are refused before an endpoint gets them. Sequence runs the steps of a stop, each within its time limit.
 package drain
 
 import "time"
