--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -20,6 +20,7 @@
 	"balsamknot.org/entry/connection"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/entry/settings"
+	"balsamknot.org/fleet/drain"
 	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
@@ -34,6 +35,8 @@
 	Release string
 	// EndpointDialer connects to endpoints; nil means over TCP.
 	EndpointDialer connection.Dialer
+	// FinalSteps are run at the end of a stop, after the node's own steps.
+	FinalSteps []drain.Step
 }
 
 // Node is an entry host. New creates it, and Run must be called once.
@@ -60,11 +63,13 @@
 	streams      *streamTracker
 	answerMemory answerMemory
 	draining     atomic.Bool
-	// stopAt is when a draining process ends at the latest, in nanoseconds of the boot clock; 0 before the drain.
-	stopAt atomic.Int64
+	stopping     *stopState
+	finalSteps   []drain.Step
 
 	servers []*http.Server
 	wg      sync.WaitGroup
+	// endBackground ends the timers and the goroutines that Run started, without waiting for them.
+	endBackground func()
 }
 
 const (
@@ -83,13 +88,6 @@
 	// headerTimeout limits the time for reading a request's headers, and maxHeaderBytes the size of a caller's headers.
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 16 << 10
-	// drainMargin is the time between the latest end of a drain and DrainLimit, after which the process may be killed.
-	drainMargin = 700 * time.Millisecond
-	// minDrain is the shortest time for which a draining host keeps serving, since the load balancer still sends it callers until
-	// a readiness check has failed.
-	minDrain = 2600 * time.Millisecond
-	// drainPollInterval is the time between checks of a draining host for requests in flight.
-	drainPollInterval = 50 * time.Millisecond
 )
 
 // New returns a node; Run opens its sockets and starts its goroutines.
@@ -97,7 +95,10 @@
 	if cfg.EndpointDialer == nil {
 		cfg.EndpointDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: dialTimeout, DeadPeerTimeout: connDeadAfter})
 	}
-	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, release: cfg.Release, store: platform.NewStore(cfg.Settings.StoreAddress)}
+	n := &Node{
+		cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, release: cfg.Release, store: platform.NewStore(cfg.Settings.StoreAddress),
+		stopping: newStopState(), finalSteps: cfg.FinalSteps,
+	}
 	n.settings.Store(&cfg.Settings)
 	n.paths = newPathTracker(n, cfg.EndpointDialer)
 	n.relayDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: peerDialTimeout, DeadPeerTimeout: connDeadAfter})
@@ -115,7 +116,7 @@
 	return n
 }
 
-// Run serves until ctx ends, then drains and returns nil. The error is non-nil only if the node can't listen on its addresses.
+// Run serves until ctx ends, then stops the node as shutDown says and returns nil. The error is non-nil only if the node can't listen on its addresses.
 func (n *Node) Run(ctx context.Context) error {
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -135,20 +136,14 @@
 		n.timers.Every(slotRenewalInterval, func(time.Time, time.Duration) { n.slots.renewSlots(timer.BootClock()) }),
 		n.timers.Every(sweepInterval, func(time.Time, time.Duration) { n.sweep() }),
 	}
-	<-ctx.Done()
-	n.drain()
-	for _, cancel := range cancels {
-		cancel()
-	}
-	stopWork()
-	for _, server := range n.servers {
-		_ = server.Close()
+	n.endBackground = func() {
+		for _, cancel := range cancels {
+			cancel()
+		}
+		stopWork()
 	}
-	_ = n.membership.socket.Close()
-	n.endpointConns.Close()
-	n.paths.closeTunnels()
-	n.wg.Wait()
-	event.LogText(n.log, zerolog.InfoLevel, event.NodeStopped).Int64("InFlight", n.callers.inFlight.Load()).Send()
+	<-ctx.Done()
+	n.shutDown()
 	return nil
 }
 
@@ -168,41 +163,6 @@
 	n.streams.update(timer.BootClock(), stream.Tick{})
 }
 
-// drain prepares a planned stop. The readiness check starts to fail, so that the load balancer removes the host, and the other
-// hosts are told that it leaves. Requests that still arrive are served. drain returns when no request is in flight and no
-// other host has a tunnel, after at least minDrain, or drainMargin before DrainLimit. Requests that arrive when it is about to return are
-// refused, since the process would end before their answers.
-func (n *Node) drain() {
-	start := timer.BootClock()
-	refusing := false
-	n.stopAt.Store(start.Add(n.settings.Load().DrainLimit - drainMargin).UnixNano())
-	n.draining.Store(true)
-	n.membership.leave()
-	event.LogText(n.log, zerolog.InfoLevel, event.NodeDraining).Int64("InFlight", n.callers.inFlight.Load()).Send()
-	for {
-		time.Sleep(drainPollInterval)
-		now := timer.BootClock()
-		elapsed := now.Sub(start)
-		if elapsed >= minDrain {
-			n.callers.closeIdle(now)
-		}
-		idle := elapsed >= minDrain && n.callers.inFlight.Load() == 0 && n.paths.tunnelCount() == 0
-		switch {
-		case elapsed >= n.settings.Load().DrainLimit-drainMargin, idle && refusing:
-			return
-		case idle:
-			refusing = true
-			n.stopAt.Store(now.UnixNano())
-		}
-	}
-}
-
-// stopsWithin reports whether the node is draining and may end within d of now.
-func (n *Node) stopsWithin(now time.Time, d time.Duration) bool {
-	stopAt := n.stopAt.Load()
-	return stopAt != 0 && now.Add(d).UnixNano() > stopAt
-}
-
 // Ready reports whether the load balancer should send callers to the node: it is not draining, and its configuration set was
 // confirmed recently enough.
 func (n *Node) Ready() bool {
