Give test sites with the same subnet different networks

Sites of tests that run in parallel used one another's addresses where two tests chose the same subnet; several of those that were merged did.

--- a/entry/node/first_set_test.go
+++ b/entry/node/first_set_test.go
@@ -34,7 +34,7 @@
 			reader.stop()
 			<-reader.exited
 			cfg := reader.cfg
-			cfg.Seeds = staleSeeds(subnet)
+			cfg.Seeds = s.staleSeeds(subnet)
 			s.requireRevoked(s.start(cfg))
 		})
 	}
--- a/entry/node/peer_sets_test.go
+++ b/entry/node/peer_sets_test.go
@@ -13,18 +13,18 @@
 )
 
 // staleSeeds returns the addresses of hosts that are gone.
-func staleSeeds(subnet int) []string {
-	return []string{fmt.Sprintf("127.0.%d.101:1", subnet), fmt.Sprintf("127.0.%d.102:1", subnet)}
+func (s *testSite) staleSeeds(subnet int) []string {
+	return []string{fmt.Sprintf("%s.%d.101:1", s.network, subnet), fmt.Sprintf("%s.%d.102:1", s.network, subnet)}
 }
 
 // settingsOf returns the settings of a new host of the site, with seeds that are out of date.
 func (s *returnSite) settingsOf(subnet, number int) settings.Host {
 	cfg := s.nodes[0].cfg
-	cfg.Host, cfg.Address = host.ID(fmt.Sprintf("host-%d", number)), fmt.Sprintf("127.0.%d.%d", subnet, number)
+	cfg.Host, cfg.Address = host.ID(fmt.Sprintf("host-%d", number)), fmt.Sprintf("%s.%d.%d", s.network, subnet, number)
 	cfg.CallerAddress = fmt.Sprintf("%s:%d", cfg.Address, s.firstPort+4)
 	cfg.ReadyAddress = fmt.Sprintf("%s:%d", cfg.Address, s.firstPort+3)
 	cfg.MetricsAddress = fmt.Sprintf("%s:%d", cfg.Address, s.firstPort+2)
-	cfg.Seeds = staleSeeds(subnet)
+	cfg.Seeds = s.staleSeeds(subnet)
 	return cfg
 }
 
--- a/entry/node/site_test.go
+++ b/entry/node/site_test.go
@@ -28,8 +28,9 @@
 	t     *testing.T
 	store *standin.Store
 	nodes []*testNode
-	// firstPort is the first port of every node.
+	// firstPort is the first port of every node, and network the first two bytes of their addresses.
 	firstPort int
+	network   string
 	// nodeWithoutStore is the index of a node that can't connect to the store; 0 means none.
 	nodeWithoutStore int
 }
@@ -120,20 +121,35 @@
 	return e
 }
 
-// startNodes starts n nodes, with the addresses 127.0.<subnet>.1 and up, and waits until all are ready and have discovered each
-// other. Each test needs its own subnet, since tests run in parallel.
+// sitesBySubnet counts the sites that began with each subnet.
+var (
+	sitesBySubnetMu sync.Mutex
+	sitesBySubnet   = make(map[int]int)
+)
+
+// claimNetwork returns the network of a site: another one for each site that begins with the same subnet, since tests run in parallel.
+func claimNetwork(subnet int) string {
+	sitesBySubnetMu.Lock()
+	defer sitesBySubnetMu.Unlock()
+	n := sitesBySubnet[subnet]
+	sitesBySubnet[subnet]++
+	return fmt.Sprintf("127.%d", n)
+}
+
+// startNodes starts n nodes, with the addresses <network>.<subnet>.1 and up, and waits until all are ready and have discovered each
+// other.
 func (s *testSite) startNodes(n, subnet int) {
-	s.firstPort = firstNodePort()
+	s.firstPort, s.network = firstNodePort(), claimNetwork(subnet)
 	s.addNodes(n, subnet)
 }
 
 // addNodes starts n more nodes and waits until all are ready and have discovered each other.
 func (s *testSite) addNodes(n, subnet int) {
 	firstPort := s.firstPort
-	seed := fmt.Sprintf("127.0.%d.1:%d", subnet, firstPort)
+	seed := fmt.Sprintf("%s.%d.1:%d", s.network, subnet, firstPort)
 	first := len(s.nodes)
 	for i := first; i < first+n; i++ {
-		ip := fmt.Sprintf("127.0.%d.%d", subnet, i+1)
+		ip := fmt.Sprintf("%s.%d.%d", s.network, subnet, i+1)
 		cfg := settings.Default()
 		cfg.Host = host.ID(fmt.Sprintf("host-%d", i+1))
 		cfg.DataCentre, cfg.Region, cfg.Address = "z1", "r1", ip
