Send a request's body to its endpoint without a second copy

Cause: encode joined head and body in one buffer, so that each request that ran held its body twice until it ended.

Change: the head is encoded by itself; a request above maxSyncWrite is written as head and body, one after the other. A small request still takes one write.

The body that the connection writes is now the one that the host read.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -70,24 +70,35 @@
 const maxSyncWrite = 8 << 10
 
 func (x *Exchange) send(r Request) error {
-	raw := r.encode()
-	if len(raw) <= maxSyncWrite {
-		if _, err := x.conn.Write(raw); err != nil {
+	head := r.encodeHead()
+	if len(head)+len(r.Body) <= maxSyncWrite {
+		if _, err := x.conn.Write(append(head, r.Body...)); err != nil {
 			return eris.Wrapf(errors.Join(ErrIncomplete, err), "send to endpoint %s", x.conn.address)
 		}
 		return nil
 	}
 	x.writeDone = make(chan error, 1)
-	go func() {
-		_, err := x.conn.Write(raw)
-		x.writeDone <- err
-	}()
+	go func() { x.writeDone <- x.conn.writeAll(head, r.Body) }()
 	return nil
 }
 
-func (r Request) encode() []byte {
+// writeAll writes parts one after the other, without copying them together.
+func (c *pooledConn) writeAll(parts ...[]byte) error {
+	for _, part := range parts {
+		if _, err := c.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// headSize is the usual size of a request's head, in bytes.
+const headSize = 512
+
+// encodeHead returns the request without its body. A small body can be appended without another allocation.
+func (r Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(headSize + min(len(r.Body), maxSyncWrite))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -101,7 +112,6 @@
 	}
 	_ = r.Header.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
