Bound the memory that callers' requests take of a host

Cause: readBody read each body into memory with no bound over all requests, before a slot was asked for, and kept it until the request ended, also where it could not be sent again. Only large answers had a bound.

Change: package memory divides a budget (MemoryBudget, by default five eighths of MemoryMB, which the deployment fills in) among bodies, answers, streams and connections, and among workspaces: each has a right to what it usually holds, within max-min fair shares, and takes more only of what no share needs. A body takes its part before it is read, by its length or piece by piece. What finds no room waits for an eighth of its time, half a second at most, or is refused at once with 503 and Retry-After; the rest of the body is then discarded for a second, so that the refusal isn't lost to a reset. A large body is released once it was written, if it can't be sent again, or once an answer has begun to a non-idempotent request. Its fingerprint is taken before, for crashes that are recorded later. The garbage collector works harder from three quarters of the host's memory on. Of chunked bodies, one at a time may wait for more while it holds some; others are refused, so that no two wait for each other.

The tests of answers use the new budget: 100 answers without end still hold at most four times their budget of 32 MB. An answer of the maximum size takes up to 32 MB, so that the second test has 64 MB: an eighth now stays free for others.

The sum of what is held can't exceed the budget, since nothing is read that has not taken its part.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -26,6 +26,15 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Written is called once when Body is no longer in use: with nil after the request was written, with an error if it was not written to
+	// its end. Nil means that it is not called.
+	Written func(error)
+}
+
+func (r Request) written(err error) {
+	if r.Written != nil {
+		r.Written(err)
+	}
 }
 
 // Exchange is one request and its answer. The caller reads Response.Body and then calls Finish, or gives up with Abort.
@@ -48,6 +57,7 @@
 	c, err := p.get(dialCtx, address)
 	cancel()
 	if err != nil {
+		r.written(err)
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -58,7 +68,7 @@
 		_ = c.Close()
 		return nil, err
 	}
-	if err := x.readHead(r); err != nil {
+	if err := x.readHead(r.ID, r.Method); err != nil {
 		_ = c.Close()
 		return nil, eris.Wrapf(errors.Join(ErrIncomplete, err), "read the answer of endpoint %s", address)
 	}
@@ -72,13 +82,19 @@
 func (x *Exchange) send(r Request) error {
 	head := r.encodeHead()
 	if len(head)+len(r.Body) <= maxSyncWrite {
-		if _, err := x.conn.Write(append(head, r.Body...)); err != nil {
+		_, err := x.conn.Write(append(head, r.Body...))
+		r.written(err)
+		if err != nil {
 			return eris.Wrapf(errors.Join(ErrIncomplete, err), "send to endpoint %s", x.conn.address)
 		}
 		return nil
 	}
 	x.writeDone = make(chan error, 1)
-	go func() { x.writeDone <- x.conn.writeAll(head, r.Body) }()
+	go func() {
+		err := x.conn.writeAll(head, r.Body)
+		x.writeDone <- err
+		r.written(err)
+	}()
 	return nil
 }
 
@@ -117,8 +133,8 @@
 
 // readHead reads the status and headers of the request's own answer. It skips informational (1xx) answers and discards answers to
 // other requests. An error status without a request ID is accepted as the answer.
-func (x *Exchange) readHead(r Request) error {
-	request := &http.Request{Method: r.Method}
+func (x *Exchange) readHead(id, method string) error {
+	request := &http.Request{Method: method}
 	for range maxSkippedAnswers + 1 {
 		x.conn.limited.left = maxHeadBytes
 		response, err := http.ReadResponse(x.conn.reader, request) //nolint:bodyclose // Finish and Abort end the exchange.
@@ -130,7 +146,7 @@
 			continue
 		}
 		answer := platform.ReadAnswer(response.StatusCode, response.Header)
-		if answer.ID == r.ID || (answer.ID == "" && response.StatusCode >= http.StatusBadRequest) {
+		if answer.ID == id || (answer.ID == "" && response.StatusCode >= http.StatusBadRequest) {
 			x.Response, x.Answer = response, answer
 			return nil
 		}
--- a/entry/main.go
+++ b/entry/main.go
@@ -77,6 +77,7 @@
 		return exitOK
 	}
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(cfg.Memory()) / 4 * 3)
 	if err := serve(*path, *level, cfg, reloads); err != nil {
 		fmt.Fprintln(os.Stderr, "entry:", err)
 		return exitFailed
--- a/entry/node/answer_body.go
+++ b/entry/node/answer_body.go
@@ -4,58 +4,34 @@
 	"bytes"
 	"errors"
 	"io"
-	"sync"
 
 	"balsamknot.org/entry/connection"
+	"balsamknot.org/fleet/memory"
+	"balsamknot.org/fleet/site"
+	"balsamknot.org/fleet/timer"
 )
 
 const (
 	// maxAnswerBytes is the maximum size of an answer that is not streamed.
 	maxAnswerBytes = 16 << 20
-	// freeAnswerBytes is the size up to which an answer takes nothing of the memory for large answers.
+	// freeAnswerBytes is the size up to which an answer takes nothing of the memory budget.
 	freeAnswerBytes = 256 << 10
-	// maxLargeAnswerBytes is the memory for the parts of answers above freeAnswerBytes, of all requests together. An answer takes
-	// from it as its buffer doubles, so that one of the maximum size fits.
-	maxLargeAnswerBytes = 2 * maxAnswerBytes
 )
 
 var (
 	// errAnswerTooLarge means that an answer has more than maxAnswerBytes.
 	errAnswerTooLarge = errors.New("answer exceeds the size limit")
-	// errNoAnswerMemory means that other large answers take the memory that an answer above freeAnswerBytes needs.
+	// errNoAnswerMemory means that there is no memory for an answer above freeAnswerBytes.
 	errNoAnswerMemory = errors.New("no memory for a large answer")
 )
 
-// answerMemory limits the memory of answers that are held until they are complete. It is safe for concurrent use.
-type answerMemory struct {
-	mu sync.Mutex
-	// used is the part of maxLargeAnswerBytes that is taken.
-	used int
-}
-
-// take takes n bytes, and returns false if fewer are left.
-func (m *answerMemory) take(n int) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.used+n > maxLargeAnswerBytes {
-		return false
-	}
-	m.used += n
-	return true
-}
-
-func (m *answerMemory) release(n int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.used -= n
-}
-
 // answerBody is the complete body of an answer. Release must be called when it is no longer needed.
 type answerBody struct {
-	buf    bytes.Buffer
-	memory *answerMemory
-	// taken is the number of bytes taken from memory.
-	taken int
+	buf       bytes.Buffer
+	memory    *memoryBudget
+	workspace site.WorkspaceName
+	// taken is the memory that the body has taken.
+	taken memory.Bytes
 }
 
 // read reads r to its end. A body above maxAnswerBytes is an error, since a truncated one would look complete to the caller.
@@ -71,23 +47,37 @@
 			return errAnswerTooLarge
 		case n < int64(step):
 			return nil
-		case !b.memory.take(b.buf.Len()):
+		case !b.take(memory.Bytes(b.buf.Len())):
 			return errNoAnswerMemory
 		}
-		b.taken += b.buf.Len()
 	}
 }
 
+// take takes memory for n more bytes, and returns false if there is none.
+func (b *answerBody) take(n memory.Bytes) bool {
+	if !b.memory.take(timer.BootClock(), b.claim(n)) {
+		return false
+	}
+	b.taken += n
+	return true
+}
+
 // Release returns the memory that the body took.
 func (b *answerBody) Release() {
-	b.memory.release(b.taken)
+	if b.taken > 0 {
+		b.memory.release(b.claim(b.taken))
+	}
 	b.taken = 0
 	b.buf = bytes.Buffer{}
 }
 
+func (b *answerBody) claim(n memory.Bytes) memory.Claim {
+	return memory.Claim{Kind: memory.Answer, Workspace: b.workspace, Bytes: n}
+}
+
 // readAnswerBody reads the whole body of an answer that is not streamed. After an error, the body needs no Release.
-func (n *Node) readAnswerBody(x *connection.Exchange) (*answerBody, error) {
-	body := &answerBody{memory: &n.answerMemory}
+func (n *Node) readAnswerBody(q *request, x *connection.Exchange) (*answerBody, error) {
+	body := &answerBody{memory: n.memory, workspace: q.workspace}
 	if err := body.read(x.Response.Body); err != nil {
 		body.Release()
 		return nil, err
--- a/entry/node/answer_body_test.go
+++ b/entry/node/answer_body_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/fleet/memory"
 	"balsamknot.org/platform/standin"
 )
 
@@ -23,10 +24,10 @@
 
 func TestBodiesWithoutEndTakeLimitedMemory(t *testing.T) {
 	t.Parallel()
-	var memory answerMemory
+	budget := newMemoryBudget(2 * maxAnswerBytes)
 	var held []*answerBody
 	for range 100 {
-		body := &answerBody{memory: &memory}
+		body := &answerBody{memory: budget}
 		err := body.read(zeros{})
 		require.True(t, errors.Is(err, errAnswerTooLarge) || errors.Is(err, errNoAnswerMemory), "%v", err)
 		held = append(held, body)
@@ -35,23 +36,23 @@
 	for _, body := range held {
 		total += body.buf.Cap()
 	}
-	require.LessOrEqual(t, total, 4*maxLargeAnswerBytes)
-	small := &answerBody{memory: &memory}
+	require.LessOrEqual(t, total, 8*maxAnswerBytes)
+	small := &answerBody{memory: budget}
 	require.NoError(t, small.read(strings.NewReader("small")), "small answers must not wait for the memory of large ones")
 	for _, body := range held {
 		body.Release()
 	}
-	require.Zero(t, memory.used)
+	require.Zero(t, budget.usedBy(memory.Answer))
 }
 
 func TestBodyUpToTheLimitIsReadWhole(t *testing.T) {
 	t.Parallel()
 	for _, size := range []int64{0, 1, freeAnswerBytes - 1, freeAnswerBytes, freeAnswerBytes + 1, maxAnswerBytes - 1, maxAnswerBytes} {
-		body := &answerBody{memory: &answerMemory{}}
+		body := &answerBody{memory: newMemoryBudget(4 * maxAnswerBytes)}
 		require.NoError(t, body.read(io.LimitReader(zeros{}, size)), "%d bytes", size)
 		require.Len(t, body.buf.Bytes(), int(size))
 	}
-	body := &answerBody{memory: &answerMemory{}}
+	body := &answerBody{memory: newMemoryBudget(4 * maxAnswerBytes)}
 	require.ErrorIs(t, body.read(io.LimitReader(zeros{}, maxAnswerBytes+1)), errAnswerTooLarge)
 }
 
@@ -116,7 +117,7 @@
 			require.Eventually(t, func() bool {
 				return n.call(t, http.MethodPost, c.path, "sound", "k1", "Sound", "1").StatusCode == http.StatusOK
 			}, time.Minute, 100*time.Millisecond)
-			require.Zero(t, n.answerMemory.used)
+			require.Zero(t, n.memory.usedBy(memory.Answer))
 		})
 	}
 }
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -18,6 +18,7 @@
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/memory"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -33,6 +34,8 @@
 	mu sync.Mutex
 	// idleSince holds when each idle connection of a caller became idle.
 	idleSince map[net.Conn]time.Time
+	// open holds the connections of callers for which memory is taken.
+	open map[net.Conn]bool
 }
 
 const (
@@ -53,7 +56,7 @@
 )
 
 func newCallerHandler(n *Node) *callerHandler {
-	return &callerHandler{n: n, idleSince: make(map[net.Conn]time.Time)}
+	return &callerHandler{n: n, idleSince: make(map[net.Conn]time.Time), open: make(map[net.Conn]bool)}
 }
 
 func (c *callerHandler) httpServer() *http.Server {
@@ -63,17 +66,31 @@
 	}
 }
 
-// recordConnState records when a caller's connection becomes idle.
+// recordConnState records when a caller's connection becomes idle. It takes memory for a new one, which it closes if there is none.
 func (c *callerHandler) recordConnState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateIdle {
+	delete(c.idleSince, conn)
+	switch state {
+	case http.StateNew:
+		if !c.n.memory.take(timer.BootClock(), connectionClaim) {
+			_ = conn.Close()
+			return
+		}
+		c.open[conn] = true
+	case http.StateIdle:
 		c.idleSince[conn] = timer.BootClock()
-		return
+	case http.StateClosed, http.StateHijacked:
+		if c.open[conn] {
+			delete(c.open, conn)
+			c.n.memory.release(connectionClaim)
+		}
+	case http.StateActive:
 	}
-	delete(c.idleSince, conn)
 }
 
+var connectionClaim = memory.Claim{Kind: memory.Connection, Bytes: connectionBytes}
+
 // sweep closes callers' connections that were idle for longer than the configuration set's IdleTimeout, or defaultIdleTimeout.
 func (c *callerHandler) sweep(now time.Time) {
 	limit := defaultIdleTimeout
@@ -117,7 +134,11 @@
 	route     *site.Route
 	service   site.ServiceName
 	workspace site.WorkspaceName
-	body      []byte
+	// body is the body; nil if there is none. dropOnce makes dropBody end its use once.
+	body     *requestBody
+	dropOnce sync.Once
+	// stream is what a streamed answer has taken.
+	stream memory.Claim
 	// lastEventID is the ID of the last event of a stream that was delivered; empty before the first.
 	lastEventID string
 	// endpoint is the endpoint of the latest slot that the request got; empty before the first.
@@ -170,7 +191,8 @@
 	if c.n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.admit(q) || !c.readBody(q) || !c.fitsIntoDrain(q) || !c.n.streams.bind(q) {
+	defer c.releaseMemory(q)
+	if !c.admit(q) || !c.takeStream(q) || !c.readBody(q) || !c.fitsIntoDrain(q) || !c.n.streams.bind(q) {
 		return
 	}
 	c.n.serve(q)
@@ -233,33 +255,6 @@
 	return false
 }
 
-// readBody reads the whole body into memory, so that the request can be sent without waiting for the caller, and again to another
-// endpoint where that is allowed. It refuses a body that is too large, and returns false. After any other read error it ends the
-// request as if the caller had disconnected.
-func (c *callerHandler) readBody(q *request) bool {
-	if q.r.ContentLength == 0 {
-		return true
-	}
-	limit := q.set.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(q.deadline.Sub(timer.BootClock())))
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
-	_ = http.NewResponseController(q.w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		q.cause = "request body exceeds the size limit"
-		c.n.refuse(q, http.StatusRequestEntityTooLarge, 0)
-		return false
-	case err != nil:
-		c.n.endDisconnected(q)
-	}
-	q.body = body
-	return true
-}
-
 // refuse responds with an error status that this host chose, as opposed to an endpoint's. retryAfter is the retry-after time for
 // the caller; 0 omits it.
 func (n *Node) refuse(q *request, status int, retryAfter time.Duration) {
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -56,7 +56,7 @@
 func (q *request) fingerprints() []fingerprint.Fingerprint {
 	if q.fps == nil {
 		scope := strings.ToLower(q.route.Host) + " " + string(q.workspace)
-		q.fps = append(q.fps, fingerprint.Of(scope, q.r.Method, q.r.RequestURI, q.body))
+		q.fps = append(q.fps, fingerprint.Of(scope, q.r.Method, q.r.RequestURI, q.bodyData()))
 		for _, part := range q.call.Prompt.SharedParts() {
 			q.fps = append(q.fps, fingerprint.OfPart(part.ID))
 		}
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/memory"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -70,6 +71,13 @@
 	m.set.NewGauge("entry_hosts_live", func() float64 { return float64(n.membership.liveCount()) })
 	m.set.NewGauge("entry_hosts_earlier_release", func() float64 { return float64(n.membership.earlierReleaseCount()) })
 	m.set.NewGauge("entry_endpoint_connections_total", func() float64 { return float64(n.endpointConns.Dials()) })
+	m.set.NewGauge("entry_memory_budget_bytes", func() float64 { return float64(n.memory.budget()) })
+	m.set.NewGauge("entry_memory_peak_bytes", func() float64 { return float64(n.memory.peak()) })
+	for _, kind := range memory.Kinds {
+		label := `{kind="` + string(kind) + `"}`
+		m.set.NewGauge("entry_memory_bytes"+label, func() float64 { return float64(n.memory.usedBy(kind)) })
+		m.set.NewGauge("entry_memory_refusals_total"+label, func() float64 { return float64(n.memory.refusals(kind)) })
+	}
 	m.set.NewGauge("entry_limited_endpoints", func() float64 { return float64(n.slots.limitedCount()) })
 	m.set.NewGauge("entry_relayed_endpoints", func() float64 { return float64(n.paths.goneCount()) })
 	m.set.NewGauge("entry_tunnels", func() float64 { return float64(n.paths.tunnelCount()) })
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -56,10 +56,10 @@
 	crashes       *crashTracker
 	paths         *pathTracker
 	// relayDialer connects to other hosts that serve as relays.
-	relayDialer  *connection.TCPDialer
-	streams      *streamTracker
-	answerMemory answerMemory
-	draining     atomic.Bool
+	relayDialer *connection.TCPDialer
+	streams     *streamTracker
+	memory      *memoryBudget
+	draining    atomic.Bool
 	// stopAt is when a draining process ends at the latest, in nanoseconds of the boot clock; 0 before the drain.
 	stopAt atomic.Int64
 
@@ -99,6 +99,7 @@
 	}
 	n := &Node{cfg: cfg.Settings, log: cfg.Log, timers: cfg.Timers, release: cfg.Release, store: platform.NewStore(cfg.Settings.StoreAddress)}
 	n.settings.Store(&cfg.Settings)
+	n.memory = newMemoryBudget(cfg.Settings.RequestMemory())
 	n.paths = newPathTracker(n, cfg.EndpointDialer)
 	n.relayDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: peerDialTimeout, DeadPeerTimeout: connDeadAfter})
 	n.engines = platform.NewEngineClient(n.paths.Dial)
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -194,7 +194,8 @@
 	q.instance, q.address, q.software, q.sentAt, q.relay, q.causeKnown = target.Instance, target.Address, target.Version, now, "", false
 	n.crashes.update(now, interruption.Sent{Run: q.run()})
 	x, err := n.endpointConns.Do(q.r.Context(), target.Address, connection.Request{
-		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
+		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.bodyData(),
+		Written: q.writingBody(a.LastSend()),
 	}, time.Now().Add(timeLeft))
 	if errors.Is(err, connection.ErrNotSent) {
 		n.crashes.recordUnreachable(timer.BootClock(), q, err)
@@ -208,6 +209,7 @@
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
+	q.bodyAnswered(x)
 	q.relay = x.Relay()
 	n.paths.heard(target.Address, x)
 	n.slots.recordStatement(q, x)
@@ -257,7 +259,7 @@
 	case q.route.Streaming && status == http.StatusOK:
 		return n.streamEvents(q, a, id, x)
 	}
-	body, err := n.readAnswerBody(x)
+	body, err := n.readAnswerBody(q, x)
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
@@ -277,7 +279,7 @@
 
 // endpointFailed handles an answer with a status of 500 or above: it is passed on, unless another endpoint is to be tried.
 func (n *Node) endpointFailed(q *request, a *attempt.Attempt, id endpoint.ID, x *connection.Exchange) (pool.Result, attempt.Command) {
-	body, err := n.readAnswerBody(x)
+	body, err := n.readAnswerBody(q, x)
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
--- a/entry/node/site_test.go
+++ b/entry/node/site_test.go
@@ -32,6 +32,8 @@
 	firstPort int
 	// nodeWithoutStore is the index of a node that can't connect to the store; 0 means none.
 	nodeWithoutStore int
+	// memoryBudget is the MemoryBudget of the nodes; 0 means the default.
+	memoryBudget float64
 }
 
 type testNode struct {
@@ -141,7 +143,7 @@
 		cfg.ReadyAddress = fmt.Sprintf("%s:%d", ip, firstPort+3)
 		cfg.MetricsAddress = fmt.Sprintf("%s:%d", ip, firstPort+2)
 		cfg.FirstPort, cfg.LastPort = uint16(firstPort), uint16(firstPort+2)
-		cfg.Seeds = []string{seed}
+		cfg.Seeds, cfg.MemoryBudget = []string{seed}, s.memoryBudget
 		frontend := s.store.NewFrontend()
 		s.t.Cleanup(frontend.Close)
 		cfg.StoreAddress = frontend.Address()
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -7,6 +7,7 @@
 
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/inifile"
+	"balsamknot.org/fleet/memory"
 )
 
 // Host holds the settings of an entry host. The keys in the file have the names of the fields, except for PeerPorts, which sets
@@ -30,6 +31,11 @@
 	FirstPort, LastPort uint16
 	// Cores is the CPU time that the host may use, in cores; it need not be a whole number.
 	Cores float64
+	// MemoryMB is the memory of the host, in units of 2^20 bytes; defaultMemoryMB if the deployment gives none.
+	MemoryMB float64
+	// MemoryBudget is how many bytes the bodies, answers, streams and connections of callers may take together; 0 for five eighths of MemoryMB.
+	// Changes of both take effect at the next start.
+	MemoryBudget float64
 	// Seeds are the ip:port addresses of hosts to contact first; some may be out of date. Only the IP address is used, with
 	// FirstPort.
 	Seeds []string
@@ -56,14 +62,31 @@
 	defaultRetryWindow = 10 * time.Second
 	defaultRetrySlack  = 50
 	defaultLoadFactor  = 2
+	// defaultMemoryMB is the memory of a host of which the deployment gives none, in units of 2^20 bytes.
+	defaultMemoryMB = 256
 )
 
+// minMemoryMB is the least memory of a host, in units of 2^20 bytes.
+const minMemoryMB = 32
+
 // Default returns settings in which only the fields with a default value are set.
 func Default() Host {
 	return Host{
 		DrainLimit: defaultDrainLimit, RevokeLimit: defaultRevokeLimit, RetryRatio: defaultRetryRatio,
-		RetryWindow: defaultRetryWindow, RetrySlack: defaultRetrySlack, LoadFactor: defaultLoadFactor,
+		RetryWindow: defaultRetryWindow, RetrySlack: defaultRetrySlack, LoadFactor: defaultLoadFactor, MemoryMB: defaultMemoryMB,
+	}
+}
+
+// Memory returns the memory of the host.
+func (h *Host) Memory() memory.Bytes { return memory.Bytes(h.MemoryMB * float64(memory.MiB)) }
+
+// RequestMemory returns the memory budget of callers' requests. The default leaves the rest for the program itself, the buffers of the
+// kernel and what the garbage collector has not freed yet.
+func (h *Host) RequestMemory() memory.Bytes {
+	if h.MemoryBudget > 0 {
+		return memory.Bytes(h.MemoryBudget)
 	}
+	return h.Memory() / 8 * 5
 }
 
 var required = []string{"Host", "DataCentre", "Region", "Address", "CallerAddress", "ReadyAddress", "PeerPorts", "StoreAddress"}
@@ -81,6 +104,8 @@
 		"MetricsAddress":   inifile.Optional(inifile.Address(&h.MetricsAddress)),
 		"PeerPorts":        inifile.Ports(&h.FirstPort, &h.LastPort),
 		"Cores":            inifile.Optional(inifile.Number(&h.Cores, 0)),
+		"MemoryMB":         inifile.Optional(inifile.Number(&h.MemoryMB, minMemoryMB)),
+		"MemoryBudget":     inifile.Optional(inifile.Number(&h.MemoryBudget, 0)),
 		"Seeds":            inifile.Optional(inifile.Addresses(&h.Seeds)),
 		"StoreAddress":     inifile.Address(&h.StoreAddress),
 		"DrainLimit":       inifile.Optional(inifile.Duration(&h.DrainLimit, time.Second)),
--- a/entry/settings/settings_test.go
+++ b/entry/settings/settings_test.go
@@ -56,7 +56,7 @@
 	values := map[string]string{
 		"CallerAddress": "10.0.0.1:8101", "ReadyAddress": "10.0.0.1:8102", "PeerAddress": "10.0.0.1:7000", "MetricsAddress": "10.0.0.1:9464",
 		"PeerPorts": "7080-7089", "Cores": "0.5", "Seeds": "10.0.0.2:7000,10.0.0.3:7000", "StoreAddress": "10.9.0.1:8106",
-		"DrainLimit": "8s", "RevokeLimit": "5000ms", "RetryRatio": "0.2", "RetryWindow": "10s", "RetrySlack": "204", "LoadFactor": "2",
+		"DrainLimit": "8s", "RevokeLimit": "5000ms", "RetryRatio": "0.2", "RetryWindow": "10s", "RetrySlack": "204", "LoadFactor": "2", "MemoryMB": "284",
 	}
 	var rendered strings.Builder
 	for line := range strings.Lines(string(raw)) {
@@ -75,4 +75,5 @@
 	require.NoError(t, err)
 	require.Equal(t, 8*time.Second, h.DrainLimit)
 	require.Len(t, h.Seeds, 2)
+	require.EqualValues(t, 284<<20/8*5, h.RequestMemory())
 }
--- a/fleet/attempt/attempt.go
+++ b/fleet/attempt/attempt.go
@@ -127,6 +127,9 @@
 // Sends returns how many endpoints the request was sent to, not including unreachable ones.
 func (a *Attempt) Sends() int { return a.sends }
 
+// LastSend reports whether the request can't be sent to a further endpoint after the next one.
+func (a *Attempt) LastSend() bool { return a.sends+1 >= a.cfg.MaxEndpoints }
+
 // Update applies one event at time now and returns the next step.
 func (a *Attempt) Update(now time.Time, event Event) Command {
 	if _, notExecuted := event.(NotExecuted); !notExecuted && a.pending {
