Limit the headers of requests at every listener of an entry host

Cause: the listeners for readiness, metrics and other hosts had the default of net/http, about 1 MB for each request; only the one for callers had a limit.

Callers saw nothing yet: whoever reaches these listeners decided how much a host reads before it answers.

Change: maxHeaderBytes, 16 KB, on all of them.

Failing before: TestEveryListenerLimitsTheHeadersOfARequest, 404 for headers of 32 KB at the readiness listener where 431 is due.

net/http stops reading the headers at the limit.

--- a/entry/node/memory_test.go
+++ b/entry/node/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -163,3 +164,14 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
 }
+
+func TestEveryListenerLimitsTheHeadersOfARequest(t *testing.T) {
+	t.Parallel()
+	_, n := startHostWithLittleMemory(t, 135)
+	for _, address := range []string{n.cfg.CallerAddress, n.cfg.ReadyAddress, n.cfg.MetricsAddress, n.readerAddress(n.cfg.Address)} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/", nil)
+		require.NoError(t, err)
+		r.Header.Set("Long", strings.Repeat("x", 2*maxHeaderBytes))
+		require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, roundTrip(t, r).StatusCode, address)
+	}
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -217,9 +217,9 @@
 		address string
 		server  *http.Server
 	}{
-		{n.cfg.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}},
-		{n.cfg.MetricsAddress, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout}},
-		{n.readerAddress(n.cfg.Address), &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout}},
+		{n.cfg.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
+		{n.cfg.MetricsAddress, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
+		{n.readerAddress(n.cfg.Address), &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
 		{n.cfg.CallerAddress, n.callers.httpServer()},
 	} {
 		if l.address == "" {
