Take the memory for large events of streams from the budget

Cause: an event of a stream may have 256 KB and is held until it is complete, in each stream, with no bound over all streams.

Callers saw nothing yet: an engine that sends large events, or never ends them, decided how much a host holds for its streams.

Change: an event above 16 KB takes its memory from the budget as it grows, for as long as its request lasts. What finds no room is handled like a stream that broke off.

Failing before: TestLargeEventsOfManyStreamsTakeNoMoreThanTheBudget, no refusal while 100 streams, of which each got 200 KB of an event, shared 16 MB.

--- a/entry/connection/event.go
+++ b/entry/connection/event.go
@@ -15,15 +15,24 @@
 	buf    []byte
 	// total is the size of the events so far.
 	total int
+	// Reserve is called before an event is held of which more than freeEventSize, and than was reserved before, is to be kept, with the
+	// number of further bytes. If it returns false, Next fails with ErrNoMemory. Nil means that there is no limit but maxEventSize.
+	Reserve  func(bytes int) bool
+	reserved int
 }
 
 const (
 	// maxEventSize is the largest event accepted, in bytes. It limits the memory that a stream without blank lines can take.
 	maxEventSize = 256 << 10
+	// freeEventSize is the size of an event, in bytes, up to which nothing is reserved.
+	freeEventSize = 16 << 10
 	// maxStreamSize is the largest total size of the events of a stream, in bytes. It ends a stream of events without end.
 	maxStreamSize = 16 << 20
 )
 
+// ErrNoMemory means that there is no memory for an event.
+var ErrNoMemory = errors.New("no memory for an event")
+
 var (
 	errEventTooLong  = errors.New("event exceeds the size limit")
 	errStreamTooLong = errors.New("stream exceeds the size limit")
@@ -43,6 +52,9 @@
 	lineStart := 0
 	for {
 		read, err := e.r.ReadSlice('\n')
+		if !e.reserve(len(e.buf) + len(read)) {
+			return nil, ErrNoMemory
+		}
 		e.buf = append(e.buf, read...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -76,6 +88,19 @@
 	}
 }
 
+// reserve reserves memory for an event of a size so far, in steps that double.
+func (e *EventReader) reserve(size int) bool {
+	if size <= max(freeEventSize, e.reserved) || e.Reserve == nil {
+		return true
+	}
+	step := max(freeEventSize, e.reserved, size-e.reserved)
+	if !e.Reserve(step) {
+		return false
+	}
+	e.reserved += step
+	return true
+}
+
 // isEventLine reports whether a line, without its end, is a comment or begins with the name of a field. Names that are not known are
 // allowed.
 func isEventLine(line []byte) bool {
--- a/entry/node/memory_test.go
+++ b/entry/node/memory_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,6 +166,40 @@
 	return conn
 }
 
+// Engines send events of the largest size, which are not finished, in many streams.
+func TestLargeEventsOfManyStreamsTakeNoMoreThanTheBudget(t *testing.T) {
+	t.Parallel()
+	const engines, callers = 30, 100
+	s, n := startHostWithLittleMemory(t, 134)
+	release := make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
+	defer end()
+	var sent atomic.Int64
+	for i := range engines {
+		s.addEndpoint(fmt.Sprintf("i-%d", i), "engines", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "data: "+strings.Repeat("x", 200<<10))
+			_ = http.NewResponseController(w).Flush()
+			sent.Add(1)
+			<-release
+		})
+	}
+	require.Eventually(t, func() bool { return n.log.count(`"Leaving":false`) == engines }, time.Minute, time.Millisecond)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			response, err := http.DefaultTransport.RoundTrip(standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/stream/x", fmt.Sprintf("id-%d", i), "hot", nil))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return n.memory.refusals(memory.Stream) > 0 }, time.Minute, time.Millisecond)
+	end()
+	wg.Wait()
+	require.LessOrEqual(t, n.memory.peak(), bodyBudget)
+	require.Eventually(t, func() bool { return n.memory.usedBy(memory.Stream) == 0 }, time.Minute, time.Millisecond)
+}
+
 func TestEveryListenerLimitsTheHeadersOfARequest(t *testing.T) {
 	t.Parallel()
 	_, n := startHostWithLittleMemory(t, 135)
--- a/entry/node/request_body.go
+++ b/entry/node/request_body.go
@@ -166,6 +166,15 @@
 	return true
 }
 
+// reserveEvent takes memory for a large event of a stream, until the end of the request. It returns false if there is none.
+func (n *Node) reserveEvent(q *request, size memory.Bytes) bool {
+	if !n.memory.take(timer.BootClock(), memory.Claim{Kind: memory.Stream, Workspace: q.workspace, Bytes: size}) {
+		return false
+	}
+	q.stream.Bytes += size
+	return true
+}
+
 // releaseMemory returns what the request has taken.
 func (c *callerHandler) releaseMemory(q *request) {
 	q.dropBody()
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -17,6 +17,7 @@
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/interruption"
+	"balsamknot.org/fleet/memory"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -325,6 +326,7 @@
 // at another endpoint after any of them.
 func (n *Node) streamEvents(q *request, a *attempt.Attempt, id endpoint.ID, x *connection.Exchange) (pool.Result, attempt.Command) {
 	events := connection.NewEventReader(x.Response.Body)
+	events.Reserve = func(bytes int) bool { return n.reserveEvent(q, memory.Bytes(bytes)) }
 	control := http.NewResponseController(q.w)
 	for {
 		ev, err := events.Next()
