--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -59,12 +59,12 @@
 	crashes       *crashTracker
 	paths         *pathTracker
 	// relayDialer connects to other hosts that serve as relays.
-	relayDialer  *connection.TCPDialer
-	streams      *streamTracker
-	answerMemory answerMemory
-	draining     atomic.Bool
-	stopping     *stopState
-	finalSteps   []drain.Step
+	relayDialer *connection.TCPDialer
+	streams     *streamTracker
+	memory      *memoryBudget
+	draining    atomic.Bool
+	stopping    *stopState
+	finalSteps  []drain.Step
 
 	servers []*http.Server
 	wg      sync.WaitGroup
@@ -100,6 +100,7 @@
 		stopping: newStopState(), finalSteps: cfg.FinalSteps,
 	}
 	n.settings.Store(&cfg.Settings)
+	n.memory = newMemoryBudget(cfg.Settings.RequestMemory())
 	n.paths = newPathTracker(n, cfg.EndpointDialer)
 	n.relayDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: peerDialTimeout, DeadPeerTimeout: connDeadAfter})
 	n.engines = platform.NewEngineClient(n.paths.Dial)
@@ -177,9 +178,9 @@
 		address string
 		server  *http.Server
 	}{
-		{n.cfg.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}},
-		{n.cfg.MetricsAddress, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout}},
-		{n.readerAddress(n.cfg.Address), &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout}},
+		{n.cfg.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
+		{n.cfg.MetricsAddress, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
+		{n.readerAddress(n.cfg.Address), &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
 		{n.cfg.CallerAddress, n.callers.httpServer()},
 	} {
 		if l.address == "" {
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -17,6 +17,7 @@
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/interruption"
+	"balsamknot.org/fleet/memory"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -194,7 +195,8 @@
 	q.instance, q.address, q.software, q.sentAt, q.relay, q.causeKnown = target.Instance, target.Address, target.Version, now, "", false
 	n.crashes.update(now, interruption.Sent{Run: q.run()})
 	x, err := n.endpointConns.Do(q.r.Context(), target.Address, connection.Request{
-		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
+		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.bodyData(),
+		Written: q.writingBody(a.LastSend()),
 	}, time.Now().Add(timeLeft))
 	if errors.Is(err, connection.ErrNotSent) {
 		n.crashes.recordUnreachable(timer.BootClock(), q, err)
@@ -208,6 +210,7 @@
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
+	q.bodyAnswered(x)
 	q.relay = x.Relay()
 	n.paths.heard(target.Address, x)
 	n.slots.recordStatement(q, x)
@@ -323,6 +326,7 @@
 // at another endpoint after any of them.
 func (n *Node) streamEvents(q *request, a *attempt.Attempt, id endpoint.ID, x *connection.Exchange) (pool.Result, attempt.Command) {
 	events := connection.NewEventReader(x.Response.Body)
+	events.Reserve = func(bytes int) bool { return n.reserveEvent(q, memory.Bytes(bytes)) }
 	control := http.NewResponseController(q.w)
 	for {
 		ev, err := events.Next()
--- a/fleet/attempt/attempt.go
+++ b/fleet/attempt/attempt.go
@@ -130,6 +130,9 @@
 // MayHaveRun reports whether an endpoint may have run the request.
 func (a *Attempt) MayHaveRun() bool { return a.mayHaveRun || a.pending }
 
+// LastSend reports whether the request can't be sent to a further endpoint after the next one.
+func (a *Attempt) LastSend() bool { return a.sends+1 >= a.cfg.MaxEndpoints }
+
 // Update applies one event at time now and returns the next step.
 func (a *Attempt) Update(now time.Time, event Event) Command {
 	if _, notExecuted := event.(NotExecuted); !notExecuted && a.pending {
