Pass a host its memory by the environment, not by a new key of its settings

Releases before this one refuse settings with keys that they don't know. A template with the key MemoryMB, rendered for hosts of both releases in an upgrade, would keep those of the earlier one from starting.

--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -31,7 +31,8 @@
 	FirstPort, LastPort uint16
 	// Cores is the CPU time that the host may use, in cores; it need not be a whole number.
 	Cores float64
-	// MemoryMB is the memory of the host, in units of 2^20 bytes; defaultMemoryMB if the deployment gives none.
+	// MemoryMB is the memory of the host, in units of 2^20 bytes. Its default comes from the environment, see MemoryVariable, or is
+	// defaultMemoryMB.
 	MemoryMB float64
 	// MemoryBudget is how many bytes the bodies, answers, streams and connections of callers may take together; 0 for five eighths of MemoryMB.
 	// Changes of both take effect at the next start.
@@ -117,19 +118,30 @@
 	}
 }
 
-// Load reads and parses the settings file at path. The error is inifile.Faults, also when the file cannot be read.
+// MemoryVariable is the environment variable with the default of MemoryMB. It is no key of the deployment's settings file, since releases before
+// it refuse files with keys that they don't know, and may run beside this one.
+const MemoryVariable = "ENTRY_MEMORY_MB"
+
+// Load reads and parses the settings file at path, with MemoryVariable. The error is inifile.Faults, also when the file cannot be read.
 func Load(path string) (Host, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
 		return Host{}, inifile.Faults{{File: path, Key: "file", Message: err.Error()}}
 	}
-	return Parse(path, content)
+	defaults := Default()
+	if text := os.Getenv(MemoryVariable); text != "" {
+		if err := inifile.Number(&defaults.MemoryMB, minMemoryMB)(text); err != nil {
+			return Host{}, inifile.Faults{{File: path, Key: MemoryVariable, Message: err.Error()}}
+		}
+	}
+	return parse(path, content, defaults)
 }
 
 // Parse parses the content of a settings file: one section [Host] with lines of the form Key = value. path is only used in error
 // messages. The error is inifile.Faults with all faults found.
-func Parse(path string, content []byte) (Host, error) {
-	h := Default()
+func Parse(path string, content []byte) (Host, error) { return parse(path, content, Default()) }
+
+func parse(path string, content []byte, h Host) (Host, error) {
 	schema := inifile.Schema{Section: "Host", Setters: h.setters(), Required: required}
 	if err := schema.Parse(path, content); err != nil {
 		return Host{}, err
