--- a/entry/node/stream_cache_test.go
+++ b/entry/node/stream_cache_test.go
@@ -28,6 +28,7 @@
 	answer()
 	require.Empty(t, replies)
 	n.storeView.putInForce(now, &site.Set{Version: loaded})
+	n.storeView.useFirstSet(now)
 	answer()
 	require.Equal(t, []endpoint.Version(nil), <-replies)
 }
