Let the soak delay cache lists at a start of all hosts, and kill a host beside a return of the store

Change: seeds that are 4 modulo 5 have two more kinds of situations, from a generator of their own (restartFaults): once in a run all hosts are killed while the cache lists of about six in ten endpoints come 0.2 to 1.2 s late (DelayCacheLists), and the store returns from an older copy within 0.3 s of the end of one host.

Not played: large bodies of one workspace, since the stand-in takes 1 KB at most.

--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -65,10 +65,12 @@
 	// kernel ends a process: its connections end in order. SilenceEndpoints makes all endpoints of a service send nothing until the end of the
 	// fault; they go on then. ReplaceEndpoint lets an endpoint leave and at the end of the fault start in place with another software version.
 	// LapseService removes the registrations of a service's endpoints while the store refuses all reads, and writes them again just after.
+	// DelayCacheLists makes an endpoint answer requests for its cache list Fault.Delay late until the end of the fault.
 	EndEndpoint
 	SilenceEndpoints
 	ReplaceEndpoint
 	LapseService
+	DelayCacheLists
 )
 
 var actionNames = map[Action]string{
@@ -79,7 +81,7 @@
 	SendPoisonBurst: "SendPoisonBurst", SendPoisonPart: "SendPoisonPart", LimitEndpoint: "LimitEndpoint",
 	AskRest: "AskRest", SayLeaving: "SayLeaving", MakeBrittle: "MakeBrittle", KillAllHosts: "KillAllHosts",
 	ReturnStore: "ReturnStore", EndEndpoint: "EndEndpoint", SilenceEndpoints: "SilenceEndpoints", ReplaceEndpoint: "ReplaceEndpoint",
-	LapseService: "LapseService",
+	LapseService: "LapseService", DelayCacheLists: "DelayCacheLists",
 }
 
 func (a Action) String() string { return actionNames[a] }
@@ -139,6 +141,8 @@
 	// Lost and Slow are for ReturnStore.
 	Lost int
 	Slow bool
+	// Delay is for DelayCacheLists.
+	Delay time.Duration
 }
 
 func (f Fault) String() string {
@@ -229,6 +233,7 @@
 	}
 	if cfg.Seed%endpointSeeds == endpointRemainder {
 		faults = append(faults, endpointFaults(cfg)...)
+		faults = append(faults, restartFaults(cfg)...)
 	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
--- a/soak/schedule/schedule_test.go
+++ b/soak/schedule/schedule_test.go
@@ -37,3 +37,40 @@
 	require.Len(t, actions, len(actionNames))
 	require.Positive(t, overlaps)
 }
+
+// Beside the faults of endpoints, cache lists of some endpoints come late while all hosts start, and hosts end at about the moment at which the
+// store returns from an older copy. Schedules of other seeds have no late cache lists.
+func TestHostsEndWhileCacheListsComeLateAndBesideReturnsOfTheStore(t *testing.T) {
+	t.Parallel()
+	lateStarts, returns := 0, 0
+	for seed := range uint64(50) {
+		faults := Generate(config(seed))
+		for _, f := range faults {
+			switch {
+			case f.Action == DelayCacheLists:
+				require.Equal(t, uint64(endpointRemainder), seed%endpointSeeds)
+				require.GreaterOrEqual(t, f.Delay, minListDelay)
+				require.Less(t, f.Delay, maxListDelay)
+				require.Positive(t, countEnds(faults, KillAllHosts, f.At, f.At+lateListsLead))
+				lateStarts++
+			case f.Action == ReturnStore && seed%endpointSeeds == endpointRemainder && seed%returnSeeds != returnRemainder:
+				end := f.At + f.For
+				require.Positive(t, countEnds(faults, KillHost, end-maxKillLag, end+maxKillLag))
+				returns++
+			}
+		}
+	}
+	require.Positive(t, lateStarts)
+	require.Positive(t, returns)
+}
+
+// countEnds returns how many faults with an action start from one time to another.
+func countEnds(faults []Fault, action Action, from, to time.Duration) int {
+	count := 0
+	for _, f := range faults {
+		if f.Action == action && f.At >= from && f.At <= to {
+			count++
+		}
+	}
+	return count
+}
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -33,6 +33,8 @@
 	version atomic.Value
 	// misbehaviour is a schedule.Misbehaviour, or 0 if the endpoint responds correctly.
 	misbehaviour atomic.Int64
+	// cacheListDelay is the time.Duration by which cache lists come late.
+	cacheListDelay atomic.Int64
 
 	mu sync.Mutex
 	// runCtx is cancelled by a crash and ends all requests that are being executed. A restart uses a new one.
@@ -71,6 +73,7 @@
 	e.link = link
 	e.RegisterAt(link.Address())
 	e.CachePrompts()
+	e.BeforeCacheLists(e.delayCacheList)
 	e.RegisterVersion(version)
 	return e, nil
 }
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -72,7 +72,8 @@
 		s.sendPoisonPart(ctx, f)
 	case schedule.AskRest, schedule.SayLeaving, schedule.MakeBrittle:
 		s.applyStatement(f, e, wait)
-	case schedule.EndEndpoint, schedule.SilenceEndpoints, schedule.ReplaceEndpoint, schedule.LapseService:
+	case schedule.EndEndpoint, schedule.SilenceEndpoints, schedule.ReplaceEndpoint, schedule.LapseService,
+		schedule.DelayCacheLists:
 		s.applyToProcesses(f, e, wait)
 	default:
 		s.applyToStore(f, wait)
--- a/soak/site/replacement.go
+++ b/soak/site/replacement.go
@@ -1,8 +1,10 @@
 package site
 
 import (
+	"net/http"
 	"time"
 
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/soak/checker"
 	"balsamknot.org/soak/schedule"
 	"balsamknot.org/standin/network"
@@ -25,6 +27,10 @@
 		s.replace(e, wait)
 	case schedule.LapseService:
 		s.lapse(e.service, wait)
+	case schedule.DelayCacheLists:
+		e.cacheListDelay.Store(int64(f.Delay))
+		defer e.cacheListDelay.Store(0)
+		wait()
 	default:
 	}
 }
@@ -98,3 +104,8 @@
 		e.RegisterReady()
 	}
 }
+
+// delayCacheList waits as long as the endpoint's cache lists come late.
+func (e *endpoint) delayCacheList(r *http.Request) {
+	timer.Sleep(r.Context(), time.Duration(e.cacheListDelay.Load()))
+}
