Let the soak's callers take streams up after a start with late cache lists

Cause: DelayCacheLists could not show the fault for which it is played. Callers took a stream up once and at once, while all hosts were down, and with another last part of the prompt, which no engine had cached. An endpoint that started anew still reported what the process before had cached, also under another version.

Change: while cache lists come late, a caller takes a stream up 6 s after it broke off, with the prompt of the request that began it. Found by reading schedule and logs; the soak itself was at fault, as far as these show. The checks are as they were.

--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -91,6 +92,8 @@
 	after            int
 	// parts are the names of the parts of the prompt that requests share; empty for plain services.
 	parts []string
+	// ownPart is what the name of the request's own part of the prompt is derived from; empty for the ID.
+	ownPart string
 }
 
 // sharedPartCount is the number of parts that follow sharedPart in the prompts of callers.
@@ -112,7 +115,7 @@
 		return
 	}
 	own := fnv.New64a()
-	_, _ = io.WriteString(own, spec.id)
+	_, _ = io.WriteString(own, cmp.Or(spec.ownPart, spec.id))
 	r.Header.Set(standin.PromptPartsHeader, standin.PromptOf(spec.parts, strconv.FormatUint(own.Sum64(), 10)))
 }
 
@@ -141,7 +144,7 @@
 // send sends a request and records its result. It returns false if the request failed, so that the caller should switch to
 // another host.
 func (c *caller) send(ctx context.Context) bool {
-	spec := c.nextRequest()
+	spec, runCtx := c.nextRequest(), ctx
 	ctx, cancel := context.WithTimeout(ctx, callerDeadline+deadlineSlack)
 	defer cancel()
 	disconnects := false
@@ -162,6 +165,9 @@
 	}
 	c.site.record(result)
 	if broken.after > 0 && ctx.Err() == nil {
+		if c.site.lateLists.Load() > 0 {
+			return c.takeUpLater(runCtx, broken)
+		}
 		return c.takeUp(ctx, broken)
 	}
 	timer.Sleep(ctx, pause)
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -160,8 +160,8 @@
 	e.site.record(checker.LimitStated{Endpoint: e.name})
 }
 
-// restart ends a crash. The endpoint listens again with a new start time, every other time under a new id, and is registered as ready
-// unless another fault prevents that.
+// restart ends a crash. The endpoint listens again with a new start time and an empty cache, every other time under a new id, and is registered
+// as ready unless another fault prevents that.
 func (e *endpoint) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -173,6 +173,7 @@
 		return
 	}
 	e.Restart()
+	e.SetCachedParts()
 	if e.restarts++; e.restarts%2 == 0 {
 		e.Deregister()
 		e.Rename(fmt.Sprintf("%s-%d", e.name, e.restarts))
--- a/soak/site/replacement.go
+++ b/soak/site/replacement.go
@@ -28,9 +28,7 @@
 	case schedule.LapseService:
 		s.lapse(e.service, wait)
 	case schedule.DelayCacheLists:
-		e.cacheListDelay.Store(int64(f.Delay))
-		defer e.cacheListDelay.Store(0)
-		wait()
+		s.delayCacheLists(e, f.Delay, wait)
 	default:
 	}
 }
@@ -105,6 +103,15 @@
 	}
 }
 
+// delayCacheLists lets the cache lists of an endpoint come late.
+func (s *Site) delayCacheLists(e *endpoint, delay time.Duration, wait func()) {
+	s.lateLists.Add(1)
+	defer s.lateLists.Add(-1)
+	e.cacheListDelay.Store(int64(delay))
+	defer e.cacheListDelay.Store(0)
+	wait()
+}
+
 // delayCacheList waits as long as the endpoint's cache lists come late.
 func (e *endpoint) delayCacheList(r *http.Request) {
 	timer.Sleep(r.Context(), time.Duration(e.cacheListDelay.Load()))
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -63,6 +63,8 @@
 	activeOutages int
 	// newestKey is the number of the newest valid API key. Callers read it without publishMu.
 	newestKey atomic.Int64
+	// lateLists is the number of endpoints whose cache lists come late.
+	lateLists atomic.Int64
 
 	wg     sync.WaitGroup
 	cancel context.CancelFunc
--- a/soak/site/stream.go
+++ b/soak/site/stream.go
@@ -7,7 +7,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform/standin"
 	"balsamknot.org/soak/checker"
 )
@@ -59,6 +61,21 @@
 	return result.Status == http.StatusOK
 }
 
+// takeUpDelay is how long callers wait before they take up a stream that broke off while cache lists come late. All hosts may have been killed.
+const takeUpDelay = 6 * time.Second
+
+// takeUpLater takes up a stream that broke off once hosts that were killed have run for a while, with the prompt of the request that began it: they
+// can learn from the caches of engines which version that was.
+func (c *caller) takeUpLater(ctx context.Context, spec requestSpec) bool {
+	if !timer.Sleep(ctx, takeUpDelay) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callerDeadline+deadlineSlack)
+	defer cancel()
+	spec.ownPart = spec.resumes
+	return c.takeUp(ctx, spec)
+}
+
 // mixed reports whether body holds an event of another version than the one that wrote the stream's first event.
 func (spec requestSpec) mixed(body string) bool {
 	if spec.kind != checker.Resumable {
