--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -33,6 +33,8 @@
 	version atomic.Value
 	// misbehaviour is a schedule.Misbehaviour, or 0 if the endpoint responds correctly.
 	misbehaviour atomic.Int64
+	// cacheListDelay is the time.Duration by which cache lists come late.
+	cacheListDelay atomic.Int64
 
 	mu sync.Mutex
 	// runCtx is cancelled by a crash and ends all requests that are being executed. A restart uses a new one.
@@ -71,6 +73,7 @@
 	e.link = link
 	e.RegisterAt(link.Address())
 	e.CachePrompts()
+	e.BeforeCacheLists(e.delayCacheList)
 	e.RegisterVersion(version)
 	return e, nil
 }
@@ -157,8 +160,8 @@
 	e.site.record(checker.LimitStated{Endpoint: e.name})
 }
 
-// restart ends a crash. The endpoint listens again with a new start time, every other time under a new id, and is registered as ready
-// unless another fault prevents that.
+// restart ends a crash. The endpoint listens again with a new start time and an empty cache, every other time under a new id, and is registered
+// as ready unless another fault prevents that.
 func (e *endpoint) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -170,6 +173,7 @@
 		return
 	}
 	e.Restart()
+	e.SetCachedParts()
 	if e.restarts++; e.restarts%2 == 0 {
 		e.Deregister()
 		e.Rename(fmt.Sprintf("%s-%d", e.name, e.restarts))
--- a/soak/site/replacement.go
+++ b/soak/site/replacement.go
@@ -1,8 +1,10 @@
 package site
 
 import (
+	"net/http"
 	"time"
 
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/soak/checker"
 	"balsamknot.org/soak/schedule"
 	"balsamknot.org/standin/network"
@@ -25,6 +27,8 @@
 		s.replace(e, wait)
 	case schedule.LapseService:
 		s.lapse(e.service, wait)
+	case schedule.DelayCacheLists:
+		s.delayCacheLists(e, f.Delay, wait)
 	default:
 	}
 }
@@ -98,3 +102,17 @@
 		e.RegisterReady()
 	}
 }
+
+// delayCacheLists lets the cache lists of an endpoint come late.
+func (s *Site) delayCacheLists(e *endpoint, delay time.Duration, wait func()) {
+	s.lateLists.Add(1)
+	defer s.lateLists.Add(-1)
+	e.cacheListDelay.Store(int64(delay))
+	defer e.cacheListDelay.Store(0)
+	wait()
+}
+
+// delayCacheList waits as long as the endpoint's cache lists come late.
+func (e *endpoint) delayCacheList(r *http.Request) {
+	timer.Sleep(r.Context(), time.Duration(e.cacheListDelay.Load()))
+}
