Give a slow host 0.1 s to connect when it confirms the end of an answer

Traced: the only other connection to the endpoint ended too, since its own answer was over, and the new connection took more than the 20 ms in which the other ends are awaited. On a non-idempotent route the caller would have got 502.

How long the new connection may take follows from how soon another process could listen in its place, not from how long ends take to arrive: a constant of its own, 0.1 s. The wait uses timer.Sleep, which stood there already.

--- a/entry/node/completion.go
+++ b/entry/node/completion.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// endSettleTime is the time in which the ends of all connections of a process that ended arrive at this host, and less than a process needs
-	// to start.
+	// endSettleTime is the time in which the ends of all connections of a process that ended arrive at this host.
 	endSettleTime = 20 * time.Millisecond
+	// minRestartTime is less than the time after which another process listens in place of one that ended.
+	minRestartTime = 100 * time.Millisecond
 	// endRetryInterval is the time between two attempts to connect to an endpoint that does not react, and endCheckTimeout that after which
 	// the end of its answer stays unconfirmed.
 	endRetryInterval = 100 * time.Millisecond
@@ -50,14 +51,16 @@
 
 // checkEnd carries out a completion.Check. It also returns what was last observed of the endpoint's connections.
 func checkEnd(ctx context.Context, x *connection.Exchange) (verdict completion.Verdict, seen completion.Observed) {
-	check := completion.New(completion.Config{Settle: endSettleTime, RetryInterval: endRetryInterval, Timeout: endCheckTimeout})
+	check := completion.New(completion.Config{
+		Settle: endSettleTime, RestartTime: minRestartTime, RetryInterval: endRetryInterval, Timeout: endCheckTimeout,
+	})
 	others := x.Witnesses()
 	var newest *connection.Witness
 	next := check.Update(timer.BootClock(), completion.Ended{})
 	for {
 		switch c := next.(type) {
 		case completion.Connect:
-			if !sleep(ctx, c.After) {
+			if !timer.Sleep(ctx, c.After) {
 				return completion.Unconfirmed, seen
 			}
 			witness, err := x.Connect(ctx)
@@ -67,7 +70,7 @@
 			}
 			next = check.Update(timer.BootClock(), resultOfConnect(err))
 		case completion.Observe:
-			if !sleep(ctx, c.After) {
+			if !timer.Sleep(ctx, c.After) {
 				return completion.Unconfirmed, seen
 			}
 			seen = observe(others, newest)
@@ -107,18 +110,3 @@
 	}
 	return completion.Unreachable{}
 }
-
-// sleep waits for d, and returns false if ctx ends before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/node/unmarked_end_test.go
+++ b/entry/node/unmarked_end_test.go
@@ -224,7 +224,7 @@
 		address := e.Listener.Addr().String()
 		s.nodes[0].links.cut(cutNewSilent, address)
 		e.end()
-		time.Sleep(endSettleTime)
+		time.Sleep(minRestartTime)
 		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 		if err == nil {
 			t.Cleanup(func() { _ = listener.Close() })
--- a/fleet/completion/completion.go
+++ b/fleet/completion/completion.go
@@ -10,8 +10,10 @@
 
 // Config holds the time limits of a Check.
 type Config struct {
-	// Settle is the time in which all connections of a process that has ended are seen to end, and less than a process needs to start.
+	// Settle is the time in which all connections of a process that has ended are seen to end.
 	Settle time.Duration
+	// RestartTime is less than the time after which another process may listen in place of one that has ended.
+	RestartTime time.Duration
 	// RetryInterval is the time between two attempts to connect, and Timeout that after which the answer stays unconfirmed.
 	RetryInterval, Timeout time.Duration
 }
@@ -79,7 +81,7 @@
 type Check struct {
 	cfg     Config
 	endedAt time.Time
-	// inTime is true if the new connection was established within Settle of the answer's end.
+	// inTime is true if the new connection was established within RestartTime of the answer's end.
 	inTime bool
 }
 
@@ -93,7 +95,7 @@
 		c.endedAt = now
 		return Connect{}
 	case Connected:
-		c.inTime = now.Sub(c.endedAt) <= c.cfg.Settle
+		c.inTime = now.Sub(c.endedAt) <= c.cfg.RestartTime
 		return Observe{After: c.cfg.Settle}
 	case Refused:
 		return Conclude{BrokenOff}
--- a/fleet/completion/completion_test.go
+++ b/fleet/completion/completion_test.go
@@ -10,7 +10,7 @@
 
 var (
 	start = time.Unix(1000, 0)
-	cfg   = Config{Settle: 20 * time.Millisecond, RetryInterval: 100 * time.Millisecond, Timeout: 500 * time.Millisecond}
+	cfg   = Config{Settle: 20 * time.Millisecond, RestartTime: 100 * time.Millisecond, RetryInterval: 100 * time.Millisecond, Timeout: 500 * time.Millisecond}
 )
 
 // step is an event some time after the answer's end, and the command that must follow.
@@ -73,7 +73,7 @@
 			return time.Duration(rapid.IntRange(0, limit).Draw(r, name)) * time.Millisecond
 		}
 		e := endpointState{
-			ended: rapid.Bool().Draw(r, "ended"), restartAt: cfg.Settle + time.Millisecond + ms("restart", 900), reachableAt: ms("reachable", 300),
+			ended: rapid.Bool().Draw(r, "ended"), restartAt: cfg.RestartTime + time.Millisecond + ms("restart", 900), reachableAt: ms("reachable", 300),
 			idle: rapid.IntRange(0, 2).Draw(r, "idle"), inUse: rapid.IntRange(0, 2).Draw(r, "inUse"),
 		}
 		require.False(r, e.verdict(r) == Complete && e.ended, "%+v", e)
