--- a/entry/node/unmarked_end_test.go
+++ b/entry/node/unmarked_end_test.go
@@ -139,21 +139,23 @@
 	return whole, truncated
 }
 
-// answerKinds are the routes on which the end of an endpoint may cut an answer.
-var answerKinds = map[string]struct {
+// answerKind is a route.
+type answerKind struct {
 	path, service string
 	// goesOn is true if another endpoint may complete the answer.
 	goesOn bool
-}{
+}
+
+// answerKinds are the routes on which the end of an endpoint may cut an answer.
+var answerKinds = map[string]answerKind{
 	"resumable stream":      {"/stream/x", "engines", true},
 	"stream":                {"/draft/x", "engines", false},
 	"idempotent answer":     {"/again/x", "plain", true},
 	"non-idempotent answer": {"/once/x", "plain", false},
 }
 
-func TestAnswerThatTheEndOfItsEndpointCutDoesNotLookComplete(t *testing.T) {
-	t.Parallel()
-	subnet := 99
+// forEachAnswerKind runs check on each route with one request and with several, each on a site of its own, from the subnet after the one given.
+func forEachAnswerKind(t *testing.T, subnet int, check func(t *testing.T, s *unframedSite, kind answerKind, requests int)) {
 	for name, kind := range answerKinds {
 		for _, requests := range []int{1, 8} {
 			subnet++
@@ -162,19 +164,26 @@
 				t.Parallel()
 				s := newUnframedSite(t, 3, kind.service)
 				s.startNodes(2, ownSubnet)
-				go func() { (<-s.halfway).end() }()
-				whole, truncated := s.send(kind.path, requests)
-				t.Logf("%d of %d answers are complete, %d only look so", whole, requests, truncated)
-				require.Zero(t, truncated)
-				require.Positive(t, s.endsTakenFor("broken off")+s.endsTakenFor("unconfirmed"), "no answer was cut")
-				if kind.goesOn {
-					require.Equal(t, requests, whole)
-				}
+				check(t, s, kind, requests)
 			})
 		}
 	}
 }
 
+func TestAnswerThatTheEndOfItsEndpointCutDoesNotLookComplete(t *testing.T) {
+	t.Parallel()
+	forEachAnswerKind(t, 99, func(t *testing.T, s *unframedSite, kind answerKind, requests int) {
+		go func() { (<-s.halfway).end() }()
+		whole, truncated := s.send(kind.path, requests)
+		t.Logf("%d of %d answers are complete, %d only look so", whole, requests, truncated)
+		require.Zero(t, truncated)
+		require.Positive(t, s.endsTakenFor("broken off")+s.endsTakenFor("unconfirmed"), "no answer was cut")
+		if kind.goesOn {
+			require.Equal(t, requests, whole)
+		}
+	})
+}
+
 // endsTakenFor returns how many unmarked ends the nodes took for what a verdict says.
 func (s *unframedSite) endsTakenFor(verdict string) int {
 	n := 0
@@ -251,24 +260,14 @@
 
 func TestUnframedAnswersOfSoundEndpointsAreComplete(t *testing.T) {
 	t.Parallel()
-	subnet := 131
-	for name, kind := range answerKinds {
-		for _, requests := range []int{1, 8} {
-			subnet++
-			ownSubnet := subnet
-			t.Run(fmt.Sprintf("%s, %d requests", name, requests), func(t *testing.T) {
-				t.Parallel()
-				s := newUnframedSite(t, 3, kind.service)
-				s.startNodes(2, ownSubnet)
-				whole, truncated := s.send(kind.path, requests)
-				require.Equal(t, requests, whole)
-				require.Zero(t, truncated)
-				runs := 0
-				for _, e := range s.endpoints {
-					runs += e.RunCount()
-				}
-				require.Equal(t, requests, runs, "no answer is run or resumed elsewhere")
-			})
+	forEachAnswerKind(t, 131, func(t *testing.T, s *unframedSite, kind answerKind, requests int) {
+		whole, truncated := s.send(kind.path, requests)
+		require.Equal(t, requests, whole)
+		require.Zero(t, truncated)
+		runs := 0
+		for _, e := range s.endpoints {
+			runs += e.RunCount()
 		}
-	}
+		require.Equal(t, requests, runs, "no answer is run or resumed elsewhere")
+	})
 }
