Refuse during a stop's notice what usually takes longer than the host has left

What callers saw: a host that was told to stop took every request for 2.6 s, while the load balancer may not have noticed, and cut at 7.3 s what still ran.

Cause: before the notice nothing was known of how long an answer takes, so that a request was taken whatever its length.

Change: a host remembers how long the last 64 answers of each route took (drain.RunTimes). During the notice a request is refused as not run if its deadline is after the end and nine in ten answers of its route take longer than is left; a request that waits for a slot likewise, also later. With fewer than 8 known answers nothing changes. After the notice the deadline alone decides, as before: no measured time promises that the next answer is as quick.

--- a/entry/node/cut_off_test.go
+++ b/entry/node/cut_off_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -294,6 +295,21 @@
 	<-relay.exited
 }
 
+// Guards against LOST: a request sent through a relay that is about to end, over a connection kept from before, was cut with it.
+func TestRequestsDoNotUseARelayThatHasSaidThatItLeaves(t *testing.T) {
+	t.Parallel()
+	s := newRelayedSite(t, 3, 218)
+	require.True(t, s.served(s.nodes[0], 0, "before"))
+	relay := s.relayOf(t)
+	relay.stop()
+	require.Eventually(t, func() bool { return s.nodes[0].membership.liveCount() == 2 }, time.Minute, time.Millisecond)
+	for i := range 20 {
+		require.True(t, s.served(s.nodes[0], 0, "after-"+strconv.Itoa(i)))
+	}
+	require.Zero(t, relay.paths.tunnelCount())
+	<-relay.exited
+}
+
 func TestRelayDoesNotUseAnotherRelay(t *testing.T) {
 	t.Parallel()
 	s := newCutOffSite(t, 3, 214)
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -162,6 +162,7 @@
 	n.slots.sweepLimits(timer.BootClock())
 	n.slots.sweepStatements(timer.BootClock())
 	n.streams.update(timer.BootClock(), stream.Tick{})
+	n.stopping.forgetRoutes(timer.BootClock())
 }
 
 // Ready reports whether the load balancer should send callers to the node: it is not draining, and its configuration set was
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -319,7 +319,11 @@
 	}
 	q.logEvent(n.log, level, event.RequestDone).Int("Status", status).Str("Endpoint", string(q.endpoint)).Str("Relay", string(q.relay)).
 		Dur("FirstMs", q.firstByteAt.Sub(q.start)).Dur("TotalMs", now.Sub(q.start)).Send()
-	n.meter.recordOutcome(q, outcomeOfAnswer(status))
+	outcome := outcomeOfAnswer(status)
+	n.meter.recordOutcome(q, outcome)
+	if outcome == outcomeDone {
+		n.stopping.noteCompletion(now, q)
+	}
 }
 
 // streamEvents passes the events of a stream on as they arrive. Only complete events are sent, so that the stream can be resumed
--- a/entry/node/stop.go
+++ b/entry/node/stop.go
@@ -16,8 +16,9 @@
 
 // stopState is the state of the node's planned stop. It is safe for concurrent use.
 type stopState struct {
-	mu    sync.Mutex
-	drain *drain.Drain
+	mu       sync.Mutex
+	drain    *drain.Drain
+	runTimes *drain.RunTimes
 	// waits is the context of all waits for a slot, until they are asked again whether they may go on.
 	waits    context.Context
 	endWaits context.CancelFunc
@@ -50,7 +51,10 @@
 )
 
 func newStopState() *stopState {
-	s := &stopState{drain: drain.New(drain.Config{Notice: minDrain, RunTime: minRunTime, DeadlineMargin: deadlineMargin})}
+	s := &stopState{
+		drain:    drain.New(drain.Config{Notice: minDrain, RunTime: minRunTime, DeadlineMargin: deadlineMargin}),
+		runTimes: drain.NewRunTimes(),
+	}
 	s.waits, s.endWaits = context.WithCancel(context.Background())
 	return s
 }
@@ -63,30 +67,55 @@
 
 // takes reports whether a request that was read to its end may go on.
 func (s *stopState) takes(q *request) bool {
-	_, take := s.update(drain.RequestRead{Deadline: q.deadline}).(drain.Take)
+	_, take := s.update(drain.RequestRead{Run: s.run(q)}).(drain.Take)
 	return take
 }
 
 // mayWait reports whether a request that no endpoint has run may wait for a slot.
-func (s *stopState) mayWait(deadline time.Time) bool {
-	_, take := s.update(drain.SlotAwaited{Deadline: deadline}).(drain.Take)
+func (s *stopState) mayWait(run drain.Run) bool {
+	_, take := s.update(drain.SlotAwaited{Run: run}).(drain.Take)
 	return take
 }
 
+// run returns what is known of when a request ends.
+func (s *stopState) run(q *request) drain.Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run := drain.Run{Deadline: q.deadline}
+	if s.drain.Begun() {
+		run.Usual = s.runTimes.Usual(q.route.Name)
+	}
+	return run
+}
+
+// noteCompletion records how long a complete answer took.
+func (s *stopState) noteCompletion(now time.Time, q *request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runTimes.Note(now, q.route.Name, now.Sub(q.start))
+}
+
+// forgetRoutes removes the run times of routes that have had no answer for long.
+func (s *stopState) forgetRoutes(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runTimes.Forget(now)
+}
+
 // acquireSlot requests a slot for a request, and refuses it when the host is about to stop and the request may not end before. A request that
 // an endpoint may have run goes on waiting, since its refusal could not say that it was not run.
 func (n *Node) acquireSlot(q *request, a *attempt.Attempt, e pool.SlotRequested) (pool.Ticket, pool.Command) {
 	if a.MayHaveRun() {
 		return n.slots.acquire(q.r.Context(), e)
 	}
-	refuse, deadline := pool.Refuse{Reason: pool.HostStopping, RetryAfter: drainRetryAfter}, q.deadline
-	if !n.stopping.mayWait(deadline) {
+	refuse, run := pool.Refuse{Reason: pool.HostStopping, RetryAfter: drainRetryAfter}, n.stopping.run(q)
+	if !n.stopping.mayWait(run) {
 		return e.Ticket, refuse
 	}
 	ctx, cancel := context.WithCancel(q.r.Context())
 	defer cancel()
 	defer context.AfterFunc(n.stopping.waits, func() {
-		if !n.stopping.mayWait(deadline) {
+		if !n.stopping.mayWait(n.stopping.run(q)) {
 			cancel()
 		}
 	})()
--- a/entry/node/stop_request_test.go
+++ b/entry/node/stop_request_test.go
@@ -124,8 +124,8 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
-// Callers have a request in flight when their host is stopped, which ends after the load balancer has noticed, and send the next one over the
-// same connection.
+// Guards against LOST: a stopping host took requests on kept connections that it could not end, and cut them. Callers have a request in flight when
+// their host is stopped, which ends after the load balancer has noticed, and send the next one over the same connection.
 func TestRequestThatMayOutlastAStopIsRefusedAsNotRun(t *testing.T) {
 	t.Parallel()
 	s := newStoppingSite(t, 70)
@@ -160,7 +160,7 @@
 	assert.Zero(t, s.stuck.Load(), "requests that were refused ran")
 }
 
-// All slots of the only endpoint are taken until the process ends.
+// Guards against LOST: a request that waited for a slot at a stop got it too late to end. All slots of the only endpoint are taken until the process ends.
 func TestRequestThatWaitsForASlotAtAStopIsRefusedAsNotRun(t *testing.T) {
 	t.Parallel()
 	s := newStoppingSite(t, 71)
@@ -192,7 +192,7 @@
 	require.Positive(t, s.host.log.count(`"Cause":"no place: HostStopping"`))
 }
 
-// Callers on kept connections have streams of nearly five seconds, one after another, until their host's process is gone.
+// Guards against LOST: streams were taken until 3.3 s after SIGTERM and cut at 7.3 s. Callers on kept connections have streams of nearly five seconds, one after another, until their host's process is gone.
 func TestStreamTakenAfterTheNoticeOfAStopIsNotCut(t *testing.T) {
 	t.Parallel()
 	const callers, events, interval = 40, 48, 100 * time.Millisecond
@@ -242,6 +242,46 @@
 	require.Positive(t, refused.Load())
 }
 
+// Guards against LOST: answers of six seconds, begun in the notice time of a stop, were cut at its end. The page excuses that; their callers lose them.
+func TestRequestWhoseAnswerUsuallyOutlastsAStopIsRefusedDuringTheNotice(t *testing.T) {
+	t.Parallel()
+	const callers, answerTime, beforeNoticeEnds = 24, 6 * time.Second, 2 * time.Second
+	s := newSite(t)
+	s.store.PublishWithTimeout(1, longTimeout, "k1")
+	for i := range 2 * callers / standin.Slots {
+		s.addEndpoint("i-"+strconv.Itoa(i), "engines", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(answerTime)
+			_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+		})
+	}
+	s.startNodes(2, 74)
+	n := s.nodes[0]
+	kept := make([]*keptConnection, callers)
+	for i := range kept {
+		kept[i] = newKeptConnection(t)
+	}
+	callAll := func(name string) []reply {
+		replies := make([]reply, callers)
+		var wg sync.WaitGroup
+		for i := range kept {
+			wg.Go(func() { replies[i] = kept[i].call(n, "/stream/x", name+"-"+strconv.Itoa(i), longTimeout, nil) })
+		}
+		wg.Wait()
+		return replies
+	}
+	for _, r := range callAll("before") {
+		require.True(t, r.whole(), "%+v", r)
+	}
+	n.stop()
+	time.Sleep(beforeNoticeEnds)
+	for _, r := range callAll("notice") {
+		require.True(t, r.refused(), "%+v", r)
+	}
+	<-n.exited
+}
+
 // A goroutine of the node never ends.
 func TestStopWithAPartThatHangsEnds(t *testing.T) {
 	t.Parallel()
--- a/fleet/drain/drain_test.go
+++ b/fleet/drain/drain_test.go
@@ -25,21 +25,29 @@
 		e    Event
 		want Command
 	}{
-		"read before the notice":                        {2599 * time.Millisecond, RequestRead{at(never)}, Take{}},
-		"read after the notice, may outlast the stop":   {2600 * time.Millisecond, RequestRead{at(7201 * time.Millisecond)}, Refuse{}},
-		"read after the notice, ends in time":           {2600 * time.Millisecond, RequestRead{at(7200 * time.Millisecond)}, Take{}},
-		"read late, ends in time":                       {7100 * time.Millisecond, RequestRead{at(7200 * time.Millisecond)}, Take{}},
-		"waits while there is time to run":              {3300 * time.Millisecond, SlotAwaited{at(never)}, Take{}},
-		"waits when there is none":                      {3301 * time.Millisecond, SlotAwaited{at(never)}, Refuse{}},
-		"waits when there is none, but ends in time":    {3301 * time.Millisecond, SlotAwaited{at(7200 * time.Millisecond)}, Take{}},
+		"read before the notice":                        {2599 * time.Millisecond, RequestRead{Run{Deadline: at(never)}}, Take{}},
+		"read after the notice, may outlast the stop":   {2600 * time.Millisecond, RequestRead{Run{Deadline: at(7201 * time.Millisecond)}}, Refuse{}},
+		"read after the notice, ends in time":           {2600 * time.Millisecond, RequestRead{Run{Deadline: at(7200 * time.Millisecond)}}, Take{}},
+		"read late, ends in time":                       {7100 * time.Millisecond, RequestRead{Run{Deadline: at(7200 * time.Millisecond)}}, Take{}},
+		"waits while there is time to run":              {3300 * time.Millisecond, SlotAwaited{Run{Deadline: at(never)}}, Take{}},
+		"waits when there is none":                      {3301 * time.Millisecond, SlotAwaited{Run{Deadline: at(never)}}, Refuse{}},
+		"waits when there is none, but ends in time":    {3301 * time.Millisecond, SlotAwaited{Run{Deadline: at(7200 * time.Millisecond)}}, Take{}},
+		"read before the notice, usually ends in time":  {2200 * time.Millisecond, RequestRead{Run{at(never), 5 * time.Second}}, Take{}},
+		"read before the notice, usually ends too late": {2201 * time.Millisecond, RequestRead{Run{at(never), 5 * time.Second}}, Refuse{}},
+		"read before the notice, usually ends too late, but must end in time": {
+			2201 * time.Millisecond, RequestRead{Run{at(7200 * time.Millisecond), 5 * time.Second}}, Take{},
+		},
+		"read after the notice, usually ends in time":   {2600 * time.Millisecond, RequestRead{Run{at(never), time.Second}}, Refuse{}},
+		"waits, usually ends in time":                   {2200 * time.Millisecond, SlotAwaited{Run{at(never), 5 * time.Second}}, Take{}},
+		"waits, usually ends too late":                  {2201 * time.Millisecond, SlotAwaited{Run{at(never), 5 * time.Second}}, Refuse{}},
 		"idle before the notice":                        {2500 * time.Millisecond, Tick{}, Continue{}},
 		"requests in flight after the notice":           {3 * time.Second, Tick{InFlight: 1}, Continue{CloseIdle: true}},
 		"requests in flight, no time to run for others": {4 * time.Second, Tick{InFlight: 1}, Continue{CloseIdle: true, EndWaits: true}},
 		"requests in flight at the end":                 {limit, Tick{InFlight: 1}, Finish{}},
 	} {
 		d := New(config)
-		require.Equal(t, Take{}, d.Update(start, RequestRead{at(never)}), "before the stop")
-		require.Equal(t, Take{}, d.Update(start, SlotAwaited{at(never)}), "before the stop")
+		require.Equal(t, Take{}, d.Update(start, RequestRead{Run{Deadline: at(never)}}), "before the stop")
+		require.Equal(t, Take{}, d.Update(start, SlotAwaited{Run{Deadline: at(never)}}), "before the stop")
 		d.Update(start, Begun{Limit: limit})
 		require.Equal(t, c.want, d.Update(at(c.now), c.e), name)
 	}
@@ -50,12 +58,12 @@
 	d := New(config)
 	d.Update(start, Begun{Limit: limit})
 	require.Equal(t, Continue{CloseIdle: true}, d.Update(at(3*time.Second), Tick{}))
-	require.Equal(t, Refuse{}, d.Update(at(3*time.Second), RequestRead{at(3100 * time.Millisecond)}))
+	require.Equal(t, Refuse{}, d.Update(at(3*time.Second), RequestRead{Run{Deadline: at(3100 * time.Millisecond)}}))
 	require.Equal(t, Continue{CloseIdle: true}, d.Update(at(3050*time.Millisecond), Tick{InFlight: 1}))
-	require.Equal(t, Refuse{}, d.Update(at(3060*time.Millisecond), RequestRead{at(3100 * time.Millisecond)}))
+	require.Equal(t, Refuse{}, d.Update(at(3060*time.Millisecond), RequestRead{Run{Deadline: at(3100 * time.Millisecond)}}))
 	require.Equal(t, Finish{}, d.Update(at(3100*time.Millisecond), Tick{}))
 	d.Update(at(3200*time.Millisecond), Begun{Limit: limit})
-	require.Equal(t, Refuse{}, d.Update(at(3200*time.Millisecond), RequestRead{at(3300 * time.Millisecond)}))
+	require.Equal(t, Refuse{}, d.Update(at(3200*time.Millisecond), RequestRead{Run{Deadline: at(3300 * time.Millisecond)}}))
 }
 
 // Callers send requests of any length and deadline until the host has ended.
@@ -81,7 +89,7 @@
 			if rapid.Bool().Draw(t, "request") {
 				timeLeft := time.Duration(rapid.IntRange(1, 15000).Draw(t, "timeLeftMs")) * time.Millisecond
 				needs := time.Duration(rapid.IntRange(0, int(timeLeft.Milliseconds())).Draw(t, "needsMs")) * time.Millisecond
-				if _, take := d.Update(now, RequestRead{now.Add(timeLeft)}).(Take); take {
+				if _, take := d.Update(now, RequestRead{Run{Deadline: now.Add(timeLeft)}}).(Take); take {
 					inFlight = append(inFlight, taken{now, now.Add(needs)})
 				} else if now.Sub(start) < config.Notice {
 					t.Fatalf("refused while the load balancer sends callers")
@@ -103,7 +111,7 @@
 				t.Fatalf("a request taken after the notice outlasts the limit")
 			}
 		}
-		if _, refused := d.Update(now, RequestRead{now}).(Refuse); !refused {
+		if _, refused := d.Update(now, RequestRead{Run{Deadline: now}}).(Refuse); !refused {
 			t.Fatalf("a request was taken after the end")
 		}
 	})
