Say in each regression test of the review's cases which failure it guards against

The names of the tests tell the situation; the line above each now tells the rule that callers saw broken, and by what. No test is changed otherwise.

--- a/entry/node/store_order_test.go
+++ b/entry/node/store_order_test.go
@@ -14,7 +14,7 @@
 	"balsamknot.org/platform/standin"
 )
 
-// An engine's registration is removed and written again, with another version, within one answer of a watch.
+// Guards against ORDER: the removals of an answer were applied last, so that its readers lost an engine that was back. An engine's registration is removed and written again, with another version, within one answer of a watch.
 func TestEndpointReplacedInPlaceWithinOneAnswerStaysInUse(t *testing.T) {
 	t.Parallel()
 	s := newVersionSite(t, false, standin.DefaultVersion)
@@ -28,6 +28,7 @@
 	}
 }
 
+// Guards against ORDER: the readers of the store, which had lost the new version, let its streams go on at the old one.
 func TestStreamsAreNotJoinedFromTwoVersionsAfterAnEndpointWasReplacedInPlace(t *testing.T) {
 	t.Parallel()
 	const streams, hosts = 60, 6
@@ -57,7 +58,7 @@
 	require.Greater(t, wentOn, len(names)/2)
 }
 
-// Two registrations lapse while the store is silent. One is back when it returns, so that one answer of a watch has its removal, too.
+// Guards against LOST: live endpoints were dropped for good after an outage of the store. Two registrations lapse while the store is silent. One is back when it returns, so that one answer of a watch has its removal, too.
 func TestRegistrationThatLapsedAndIsBackInOneAnswerIsKeptAfterTheGracePeriod(t *testing.T) {
 	t.Parallel()
 	s := newVersionSite(t, false)
--- a/entry/node/stream_cut_off_test.go
+++ b/entry/node/stream_cut_off_test.go
@@ -28,7 +28,7 @@
 	return s
 }
 
-// Engines of another version register after a host was cut off, and streams begin there at another host.
+// Guards against ORDER: a host that nobody answered took the only version it had seen for the stream's. Engines of another version register after a host was cut off, and streams begin there at another host.
 func TestCutOffHostDoesNotJoinStreamsOfAVersionItHasNotSeen(t *testing.T) {
 	t.Parallel()
 	const streams = 20
--- a/fleet/catalogue/order_test.go
+++ b/fleet/catalogue/order_test.go
@@ -172,6 +172,7 @@
 	}
 }
 
+// Guards against ORDER and LOST: changes of the store took effect in another order than that of their revisions.
 func TestCopyEqualsAPlainMapHoweverChangesAreCutIntoAnswers(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
@@ -224,6 +225,7 @@
 	})
 }
 
+// Guards against ORDER and LOST: the removals of an answer were applied last, so that an endpoint that was back was dropped.
 func TestRegistrationsAndRemovalsOfOneAnswerTakeEffectInOrder(t *testing.T) {
 	t.Parallel()
 	earlier, later := instanceRecord("a", 1, false), instanceRecord("a", 2, false)
