End the wait for an engine that does not list its cache

Cause: since an engine without a list is unknown, and a lookup waits until every engine of another version is listed. Nothing decided when that lasts: an engine that takes longer than the longest time limit is never listed. Ten lists at a time make many slow ones late.

Ruled out: that is not the reason for which review/5 holds.

Change: a lookup that has found one version waits for engines of others for 1.5 s from when they were asked first. After 10 s without a lookup the next one waits anew.

--- a/entry/node/stream_cache.go
+++ b/entry/node/stream_cache.go
@@ -97,7 +97,7 @@
 		return
 	}
 	s.n.slots.update(now, pool.PartQueried{Lookup: lookup, KeeperUnconfirmed: s.n.slots.justStarted()})
-	versions, known := s.n.slots.versionsCaching(lookup)
+	versions, known := s.n.slots.versionsCaching(now, lookup)
 	if !known {
 		return
 	}
@@ -111,8 +111,8 @@
 }
 
 // versionsCaching returns what the local keeper knows; known is false while it lacks lists of engines' caches.
-func (s *slotManager) versionsCaching(lookup pool.PartLookup) (versions []endpoint.Version, known bool) {
+func (s *slotManager) versionsCaching(now time.Time, lookup pool.PartLookup) (versions []endpoint.Version, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.keeper.VersionsCaching(lookup)
+	return s.keeper.VersionsCaching(now, lookup)
 }
--- a/fleet/pool/cache_list.go
+++ b/fleet/pool/cache_list.go
@@ -55,13 +55,18 @@
 	// listDemandPeriod is how long engines are asked for lists after the event that needs them: the first slot request, or a PartQueried.
 	listDemandPeriod = 500 * time.Millisecond
 	// maxConcurrentLists is how many engines of a service are asked at the same time. Each is asked once at a time.
-	maxConcurrentLists = 10
+	maxConcurrentLists = 128
 	// minListTimeLimit is the time for an engine's first list, and minListBackoff the time after which an engine without one is asked again.
 	// Both double with each failure, up to maxListTimeLimit and maxListBackoff.
 	minListTimeLimit = 400 * time.Millisecond
-	maxListTimeLimit = 1600 * time.Millisecond
+	maxListTimeLimit = 6400 * time.Millisecond
 	minListBackoff   = 100 * time.Millisecond
 	maxListBackoff   = 2 * time.Second
+	// listPatience is how long a lookup that has found one version waits for the list of an engine of another one, from when the engine was
+	// asked first: longer than a sound engine is silent, and shorter than callers wait.
+	listPatience = 1500 * time.Millisecond
+	// listDemandMemory is the time without an event that needs lists after which a lookup waits for listPatience anew.
+	listDemandMemory = 10 * time.Second
 )
 
 // cacheListing is the state of the listing of a service's engines.
@@ -71,8 +76,9 @@
 	started bool
 	// deadline is when slot requests no longer wait for lists.
 	deadline time.Time
-	// wantedUntil is when engines are no longer asked, unless another event needs their lists.
-	wantedUntil time.Time
+	// wantedUntil is when engines are no longer asked, unless another event needs their lists, and wantedSince when the first event needed
+	// them, since which none of them came later than listDemandMemory after the one before.
+	wantedSince, wantedUntil time.Time
 	// inFlight is the number of lists that are requested now.
 	inFlight int
 }
@@ -92,6 +98,8 @@
 // engineList is the state of the list of one engine.
 type engineList struct {
 	state listState
+	// askedAt is when the engine was asked first; zero before.
+	askedAt time.Time
 	// failures is how often the engine was asked in vain, and retryAt when it may be asked again.
 	failures int
 	retryAt  time.Time
@@ -100,6 +108,22 @@
 // due reports whether the engine may be asked now.
 func (l engineList) due(now time.Time) bool { return l.state == unlisted && !now.Before(l.retryAt) }
 
+// request records that the engine was asked.
+func (l *engineList) request(now time.Time) {
+	l.state = listRequested
+	if l.askedAt.IsZero() {
+		l.askedAt = now
+	}
+}
+
+// overdue reports whether the list, which is wanted since a time, is missing although the engine has had listPatience to give it.
+func (l engineList) overdue(now, wantedSince time.Time) bool {
+	if l.state == listed || l.askedAt.IsZero() {
+		return false
+	}
+	return now.Sub(l.askedAt) >= listPatience && now.Sub(wantedSince) >= listPatience
+}
+
 // finish records the result of a request for the list.
 func (l *engineList) finish(now time.Time, failed bool) {
 	if !failed {
@@ -133,7 +157,7 @@
 	if s.engine == nil || e.KeeperUnconfirmed {
 		return nil
 	}
-	if _, known := s.versionsCaching(e.Lookup); known {
+	if _, known := s.versionsCaching(now, e.Lookup); known {
 		return nil
 	}
 	return s.demandLists(now)
@@ -141,6 +165,9 @@
 
 // demandLists requests lists from now on for listDemandPeriod.
 func (s *service) demandLists(now time.Time) []Command {
+	if now.Sub(s.listing.wantedUntil) > listDemandMemory {
+		s.listing.wantedSince = now
+	}
 	s.listing.wantedUntil = now.Add(listDemandPeriod)
 	return s.requestLists(now)
 }
@@ -159,7 +186,7 @@
 	slices.SortStableFunc(due, func(a, b *endpointState) int { return cmp.Compare(a.list.failures, b.list.failures) })
 	var commands []Command
 	for _, st := range due[:min(len(due), maxConcurrentLists-s.listing.inFlight)] {
-		st.list.state = listRequested
+		st.list.request(now)
 		s.listing.inFlight++
 		commands = append(commands, ListCache{
 			Service: s.name, Endpoint: st.record, TimeLimit: doubled(minListTimeLimit, st.list.failures, maxListTimeLimit),
@@ -183,34 +210,43 @@
 }
 
 // VersionsCaching returns the software versions whose engines are known to cache a part of a prompt at the given length, in order. known is
-// false while the list of an engine is missing that could add a version.
-func (k *Keeper) VersionsCaching(lookup PartLookup) (versions []endpoint.Version, known bool) {
-	return k.service(lookup.Service).versionsCaching(lookup)
+// false while the list of an engine is awaited that could add a version.
+func (k *Keeper) VersionsCaching(now time.Time, lookup PartLookup) (versions []endpoint.Version, known bool) {
+	return k.service(lookup.Service).versionsCaching(now, lookup)
 }
 
 // versionsCaching returns Keeper.VersionsCaching. An engine that has not listed its cache may cache the part too, as one does that lost the
-// request before its first event, so that a version counts as the only one when all engines of the others are listed. Several remain several.
-func (s *service) versionsCaching(lookup PartLookup) (versions []endpoint.Version, known bool) {
+// request before its first event, so that a version counts as the only one when all engines of the others are listed or overdue. That one engine
+// lists it is no proof then, but an engine that is silent for long costs no more than the streams that it began. Without a version that is found,
+// all engines must be listed. Several remain several.
+func (s *service) versionsCaching(now time.Time, lookup PartLookup) (versions []endpoint.Version, known bool) {
 	if s.engine == nil {
 		return nil, false
 	}
-	var unknown []endpoint.Version
+	allListed := true
+	var awaited []endpoint.Version
 	for _, st := range s.sorted {
 		switch {
 		case st.caches(lookup):
 			versions = append(versions, st.record.Version)
-		case st.list.state != listed:
-			unknown = append(unknown, st.record.Version)
+		case st.list.state == listed:
+		default:
+			allListed = false
+			if !st.list.overdue(now, s.listing.wantedSince) {
+				awaited = append(awaited, st.record.Version)
+			}
 		}
 	}
 	slices.Sort(versions)
 	versions = slices.Compact(versions)
-	if len(versions) > 1 {
-		return versions, true
-	}
-	addsVersion := func(v endpoint.Version) bool { return !slices.Contains(versions, v) }
-	if slices.ContainsFunc(unknown, addsVersion) {
-		return nil, false
+	switch len(versions) {
+	case 0:
+		return nil, allListed
+	case 1:
+		isOther := func(v endpoint.Version) bool { return v != versions[0] }
+		if slices.ContainsFunc(awaited, isOther) {
+			return nil, false
+		}
 	}
 	return versions, true
 }
