Let an answer whose unmarked end was confirmed clear the crashes of its request at once

Cause, traced in part: an answer without a marked end left its request in doubt for as long as an interruption lasts, although its host had just seen the endpoint go on after it, which the answer's own check takes for proof.

Change: that proof counts for the crashes as well. An answer whose end was not confirmed is treated as before.

Test before the change: TestUnframedAnswerWhoseEndIsConfirmedClearsCrashesAtOnce, no crash cleared when the answer had ended; it is cleared after it.

--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -160,6 +160,8 @@
 	software endpoint.Version
 	// cause is why the latest attempt failed or the request was refused, for the log.
 	cause string
+	// endConfirmed is true if the end of the answer, which is not marked, was confirmed by its endpoint going on.
+	endConfirmed bool
 	// firstByteAt is when the headers of a streamed answer were sent to the caller, or when an answer that is not streamed was
 	// written; zero before.
 	firstByteAt time.Time
--- a/entry/node/completion.go
+++ b/entry/node/completion.go
@@ -43,7 +43,8 @@
 	q.logEvent(n.log, zerolog.InfoLevel, event.EndChecked).Str("Endpoint", string(q.endpoint)).Int("Open", seen.Open).Int("Ended", seen.Ended).
 		Str("Verdict", string(verdict)).Send()
 	n.meter.recordUnmarkedEnd(verdict)
-	if verdict == completion.Complete {
+	q.endConfirmed = verdict == completion.Complete
+	if q.endConfirmed {
 		return nil
 	}
 	return eris.Wrapf(errEndNotConfirmed, "read the answer of endpoint %s: %s", q.address, verdict)
--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -83,10 +83,11 @@
 }
 
 // recordAnswer records that an endpoint's answer to a request was read to its end. A success clears the crashes recorded for the
-// request and the parts of its prompt, on all hosts, if the answer itself marks its end: otherwise the endpoint may have crashed there.
+// request and the parts of its prompt, on all hosts, if the answer marks its end or the endpoint was seen to go on after it: otherwise the
+// endpoint may have crashed there.
 func (c *crashTracker) recordAnswer(q *request, x *connection.Exchange) {
 	now := timer.BootClock()
-	if !answer.EndMarked(x.Response) {
+	if !answer.EndMarked(x.Response) && !q.endConfirmed {
 		q.cause = "the answer does not mark its end"
 		c.recordInterruption(now, q, interruption.Interrupted{Unmarked: x.Response.StatusCode < http.StatusMultipleChoices})
 		return
--- a/entry/node/unmarked_end_test.go
+++ b/entry/node/unmarked_end_test.go
@@ -14,6 +14,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/fleet/chat"
+	"balsamknot.org/fleet/fingerprint"
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform/standin"
 )
 
@@ -271,3 +274,20 @@
 		require.Equal(t, requests, runs, "no answer is run or resumed elsewhere")
 	})
 }
+
+// Guards against LOST: sound requests of a part were refused, since their answers, whose end was confirmed, cleared the crashes recorded for it late.
+func TestUnframedAnswerWhoseEndIsConfirmedClearsCrashesAtOnce(t *testing.T) {
+	t.Parallel()
+	s := newUnframedSite(t, 1, "engines")
+	s.startNodes(1, 165)
+	n := s.nodes[0]
+	part, _, _ := strings.Cut(promptOf("0"), ":")
+	n.crashes.mu.Lock()
+	recorded := n.crashes.registry.RecordCrash(timer.BootClock(), fingerprint.OfPart(chat.ParsePartID(part)), fingerprint.Crash{Engine: "i-gone"})
+	n.crashes.mu.Unlock()
+	require.True(t, recorded)
+	whole, _ := s.send("/draft/x", 1)
+	require.Equal(t, 1, whole)
+	require.Eventually(t, func() bool { return n.callers.inFlight.Load() == 0 }, time.Minute, time.Millisecond)
+	require.Positive(t, n.log.count(`"BK1605"`))
+}
