Let the soak keep back the cache lists of endpoints at a start of all hosts

The soak made lists late, never absent, so that it could not show what one endpoint without a list costs. For every other seed with late lists those of one endpoint do not come at all now; the choice has a generator of its own, so that the other faults of a seed stay.

--- a/soak/schedule/endpoint.go
+++ b/soak/schedule/endpoint.go
@@ -66,6 +66,8 @@
 	minListDelay  = 200 * time.Millisecond
 	maxListDelay  = 1200 * time.Millisecond
 	lateShare     = 0.6
+	// silentListsStream seeds the generator that chooses an endpoint whose cache lists do not come at all meanwhile.
+	silentListsStream = 15
 	// maxLateStarts is the largest number of starts of all hosts with late cache lists.
 	maxLateStarts = 1
 	// maxKillLag bounds how long after the store's return the host beside it is killed, or before it, and killTime how long the host is down.
@@ -93,18 +95,32 @@
 	return faults
 }
 
-// lateStart returns a start of all hosts while the cache lists of some endpoints come late.
+// lateStart returns a start of all hosts while the cache lists of some endpoints come late, and for each second seed those of one not at all.
 func (g *generator) lateStart(at time.Duration) []Fault {
 	faults := []Fault{{At: at + lateListsLead, For: killAllDuration, Action: KillAllHosts, Peer: -1}}
+	silent := g.silentEndpoint()
 	for endpoint := range g.cfg.Endpoints {
 		delay := minListDelay + time.Duration(g.random.Int64N(int64(maxListDelay-minListDelay)))
-		if g.random.Float64() < lateShare {
+		late := g.random.Float64() < lateShare
+		if endpoint == silent {
+			late, delay = true, lateListsTime
+		}
+		if late {
 			faults = append(faults, Fault{At: at, For: lateListsTime, Action: DelayCacheLists, Peer: -1, Endpoint: endpoint, Delay: delay})
 		}
 	}
 	return faults
 }
 
+// silentEndpoint returns the endpoint whose cache lists do not come at a start of all hosts; -1 for none.
+func (g *generator) silentEndpoint() int {
+	random := rand.New(rand.NewPCG(g.cfg.Seed, silentListsStream))
+	if random.IntN(2) == 0 {
+		return -1
+	}
+	return random.IntN(g.cfg.Endpoints)
+}
+
 // returnBesideKill returns a return of the store from an older copy, at once or after an outage, and the end of a host at about that moment.
 func (g *generator) returnBesideKill(at time.Duration) []Fault {
 	store := Fault{At: at + maxKillLag, Action: ReturnStore, Peer: -1, Lost: 1 + g.random.IntN(maxLost), Slow: g.random.IntN(2) == 0}
