Add a test of streams that are taken up in a process that took their engine's place, known red

What callers would see: a stream of one software version goes on in another one, if an engine's process ends and one of another version listens at once at its address, under its ID, for as long as its hosts do not have the registration.

Ruled out: the order of the store's changes; the registration is replaced within one write.

--- a/entry/node/store_order_test.go
+++ b/entry/node/store_order_test.go
@@ -132,3 +132,23 @@
 	count, _ := n.streams.registry.Versions(timer.BootClock(), "engines")
 	return count
 }
+
+// Guards against ORDER: streams that broke off when the process of an engine ended went on in the process of another version that took its place,
+// before their hosts knew.
+func TestStreamsDoNotGoOnInAProcessThatTookTheirEnginesPlace(t *testing.T) {
+	t.Parallel()
+	const streams = 60
+	s := newVersionSite(t, false, standin.DefaultVersion)
+	s.prompt = sessionPrompt
+	replaced := s.addReplaceable("i-replaced")
+	s.startNodes(3, 156)
+	names := s.beginStreams(streams)
+	replaced.version.Store(secondVersion)
+	replaced.SetVersion(secondVersion)
+	replaced.Crash()
+	require.NoError(t, replaced.ComeBackAs("i-replaced"))
+	wentOn := s.takeUpStreamsAtOnce(names)
+	t.Logf("%d of %d streams went on, %d at another version", wentOn, len(names), s.mixed())
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+	require.Greater(t, wentOn, len(names)/2)
+}
