Check the rule of a planned stop for any run time, deadline, notice and grace

The cases of TestRequestIsTakenOnlyIfItEndsInTime are points; the property holds the whole rule: a request that must end in time is always taken before the host closes, one that may not end in time never after the notice, and during it only if answers of its route usually end in time.

It fails if the usual run time is left out of the decision (tried). No program code is changed.

--- a/fleet/drain/drain_test.go
+++ b/fleet/drain/drain_test.go
@@ -116,3 +116,32 @@
 		}
 	})
 }
+
+// Guards against LOST and against needless refusals: requests of any usual run time and deadline are sent until the host has ended.
+func TestRequestIsTakenIfItMustEndInTimeAndRefusedIfItMayNotAfterTheNotice(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		ms := func(from, to int, name string) time.Duration {
+			return time.Duration(rapid.IntRange(from, to).Draw(t, name)) * time.Millisecond
+		}
+		cfg := Config{Notice: ms(0, 4000, "notice"), RunTime: ms(0, 5000, "runTime"), DeadlineMargin: ms(0, 500, "margin")}
+		grace := ms(500, 30000, "grace")
+		d := New(cfg)
+		d.Update(start, Begun{Limit: grace})
+		passed := ms(0, 30000, "passed")
+		now := at(passed)
+		run := Run{Deadline: now.Add(ms(1, 40000, "timeLeft")), Usual: ms(0, 40000, "usual")}
+		left := grace - cfg.DeadlineMargin - passed
+		must := run.Deadline.Sub(now) <= left
+		usually := run.Usual == 0 || run.Usual <= left
+		want := must || passed < cfg.Notice && usually
+		_, taken := d.Update(now, RequestRead{run}).(Take)
+		require.Equal(t, want, taken, "a request that was read")
+		mayBegin := passed < cfg.Notice || grace-passed >= cfg.RunTime
+		_, sent := d.Update(now, SlotAwaited{run}).(Take)
+		require.Equal(t, must || mayBegin && usually, sent, "a request that waits for a slot")
+		if taken && !must {
+			require.Less(t, passed, cfg.Notice, "what may outlast the host is taken during the notice only")
+		}
+	})
+}
