Say of a refused request what is known of all its tries

What callers saw (balsamknot only): a request that an engine may have run was refused as NotRun, if the deadline, the number of retries, the retry budget or another keeper's refusal ended it after the try that may have run it.

Cause: a refusal was made from the last event alone.

Change: the plan remembers that a try may have run; after that no refusal is NotRun. Its status is 502 then, or 504 at the deadline, since 503 promises the same.

Test before the change: TestRequestThatMayHaveRunIsNotRefusedAsNotRun, any events in any order at any time, fails at its first EngineLost without retry budget. With it all pass.

--- a/fleet/route/route.go
+++ b/fleet/route/route.go
@@ -84,6 +84,8 @@
 	queuePass bool
 	// excluded holds engines that are leaving or failed.
 	excluded map[engine.ID]bool
+	// mayHaveRun is true once the result of a try leaves open whether an engine ran the request.
+	mayHaveRun bool
 }
 
 // New returns a plan and its first try, or a refusal when there is no engine to try.
@@ -98,8 +100,45 @@
 	return p, p.lastTry, nil
 }
 
-// Update applies the result of the last try at time now and returns the next try, or the refusal that ends the request.
+// Update applies the result of the last try at time now and returns the next try, or the refusal that ends the request. The refusal says what is
+// known of all tries: after one that an engine may have run it is never NotRun.
 func (p *Plan) Update(now time.Time, event Event) (Try, *outcome.Refusal) {
+	p.mayHaveRun = p.mayHaveRun || mayHaveRun(event)
+	try, refusal := p.next(now, event)
+	if refusal != nil && p.mayHaveRun {
+		refusal = unknown(refusal)
+	}
+	return try, refusal
+}
+
+// mayHaveRun reports whether an engine may have run the request in a try with this result.
+func mayHaveRun(event Event) bool {
+	switch e := event.(type) {
+	case PeerLost:
+		return e.MayHaveStarted
+	case EngineLost:
+		return true
+	case Refused:
+		return e.Refusal.Outcome != outcome.NotRun
+	}
+	return false
+}
+
+// unknown returns a refusal with outcome Unknown in place of NotRun, with a status that does not promise it either.
+func unknown(refusal *outcome.Refusal) *outcome.Refusal {
+	if refusal.Outcome != outcome.NotRun {
+		return refusal
+	}
+	r := *refusal
+	r.Outcome, r.Status = outcome.Unknown, statusBadGateway
+	if r.Code == outcome.CodeDeadline {
+		r.Status = statusGatewayTimeout
+	}
+	return &r
+}
+
+// next returns the next try, or the refusal that follows from the last event.
+func (p *Plan) next(now time.Time, event Event) (Try, *outcome.Refusal) {
 	p.retries++
 	if p.retries > maxRetries || !now.Before(p.cfg.Deadline) {
 		return Try{}, p.exhausted(event)
@@ -206,8 +245,9 @@
 
 // HTTP statuses of refusals.
 const (
-	statusUnavailable = 503
-	statusBadGateway  = 502
+	statusUnavailable    = 503
+	statusBadGateway     = 502
+	statusGatewayTimeout = 504
 )
 
 func (p *Plan) refuse(code outcome.Code, detail string) *outcome.Refusal {
--- a/fleet/route/route_test.go
+++ b/fleet/route/route_test.go
@@ -92,3 +92,49 @@
 		t.Fatal("the request did not end")
 	})
 }
+
+// Guards against an untrue "not run": a request that an engine may have run was refused as not run when the deadline, the retries or the retry
+// budget ended it later. Any results of the tries are played, in any order and at any time.
+func TestRequestThatMayHaveRunIsNotRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
+	refusedAs := func(o outcome.Outcome, status int) Event {
+		return Refused{&outcome.Refusal{Code: outcome.CodeOverloaded, Outcome: o, Status: status}}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		p, _ := newPlan(rapid.Bool().Draw(t, "retryable"), "e1", "e2", "e3")
+		now, mayHaveRun := start, false
+		for {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "passedS")) * time.Second)
+			event := rapid.SampledFrom([]Event{
+				Declined{keeper.OverBound}, Declined{keeper.Overflowed}, Declined{keeper.NotHere}, Declined{keeper.NotKeeper}, Declined{keeper.Leaving},
+				PeerLost{MayHaveStarted: true}, PeerLost{}, EngineLost{RetryAllowed: true}, EngineLost{}, EngineLost{Delivered: true},
+				refusedAs(outcome.NotRun, statusUnavailable), refusedAs(outcome.Unknown, statusBadGateway),
+			}).Draw(t, "event")
+			mayHaveRun = mayHaveRun || mayRun(event)
+			_, refusal := p.Update(now, event)
+			if refusal == nil {
+				continue
+			}
+			if mayHaveRun {
+				require.Equal(t, outcome.Unknown, refusal.Outcome)
+				require.NotEqual(t, statusUnavailable, refusal.Status)
+			} else {
+				require.Equal(t, outcome.NotRun, refusal.Outcome)
+			}
+			return
+		}
+	})
+}
+
+// mayRun reports whether an engine may have run the request in a try with this result.
+func mayRun(event Event) bool {
+	switch e := event.(type) {
+	case PeerLost:
+		return e.MayHaveStarted
+	case EngineLost:
+		return true
+	case Refused:
+		return e.Refusal.Outcome == outcome.Unknown
+	}
+	return false
+}
