--- a/fleet/drain/drain.go
+++ b/fleet/drain/drain.go
@@ -113,8 +113,8 @@
 	d.begun, d.beganAt, d.endAt = true, now, now.Add(limit)
 }
 
-// takes reports whether a request may be taken. What is sent after Notice may be taken only if it must end in time: its caller can't have been
-// sent here by a load balancer that had not noticed.
+// takes reports whether a request may be taken. After Notice only what must end in time is: the load balancer sends a caller who is refused then to
+// another host.
 func (d *Drain) takes(now time.Time, r Run) bool {
 	switch {
 	case !d.begun || d.endsInTime(r.Deadline):
--- a/fleet/pool/cache_list.go
+++ b/fleet/pool/cache_list.go
@@ -76,8 +76,8 @@
 	started bool
 	// deadline is when slot requests no longer wait for lists.
 	deadline time.Time
-	// wantedUntil is when engines are no longer asked, unless another event needs their lists, and wantedSince when the first event needed
-	// them, since which none of them came later than listDemandMemory after the one before.
+	// wantedUntil is when engines are no longer asked, unless another event needs their lists. wantedSince is when the first event of the present
+	// series needed them; a pause of listDemandMemory ends a series.
 	wantedSince, wantedUntil time.Time
 	// inFlight is the number of lists that are requested now.
 	inFlight int
