--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -47,6 +47,7 @@
 	CallerDisconnected     Number = 1406
 	AnswerAborted          Number = 1407
 	EndChecked             Number = 1408
+	StreamWentOn           Number = 1409
 	ClaimWon               Number = 1501
 	ClaimDeferred          Number = 1502
 	ClaimUnsettled         Number = 1503
@@ -114,7 +115,8 @@
 	{RequestPlaced, "request placed", "A keeper chose the endpoint: Running of Limit were there, Missing tokens of shared parts have to be read; BeliefMs is how old the set is by which it was let in.", "None."},
 	{CallerDisconnected, "caller left", "The caller closed its connection before its answer was whole; the endpoint was told to stop.", "None, unless frequent."},
 	{AnswerAborted, "answer cut", "An answer that had begun can't go on: the caller's connection was closed so that it does not look whole.", "By its Cause."},
-	{EndChecked, "end of an answer checked", "Only the end of its connection ended an answer. Open and Ended count the endpoint's other connections just after it, and Verdict says what the answer was taken for.", "If broken off: look for the end of the endpoint's process."},
+	{EndChecked, "end of an answer checked", "Only the end of its connection ended an answer. Open and Ended count the endpoint's other connections just after it, IdleEnded those of them that no request used, NewOpen says whether a new connection stayed, and Verdict says what the answer was taken for.", "If broken off: look for the end of the endpoint's process."},
+	{StreamWentOn, "stream went on", "An endpoint sent the first event of a stream that goes on after Position: the event's ID is First. ConnectedMs is the age of the connection and BeliefMs that of the host's copy of the store: if the connection is younger, the copy may not know its process.", "None. If First does not follow Position: look at the endpoint."},
 	{ClaimWon, "claim won", "A quorum of electors vouches for this home.", "None."},
 	{ClaimDeferred, "claim deferred", "Another home holds the key; it was asked for the answer.", "None."},
 	{ClaimUnsettled, "claim unsettled", "Too few electors vouched; nothing was sent. The caller was told Unknown.", "Check the hosts if it lasts longer than ElectorGrace."},
--- a/entry/node/completion.go
+++ b/entry/node/completion.go
@@ -41,7 +41,7 @@
 		return q.r.Context().Err()
 	}
 	q.logEvent(n.log, zerolog.InfoLevel, event.EndChecked).Str("Endpoint", string(q.endpoint)).Int("Open", seen.Open).Int("Ended", seen.Ended).
-		Str("Verdict", string(verdict)).Send()
+		Int("IdleEnded", seen.IdleEnded).Bool("NewOpen", seen.NewOpen).Str("Verdict", string(verdict)).Send()
 	n.meter.recordUnmarkedEnd(verdict)
 	q.endConfirmed = verdict == completion.Complete
 	if q.endConfirmed {
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -332,7 +332,8 @@
 	events := connection.NewEventReader(x.Response.Body)
 	events.Reserve = func(bytes int) bool { return n.reserveEvent(q, memory.Bytes(bytes)) }
 	control := http.NewResponseController(q.w)
-	for {
+	after := q.position()
+	for first := true; ; first = false {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if err := n.confirmEnd(q, x); err != nil {
@@ -348,6 +349,9 @@
 		}
 		n.paths.heard(q.address, x)
 		n.crashes.recordReceived(q, x)
+		if first && after != "" {
+			n.logStreamWentOn(q, x, after, events.LastEventID())
+		}
 		n.startStream(q, a, x)
 		n.bindStream(q)
 		q.lastEventID = events.LastEventID()
@@ -358,6 +362,13 @@
 	}
 }
 
+// logStreamWentOn logs the ID of the first event of a stream that goes on after a position.
+func (n *Node) logStreamWentOn(q *request, x *connection.Exchange, after, first string) {
+	now := timer.BootClock()
+	q.logEvent(n.log, zerolog.InfoLevel, event.StreamWentOn).Str("Endpoint", string(q.endpoint)).Str("Software", string(q.software)).
+		Str("Position", after).Str("First", first).Dur("ConnectedMs", now.Sub(x.ConnectedAt())).Dur("BeliefMs", n.storeView.age(now)).Send()
+}
+
 // startStream sends the headers of a stream to the caller, once: a stream that is resumed at another endpoint keeps the first
 // ones.
 func (n *Node) startStream(q *request, a *attempt.Attempt, x *connection.Exchange) {
