--- a/entry/node/unmarked_end_test.go
+++ b/entry/node/unmarked_end_test.go
@@ -110,6 +110,18 @@
 	e.CloseClientConnections()
 }
 
+// replaceAtOnce ends the endpoint's connections in order, while its address listens on, as with a supervisor that starts the next process. The other
+// process takes requests at once.
+func (e *unframedEndpoint) replaceAtOnce() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn := range e.conns {
+		_ = conn.Close()
+	}
+	e.CloseClientConnections()
+	e.conns = make(map[net.Conn]bool)
+}
+
 // send sends n requests to a path at once and counts the answers that look complete: those that are, and those that are not.
 func (s *unframedSite) send(path string, n int) (whole, truncated int) {
 	var wg sync.WaitGroup
@@ -187,6 +199,20 @@
 	})
 }
 
+// Guards against ORDER: streams that the end of a process cut were taken for complete, since the next process listened at its address at once.
+func TestAnswerThatIsCutWhileItsAddressListensOnDoesNotLookComplete(t *testing.T) {
+	t.Parallel()
+	forEachAnswerKind(t, 40, func(t *testing.T, s *unframedSite, kind answerKind, requests int) {
+		go func() { (<-s.halfway).replaceAtOnce() }()
+		whole, truncated := s.send(kind.path, requests)
+		t.Logf("%d of %d answers are complete, %d only look so", whole, requests, truncated)
+		require.Zero(t, truncated)
+		if kind.goesOn {
+			require.Equal(t, requests, whole)
+		}
+	})
+}
+
 // endsTakenFor returns how many unmarked ends the nodes took for what a verdict says.
 func (s *unframedSite) endsTakenFor(verdict string) int {
 	n := 0
