Hold the position of a stream in one type that accepts only what goes on from it

Cause: the position of a stream was the ID of the newest run's last event, so that a run that brought an event without an ID took it away, and nothing compared what an endpoint sends with the position that it was asked to go on after. Change: stream.Position never goes back and refuses an event that does not come after it; a run that leaves out events is refused where the IDs are consecutive numbers, by the stream's own or by those of 16 others of the service. A run that is refused is no crash of its endpoint, and the request goes on elsewhere. After data without an ID, nobody can be asked for the rest: the answer is cut. The reader of events, the retry, the record of a run and the log use it. The reader's LastEventID is gone: its tests check the events' own IDs.

--- a/entry/connection/endless_test.go
+++ b/entry/connection/endless_test.go
@@ -124,9 +124,9 @@
 			total := 0
 			var err error
 			for err == nil && total < endlessBytes {
-				var ev []byte
+				var ev Event
 				ev, err = r.Next()
-				total += len(ev)
+				total += len(ev.Text)
 			}
 			require.Error(t, err)
 			require.NotErrorIs(t, err, io.EOF)
--- a/entry/connection/event.go
+++ b/entry/connection/event.go
@@ -5,14 +5,24 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"balsamknot.org/fleet/stream"
 )
 
+// Event is a complete event of a stream.
+type Event struct {
+	// Text holds its bytes, including the blank line that ends it. It is valid until the next event is read.
+	Text []byte
+	// ID is the event's own ID; empty if it has none.
+	ID stream.EventID
+	// HasData is true if the event holds data. Comments and fields that are not known are none.
+	HasData bool
+}
+
 // EventReader reads a stream of server-sent events and returns complete events only.
 type EventReader struct {
-	r *bufio.Reader
-	// lastID is the id of the newest complete event.
-	lastID string
-	buf    []byte
+	r   *bufio.Reader
+	buf []byte
 	// total is the size of the events so far.
 	total int
 	// Reserve is called before an event is held of which more than freeEventSize, and than was reserved before, is to be kept, with the
@@ -44,46 +54,43 @@
 	return &EventReader{r: bufio.NewReaderSize(r, 2048)}
 }
 
-// Next returns the bytes of the next event, including the blank line that ends it. The slice is valid until the next call.
-// The error is io.EOF when the stream ends after an event, and io.ErrUnexpectedEOF when it ends within one.
-func (e *EventReader) Next() ([]byte, error) {
+// Next returns the next event. The error is io.EOF when the stream ends after an event, and io.ErrUnexpectedEOF when it ends within one.
+func (e *EventReader) Next() (Event, error) {
 	e.buf = e.buf[:0]
-	id := e.lastID
+	var ev Event
 	lineStart := 0
 	for {
 		read, err := e.r.ReadSlice('\n')
 		if !e.reserve(len(e.buf) + len(read)) {
-			return nil, ErrNoMemory
+			return Event{}, ErrNoMemory
 		}
 		e.buf = append(e.buf, read...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			if len(e.buf) > maxEventSize {
-				return nil, errEventTooLong
+				return Event{}, errEventTooLong
 			}
 			continue
 		case errors.Is(err, io.EOF) && len(e.buf) > 0:
-			return nil, io.ErrUnexpectedEOF
+			return Event{}, io.ErrUnexpectedEOF
 		case err != nil:
-			return nil, err
+			return Event{}, err
 		}
 		line := bytes.TrimRight(e.buf[lineStart:], "\r\n")
 		lineStart = len(e.buf)
 		if len(line) == 0 {
 			if e.total += len(e.buf); e.total > maxStreamSize {
-				return nil, errStreamTooLong
+				return Event{}, errStreamTooLong
 			}
-			e.lastID = id
-			return e.buf, nil
+			ev.Text = e.buf
+			return ev, nil
 		}
 		if !isEventLine(line) {
-			return nil, errNoEvent
-		}
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
+			return Event{}, errNoEvent
 		}
+		ev.readField(line)
 		if len(e.buf) > maxEventSize {
-			return nil, errEventTooLong
+			return Event{}, errEventTooLong
 		}
 	}
 }
@@ -114,5 +121,13 @@
 	return true
 }
 
-// LastEventID returns the id of the newest event that Next returned, or of the last one before it that had an id; empty if none.
-func (e *EventReader) LastEventID() string { return e.lastID }
+// readField takes what a line, without its end, says into the event.
+func (ev *Event) readField(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "id":
+		ev.ID = stream.EventID(bytes.TrimSpace(value))
+	case "data":
+		ev.HasData = true
+	}
+}
--- a/entry/connection/exchange_test.go
+++ b/entry/connection/exchange_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"balsamknot.org/fleet/answer"
+	"balsamknot.org/fleet/stream"
 	"balsamknot.org/platform/standin"
 )
 
@@ -281,14 +282,28 @@
 	r := NewEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n"))
 	ev, err := r.Next()
 	require.NoError(t, err)
-	require.Equal(t, "id: 1\ndata: a\n\n", string(ev))
+	require.Equal(t, "id: 1\ndata: a\n\n", string(ev.Text))
+	require.Equal(t, stream.EventID("1"), ev.ID)
 	ev, err = r.Next()
 	require.NoError(t, err)
-	require.Equal(t, "id: 2\r\ndata: b\r\n\r\n", string(ev))
-	require.Equal(t, "2", r.LastEventID())
-	_, err = r.Next()
+	require.Equal(t, "id: 2\r\ndata: b\r\n\r\n", string(ev.Text))
+	require.Equal(t, stream.EventID("2"), ev.ID)
+	ev, err = r.Next()
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
-	require.Equal(t, "2", r.LastEventID(), "the id of an incomplete event is ignored")
+	require.Empty(t, ev.ID, "the id of an incomplete event is ignored")
+}
+
+func TestEventReaderTellsWhatAnEventHolds(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]Event{
+		"id: 7\ndata: a\n\n": {ID: "7", HasData: true}, ": ping\n\n": {}, "id:\ndata: a\n\n": {HasData: true}, "id\ndata\n\n": {HasData: true},
+		"id: 7\n\n": {ID: "7"}, "retry: 10\n\n": {}, "id: 1\nid: 2\n\n": {ID: "2"}, "data-id: 3\n\n": {},
+	} {
+		ev, err := NewEventReader(strings.NewReader(text)).Next()
+		require.NoError(t, err)
+		want.Text = []byte(text)
+		require.Equal(t, want, ev)
+	}
 }
 
 // A line that is longer than the read buffer is one line, whatever its later parts begin with.
@@ -299,8 +314,8 @@
 		r := NewEventReader(strings.NewReader(event))
 		ev, err := r.Next()
 		require.NoError(t, err)
-		require.Equal(t, event, string(ev))
-		require.Equal(t, "3", r.LastEventID())
+		require.Equal(t, event, string(ev.Text))
+		require.Equal(t, stream.EventID("3"), ev.ID)
 	}
 }
 
@@ -314,7 +329,7 @@
 			if err != nil {
 				break
 			}
-			total += len(ev)
+			total += len(ev.Text)
 		}
 		require.LessOrEqual(t, total, len(in))
 	})
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -21,6 +21,7 @@
 	"balsamknot.org/fleet/memory"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
+	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
 )
@@ -134,8 +135,8 @@
 	dropOnce sync.Once
 	// stream is what a streamed answer has taken.
 	stream memory.Claim
-	// lastEventID is the ID of the last event of a stream that was delivered; empty before the first.
-	lastEventID string
+	// position is where the request's stream stands: at first after the event that the caller gave to take up an earlier answer.
+	position stream.Position
 	// endpoint is the endpoint of the latest slot that the request got; empty before the first.
 	endpoint endpoint.ID
 	// instance is the incarnation of the endpoint to which the request was sent last, and sentAt when that was.
@@ -185,6 +186,7 @@
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
 	q := &request{w: w, r: r, call: platform.ReadCall(r.Header), start: timer.BootClock()}
+	q.position = stream.NewPosition(stream.EventID(q.call.LastEventID))
 	if c.n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -48,6 +48,7 @@
 	tunnelsOpened    = "entry_tunnels_opened_total"
 	storeReturns     = "entry_store_returns_total"
 	droppedReads     = "entry_store_reads_dropped_total"
+	misplacedRuns    = "entry_misplaced_runs_total"
 )
 
 // meter holds the metrics of a node.
@@ -58,7 +59,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns} {
 		m.set.NewCounter(name)
 	}
 	for _, verdict := range []completion.Verdict{completion.Complete, completion.BrokenOff, completion.Unconfirmed} {
@@ -128,6 +129,9 @@
 // recordDroppedRead counts what was read in an earlier era of the store than that of this host's copy.
 func (m *meter) recordDroppedRead() { m.set.GetOrCreateCounter(droppedReads).Inc() }
 
+// recordMisplaced counts a run whose events did not go on from the position of its stream.
+func (m *meter) recordMisplaced() { m.set.GetOrCreateCounter(misplacedRuns).Inc() }
+
 // recordUnmarkedEnd counts an answer that only the end of its connection ended, by what it was taken for.
 func (m *meter) recordUnmarkedEnd(verdict completion.Verdict) {
 	m.set.GetOrCreateCounter(unmarkedEnd(verdict)).Inc()
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -17,7 +16,6 @@
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/interruption"
-	"balsamknot.org/fleet/memory"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
@@ -56,7 +54,7 @@
 // look complete. It does not return.
 func (n *Node) abortAnswer(q *request) {
 	q.logEvent(n.log, zerolog.WarnLevel, event.AnswerAborted).Str("Cause", q.cause).Str("Endpoint", string(q.endpoint)).
-		Str("Position", q.lastEventID).Dur("TotalMs", timer.BootClock().Sub(q.start)).Send()
+		Str("Position", string(q.position.Last())).Dur("TotalMs", timer.BootClock().Sub(q.start)).Send()
 	n.meter.recordOutcome(q, outcomeAborted)
 	panic(http.ErrAbortHandler)
 }
@@ -153,11 +151,11 @@
 		return
 	}
 	number := event.RequestRetried
-	if q.lastEventID != "" {
+	if q.begun {
 		number = event.RequestResumed
 	}
 	q.logEvent(n.log, zerolog.WarnLevel, number).Str("Endpoint", string(q.endpoint)).Str("Cause", q.cause).
-		Bool("Repeat", acquire.Retry).Str("Position", q.lastEventID).Send()
+		Bool("Repeat", acquire.Retry).Str("Position", string(q.position.Last())).Send()
 	n.meter.recordRetry(q)
 }
 
@@ -190,7 +188,7 @@
 	timeLeft := q.deadline.Sub(now)
 	header := platform.Forward(q.r.Header, platform.ForwardOptions{
 		Workspace: string(q.workspace), Instance: target.Instance, TimeLeft: timeLeft, Priority: q.set.Priority(q.route, q.workspace),
-		LastEventID: q.position(), Fetch: n.slots.endpointAddress(grant.Fetch),
+		LastEventID: string(q.position.Last()), Fetch: n.slots.endpointAddress(grant.Fetch),
 	})
 	q.instance, q.address, q.software, q.sentAt, q.relay, q.causeKnown = target.Instance, target.Address, target.Version, now, "", false
 	n.crashes.update(now, interruption.Sent{Run: q.run()})
@@ -325,79 +323,3 @@
 		n.stopping.noteCompletion(now, q)
 	}
 }
-
-// streamEvents passes the events of a stream on as they arrive. Only complete events are sent, so that the stream can be resumed
-// at another endpoint after any of them.
-func (n *Node) streamEvents(q *request, a *attempt.Attempt, id endpoint.ID, x *connection.Exchange) (pool.Result, attempt.Command) {
-	events := connection.NewEventReader(x.Response.Body)
-	events.Reserve = func(bytes int) bool { return n.reserveEvent(q, memory.Bytes(bytes)) }
-	control := http.NewResponseController(q.w)
-	after := q.position()
-	for first := true; ; first = false {
-		ev, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			if err := n.confirmEnd(q, x); err != nil {
-				return n.interrupted(q, a, id, err)
-			}
-			x.Finish()
-			n.startStream(q, a, x)
-			n.recordCompletion(q, x)
-			return q.completedResult(x), nil
-		}
-		if err != nil {
-			return n.interrupted(q, a, id, err)
-		}
-		n.paths.heard(q.address, x)
-		n.crashes.recordReceived(q, x)
-		if first && after != "" {
-			n.logStreamWentOn(q, x, after, events.LastEventID())
-		}
-		n.startStream(q, a, x)
-		n.bindStream(q)
-		q.lastEventID = events.LastEventID()
-		_, err = q.w.Write(ev)
-		if err := errors.Join(err, control.Flush()); err != nil {
-			n.endDisconnected(q)
-		}
-	}
-}
-
-// logStreamWentOn logs the ID of the first event of a stream that goes on after a position.
-func (n *Node) logStreamWentOn(q *request, x *connection.Exchange, after, first string) {
-	now := timer.BootClock()
-	q.logEvent(n.log, zerolog.InfoLevel, event.StreamWentOn).Str("Endpoint", string(q.endpoint)).Str("Software", string(q.software)).
-		Str("Position", after).Str("First", first).Dur("ConnectedMs", now.Sub(x.ConnectedAt())).Dur("BeliefMs", n.storeView.age(now)).Send()
-}
-
-// startStream sends the headers of a stream to the caller, once: a stream that is resumed at another endpoint keeps the first
-// ones.
-func (n *Node) startStream(q *request, a *attempt.Attempt, x *connection.Exchange) {
-	if !q.firstByteAt.IsZero() {
-		return
-	}
-	q.firstByteAt = timer.BootClock()
-	platform.CopyAnswerHeaders(q.w.Header(), x.Response.Header)
-	q.w.WriteHeader(x.Response.StatusCode)
-	a.Delivering()
-}
-
-// bindStream binds a stream to the version that brought its first event, before the caller gets that event.
-func (n *Node) bindStream(q *request) {
-	if q.begun {
-		return
-	}
-	q.begun = true
-	if q.version == "" {
-		q.version = q.software
-	}
-	n.streams.recordBegin(q)
-}
-
-// position returns the ID of the event after which the endpoint is to continue the stream: the last event delivered for this
-// request, else the one that the caller gave to resume an earlier answer. It is empty if there is none.
-func (q *request) position() string {
-	if q.lastEventID != "" {
-		return q.lastEventID
-	}
-	return q.call.LastEventID
-}
--- a/entry/node/stream_position_test.go
+++ b/entry/node/stream_position_test.go
@@ -126,6 +126,7 @@
 				}
 				_, _ = io.WriteString(w, textFrom(first, streamEvents))
 			})
+			s.nodes[0].haveRunForLifetime()
 			text, whole := s.readStream("/persistent/x", position)
 			require.True(t, whole)
 			require.Equal(t, textFrom(position+1, streamEvents), text)
--- a/entry/node/streams.go
+++ b/entry/node/streams.go
@@ -10,6 +10,7 @@
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 )
@@ -21,6 +22,8 @@
 
 	mu       sync.Mutex
 	registry *stream.Registry
+	// numberings holds what the streams of each service have shown of the IDs of their events.
+	numberings map[site.ServiceName]*stream.Numbering
 
 	// originQueries ask hosts for the origins of streams, and partQueries ask keepers which versions cache a part of a prompt.
 	originQueries *queries[streamReply]
@@ -52,7 +55,8 @@
 
 func newStreamTracker(n *Node) *streamTracker {
 	return &streamTracker{
-		n: n, registry: stream.NewRegistry(timer.BootClock()), originQueries: newQueries[streamReply](), partQueries: newQueries[[]endpoint.Version](),
+		n: n, registry: stream.NewRegistry(timer.BootClock()), numberings: make(map[site.ServiceName]*stream.Numbering),
+		originQueries: newQueries[streamReply](), partQueries: newQueries[[]endpoint.Version](),
 	}
 }
 
@@ -114,6 +118,24 @@
 	}
 }
 
+// noteNumbers takes the IDs of the events of a stream into account that has ended.
+func (s *streamTracker) noteNumbers(q *request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.numberings[q.service] == nil {
+		s.numberings[q.service] = &stream.Numbering{}
+	}
+	s.numberings[q.service].Note(q.position)
+}
+
+// numbersConsecutively reports whether the IDs of a service's events are consecutive numbers, as far as this host knows.
+func (s *streamTracker) numbersConsecutively(service site.ServiceName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.numberings[service]
+	return n != nil && n.Consecutive()
+}
+
 // takesUp reports whether the request takes up a stream that an earlier one began.
 func (q *request) takesUp() bool {
 	return q.route.Streaming && (q.call.LastEventID != "" || q.call.Resumes != "")
--- a/fleet/attempt/attempt.go
+++ b/fleet/attempt/attempt.go
@@ -40,6 +40,8 @@
 	mayHaveRun bool
 	// delivering is true once the caller has received the first bytes of an answer.
 	delivering bool
+	// positionLost is true while it is not known after which event another endpoint would have to go on.
+	positionLost bool
 }
 
 // New returns an attempt that has not been sent to any endpoint.
@@ -124,6 +126,9 @@
 // Delivering records that the caller has received the first bytes of an answer.
 func (a *Attempt) Delivering() { a.delivering = true }
 
+// NotePosition records whether it is known after which event of the answer another endpoint would have to go on.
+func (a *Attempt) NotePosition(known bool) { a.positionLost = !known }
+
 // Sends returns how many endpoints the request was sent to, not including unreachable ones.
 func (a *Attempt) Sends() int { return a.sends }
 
@@ -173,7 +178,7 @@
 // delivered, only a resumable request may.
 func (a *Attempt) mayRetry(now time.Time) bool {
 	switch {
-	case a.cfg.RetryMode == site.NonIdempotent, a.delivering && a.cfg.RetryMode != site.Resumable:
+	case a.cfg.RetryMode == site.NonIdempotent, a.delivering && (a.cfg.RetryMode != site.Resumable || a.positionLost):
 		return false
 	}
 	return a.canTryAnother(now)
--- a/fleet/attempt/attempt_test.go
+++ b/fleet/attempt/attempt_test.go
@@ -58,6 +58,17 @@
 	}
 }
 
+func TestStreamWhosePositionIsNotKnownIsNotResumed(t *testing.T) {
+	t.Parallel()
+	a := newAttempt(site.Resumable, 2)
+	a.Sent("a")
+	a.Delivering()
+	a.NotePosition(false)
+	require.Equal(t, Abort{}, a.Update(start, Interrupted{"a"}))
+	a.NotePosition(true)
+	require.IsType(t, AcquireSlot{}, a.Update(start, Interrupted{"a"}))
+}
+
 func TestNotRunIsNotReportedWhenEarlierEndpointMayHaveRunRequest(t *testing.T) {
 	t.Parallel()
 	a := newAttempt(site.Idempotent, 3)
