Reset the connection of a caller that speaks HTTP/1.0 when its answer is cut

Callers of HTTP/1.0 saw cut streams that look complete: their answers end with the connection, and a cut one ended in order.

--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -56,9 +57,25 @@
 	q.logEvent(n.log, zerolog.WarnLevel, event.AnswerAborted).Str("Cause", q.cause).Str("Endpoint", string(q.endpoint)).
 		Str("Position", string(q.position.Last())).Dur("TotalMs", timer.BootClock().Sub(q.start)).Send()
 	n.meter.recordOutcome(q, outcomeAborted)
+	if !q.r.ProtoAtLeast(1, 1) {
+		resetConnection(q.w)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection resets a caller's connection. The end of its connection is all that ends an answer to a caller that speaks HTTP/1.0, so that
+// a cut answer would look complete if it ended in order.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // endDisconnected ends a request whose caller has disconnected. It does not return.
 func (n *Node) endDisconnected(q *request) {
 	q.logEvent(n.log, zerolog.InfoLevel, event.CallerDisconnected).Str("Endpoint", string(q.endpoint)).
--- a/entry/node/stream_position_test.go
+++ b/entry/node/stream_position_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -133,3 +134,18 @@
 		})
 	}
 }
+
+// Guards against ORDER: a stream that was cut looked complete to callers that speak HTTP/1.0, whose answers end with their connections.
+func TestCutStreamDoesNotLookCompleteToCallersOfHTTP10(t *testing.T) {
+	t.Parallel()
+	s := newPositionSite(t, 61, func(w http.ResponseWriter, _, _ int) { sendCut(w, textFrom(1, 3)) })
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", s.nodes[0].cfg.CallerAddress)
+	require.NoError(t, err)
+	defer conn.Close()
+	r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodPost, "/draft/x", "id-1", "k1", nil)
+	_, _ = fmt.Fprintf(conn, "POST /draft/x HTTP/1.0\r\nHost: %s\r\n", r.Host)
+	require.NoError(t, r.Header.Write(conn))
+	_, _ = io.WriteString(conn, "\r\n")
+	text, err := io.ReadAll(conn)
+	require.Error(t, err, "the connection ended in order after %q", text)
+}
