Guard an answer whose end is not marked with a connection to the process that writes it

Cause: a new connection in time decided "complete" if no idle connection had ended. It shows that something listens at the address, not that it is the process that wrote the answer; connections that ended while in use counted for nothing, and an endpoint without framing leaves no idle ones. Class: what is known of an address is taken for knowledge of a process. Change: while an unframed answer comes, a connection over which nothing is sent is held to its endpoint, one for all such answers and for 10 s after the last. It ends with the process that took it: then the answer is broken off. Without it, an answer beside which others ended, and none stays, is unconfirmed: a stream that may be resumed asks for the rest. A sound unframed answer costs no further connection but the one that is held. Assertions: the property test lets a process listen again at any time, not only after the restart time, where another connection can show its end. In the table, "another answer ended" beside which nothing stays was complete and is unconfirmed now; a row with the guard was added for each verdict.

--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -49,6 +49,8 @@
 	idle map[string][]*pooledConn
 	// inUse holds the connections of exchanges by address.
 	inUse map[string]map[*pooledConn]bool
+	// sentinels holds the sentinels by address.
+	sentinels map[string]*sentinel
 	// dials counts the connections that were established.
 	dials int64
 }
@@ -80,7 +82,7 @@
 
 // New returns an empty pool. Close closes its idle connections.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, idle: make(map[string][]*pooledConn), inUse: make(map[string]map[*pooledConn]bool)}
+	return &Pool{cfg: cfg, idle: make(map[string][]*pooledConn), inUse: make(map[string]map[*pooledConn]bool), sentinels: make(map[string]*sentinel)}
 }
 
 // Relayed is implemented by connections that lead through another host, the relay.
@@ -246,11 +248,12 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// Sweep closes idle connections that have expired. It is called periodically.
+// Sweep closes idle connections that have expired, and sentinels that are not needed. It is called periodically.
 func (p *Pool) Sweep() {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweepSentinels(timer.BootClock())
 	for address, conns := range p.idle {
 		unexpired := conns[:0]
 		for _, c := range conns {
@@ -268,10 +271,11 @@
 	}
 }
 
-// DropIdle closes the idle connections to an address.
+// DropIdle closes the connections to an address that no request uses.
 func (p *Pool) DropIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeSentinel(address)
 	for _, c := range p.idle[address] {
 		_ = c.Conn.Close()
 	}
@@ -332,4 +336,7 @@
 		}
 	}
 	clear(p.idle)
+	for address := range p.sentinels {
+		p.closeSentinel(address)
+	}
 }
--- a/entry/connection/witness.go
+++ b/entry/connection/witness.go
@@ -13,11 +13,7 @@
 
 // Witness is a connection to an endpoint, beside that of an exchange, that shows whether the endpoint goes on. When the process at the endpoint
 // ends, all its connections end; when it ends one in order, the others stay.
-type Witness struct {
-	conn *pooledConn
-	// idle is true if no request used the connection when it became a witness.
-	idle bool
-}
+type Witness struct{ conn *pooledConn }
 
 // Witnesses returns the other connections to the exchange's endpoint.
 func (x *Exchange) Witnesses() []Witness {
@@ -31,7 +27,7 @@
 		}
 	}
 	for _, c := range p.idle[x.conn.address] {
-		others = append(others, Witness{conn: c, idle: true})
+		others = append(others, Witness{conn: c})
 	}
 	return others
 }
@@ -39,7 +35,7 @@
 // Connect opens a connection to the exchange's endpoint; Release must be called for it. The error is ErrNotSent.
 func (x *Exchange) Connect(ctx context.Context) (Witness, error) {
 	c, err := x.pool.dialForUse(ctx, x.conn.address)
-	return Witness{conn: c, idle: true}, err
+	return Witness{conn: c}, err
 }
 
 // Release makes a connection of Connect available to requests, unless the endpoint has ended it.
@@ -57,9 +53,6 @@
 // Ended reports whether the endpoint has ended the connection. One that this host closed is neither open nor ended.
 func (w Witness) Ended() bool { return w.conn.peerState() == peerEnded }
 
-// Idle reports whether no request used the connection when it became a witness.
-func (w Witness) Idle() bool { return w.idle }
-
 // peerState is the state of the endpoint's side of a connection.
 type peerState int
 
--- a/entry/node/caller.go
+++ b/entry/node/caller.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/entry/connection"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/host"
@@ -161,6 +162,8 @@
 	software endpoint.Version
 	// cause is why the latest attempt failed or the request was refused, for the log.
 	cause string
+	// guard observes the process that writes the answer whose end will not be marked; nil if it will be.
+	guard *connection.Guard
 	// endConfirmed is true if the end of the answer, which is not marked, was confirmed by its endpoint going on.
 	endConfirmed bool
 	// firstByteAt is when the headers of a streamed answer were sent to the caller, or when an answer that is not streamed was
--- a/entry/node/completion.go
+++ b/entry/node/completion.go
@@ -18,7 +18,7 @@
 const (
 	// endSettleTime is the time in which the ends of all connections of a process that ended arrive at this host.
 	endSettleTime = 20 * time.Millisecond
-	// minRestartTime is less than the time after which another process listens in place of one that ended.
+	// minRestartTime is the time in which a new connection must be established to show that the endpoint did not stop listening.
 	minRestartTime = 100 * time.Millisecond
 	// endRetryInterval is the time between two attempts to connect to an endpoint that does not react, and endCheckTimeout that after which
 	// the end of its answer stays unconfirmed.
@@ -29,19 +29,27 @@
 // errEndNotConfirmed means that an answer whose end is not marked ended with its endpoint's process, or may have.
 var errEndNotConfirmed = errors.New("the endpoint ended with the answer, or may have")
 
+// guardEnd has the end of an answer guarded from now on, unless it will be marked.
+func (q *request) guardEnd(x *connection.Exchange) {
+	q.guard = nil
+	if !answer.EndMarked(x.Response) {
+		q.guard = x.Guard()
+	}
+}
+
 // confirmEnd returns nil if an answer that was read to its end is complete: its end is marked, or its endpoint goes on.
 func (n *Node) confirmEnd(q *request, x *connection.Exchange) error {
-	if answer.EndMarked(x.Response) {
+	if q.guard == nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(q.r.Context(), q.deadline.Sub(timer.BootClock())+endSettleTime)
 	defer cancel()
-	verdict, seen := checkEnd(ctx, x)
+	verdict, seen := checkEnd(ctx, x, q.guard)
 	if q.disconnected() {
 		return q.r.Context().Err()
 	}
 	q.logEvent(n.log, zerolog.InfoLevel, event.EndChecked).Str("Endpoint", string(q.endpoint)).Int("Open", seen.Open).Int("Ended", seen.Ended).
-		Int("IdleEnded", seen.IdleEnded).Bool("NewOpen", seen.NewOpen).Str("Verdict", string(verdict)).Send()
+		Bool("NewOpen", seen.NewOpen).Str("Guard", string(seen.Guard)).Str("Verdict", string(verdict)).Send()
 	n.meter.recordUnmarkedEnd(verdict)
 	q.endConfirmed = verdict == completion.Complete
 	if q.endConfirmed {
@@ -51,11 +59,12 @@
 }
 
 // checkEnd carries out a completion.Check. It also returns what was last observed of the endpoint's connections.
-func checkEnd(ctx context.Context, x *connection.Exchange) (verdict completion.Verdict, seen completion.Observed) {
+func checkEnd(ctx context.Context, x *connection.Exchange, guard *connection.Guard) (verdict completion.Verdict, seen completion.Observed) {
 	check := completion.New(completion.Config{
 		Settle: endSettleTime, RestartTime: minRestartTime, RetryInterval: endRetryInterval, Timeout: endCheckTimeout,
 	})
 	others := x.Witnesses()
+	since := timer.BootClock().Add(-endSettleTime)
 	var newest *connection.Witness
 	next := check.Update(timer.BootClock(), completion.Ended{})
 	for {
@@ -75,6 +84,7 @@
 				return completion.Unconfirmed, seen
 			}
 			seen = observe(others, newest)
+			seen.Guard = guardStates[guard.State(since)]
 			next = check.Update(timer.BootClock(), seen)
 		case completion.Conclude:
 			return c.Verdict, seen
@@ -82,6 +92,10 @@
 	}
 }
 
+var guardStates = map[connection.GuardState]completion.Guard{
+	connection.GuardAbsent: completion.GuardAbsent, connection.GuardOpen: completion.GuardOpen, connection.GuardEnded: completion.GuardEnded,
+}
+
 // observe returns the state of the connections that were there before, and of the newest one, if any.
 func observe(others []connection.Witness, newest *connection.Witness) completion.Observed {
 	seen := completion.Observed{NewOpen: newest != nil && !newest.Ended()}
@@ -91,9 +105,6 @@
 			seen.Open++
 		case w.Ended():
 			seen.Ended++
-			if w.Idle() {
-				seen.IdleEnded++
-			}
 		}
 	}
 	return seen
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -225,6 +225,7 @@
 	if err != nil {
 		return n.interrupted(q, a, id, err)
 	}
+	q.guardEnd(x)
 	q.bodyAnswered(x)
 	q.relay = x.Relay()
 	n.paths.heard(target.Address, x)
--- a/fleet/completion/completion.go
+++ b/fleet/completion/completion.go
@@ -1,9 +1,9 @@
 // Package completion decides whether an answer is complete that only the end of its connection ended: it has neither a length nor chunks. When
 // the process at the endpoint ends, its connections may end in order in the middle of answers, so that the end of one says nothing.
 //
-// A new connection is opened at once: one that is established and stays shows that something listens there right after the answer's end, earlier
-// than a process could have started anew. The connections that were open before show the rest. They end together with the process, and stay when
-// it ended only the one answer.
+// A new connection is opened at once: one that is established and stays shows that something listens at the address right after the answer's end,
+// but not that it is the same process. The connections that were open before show the rest. They end together with the process, and stay when
+// it ended only the one answer. One of them, the guard, is opened for that while the answer comes.
 package completion
 
 import "time"
@@ -12,7 +12,7 @@
 type Config struct {
 	// Settle is the time in which all connections of a process that has ended are seen to end.
 	Settle time.Duration
-	// RestartTime is less than the time after which another process may listen in place of one that has ended.
+	// RestartTime is the time in which a connection must be established to show that the endpoint did not stop listening.
 	RestartTime time.Duration
 	// RetryInterval is the time between two attempts to connect, and Timeout that after which the answer stays unconfirmed.
 	RetryInterval, Timeout time.Duration
@@ -25,7 +25,7 @@
 const (
 	// Complete means that the endpoint goes on, so that it ended the answer itself.
 	Complete Verdict = "complete"
-	// BrokenOff means that nothing listens any more at the endpoint's address.
+	// BrokenOff means that the endpoint's process ended with the answer.
 	BrokenOff Verdict = "broken off"
 	// Unconfirmed means that neither is known.
 	Unconfirmed Verdict = "unconfirmed"
@@ -50,11 +50,24 @@
 type Observed struct {
 	// NewOpen is true if the new connection is open.
 	NewOpen bool
-	// Open is how many of the earlier connections are open, Ended how many the endpoint has ended, and IdleEnded how many of these no request
-	// used at the answer's end.
-	Open, Ended, IdleEnded int
+	// Open is how many of the earlier connections are open, and Ended how many the endpoint has ended since.
+	Open, Ended int
+	// Guard is the state of the connection that was opened while the answer came.
+	Guard Guard
 }
 
+// Guard is the state of the connection that guards an answer.
+type Guard string
+
+// States of the guard.
+const (
+	// GuardAbsent means that there is none.
+	GuardAbsent Guard = ""
+	// GuardOpen means that the process which took it goes on, and GuardEnded that it ended together with the answer.
+	GuardOpen  Guard = "open"
+	GuardEnded Guard = "ended"
+)
+
 func (Ended) event()       {}
 func (Connected) event()   {}
 func (Refused) event()     {}
@@ -108,12 +121,14 @@
 	return Conclude{Unconfirmed}
 }
 
-// judge concludes from what is seen of the connections. A new connection that was established late may lead to a process that started since,
-// and idle connections that end say the same of one that was established in time.
+// judge concludes from what is seen of the connections. A new connection that was established late may lead to a process that started since. One
+// that was established in time may do so, too, unless an earlier connection stays or there was none that could have ended.
 func (c *Check) judge(now time.Time, e Observed) Command {
-	othersStay := e.Open > 0 && e.Ended == 0
+	staying := e.Open > 0 || e.Guard == GuardOpen
 	switch {
-	case othersStay, c.inTime && e.NewOpen && (e.Open > 0 || e.IdleEnded == 0):
+	case e.Guard == GuardEnded:
+		return Conclude{BrokenOff}
+	case staying && e.Ended == 0, c.inTime && e.NewOpen && (staying || e.Ended == 0):
 		return Conclude{Complete}
 	case e.NewOpen, now.Sub(c.endedAt) >= c.cfg.Timeout:
 		return Conclude{Unconfirmed}
--- a/fleet/completion/completion_test.go
+++ b/fleet/completion/completion_test.go
@@ -25,20 +25,24 @@
 	const ms = time.Millisecond
 	settle, again := Observe{After: cfg.Settle}, Connect{After: cfg.RetryInterval}
 	for name, steps := range map[string][]step{
-		"it listens, the others stay":         {{ms, Connected{}, settle}, {21 * ms, Observed{true, 2, 0, 0}, Conclude{Complete}}},
-		"it listens, there are no others":     {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 0, 0}, Conclude{Complete}}},
-		"it listens, another answer ended":    {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, 0}, Conclude{Complete}}},
-		"it listens, one idle one ended":      {{ms, Connected{}, settle}, {21 * ms, Observed{true, 1, 1, 1}, Conclude{Complete}}},
-		"it listens, all idle ones ended":     {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 2, 1}, Conclude{Unconfirmed}}},
+		"it listens, the others stay":         {{ms, Connected{}, settle}, {21 * ms, Observed{true, 2, 0, GuardAbsent}, Conclude{Complete}}},
+		"it listens, there are no others":     {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 0, GuardAbsent}, Conclude{Complete}}},
+		"it listens, another answer ended":    {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardAbsent}, Conclude{Unconfirmed}}},
+		"the same, the guard stays":           {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardOpen}, Conclude{Complete}}},
+		"it listens, the guard ended":         {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 0, GuardEnded}, Conclude{BrokenOff}}},
+		"the same, others stay":               {{ms, Connected{}, settle}, {21 * ms, Observed{true, 2, 0, GuardEnded}, Conclude{BrokenOff}}},
+		"nothing listens, the guard stays":    {{ms, Refused{}, Conclude{BrokenOff}}},
+		"it listens, one idle one ended":      {{ms, Connected{}, settle}, {21 * ms, Observed{true, 1, 1, GuardAbsent}, Conclude{Complete}}},
+		"it listens, all idle ones ended":     {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 2, GuardAbsent}, Conclude{Unconfirmed}}},
 		"nothing listens":                     {{ms, Refused{}, Conclude{BrokenOff}}},
-		"it resets new ones, the others stay": {{ms, Connected{}, settle}, {21 * ms, Observed{false, 3, 0, 0}, Conclude{Complete}}},
+		"it resets new ones, the others stay": {{ms, Connected{}, settle}, {21 * ms, Observed{false, 3, 0, GuardAbsent}, Conclude{Complete}}},
 		"it listened for a moment only": {
-			{ms, Connected{}, settle}, {21 * ms, Observed{false, 0, 1, 0}, again}, {122 * ms, Refused{}, Conclude{BrokenOff}},
+			{ms, Connected{}, settle}, {21 * ms, Observed{false, 0, 1, GuardAbsent}, again}, {122 * ms, Refused{}, Conclude{BrokenOff}},
 		},
-		"it takes no new ones, the others stay": {{90 * ms, Unreachable{}, settle}, {110 * ms, Observed{false, 1, 0, 0}, Conclude{Complete}}},
+		"it takes no new ones, the others stay": {{90 * ms, Unreachable{}, settle}, {110 * ms, Observed{false, 1, 0, GuardAbsent}, Conclude{Complete}}},
 		"it listens again after the others ended": {
-			{90 * ms, Unreachable{}, settle}, {110 * ms, Observed{false, 0, 3, 0}, again}, {220 * ms, Connected{}, settle},
-			{240 * ms, Observed{true, 0, 3, 0}, Conclude{Unconfirmed}},
+			{90 * ms, Unreachable{}, settle}, {110 * ms, Observed{false, 0, 3, GuardAbsent}, again}, {220 * ms, Connected{}, settle},
+			{240 * ms, Observed{true, 0, 3, GuardAbsent}, Conclude{Unconfirmed}},
 		},
 		"it listens late, there are no others": {
 			{90 * ms, Unreachable{}, settle}, {110 * ms, Observed{}, again}, {220 * ms, Connected{}, settle},
@@ -62,10 +66,13 @@
 	restartAt time.Duration
 	// reachableAt is from when new connections come through, and late how many of the earlier connections end late.
 	reachableAt time.Duration
-	idle, inUse int
+	// others is the number of earlier connections, and guarded is true if there is a guard beside them.
+	others  int
+	guarded bool
 }
 
-// Whatever happens to the network, no answer of a process that ended is complete, unless the ends of all other connections are late as well.
+// Whatever happens to the network, and however soon another process listens, no answer of a process that ended is complete if another connection
+// could show it.
 func TestAnswerOfAProcessThatEndedIsNeverComplete(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
@@ -73,8 +80,11 @@
 			return time.Duration(rapid.IntRange(0, limit).Draw(r, name)) * time.Millisecond
 		}
 		e := endpointState{
-			ended: rapid.Bool().Draw(r, "ended"), restartAt: cfg.RestartTime + time.Millisecond + ms("restart", 900), reachableAt: ms("reachable", 300),
-			idle: rapid.IntRange(0, 2).Draw(r, "idle"), inUse: rapid.IntRange(0, 2).Draw(r, "inUse"),
+			ended: rapid.Bool().Draw(r, "ended"), restartAt: ms("restart", 1000), reachableAt: ms("reachable", 300),
+			others: rapid.IntRange(0, 3).Draw(r, "others"), guarded: rapid.Bool().Draw(r, "guarded"),
+		}
+		if e.others == 0 && !e.guarded {
+			e.restartAt += cfg.RestartTime + time.Millisecond
 		}
 		require.False(r, e.verdict(r) == Complete && e.ended, "%+v", e)
 	})
@@ -100,9 +110,12 @@
 			command = check.Update(start.Add(now), event)
 		case Observe:
 			now += c.After
-			seen := Observed{NewOpen: newOpen, Open: e.idle + e.inUse}
+			seen := Observed{NewOpen: newOpen, Open: e.others}
 			if e.ended {
-				seen = Observed{NewOpen: newOpen, Ended: e.idle + e.inUse, IdleEnded: e.idle}
+				seen = Observed{NewOpen: newOpen, Ended: e.others}
+			}
+			if e.guarded {
+				seen.Guard = map[bool]Guard{false: GuardOpen, true: GuardEnded}[e.ended]
 			}
 			command = check.Update(start.Add(now), seen)
 		case Conclude:
