Confirm the ends of short unframed answers by a guard that was there before their requests

A guard that was connected before the exchange got its connection, which was open then, was taken by the process that writes the answer: it counts, too.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
 )
 
@@ -45,6 +46,8 @@
 
 	pool *Pool
 	conn *pooledConn
+	// beganAt is when the exchange got its connection, which was open then, by timer.BootClock.
+	beganAt time.Time
 	// writeDone receives the result of a write that runs while the answer is read; nil when the request was written before.
 	writeDone   chan error
 	releaseOnce sync.Once
@@ -63,7 +66,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	_ = c.SetDeadline(deadline)
-	x := &Exchange{pool: p, conn: c}
+	x := &Exchange{pool: p, conn: c, beganAt: timer.BootClock()}
 	if err := x.send(r); err != nil {
 		_ = c.Close()
 		return nil, err
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -35,10 +35,15 @@
 type Guard struct {
 	x *Exchange
 	s *sentinel
-	// valid is true if the sentinel was established while the answer had not ended.
+	// valid is true if the process that took the sentinel's connection is known to be the one that writes the answer.
 	valid bool
 }
 
+// check notes whether the answer's connection was open when the sentinel was already there: when the request began, or now. s.mu must be held.
+func (g *Guard) check() {
+	g.valid = !g.s.conn.connectedAt.After(g.x.beganAt) || g.x.conn.peerState() == peerOpen
+}
+
 // Guard returns a guard for the exchange's answer. It connects to the endpoint if there is no sentinel yet.
 func (x *Exchange) Guard() *Guard {
 	p := x.pool
@@ -67,7 +72,7 @@
 		s.guards = append(s.guards, g)
 		return
 	}
-	g.valid = g.x.conn.peerState() == peerOpen
+	g.check()
 }
 
 // over reports whether the sentinel is of no more use.
@@ -110,7 +115,7 @@
 	}
 	s.conn = c
 	for _, g := range guards {
-		g.valid = g.x.conn.peerState() == peerOpen
+		g.check()
 	}
 	return true
 }
