Guard unframed answers that come through a relay, too

A tunnel marks the orderly end of its endpoint, and the end of a relay is an error, so that a tunnel through the same relay ends as the answer's does: such a sentinel counts for answers that came the same way.

--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -39,9 +39,19 @@
 	valid bool
 }
 
-// check notes whether the answer's connection was open when the sentinel was already there: when the request began, or now. s.mu must be held.
+// check notes whether the answer's connection was open when the sentinel was already there: when the request began, or now. Both lead to the
+// endpoint the same way, directly or through the same host, so that their ends arrive together. s.mu must be held.
 func (g *Guard) check() {
-	g.valid = !g.s.conn.connectedAt.After(g.x.beganAt) || g.x.conn.peerState() == peerOpen
+	sentinel, answer := g.s.conn, g.x.conn
+	wasThere := !sentinel.connectedAt.After(g.x.beganAt)
+	g.valid = sentinel.relay == answer.relay && (wasThere || answer.notEnded())
+}
+
+// notEnded reports whether the endpoint has not ended the connection, as far as this host has received. What comes through another host is known
+// only when it is read.
+func (c *pooledConn) notEnded() bool {
+	state := c.peerState()
+	return state == peerOpen || c.relay != "" && state == peerUnknown
 }
 
 // Guard returns a guard for the exchange's answer. It connects to the endpoint if there is no sentinel yet.
@@ -105,12 +115,8 @@
 	defer s.mu.Unlock()
 	guards := s.guards
 	s.guards = nil
-	// The end of a connection through another host arrives only with that host's help.
-	if err != nil || c.relay != "" {
+	if err != nil {
 		s.failed = true
-		if err == nil {
-			_ = c.Conn.Close()
-		}
 		return false
 	}
 	s.conn = c
--- a/entry/node/unmarked_end_test.go
+++ b/entry/node/unmarked_end_test.go
@@ -213,6 +213,27 @@
 	})
 }
 
+// Guards against ORDER and LOST: the same through a relay, whose connections were no witnesses.
+func TestRelayedAnswerThatIsCutWhileItsAddressListensOnDoesNotLookComplete(t *testing.T) {
+	t.Parallel()
+	s := newUnframedSite(t, 3, "plain")
+	s.startNodes(2, 166)
+	cutOff := s.nodes[0]
+	cutOff.links.cut(cutNew)
+	s.events = 1
+	require.Eventually(t, func() bool {
+		cutOff.readAnswer("/again/x", fmt.Sprintf("detect-%d", time.Now().UnixNano()))
+		return cutOff.paths.goneCount() > 0
+	}, time.Minute, time.Millisecond)
+	s.events = 20
+	s.nodes = s.nodes[:1]
+	go func() { (<-s.halfway).replaceAtOnce() }()
+	whole, truncated := s.send("/again/x", 8)
+	t.Logf("%d answers are complete, %d only look so", whole, truncated)
+	require.Zero(t, truncated)
+	require.Equal(t, 8, whole)
+}
+
 // endsTakenFor returns how many unmarked ends the nodes took for what a verdict says.
 func (s *unframedSite) endsTakenFor(verdict string) int {
 	n := 0
