--- a/fleet/inifile/schema.go
+++ b/fleet/inifile/schema.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/hex"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"strconv"
@@ -193,7 +194,7 @@
 func Number(target *float64, minimum float64) Setter {
 	return func(value string) error {
 		n, err := strconv.ParseFloat(value, 64)
-		if err != nil || n < minimum {
+		if err != nil || math.IsNaN(n) || math.IsInf(n, 0) || n < minimum {
 			return fmt.Errorf("%q is not a number of at least %g", value, minimum)
 		}
 		*target = n
