End the requests of a stand-in engine with its process, and remember its load over a quiet time

A crash left the jobs of the process running: they counted in the next one, whose number of requests fell below what it ran, and took its slots. What ends with the process is one value now.

--- a/standin/modelengine/engine.go
+++ b/standin/modelengine/engine.go
@@ -47,12 +47,11 @@
 	mu          sync.Mutex
 	jobs        map[string]*job
 	cache       *prefixCache
-	slots       chan struct{}
+	process     *process
 	server      *http.Server
 	closed      bool
 	loadHistory []loadSample
 
-	running      atomic.Int64
 	leaving      atomic.Bool
 	requests     atomic.Int64
 	promptTokens atomic.Int64
@@ -61,6 +60,13 @@
 	peakRunning  atomic.Int64
 }
 
+// process is what ends with the engine's process.
+type process struct {
+	// slots holds an element for each request that runs, and running is the number of requests, queued ones included.
+	slots   chan struct{}
+	running atomic.Int64
+}
+
 // loadSample is the number of requests in the engine from a point in time on.
 type loadSample struct {
 	at      time.Time
@@ -78,7 +84,7 @@
 func (e *Engine) reset() {
 	e.jobs = make(map[string]*job)
 	e.cache = newPrefixCache(e.cfg.CacheTokens, e.cfg.EventDropInterval)
-	e.slots = make(chan struct{}, e.cfg.Slots)
+	e.process = &process{slots: make(chan struct{}, e.cfg.Slots)}
 	e.loadHistory = nil
 }
 
@@ -117,8 +123,10 @@
 	e.crashes.Add(1)
 	e.mu.Lock()
 	server := e.server
+	for _, j := range e.jobs {
+		j.cancel()
+	}
 	e.reset()
-	e.running.Store(0)
 	e.mu.Unlock()
 	_ = server.Close()
 	time.AfterFunc(e.cfg.RestartDelay, func() {
@@ -135,35 +143,42 @@
 func (e *Engine) Stats() Stats {
 	return Stats{
 		Requests: e.requests.Load(), PromptTokens: e.promptTokens.Load(), CachedTokens: e.cachedTokens.Load(),
-		Crashes: e.crashes.Load(), Running: e.running.Load(), MostRunning: e.peakRunning.Load(),
+		Crashes: e.crashes.Load(), Running: e.Running(), MostRunning: e.peakRunning.Load(),
 	}
 }
 
 // Running returns the number of requests in the engine, queued ones included.
-func (e *Engine) Running() int64 { return e.running.Load() }
+func (e *Engine) Running() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.process.running.Load()
+}
 
-func (e *Engine) requestStarted() {
-	running := e.running.Add(1)
+func (e *Engine) requestStarted(p *process) {
+	running := p.running.Add(1)
 	for peak := e.peakRunning.Load(); running > peak && !e.peakRunning.CompareAndSwap(peak, running); {
 		peak = e.peakRunning.Load()
 	}
-	e.recordLoad(running)
+	e.recordLoad(p, running)
 }
 
-func (e *Engine) requestFinished() {
-	e.recordLoad(e.running.Add(-1))
-}
+func (e *Engine) requestFinished(p *process) { e.recordLoad(p, p.running.Add(-1)) }
 
 // loadHistoryWindow is the time for which load samples are kept, and so the longest ReportLag that works.
 const loadHistoryWindow = 10 * time.Second
 
-func (e *Engine) recordLoad(running int64) {
+// recordLoad records the number of requests in a process, unless it has ended. The newest sample from before the window stays: it says how
+// many there were until the next one.
+func (e *Engine) recordLoad(p *process, running int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if p != e.process {
+		return
+	}
 	now := time.Now()
 	e.loadHistory = append(e.loadHistory, loadSample{now, running})
 	first := 0
-	for first < len(e.loadHistory)-1 && now.Sub(e.loadHistory[first].at) > loadHistoryWindow {
+	for first < len(e.loadHistory)-1 && now.Sub(e.loadHistory[first+1].at) > loadHistoryWindow {
 		first++
 	}
 	e.loadHistory = e.loadHistory[first:]
--- a/standin/modelengine/http.go
+++ b/standin/modelengine/http.go
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	j := &job{id: id, stream: req.Stream, cancel: cancel, changed: make(chan struct{}), readersChangedAt: time.Now()}
 	e.jobs[id] = j
-	go e.run(ctx, j, req, chat)
+	go e.run(ctx, e.process, j, req, chat)
 	go e.reap(ctx, j)
 	return j
 }
--- a/standin/modelengine/job.go
+++ b/standin/modelengine/job.go
@@ -87,13 +87,13 @@
 
 // run processes a job: it waits for a free slot, takes the prefill time for the prompt tokens that are not cached, and
 // generates the answer token by token.
-func (e *Engine) run(ctx context.Context, j *job, req completionRequest, chat string) {
-	e.requestStarted()
-	defer e.requestFinished()
+func (e *Engine) run(ctx context.Context, p *process, j *job, req completionRequest, chat string) {
+	e.requestStarted(p)
+	defer e.requestFinished(p)
 	defer j.finish()
 	select {
-	case e.slots <- struct{}{}:
-		defer func() { <-e.slots }()
+	case p.slots <- struct{}{}:
+		defer func() { <-p.slots }()
 	case <-ctx.Done():
 		return
 	}
