--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,13 @@
 MODULES := fleet platform balsamknot entry standin load soak demo
 BIN := $(CURDIR)/.bin
 LINT_VERSION := v2.15.0
+TOOLS_VERSION := v0.52.0
 ARGS ?=
 
 # The build line of deploy/system.toml, as the users' machines run it.
 DEPLOY := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 
-.PHONY: run test test-units test-scenarios build deploy names lint format generate events fleet measure bench fuzz soak
+.PHONY: run test test-units test-scenarios build deploy names unused lint format generate events fleet measure bench fuzz soak
 
 run: ## a small but complete site in one process; ARGS=--once sends a few requests and exits
 	@go run ./demo $(ARGS)
@@ -35,6 +36,9 @@
 names: ## checks that no name of the users' platform is used outside platform/
 	scripts/wire-names
 
+unused: $(BIN)/deadcode ## fails if a function is called by no program and no test
+	@unused=$$($(BIN)/deadcode -test $(MODULES:%=./%/...)) || exit 1; if [ -n "$$unused" ]; then echo "$$unused"; exit 1; fi
+
 lint: $(BIN)/golangci-lint ## formatter and linter
 	for m in $(MODULES); do (cd $$m && $(BIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
@@ -44,6 +48,9 @@
 $(BIN)/golangci-lint:
 	GOWORK=off GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
+$(BIN)/deadcode:
+	GOWORK=off GOBIN=$(BIN) go install golang.org/x/tools/cmd/deadcode@$(TOOLS_VERSION)
+
 generate: ## the code of the protocol between nodes, from fleet/proto
 	cd tools/gen && GOWORK=off go build -o $(BIN)/ tool
 	cd fleet && PATH=$(BIN):$$PATH buf generate
