Close a sentinel that was dropped while it was being established

What callers saw: nothing; a leak of a connection and a goroutine per case, which also takes one of the endpoint's connections. Cause: closeSentinel can't close a connection that is not there yet, and connectSentinel read from it later, though no pool held it any more. Change: a sentinel that was closed meanwhile is closed when it is established.

--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -100,8 +100,8 @@
 	defer s.mu.Unlock()
 	guards := s.guards
 	s.guards = nil
-	// The end of a connection through another host arrives only with that host's help.
-	if err != nil || c.relay != "" {
+	// It may have been closed meanwhile. The end of a connection through another host arrives only with that host's help.
+	if err != nil || s.failed || c.relay != "" {
 		s.failed = true
 		if err == nil {
 			_ = c.Conn.Close()
--- /dev/null
+++ b/entry/connection/sentinel_test.go
@@ -0,0 +1,75 @@
+package connection
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/platform/standin"
+)
+
+// heldDialer is a Dialer whose attempts after the first one wait for release.
+type heldDialer struct {
+	Dialer
+	attempts chan struct{}
+	release  chan struct{}
+	begun    bool
+}
+
+func (d *heldDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if d.begun {
+		d.attempts <- struct{}{}
+		<-d.release
+	}
+	d.begun = true
+	return d.Dialer.Dial(ctx, address)
+}
+
+// beginUnframed reads a request and sends the head of an answer that ends with its connection.
+func (s *scriptedServer) beginUnframed(conn net.Conn, r *bufio.Reader, id string) {
+	s.read(r)
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+standin.RequestIDHeader+": "+id+"\r\n\r\n")
+}
+
+// Guards against a leak: a sentinel that was dropped while it was being established stayed open until its endpoint ended it.
+func TestSentinelThatIsDroppedWhileItConnectsIsClosed(t *testing.T) {
+	t.Parallel()
+	for name, drop := range map[string]func(p *Pool, address string){
+		"DropIdle": (*Pool).DropIdle,
+		"Close":    func(p *Pool, _ string) { p.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			s := startScriptedServer(t,
+				func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+					s.beginUnframed(conn, r, "id-1")
+					<-closed
+				},
+				func(_ *scriptedServer, conn net.Conn, _ *bufio.Reader) {
+					_, _ = conn.Read(make([]byte, 1))
+					close(closed)
+				})
+			p := newPool()
+			d := &heldDialer{Dialer: p.cfg.Dialer, attempts: make(chan struct{}), release: make(chan struct{})}
+			p.cfg.Dialer = d
+			x, err := do(t, p, s, "id-1")
+			require.NoError(t, err)
+			t.Cleanup(x.Abort)
+			x.Guard()
+			<-d.attempts
+			drop(p, s.address())
+			close(d.release)
+			select {
+			case <-closed:
+			case <-time.After(3 * time.Second):
+				t.Fatal("the connection is open though no pool holds it")
+			}
+		})
+	}
+}
