Do not take a sentinel that is reset for the end of its endpoint's process

Callers lost sound answers without a marked end (LOST) at an endpoint that had as many connections as it accepts: it resets further ones, the sentinel too, and an answer that ended within 20 ms after that was taken for broken off; its endpoint got a crash recorded as well. Cause: every error of a read over the sentinel counted as the end of the process. Evidence: TestSentinelThatIsResetSaysNothing failed on in six runs of six. Change: a sentinel says only what an end in order says. What remains: a process that is killed before it accepts the sentinel resets it too; its answers are judged without a guard then.

--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -23,7 +25,7 @@
 	conn *pooledConn
 	// endedAt is when the endpoint ended the connection, by timer.BootClock; zero before.
 	endedAt time.Time
-	// failed is true if it could not be established, or something came over it.
+	// failed is true if it could not be established, was closed here, or did not end in order.
 	failed bool
 	// guards are those that wait until it is established.
 	guards []*Guard
@@ -88,7 +90,8 @@
 	var buf [1]byte
 	n, err := c.Conn.Read(buf[:])
 	s.mu.Lock()
-	s.failed = n > 0 || !endedByPeer(err)
+	// An endpoint that takes no further connections resets this one, and a path that is lost ends it: neither tells of the process.
+	s.failed = s.failed || n > 0 || !errors.Is(err, io.EOF)
 	s.endedAt = timer.BootClock()
 	s.mu.Unlock()
 	_ = c.Conn.Close()
--- a/entry/connection/sentinel_test.go
+++ b/entry/connection/sentinel_test.go
@@ -73,3 +73,28 @@
 		})
 	}
 }
+
+// Guards against LOST: an endpoint that takes no further connection, and resets the sentinel, was taken for one that ended with its answer.
+func TestSentinelThatIsResetSaysNothing(t *testing.T) {
+	t.Parallel()
+	reset, end := make(chan struct{}), make(chan struct{})
+	defer close(end)
+	s := startScriptedServer(t,
+		func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			s.beginUnframed(conn, r, "id-1")
+			<-end
+		},
+		func(_ *scriptedServer, conn net.Conn, _ *bufio.Reader) {
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+			close(reset)
+		})
+	x, err := do(t, newPool(), s, "id-1")
+	require.NoError(t, err)
+	defer x.Abort()
+	g := x.Guard()
+	<-reset
+	require.Never(t, func() bool { return g.State(time.Time{}) == GuardEnded }, 100*time.Millisecond, time.Millisecond)
+	require.Equal(t, GuardAbsent, g.State(time.Time{}))
+}
