Do not try another sentinel at once where an endpoint reset the last one

An endpoint at its limit of connections resets further ones; each of its unframed answers tried another sentinel, and guards of one that had failed were kept for nothing. Another one is tried a second later; after the end of a process, at once. TestSentinelThatIsResetIsNotTriedAgainAtOnce fails without the interval.

--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -15,6 +15,8 @@
 	// connect.
 	sentinelLifetime    = 10 * time.Second
 	sentinelDialTimeout = time.Second
+	// sentinelRetryInterval is the time after which another one is tried where the endpoint did not take a sentinel, or reset it.
+	sentinelRetryInterval = time.Second
 )
 
 // sentinel is a connection to an endpoint over which nothing is sent. It ends with the process that accepted it, so that it tells that process
@@ -23,7 +25,7 @@
 	mu sync.Mutex
 	// conn is nil until it is established.
 	conn *pooledConn
-	// endedAt is when the endpoint ended the connection, by timer.BootClock; zero before.
+	// endedAt is when the connection ended or could not be established, by timer.BootClock; zero before.
 	endedAt time.Time
 	// failed is true if it could not be established, was closed here, or did not end in order.
 	failed bool
@@ -61,7 +63,7 @@
 	p := x.pool
 	p.mu.Lock()
 	s := p.sentinels[x.conn.address]
-	isNew := s == nil || s.over()
+	isNew := s == nil || s.replaceable(timer.BootClock())
 	if isNew {
 		s = &sentinel{}
 		p.sentinels[x.conn.address] = s
@@ -80,18 +82,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.usedAt = timer.BootClock()
-	if s.conn == nil {
+	switch {
+	case s.failed:
+	case s.conn == nil:
 		s.guards = append(s.guards, g)
-		return
+	default:
+		g.check()
 	}
-	g.check()
 }
 
-// over reports whether the sentinel is of no more use.
-func (s *sentinel) over() bool {
+// replaceable reports whether another sentinel is to be connected in place of this one: at once after its process ended, later if it failed.
+func (s *sentinel) replaceable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.failed || !s.endedAt.IsZero()
+	if s.failed {
+		return now.Sub(s.endedAt) >= sentinelRetryInterval
+	}
+	return !s.endedAt.IsZero()
 }
 
 // connectSentinel establishes a sentinel and waits until the endpoint ends it.
@@ -123,7 +130,7 @@
 		if err == nil {
 			_ = c.Conn.Close()
 		}
-		s.failed = true
+		s.failed, s.endedAt = true, timer.BootClock()
 		return false
 	}
 	s.conn = c
@@ -164,7 +171,7 @@
 		s.mu.Lock()
 		old := now.Sub(s.usedAt) > sentinelLifetime
 		s.mu.Unlock()
-		if old || s.over() {
+		if old || s.replaceable(now) {
 			p.closeSentinel(address)
 		}
 	}
--- a/entry/connection/sentinel_test.go
+++ b/entry/connection/sentinel_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform/standin"
 )
 
@@ -98,3 +99,33 @@
 	require.Never(t, func() bool { return g.State(time.Time{}) == GuardEnded }, 100*time.Millisecond, time.Millisecond)
 	require.Equal(t, GuardAbsent, g.State(time.Time{}))
 }
+
+// Guards against connections for nothing: each unframed answer of an endpoint that resets further connections tried another sentinel.
+func TestSentinelThatIsResetIsNotTriedAgainAtOnce(t *testing.T) {
+	t.Parallel()
+	end := make(chan struct{})
+	defer close(end)
+	s := startScriptedServer(t,
+		func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			s.beginUnframed(conn, r, "id-1")
+			<-end
+		},
+		func(_ *scriptedServer, conn net.Conn, _ *bufio.Reader) {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		})
+	p := newPool()
+	x, err := do(t, p, s, "id-1")
+	require.NoError(t, err)
+	defer x.Abort()
+	x.Guard()
+	tried := p.sentinels[s.address()]
+	require.Eventually(t, func() bool {
+		tried.mu.Lock()
+		defer tried.mu.Unlock()
+		return tried.failed
+	}, time.Minute, time.Millisecond)
+	x.Guard()
+	require.Same(t, tried, p.sentinels[s.address()])
+	require.True(t, tried.replaceable(timer.BootClock().Add(sentinelRetryInterval)))
+}
