Keep a sentinel, and what it has shown, while it guards an answer

Cause: a sentinel counted as needed by when an answer began, not by whether one goes on, and closing it turned "it ended" into "it failed". That a guard is absent was taken for nothing having happened. Closing one that has ended keeps what its guards have seen. Assertions: the test of a sentinel that is dropped while it connects ends its answer first, since DropIdle would leave it otherwise.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -48,6 +48,8 @@
 	// writeDone receives the result of a write that runs while the answer is read; nil when the request was written before.
 	writeDone   chan error
 	releaseOnce sync.Once
+	// guard is the guard of the answer; nil if there is none.
+	guard *Guard
 }
 
 // Do sends a request and reads the status and headers of its answer. The deadline applies to connecting and to the body as well. The connection is closed
@@ -200,13 +202,19 @@
 }
 
 // Abort closes the connection, by which the endpoint notices that it can stop work. It has no effect after Finish.
-func (x *Exchange) Abort() { x.releaseOnce.Do(func() { _ = x.conn.Close() }) }
+func (x *Exchange) Abort() {
+	x.releaseOnce.Do(func() {
+		x.guard.release()
+		_ = x.conn.Close()
+	})
+}
 
 // Finish returns the connection to the pool after the complete answer was read. It closes the connection instead if it cannot be
 // used again: the answer ends it, the request was not written completely, or bytes follow the answer. It has no effect after
 // Abort.
 func (x *Exchange) Finish() {
 	x.releaseOnce.Do(func() {
+		x.guard.release()
 		if x.Response.Close || !x.requestWritten() || x.conn.reader.Buffered() > 0 {
 			_ = x.conn.Close()
 			return
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -271,11 +271,11 @@
 	}
 }
 
-// DropIdle closes the connections to an address that no request uses.
+// DropIdle closes the connections to an address that no request uses. A sentinel that guards an answer stays.
 func (p *Pool) DropIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeSentinel(address)
+	p.dropSentinel(address)
 	for _, c := range p.idle[address] {
 		_ = c.Conn.Close()
 	}
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -29,7 +29,8 @@
 	failed bool
 	// guards are those that wait until it is established.
 	guards []*Guard
-	// usedAt is when an answer needed it last.
+	// active is how many answers it guards, and usedAt when that changed last.
+	active int
 	usedAt time.Time
 }
 
@@ -41,7 +42,7 @@
 	valid bool
 }
 
-// Guard returns a guard for the exchange's answer. It connects to the endpoint if there is no sentinel yet.
+// Guard returns a guard for the exchange's answer, until Finish or Abort. It connects to the endpoint if there is no sentinel yet.
 func (x *Exchange) Guard() *Guard {
 	p := x.pool
 	p.mu.Lock()
@@ -54,6 +55,7 @@
 	p.mu.Unlock()
 	g := &Guard{x: x, s: s}
 	s.add(g)
+	x.guard = g
 	if isNew {
 		go p.connectSentinel(x.conn.address, s)
 	}
@@ -64,6 +66,7 @@
 func (s *sentinel) add(g *Guard) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.active++
 	s.usedAt = timer.BootClock()
 	if s.conn == nil {
 		s.guards = append(s.guards, g)
@@ -72,6 +75,17 @@
 	g.valid = g.x.conn.peerState() == peerOpen
 }
 
+// release notes that the answer has ended. It has no effect on nil.
+func (g *Guard) release() {
+	if g == nil {
+		return
+	}
+	g.s.mu.Lock()
+	defer g.s.mu.Unlock()
+	g.s.active--
+	g.s.usedAt = timer.BootClock()
+}
+
 // over reports whether the sentinel is of no more use.
 func (s *sentinel) over() bool {
 	s.mu.Lock()
@@ -147,7 +161,7 @@
 func (p *Pool) sweepSentinels(now time.Time) {
 	for address, s := range p.sentinels {
 		s.mu.Lock()
-		old := now.Sub(s.usedAt) > sentinelLifetime
+		old := s.active == 0 && now.Sub(s.usedAt) > sentinelLifetime
 		s.mu.Unlock()
 		if old || s.over() {
 			p.closeSentinel(address)
@@ -155,16 +169,27 @@
 	}
 }
 
-// closeSentinel closes the sentinel of an address, if there is one. p.mu must be held.
-func (p *Pool) closeSentinel(address string) {
+// dropSentinel closes the sentinel of an address, if there is one and it guards no answer. p.mu must be held.
+func (p *Pool) dropSentinel(address string) {
 	s := p.sentinels[address]
 	if s == nil {
 		return
 	}
+	s.mu.Lock()
+	active := s.active
+	s.mu.Unlock()
+	if active == 0 {
+		p.closeSentinel(address)
+	}
+}
+
+// closeSentinel closes the sentinel of an address. What the guards of one that has ended have seen stays. p.mu must be held.
+func (p *Pool) closeSentinel(address string) {
+	s := p.sentinels[address]
 	delete(p.sentinels, address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed = true
+	s.failed = s.failed || s.endedAt.IsZero()
 	if s.conn != nil {
 		_ = s.conn.Conn.Close()
 	}
--- a/entry/connection/sentinel_test.go
+++ b/entry/connection/sentinel_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform/standin"
 )
 
@@ -60,9 +61,9 @@
 			p.cfg.Dialer = d
 			x, err := do(t, p, s, "id-1")
 			require.NoError(t, err)
-			t.Cleanup(x.Abort)
 			x.Guard()
 			<-d.attempts
+			x.Abort()
 			drop(p, s.address())
 			close(d.release)
 			select {
@@ -98,3 +99,53 @@
 	require.Never(t, func() bool { return g.State(time.Time{}) == GuardEnded }, 100*time.Millisecond, time.Millisecond)
 	require.Equal(t, GuardAbsent, g.State(time.Time{}))
 }
+
+// Guards against ORDER: the sentinel of an answer that took long, or whose endpoint was removed meanwhile, was given up, and one that had ended was
+// forgotten before the answer was judged.
+func TestSentinelIsKeptWhileItGuardsAnAnswer(t *testing.T) {
+	t.Parallel()
+	later := func(p *Pool, d time.Duration) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.sweepSentinels(timer.BootClock().Add(d))
+	}
+	for name, test := range map[string]struct {
+		drop  func(p *Pool, address string)
+		ended bool
+		want  GuardState
+	}{
+		"a long answer":                   {func(p *Pool, _ string) { later(p, time.Minute) }, false, GuardOpen},
+		"an endpoint that is removed":     {(*Pool).DropIdle, false, GuardOpen},
+		"a sentinel that ended, swept":    {func(p *Pool, _ string) { later(p, 0) }, true, GuardEnded},
+		"a sentinel that ended, dropped":  {(*Pool).DropIdle, true, GuardEnded},
+		"a sentinel that ended, replaced": {func(p *Pool, _ string) { p.Close() }, true, GuardEnded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			end, closed := make(chan struct{}), make(chan struct{})
+			s := startScriptedServer(t,
+				func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+					s.beginUnframed(conn, r, "id-1")
+					<-closed
+				},
+				func(*scriptedServer, net.Conn, *bufio.Reader) { <-end })
+			p := newPool()
+			x, err := do(t, p, s, "id-1")
+			require.NoError(t, err)
+			defer close(closed)
+			g := x.Guard()
+			require.Eventually(t, func() bool { return g.State(time.Time{}) == GuardOpen }, time.Minute, time.Millisecond)
+			if test.ended {
+				close(end)
+				require.Eventually(t, func() bool { return g.State(time.Time{}) == GuardEnded }, time.Minute, time.Millisecond)
+			} else {
+				defer close(end)
+			}
+			test.drop(p, s.address())
+			require.Equal(t, test.want, g.State(time.Time{}))
+			x.Abort()
+			later(p, time.Minute)
+			require.Empty(t, p.sentinels)
+		})
+	}
+}
