--- a/entry/connection/sentinel_test.go
+++ b/entry/connection/sentinel_test.go
@@ -149,3 +149,62 @@
 		})
 	}
 }
+
+// Guards against LOST: an endpoint that ends connections over which nothing comes was taken for one that ended with its answer, each time that an
+// answer ended soon after its sentinel.
+func TestSentinelThatEndsAtTheEndpointsIdleTimeSaysNothing(t *testing.T) {
+	t.Parallel()
+	const idle = 200 * time.Millisecond
+	var handlers []func(s *scriptedServer, conn net.Conn, r *bufio.Reader)
+	for _, run := range []struct{ answer, sentinel time.Duration }{{2 * idle, idle}, {idle, idle}, {idle / 2, idle / 2}} {
+		handlers = append(handlers, func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			s.beginUnframed(conn, r, "id-1")
+			time.Sleep(run.answer)
+		}, func(*scriptedServer, net.Conn, *bufio.Reader) { time.Sleep(run.sentinel) })
+	}
+	s := startScriptedServer(t, handlers...)
+	p := newPool()
+	for i, want := range []GuardState{GuardAbsent, GuardAbsent, GuardEnded} {
+		x, err := do(t, p, s, "id-1")
+		require.NoError(t, err)
+		g := x.Guard()
+		_, err = io.ReadAll(x.Response.Body)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return g.State() != GuardOpen }, time.Second, time.Millisecond)
+		require.Equal(t, want, g.State(), "answer %d", i)
+		x.Abort()
+		p.Sweep()
+	}
+}
+
+// Guards against ORDER: the age at which this host closed a sentinel, or the endpoint reset it, was taken for the endpoint's idle time, so that the next one
+// that ended at that age with its process said nothing.
+func TestIdleTimeIsLearntOnlyFromSentinelsThatTheEndpointEndsInOrder(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]func(s *sentinel, peer net.Conn){
+		"closed here": func(s *sentinel, _ net.Conn) { _ = s.conn.Conn.Close() },
+		"reset":       func(_ *sentinel, peer net.Conn) { _ = peer.(*net.TCPConn).SetLinger(0); _ = peer.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			peers, over := make(chan net.Conn, 1), make(chan struct{})
+			s := startScriptedServer(t,
+				func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+					s.beginUnframed(conn, r, "id-1")
+					<-over
+				},
+				func(_ *scriptedServer, conn net.Conn, _ *bufio.Reader) {
+					peers <- conn
+					<-over
+				})
+			defer close(over)
+			x, err := do(t, newPool(), s, "id-1")
+			require.NoError(t, err)
+			defer x.Abort()
+			g := x.Guard()
+			require.Eventually(t, func() bool { return g.State() == GuardOpen }, time.Minute, time.Millisecond)
+			end(g.s, <-peers)
+			require.Never(t, func() bool { return g.s.idleTime.Load() != 0 }, 200*time.Millisecond, 10*time.Millisecond)
+		})
+	}
+}
