--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamknot.org/fleet/timer"
@@ -17,6 +20,10 @@
 	sentinelDialTimeout = time.Second
 	// sentinelRetryInterval is the time after which another one is tried where the endpoint did not take a sentinel, or reset it.
 	sentinelRetryInterval = time.Second
+	// sentinelSettleTime is the time in which all connections of a process that has ended are seen to end.
+	sentinelSettleTime = 20 * time.Millisecond
+	// outlivedChecks is how often is looked for connections that outlived a sentinel: those with unread bytes can't show it each time.
+	outlivedChecks = 5
 )
 
 // sentinel is a connection to an endpoint over which nothing is sent. It ends with the process that accepted it, so that it tells that process
@@ -29,11 +36,16 @@
 	endedAt time.Time
 	// failed is true if it could not be established, was closed here, or did not end in order.
 	failed bool
+	// idled is true if it ended at the age at which the endpoint ends idle connections.
+	idled bool
 	// guards are those that wait until it is established.
 	guards []*Guard
 	// active is how many answers it guards, and usedAt when that changed last.
 	active int
 	usedAt time.Time
+	// idleTime is the age at which the endpoint ended a sentinel that other connections outlived; 0 if it ended none so. It is shared by the
+	// sentinels of an address.
+	idleTime *atomic.Int64
 }
 
 // Guard observes through a sentinel whether the process that writes one answer goes on.
@@ -66,7 +78,7 @@
 	s := p.sentinels[x.conn.address]
 	isNew := s == nil || s.replaceable(timer.BootClock())
 	if isNew {
-		s = &sentinel{}
+		s = s.next()
 		p.sentinels[x.conn.address] = s
 	}
 	p.mu.Unlock()
@@ -124,13 +136,48 @@
 		return
 	}
 	var buf [1]byte
-	n, err := c.Conn.Read(buf[:])
+	n, err := c.Read(buf[:])
 	s.mu.Lock()
+	s.endedAt = timer.BootClock()
 	// An endpoint that takes no further connections resets this one, and a path that is lost ends it: neither tells of the process.
 	s.failed = s.failed || n > 0 || !errors.Is(err, io.EOF)
-	s.endedAt = timer.BootClock()
+	s.idled = !s.failed && s.endedIdle()
+	tells := !s.failed && !s.idled
 	s.mu.Unlock()
 	_ = c.Conn.Close()
+	if tells {
+		p.noteOutlived(address, s)
+	}
+}
+
+// noteOutlived marks the connections in use that stay open after the end of a sentinel, so that no process of theirs ended with it.
+func (p *Pool) noteOutlived(address string, s *sentinel) {
+	for range outlivedChecks {
+		time.Sleep(sentinelSettleTime)
+		p.mu.Lock()
+		conns := slices.Collect(maps.Keys(p.inUse[address]))
+		p.mu.Unlock()
+		for _, c := range conns {
+			if c.goesOn() && c.connectedAt.Before(s.endedAt) {
+				c.outlived.Store(s)
+				s.idleTime.Store(int64(s.endedAt.Sub(s.conn.connectedAt)))
+			}
+		}
+	}
+}
+
+// next returns a sentinel for the same address; nil stands for the first one.
+func (s *sentinel) next() *sentinel {
+	if s == nil {
+		return &sentinel{idleTime: new(atomic.Int64)}
+	}
+	return &sentinel{idleTime: s.idleTime}
+}
+
+// endedIdle reports whether the sentinel ended at the age at which the endpoint ends connections over which nothing comes. s.mu must be held.
+func (s *sentinel) endedIdle() bool {
+	idle, age := time.Duration(s.idleTime.Load()), s.endedAt.Sub(s.conn.connectedAt)
+	return idle > 0 && (age-idle).Abs() <= sentinelSettleTime+idle/20
 }
 
 // established notes the result of the attempt to connect and returns whether there is a connection that can be observed.
@@ -162,16 +209,17 @@
 	GuardAbsent GuardState = iota
 	// GuardOpen means that the process goes on.
 	GuardOpen
-	// GuardEnded means that its connection ended no earlier than a time.
+	// GuardEnded means that its connection ended, and that the answer's did not stay open after it.
 	GuardEnded
 )
 
-// State returns what the guard has seen. A sentinel that ended before since says nothing.
-func (g *Guard) State(since time.Time) GuardState {
+// State returns what the guard has seen. A sentinel that the answer's connection outlived says nothing. When the end of the answer is read does not
+// matter: with a caller that reads slowly, that is long after it arrived.
+func (g *Guard) State() GuardState {
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
 	switch {
-	case !g.valid, g.s.failed, !g.s.endedAt.IsZero() && g.s.endedAt.Before(since):
+	case !g.valid, g.s.failed, g.s.idled, g.x.conn.outlived.Load() == g.s:
 		return GuardAbsent
 	case g.s.endedAt.IsZero():
 		return GuardOpen
@@ -185,7 +233,7 @@
 		s.mu.Lock()
 		old := s.active == 0 && now.Sub(s.usedAt) > sentinelLifetime
 		s.mu.Unlock()
-		if old || s.replaceable(now) {
+		if old {
 			p.closeSentinel(address)
 		}
 	}
