Play the ways in which streams broke ORDER and WHOLE in the soak, and judge streams that broke off

Its engines never ended beside an address that listens on, always went on after the position that they were asked for, and what a caller got of a stream that broke off was compared with nothing. Callers compare the events of streams that broke off, too; events without an ID are left out. standin/network ends all connections while it listens on. The check of a complete stream leaves out the two texts without an ID that only these faults send.

--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -12,8 +12,8 @@
 //   - ROUTE: a request is executed by a service to which its path was never routed.
 //   - CONFIG: a request is executed by the previous service of its path, although it was sent more than applyLimit after the
 //     change.
-//   - WHOLE: a response with status 200 has a wrong body or did not come from an endpoint, or an endpoint's response reaches the
-//     caller with another status.
+//   - WHOLE: a response with status 200 has a wrong body or did not come from an endpoint, an endpoint's response reaches the
+//     caller with another status, or a stream, complete or not, has an event twice, without the one before it, or after a later one.
 //   - LATE: more than allowedLate requests end, with a response or without one, more than lateTolerance after their deadlines.
 //   - GONE: more than allowedOrphaned requests are executed for more than cancelLimit after their callers disconnected.
 //   - BUDGET: a request that has crashed poisonCrashes endpoints, or requests with a part of a prompt that has crashed
--- a/soak/checker/checker_test.go
+++ b/soak/checker/checker_test.go
@@ -45,6 +45,15 @@
 	require.Empty(t, run(6, true))
 }
 
+func TestDefectOfAResponseThatBrokeOffIsAViolation(t *testing.T) {
+	t.Parallel()
+	c := New()
+	c.Record(0, sentEvent(Resumable, "/x", "k"))
+	c.Record(1, RequestCompleted{Request: "1", Defect: "an event comes twice"})
+	require.Len(t, c.Violations(false), 1)
+	require.Equal(t, "WHOLE", c.Violations(false)[0].Guarantee)
+}
+
 func TestStreamsOfTwoVersionsAreCounted(t *testing.T) {
 	t.Parallel()
 	run := func(mixed int) []Violation {
--- a/soak/checker/event.go
+++ b/soak/checker/event.go
@@ -100,7 +100,7 @@
 	Seal string
 	// Mixed is true if the response, complete or not, holds events of another version than the one that began the stream.
 	Mixed bool
-	// Defect describes what is wrong with a complete response; it is empty if the response is correct.
+	// Defect describes what is wrong with a response, or with what came of one that broke off; it is empty if that is correct.
 	Defect string
 }
 
--- a/soak/schedule/fault.go
+++ b/soak/schedule/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"balsamknot.org/standin/network"
@@ -68,6 +69,11 @@
 	ReplaceEndpoint
 	LapseService
 	DelayCacheLists
+	// SwitchEngine makes an engine send streams whose end only the end of the connection marks. At the end of the fault its process ends, so that
+	// all connections end in order, and another process listens at its address at once, of another software version if Fault.Upgrade is set. It
+	// registers Fault.Delay later. SickenEngines makes all engines misbehave in the way that Fault.Sickness selects.
+	SwitchEngine
+	SickenEngines
 )
 
 var actionNames = map[Action]string{
@@ -78,7 +84,7 @@
 	SendPoisonBurst: "SendPoisonBurst", SendPoisonPart: "SendPoisonPart", LimitEndpoint: "LimitEndpoint",
 	AskRest: "AskRest", SayLeaving: "SayLeaving", MakeBrittle: "MakeBrittle", KillAllHosts: "KillAllHosts",
 	ReturnStore: "ReturnStore", EndEndpoint: "EndEndpoint", SilenceEndpoints: "SilenceEndpoints", ReplaceEndpoint: "ReplaceEndpoint",
-	LapseService: "LapseService", DelayCacheLists: "DelayCacheLists",
+	LapseService: "LapseService", DelayCacheLists: "DelayCacheLists", SwitchEngine: "SwitchEngine", SickenEngines: "SickenEngines",
 }
 
 func (a Action) String() string { return actionNames[a] }
@@ -116,9 +122,24 @@
 	// framed, inside an event.
 	UnframedStream
 	EndInsideEvent
+	// The following break new streams off. Where an engine is asked to go on with one, each second time on average it does not do so after the
+	// position that it was asked for: CommentEvent and EmptyEventID send an event without an ID, a comment or one with an empty ID, and break
+	// off; RepeatStream begins with the first event, RepeatEvent with the last one before the position, and SkipEvent leaves one out.
+	CommentEvent
+	EmptyEventID
+	RepeatStream
+	RepeatEvent
+	SkipEvent
+	// lastMisbehaviour is the last one of SickenEndpoint.
 	lastMisbehaviour = EndInsideEvent
 )
 
+// misplacements are the misbehaviours of SickenEngines.
+var misplacements = []Misbehaviour{CommentEvent, EmptyEventID, RepeatStream, RepeatEvent, SkipEvent}
+
+// Misplaces reports whether an endpoint with a misbehaviour goes on with streams elsewhere than it was asked to.
+func (m Misbehaviour) Misplaces() bool { return slices.Contains(misplacements, m) }
+
 // Fault is one scheduled fault. Its fields are written to case files under their own names. An action ignores the fields that
 // it does not need.
 type Fault struct {
@@ -138,8 +159,9 @@
 	// Lost and Slow are for ReturnStore.
 	Lost int
 	Slow bool
-	// Delay is for DelayCacheLists.
-	Delay time.Duration
+	// Delay is for DelayCacheLists and SwitchEngine, and Upgrade for SwitchEngine.
+	Delay   time.Duration
+	Upgrade bool
 }
 
 func (f Fault) String() string {
--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -94,6 +94,9 @@
 		faults = append(faults, endpointFaults(cfg)...)
 		faults = append(faults, restartFaults(cfg)...)
 	}
+	if cfg.Seed%streamSeeds == streamRemainder {
+		faults = append(faults, streamFaults(cfg)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
--- a/soak/schedule/schedule_test.go
+++ b/soak/schedule/schedule_test.go
@@ -72,6 +72,31 @@
 	require.Positive(t, returns)
 }
 
+// The seeds with faults of streams have each kind of them: processes of the same and of another version that register at once or later, and each
+// misplacement. Other seeds have none.
+func TestStreamsAreCutAndMisplacedOnTheirSeeds(t *testing.T) {
+	t.Parallel()
+	switches, sicknesses := map[[2]bool]bool{}, map[Misbehaviour]bool{}
+	for seed := range uint64(120) {
+		for _, f := range Generate(config(seed)) {
+			switch f.Action {
+			case SwitchEngine:
+				switches[[2]bool{f.Upgrade, f.Delay > 0}] = true
+				require.Less(t, f.Delay, maxRegistrationDelay)
+			case SickenEngines:
+				sicknesses[f.Sickness] = true
+				require.True(t, f.Sickness.Misplaces())
+			default:
+				require.False(t, f.Sickness.Misplaces())
+				continue
+			}
+			require.Equal(t, uint64(streamRemainder), seed%streamSeeds)
+		}
+	}
+	require.Len(t, switches, 4)
+	require.Len(t, sicknesses, len(misplacements))
+}
+
 // countEnds returns how many faults with an action start from one time to another.
 func countEnds(faults []Fault, action Action, from, to time.Duration) int {
 	count := 0
--- a/soak/site/answer.go
+++ b/soak/site/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 
@@ -18,15 +19,20 @@
 // began the stream.
 func (e *endpoint) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, misbehaviour schedule.Misbehaviour) {
 	after, _ := strconv.Atoi(r.Header.Get(standin.LastEventIDHeader))
+	version := e.currentVersion()
 	if misbehaviour == schedule.UnframedStream {
-		e.sendUnframed(ctx, w, id, after)
+		e.sendUnframed(ctx, w, id, version, after)
 		return
 	}
+	breaksOff := misbehaviour.Misplaces() && after == 0
+	if misbehaviour.Misplaces() && after > 0 && rand.N(2) == 0 {
+		after = misplace(w, r, misbehaviour, after)
+	}
 	for n := after + 1; n <= eventCount(id); n++ {
 		if !timer.Sleep(ctx, eventInterval) {
 			panic(http.ErrAbortHandler)
 		}
-		text := eventText(id, e.currentVersion(), n)
+		text := eventText(id, version, n)
 		if misbehaviour == schedule.TruncateResponse && n == after+2 {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = http.NewResponseController(w).Flush()
@@ -36,14 +42,17 @@
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			return
 		}
+		if breaksOff && n > eventsBeforeBreak {
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = io.WriteString(w, text)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
-// sendUnframed sends the events after a position without a length and without chunks, and closes the connection. If ctx ends, it resets
+// sendUnframed sends the events of a version after a position without a length and without chunks, and closes the connection. If ctx ends, it resets
 // the connection.
-func (e *endpoint) sendUnframed(ctx context.Context, w http.ResponseWriter, id string, after int) {
+func (e *endpoint) sendUnframed(ctx context.Context, w http.ResponseWriter, id, version string, after int) {
 	conn, err := standin.BeginRaw(w, "")
 	if err != nil {
 		return
@@ -54,7 +63,7 @@
 			network.Reset(conn)
 			return
 		}
-		_, err = io.WriteString(conn, eventText(id, e.currentVersion(), n))
+		_, err = io.WriteString(conn, eventText(id, version, n))
 	}
 }
 
--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -135,7 +135,7 @@
 	case n < 8:
 		spec.method, spec.path, spec.kind = http.MethodGet, checker.MovedPath, checker.Idempotent
 	default:
-		spec.method, spec.path, spec.kind = http.MethodPost, "/stream/x", checker.Resumable
+		spec.method, spec.path, spec.kind = http.MethodPost, c.site.streamPath(), checker.Resumable
 		spec.parts = []string{sharedPart, strconv.Itoa(c.requests % sharedPartCount)}
 	}
 	return spec
@@ -159,7 +159,7 @@
 	}
 	r := c.site.newCall(ctx, c.host, spec, body, checker.RequestSent{SharesPart: len(spec.parts) > 0})
 	result, pause, broken := c.exchange(r, spec)
-	if result.Status == 0 && disconnects && ctx.Err() != nil {
+	if result.Status == 0 && result.Defect == "" && disconnects && ctx.Err() != nil {
 		c.site.record(checker.CallerDisconnected{Request: spec.id})
 		return true
 	}
@@ -186,6 +186,7 @@
 	body, err := io.ReadAll(response.Body)
 	result.Mixed = response.StatusCode == http.StatusOK && spec.mixed(string(body))
 	if err != nil {
+		result.Defect = spec.cutDefect(response.StatusCode, result.Mixed, string(body))
 		return result, 0, spec.broken(response.StatusCode, string(body))
 	}
 	result.Status, result.Seal = response.StatusCode, response.Header.Get(standin.SealHeader)
@@ -208,17 +209,32 @@
 func (c *caller) defect(spec requestSpec, seal, body string) string {
 	want := plainBody(spec.id)
 	if spec.kind == checker.Resumable {
+		events, rest := numberedEvents(body)
+		body = strings.Join(events, "") + rest
 		want = spec.streamBody(body)
 	}
 	switch {
 	case seal == "":
 		return "status 200 without the seal of an endpoint"
+	case spec.kind == checker.Resumable && spec.misplaced(body) != "":
+		return "events out of order: " + spec.misplaced(body)
 	case body != want:
 		return fmt.Sprintf("the body differs from the expected one, %d bytes instead of %d: %.200q", len(body), len(want), body)
 	}
 	return ""
 }
 
+// cutDefect describes what is wrong with a response that broke off; it is empty if what came of it is correct.
+func (spec requestSpec) cutDefect(status int, mixed bool, body string) string {
+	if spec.kind != checker.Resumable || status != http.StatusOK || mixed {
+		return ""
+	}
+	if misplaced := spec.misplaced(body); misplaced != "" {
+		return "broke off after events out of order: " + misplaced
+	}
+	return ""
+}
+
 // retryAfter returns the time in a Retry-After header, given in seconds; 0 if there is none.
 func retryAfter(h http.Header) time.Duration {
 	seconds, err := strconv.ParseFloat(h.Get(standin.RetryAfterHeader), 64)
--- a/soak/site/endpoint.go
+++ b/soak/site/endpoint.go
@@ -211,7 +211,8 @@
 	defer cancel()
 	defer context.AfterFunc(runCtx, cancel)()
 	switch misbehaviour {
-	case schedule.RefuseRequest, schedule.TruncateResponse, schedule.UnframedStream, schedule.EndInsideEvent:
+	case schedule.RefuseRequest, schedule.TruncateResponse, schedule.UnframedStream, schedule.EndInsideEvent,
+		schedule.CommentEvent, schedule.EmptyEventID, schedule.RepeatStream, schedule.RepeatEvent, schedule.SkipEvent:
 		// RefuseRequest was handled above, and the others are handled below, while the response is written.
 	case schedule.AbortBeforeResponse:
 		panic(http.ErrAbortHandler)
@@ -232,7 +233,7 @@
 		return
 	}
 	e.site.record(checker.StatusSent{Request: id, Endpoint: e.name, Status: http.StatusOK})
-	if e.service == "engines" {
+	if e.service == enginesService {
 		e.serveStream(ctx, w, r, cmp.Or(r.Header.Get(standin.ResumesHeader), id), misbehaviour)
 		return
 	}
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -75,6 +75,8 @@
 	case schedule.EndEndpoint, schedule.SilenceEndpoints, schedule.ReplaceEndpoint, schedule.LapseService,
 		schedule.DelayCacheLists:
 		s.applyToProcesses(f, e, wait)
+	case schedule.SwitchEngine, schedule.SickenEngines:
+		s.applyToEngines(f, wait)
 	default:
 		s.applyToStore(f, wait)
 	}
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -65,6 +65,8 @@
 	newestKey atomic.Int64
 	// lateLists is the number of endpoints whose cache lists come late.
 	lateLists atomic.Int64
+	// misplacing is the number of active faults that make engines go on with streams at other positions than they were asked to.
+	misplacing atomic.Int64
 
 	wg     sync.WaitGroup
 	cancel context.CancelFunc
@@ -74,7 +76,10 @@
 func Endpoints() int { return len(endpointServices) }
 
 // endpointServices names the service of each endpoint.
-var endpointServices = []string{"plain", "plain", "plain", "full", "full", "engines", "engines", "engines", "engines", "engines", "engines"}
+var endpointServices = []string{"plain", "plain", "plain", "full", "full", enginesService, enginesService, enginesService, enginesService, enginesService, enginesService}
+
+// enginesService is the service whose endpoints answer with streams.
+const enginesService = "engines"
 
 // engineVersions are the software versions of the endpoints, in turn.
 var engineVersions = []string{standin.DefaultVersion, "v2"}
--- a/soak/site/stream.go
+++ b/soak/site/stream.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,6 +18,30 @@
 // beganBy returns the ID of the request that began the stream.
 func (spec requestSpec) beganBy() string { return cmp.Or(spec.resumes, spec.id) }
 
+// numberedEvents returns the complete events of a response, without those that have no ID. rest is what follows the last complete event.
+func numberedEvents(body string) (events []string, rest string) {
+	events = strings.SplitAfter(body, "\n\n")
+	rest = events[len(events)-1]
+	events = slices.DeleteFunc(events[:len(events)-1], func(event string) bool { return event == commentEvent || event == emptyIDEvent })
+	return events, rest
+}
+
+// misplaced describes where the complete events of a response for a stream, whole or not, leave the order of the stream: one comes twice, is
+// missing, or is no event of the stream. It is empty if they don't.
+func (spec requestSpec) misplaced(body string) string {
+	events, _ := numberedEvents(body)
+	whole := strings.Join(events, "")
+	want := spec.streamBody(whole)
+	if strings.HasPrefix(want, whole) {
+		return ""
+	}
+	n := 0
+	for strings.HasPrefix(want, strings.Join(events[:n+1], "")) {
+		n++
+	}
+	return fmt.Sprintf("event %d is expected, the response goes on with %.100q", spec.after+n+1, events[n])
+}
+
 // streamBody returns the correct response body of a request for a stream: all its events are of one version, that of the events before if
 // there were any, and otherwise that of the first event in body.
 func (spec requestSpec) streamBody(body string) string {
@@ -34,8 +59,7 @@
 	if spec.kind != checker.Resumable || status != http.StatusOK {
 		return requestSpec{}
 	}
-	events := strings.SplitAfter(body, "\n\n")
-	events = events[:len(events)-1]
+	events, _ := numberedEvents(body)
 	for _, version := range engineVersions {
 		if spec.version != "" && spec.version != version {
 			continue
@@ -61,6 +85,15 @@
 	return result.Status == http.StatusOK
 }
 
+// streamPath returns the path to which callers send requests for streams: one with many attempts while engines go on with streams at other
+// positions than they were asked to.
+func (s *Site) streamPath() string {
+	if s.misplacing.Load() > 0 {
+		return "/persistent/x"
+	}
+	return "/stream/x"
+}
+
 // takeUpDelay is how long callers wait before they take up a stream that broke off while cache lists come late. All hosts may have been killed.
 const takeUpDelay = 6 * time.Second
 
--- a/standin/network/link.go
+++ b/standin/network/link.go
@@ -118,6 +118,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_ = l.listener.Close()
+	l.endAll()
+}
+
+// EndConnections is End without closing the listener, as where another process has inherited it or listens at the address at once.
+func (l *Link) EndConnections() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endAll()
+}
+
+// endAll ends every open connection in order. mu must be held.
+func (l *Link) endAll() {
 	for p := range l.conns {
 		if tcp, ok := p.client.(*net.TCPConn); ok {
 			_ = tcp.CloseWrite()
--- a/standin/network/network_test.go
+++ b/standin/network/network_test.go
@@ -109,3 +109,21 @@
 	defer conn.Close()
 	return conn.LocalAddr().String()
 }
+
+// Guards against an end that the other side could tell from the end of a process: each connection ends in order, and the address listens on.
+func TestLinkEndsConnectionsInOrderWhileItListensOn(t *testing.T) {
+	t.Parallel()
+	l := newLink(t)
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", l.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.Eventually(t, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.conns) == 1
+	}, time.Minute, time.Millisecond)
+	l.EndConnections()
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, get(t, l))
+}
