Play surges of load beside versions, ends of endpoints and starts of all hosts in the soak

Change: each seventh seed (surgeSeeds) has SurgeLoad: for 4 s three times as many callers more ask for streams, more than engines have slots; 1 s after its start an endpoint is replaced by another version, one ends, or all hosts do. The loop of callers is split, so that it can end at a time. Not done: large bodies; the stand-ins still take 1 KB.

--- a/soak/schedule/fault.go
+++ b/soak/schedule/fault.go
@@ -74,6 +74,8 @@
 	// registers Fault.Delay later. SickenEngines makes all engines misbehave in the way that Fault.Sickness selects.
 	SwitchEngine
 	SickenEngines
+	// SurgeLoad adds several times as many callers as there are, which send requests for streams only, until the end of the fault.
+	SurgeLoad
 )
 
 var actionNames = map[Action]string{
@@ -85,6 +87,7 @@
 	AskRest: "AskRest", SayLeaving: "SayLeaving", MakeBrittle: "MakeBrittle", KillAllHosts: "KillAllHosts",
 	ReturnStore: "ReturnStore", EndEndpoint: "EndEndpoint", SilenceEndpoints: "SilenceEndpoints", ReplaceEndpoint: "ReplaceEndpoint",
 	LapseService: "LapseService", DelayCacheLists: "DelayCacheLists", SwitchEngine: "SwitchEngine", SickenEngines: "SickenEngines",
+	SurgeLoad: "SurgeLoad",
 }
 
 func (a Action) String() string { return actionNames[a] }
--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -97,6 +97,9 @@
 	if cfg.Seed%streamSeeds == streamRemainder {
 		faults = append(faults, streamFaults(cfg)...)
 	}
+	if cfg.Seed%surgeSeeds == surgeRemainder {
+		faults = append(faults, surgeFaults(cfg)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
--- a/soak/schedule/schedule_test.go
+++ b/soak/schedule/schedule_test.go
@@ -97,6 +97,31 @@
 	require.Len(t, sicknesses, len(misplacements))
 }
 
+// Surges come on their seeds alone, each beside another fault, and do not overlap.
+func TestSurgesComeBesideOtherFaultsOnTheirSeeds(t *testing.T) {
+	t.Parallel()
+	beside := map[Action]int{}
+	for seed := range uint64(50) {
+		faults := Generate(config(seed))
+		var end time.Duration
+		for _, f := range faults {
+			if f.Action != SurgeLoad {
+				continue
+			}
+			require.Equal(t, uint64(surgeRemainder), seed%surgeSeeds)
+			require.GreaterOrEqual(t, f.At, end)
+			end = f.At + f.For
+			for _, action := range []Action{ReplaceEndpoint, EndEndpoint, KillAllHosts} {
+				beside[action] += countEnds(faults, action, f.At+surgeLead, f.At+surgeLead)
+			}
+		}
+	}
+	require.Len(t, beside, 3)
+	require.Positive(t, beside[ReplaceEndpoint])
+	require.Positive(t, beside[EndEndpoint])
+	require.Positive(t, beside[KillAllHosts])
+}
+
 // countEnds returns how many faults with an action start from one time to another.
 func countEnds(faults []Fault, action Action, from, to time.Duration) int {
 	count := 0
--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -27,6 +27,8 @@
 	// is no longer ready.
 	host   int
 	sticky bool
+	// streams is true for one that sends only requests for streams.
+	streams bool
 	// requests is the number of requests so far.
 	requests int
 }
@@ -60,13 +62,23 @@
 
 func (c *caller) run(ctx context.Context) {
 	defer c.transport.CloseIdleConnections()
-	for timer.Sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(meanThinkTime))) {
-		if !c.sticky && !c.site.hosts[c.host].ready.Load() {
-			c.switchHost()
-		}
-		if !c.send(ctx) {
-			c.switchHost()
-		}
+	for c.think(ctx) {
+		c.sendNext(ctx)
+	}
+}
+
+// think waits for the time between a response and the next request. It returns false if ctx has ended.
+func (c *caller) think(ctx context.Context) bool {
+	return timer.Sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(meanThinkTime)))
+}
+
+// sendNext sends the next request, through another host if the present one is not ready or the request before failed.
+func (c *caller) sendNext(ctx context.Context) {
+	if !c.sticky && !c.site.hosts[c.host].ready.Load() {
+		c.switchHost()
+	}
+	if !c.send(ctx) {
+		c.switchHost()
 	}
 }
 
@@ -128,6 +140,8 @@
 		spec.key = keyName(max(int(c.site.newestKey.Load())-validKeyCount+1-c.random.IntN(oldKeyCount), 0))
 	}
 	switch n := c.random.IntN(10); {
+	case c.streams:
+		c.askForStream(&spec)
 	case n < 4:
 		spec.method, spec.path, spec.kind = http.MethodPost, "/once/x", checker.NonIdempotent
 	case n < 6:
@@ -135,12 +149,17 @@
 	case n < 8:
 		spec.method, spec.path, spec.kind = http.MethodGet, checker.MovedPath, checker.Idempotent
 	default:
-		spec.method, spec.path, spec.kind = http.MethodPost, c.site.streamPath(), checker.Resumable
-		spec.parts = []string{sharedPart, strconv.Itoa(c.requests % sharedPartCount)}
+		c.askForStream(&spec)
 	}
 	return spec
 }
 
+// askForStream makes a request one for a stream.
+func (c *caller) askForStream(spec *requestSpec) {
+	spec.method, spec.path, spec.kind = http.MethodPost, c.site.streamPath(), checker.Resumable
+	spec.parts = []string{sharedPart, strconv.Itoa(c.requests % sharedPartCount)}
+}
+
 // send sends a request and records its result. It returns false if the request failed, so that the caller should switch to
 // another host.
 func (c *caller) send(ctx context.Context) bool {
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -77,6 +77,8 @@
 		s.applyToProcesses(f, e, wait)
 	case schedule.SwitchEngine, schedule.SickenEngines:
 		s.applyToEngines(f, wait)
+	case schedule.SurgeLoad:
+		s.surge(ctx, s.Now()+f.For)
 	default:
 		s.applyToStore(f, wait)
 	}
