--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -35,10 +35,25 @@
 type Guard struct {
 	x *Exchange
 	s *sentinel
-	// valid is true if the sentinel was established while the answer had not ended.
+	// valid is true if the process that took the sentinel's connection is known to be the one that writes the answer.
 	valid bool
 }
 
+// check notes whether the answer's connection was open when the sentinel was already there: when the request began, or now. Both lead to the
+// endpoint the same way, directly or through the same host, so that their ends arrive together. s.mu must be held.
+func (g *Guard) check() {
+	sentinel, answer := g.s.conn, g.x.conn
+	wasThere := !sentinel.connectedAt.After(g.x.beganAt)
+	g.valid = sentinel.relay == answer.relay && (wasThere || answer.notEnded())
+}
+
+// notEnded reports whether the endpoint has not ended the connection, as far as this host has received. What comes through another host is known
+// only when it is read.
+func (c *pooledConn) notEnded() bool {
+	state := c.peerState()
+	return state == peerOpen || c.relay != "" && state == peerUnknown
+}
+
 // Guard returns a guard for the exchange's answer. It connects to the endpoint if there is no sentinel yet.
 func (x *Exchange) Guard() *Guard {
 	p := x.pool
@@ -67,7 +82,7 @@
 		s.guards = append(s.guards, g)
 		return
 	}
-	g.valid = g.x.conn.peerState() == peerOpen
+	g.check()
 }
 
 // over reports whether the sentinel is of no more use.
@@ -100,17 +115,13 @@
 	defer s.mu.Unlock()
 	guards := s.guards
 	s.guards = nil
-	// The end of a connection through another host arrives only with that host's help.
-	if err != nil || c.relay != "" {
+	if err != nil {
 		s.failed = true
-		if err == nil {
-			_ = c.Conn.Close()
-		}
 		return false
 	}
 	s.conn = c
 	for _, g := range guards {
-		g.valid = g.x.conn.peerState() == peerOpen
+		g.check()
 	}
 	return true
 }
