--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -163,7 +163,7 @@
 	}
 }
 
-// closeSentinel closes the sentinel of an address, if there is one. p.mu must be held.
+// closeSentinel closes the sentinel of an address, if there is one. Its end, if the endpoint has ended it, stays known to its guards. p.mu must be held.
 func (p *Pool) closeSentinel(address string) {
 	s := p.sentinels[address]
 	if s == nil {
@@ -172,7 +172,7 @@
 	delete(p.sentinels, address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed = true
+	s.failed = s.failed || s.endedAt.IsZero()
 	if s.conn != nil {
 		_ = s.conn.Conn.Close()
 	}
--- /dev/null
+++ b/entry/connection/sentinel_test.go
@@ -0,0 +1,69 @@
+package connection
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/fleet/timer"
+)
+
+// guardedAnswer is an answer without framing that has begun and is guarded. conns are the connections of its endpoint.
+type guardedAnswer struct {
+	pool  *Pool
+	guard *Guard
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func startGuardedAnswer(t *testing.T) *guardedAnswer {
+	a := &guardedAnswer{pool: newPool()}
+	t.Cleanup(a.pool.Close)
+	answerOrWait := func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+		a.mu.Lock()
+		a.conns = append(a.conns, conn)
+		a.mu.Unlock()
+		s.read(r)
+		_, _ = io.WriteString(conn, answerStart+"\r\nfirst part")
+		_, _ = r.ReadByte()
+	}
+	s := startScriptedServer(t, answerOrWait, answerOrWait)
+	x, err := do(t, a.pool, s, "1")
+	require.NoError(t, err)
+	t.Cleanup(x.Finish)
+	a.guard = x.Guard()
+	require.Eventually(t, func() bool { return a.connCount() == 2 && a.guard.State(timer.BootClock()) == GuardOpen }, time.Minute, time.Millisecond)
+	return a
+}
+
+func (a *guardedAnswer) connCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns)
+}
+
+// endProcess ends all connections in order.
+func (a *guardedAnswer) endProcess() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, conn := range a.conns {
+		_ = conn.Close()
+	}
+}
+
+// Guards against ORDER: a sweep between the end of a process and the check of the answer that it cut took away what its guard had seen.
+func TestGuardThatEndedWithItsAnswerHasEndedAfterASweep(t *testing.T) {
+	t.Parallel()
+	a := startGuardedAnswer(t)
+	began := timer.BootClock()
+	a.endProcess()
+	require.Eventually(t, func() bool { return a.guard.State(began) == GuardEnded }, time.Minute, time.Millisecond)
+	a.pool.Sweep()
+	require.Equal(t, GuardEnded, a.guard.State(began))
+}
