--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -13,6 +15,8 @@
 	// connect.
 	sentinelLifetime    = 10 * time.Second
 	sentinelDialTimeout = time.Second
+	// sentinelRetryInterval is the time after which another one is tried where the endpoint did not take a sentinel, or reset it.
+	sentinelRetryInterval = time.Second
 )
 
 // sentinel is a connection to an endpoint over which nothing is sent. It ends with the process that accepted it, so that it tells that process
@@ -21,9 +25,9 @@
 	mu sync.Mutex
 	// conn is nil until it is established.
 	conn *pooledConn
-	// endedAt is when the endpoint ended the connection, by timer.BootClock; zero before.
+	// endedAt is when the connection ended or could not be established, by timer.BootClock; zero before.
 	endedAt time.Time
-	// failed is true if it could not be established, or something came over it.
+	// failed is true if it could not be established, was closed here, or did not end in order.
 	failed bool
 	// guards are those that wait until it is established.
 	guards []*Guard
@@ -59,7 +63,7 @@
 	p := x.pool
 	p.mu.Lock()
 	s := p.sentinels[x.conn.address]
-	isNew := s == nil || s.over()
+	isNew := s == nil || s.replaceable(timer.BootClock())
 	if isNew {
 		s = &sentinel{}
 		p.sentinels[x.conn.address] = s
@@ -78,18 +82,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.usedAt = timer.BootClock()
-	if s.conn == nil {
+	switch {
+	case s.failed:
+	case s.conn == nil:
 		s.guards = append(s.guards, g)
-		return
+	default:
+		g.check()
 	}
-	g.check()
 }
 
-// over reports whether the sentinel is of no more use.
-func (s *sentinel) over() bool {
+// replaceable reports whether another sentinel is to be connected in place of this one: at once after its process ended, later if it failed.
+func (s *sentinel) replaceable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.failed || !s.endedAt.IsZero()
+	if s.failed {
+		return now.Sub(s.endedAt) >= sentinelRetryInterval
+	}
+	return !s.endedAt.IsZero()
 }
 
 // connectSentinel establishes a sentinel and waits until the endpoint ends it.
@@ -103,7 +112,8 @@
 	var buf [1]byte
 	n, err := c.Read(buf[:])
 	s.mu.Lock()
-	s.failed = n > 0 || !endedByPeer(err)
+	// An endpoint that takes no further connections resets this one, and a path that is lost ends it: neither tells of the process.
+	s.failed = s.failed || n > 0 || !errors.Is(err, io.EOF)
 	s.endedAt = timer.BootClock()
 	s.mu.Unlock()
 	_ = c.Conn.Close()
@@ -115,8 +125,12 @@
 	defer s.mu.Unlock()
 	guards := s.guards
 	s.guards = nil
-	if err != nil {
-		s.failed = true
+	// It may have been closed meanwhile.
+	if err != nil || s.failed {
+		if err == nil {
+			_ = c.Conn.Close()
+		}
+		s.failed, s.endedAt = true, timer.BootClock()
 		return false
 	}
 	s.conn = c
@@ -157,7 +171,7 @@
 		s.mu.Lock()
 		old := now.Sub(s.usedAt) > sentinelLifetime
 		s.mu.Unlock()
-		if old || s.over() {
+		if old || s.replaceable(now) {
 			p.closeSentinel(address)
 		}
 	}
--- a/entry/connection/sentinel_test.go
+++ b/entry/connection/sentinel_test.go
@@ -2,68 +2,130 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"balsamknot.org/fleet/timer"
+	"balsamknot.org/platform/standin"
 )
 
-// guardedAnswer is an answer without framing that has begun and is guarded. conns are the connections of its endpoint.
-type guardedAnswer struct {
-	pool  *Pool
-	guard *Guard
-
-	mu    sync.Mutex
-	conns []net.Conn
+// heldDialer is a Dialer whose attempts after the first one wait for release.
+type heldDialer struct {
+	Dialer
+	attempts chan struct{}
+	release  chan struct{}
+	begun    bool
 }
 
-func startGuardedAnswer(t *testing.T) *guardedAnswer {
-	a := &guardedAnswer{pool: newPool()}
-	t.Cleanup(a.pool.Close)
-	answerOrWait := func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
-		a.mu.Lock()
-		a.conns = append(a.conns, conn)
-		a.mu.Unlock()
-		s.read(r)
-		_, _ = io.WriteString(conn, answerStart+"\r\nfirst part")
-		_, _ = r.ReadByte()
+func (d *heldDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if d.begun {
+		d.attempts <- struct{}{}
+		<-d.release
 	}
-	s := startScriptedServer(t, answerOrWait, answerOrWait)
-	x, err := do(t, a.pool, s, "1")
-	require.NoError(t, err)
-	t.Cleanup(x.Finish)
-	a.guard = x.Guard()
-	require.Eventually(t, func() bool { return a.connCount() == 2 && a.guard.State(timer.BootClock()) == GuardOpen }, time.Minute, time.Millisecond)
-	return a
+	d.begun = true
+	return d.Dialer.Dial(ctx, address)
 }
 
-func (a *guardedAnswer) connCount() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.conns)
+// beginUnframed reads a request and sends the head of an answer that ends with its connection.
+func (s *scriptedServer) beginUnframed(conn net.Conn, r *bufio.Reader, id string) {
+	s.read(r)
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+standin.RequestIDHeader+": "+id+"\r\n\r\n")
 }
 
-// endProcess ends all connections in order.
-func (a *guardedAnswer) endProcess() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, conn := range a.conns {
-		_ = conn.Close()
+// Guards against a leak: a sentinel that was dropped while it was being established stayed open until its endpoint ended it.
+func TestSentinelThatIsDroppedWhileItConnectsIsClosed(t *testing.T) {
+	t.Parallel()
+	for name, drop := range map[string]func(p *Pool, address string){
+		"DropIdle": (*Pool).DropIdle,
+		"Close":    func(p *Pool, _ string) { p.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			s := startScriptedServer(t,
+				func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+					s.beginUnframed(conn, r, "id-1")
+					<-closed
+				},
+				func(_ *scriptedServer, conn net.Conn, _ *bufio.Reader) {
+					_, _ = conn.Read(make([]byte, 1))
+					close(closed)
+				})
+			p := newPool()
+			d := &heldDialer{Dialer: p.cfg.Dialer, attempts: make(chan struct{}), release: make(chan struct{})}
+			p.cfg.Dialer = d
+			x, err := do(t, p, s, "id-1")
+			require.NoError(t, err)
+			t.Cleanup(x.Abort)
+			x.Guard()
+			<-d.attempts
+			drop(p, s.address())
+			close(d.release)
+			select {
+			case <-closed:
+			case <-time.After(3 * time.Second):
+				t.Fatal("the connection is open though no pool holds it")
+			}
+		})
 	}
 }
 
-// Guards against ORDER: a sweep between the end of a process and the check of the answer that it cut took away what its guard had seen.
-func TestGuardThatEndedWithItsAnswerHasEndedAfterASweep(t *testing.T) {
+// Guards against LOST: an endpoint that takes no further connection, and resets the sentinel, was taken for one that ended with its answer.
+func TestSentinelThatIsResetSaysNothing(t *testing.T) {
+	t.Parallel()
+	reset, end := make(chan struct{}), make(chan struct{})
+	defer close(end)
+	s := startScriptedServer(t,
+		func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			s.beginUnframed(conn, r, "id-1")
+			<-end
+		},
+		func(_ *scriptedServer, conn net.Conn, _ *bufio.Reader) {
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+			close(reset)
+		})
+	x, err := do(t, newPool(), s, "id-1")
+	require.NoError(t, err)
+	defer x.Abort()
+	g := x.Guard()
+	<-reset
+	require.Never(t, func() bool { return g.State(time.Time{}) == GuardEnded }, 100*time.Millisecond, time.Millisecond)
+	require.Equal(t, GuardAbsent, g.State(time.Time{}))
+}
+
+// Guards against connections for nothing: each unframed answer of an endpoint that resets further connections tried another sentinel.
+func TestSentinelThatIsResetIsNotTriedAgainAtOnce(t *testing.T) {
 	t.Parallel()
-	a := startGuardedAnswer(t)
-	began := timer.BootClock()
-	a.endProcess()
-	require.Eventually(t, func() bool { return a.guard.State(began) == GuardEnded }, time.Minute, time.Millisecond)
-	a.pool.Sweep()
-	require.Equal(t, GuardEnded, a.guard.State(began))
+	end := make(chan struct{})
+	defer close(end)
+	s := startScriptedServer(t,
+		func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			s.beginUnframed(conn, r, "id-1")
+			<-end
+		},
+		func(_ *scriptedServer, conn net.Conn, _ *bufio.Reader) {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		})
+	p := newPool()
+	x, err := do(t, p, s, "id-1")
+	require.NoError(t, err)
+	defer x.Abort()
+	x.Guard()
+	tried := p.sentinels[s.address()]
+	require.Eventually(t, func() bool {
+		tried.mu.Lock()
+		defer tried.mu.Unlock()
+		return tried.failed
+	}, time.Minute, time.Millisecond)
+	x.Guard()
+	require.Same(t, tried, p.sentinels[s.address()])
+	require.True(t, tried.replaceable(timer.BootClock().Add(sentinelRetryInterval)))
 }
