Keep the guard of an unframed answer as long as the answer comes

Cause: a sentinel was closed 10 s after the last answer that began under it, also while that answer still came. The end of its process then made the answer look complete where another process listens at the address (WHOLE, ORDER). Change: a sentinel stays while a connection to its endpoint is in use. Result: TestGuardStaysWhileItsAnswerComes failed before and passes now.

--- a/entry/connection/guard_test.go
+++ b/entry/connection/guard_test.go
@@ -67,3 +67,13 @@
 	a.pool.Sweep()
 	require.Equal(t, GuardEnded, a.guard.State(began))
 }
+
+// Guards against ORDER: an answer that came for longer than sentinels stay lost its guard, so that the end of its process made it look complete.
+func TestGuardStaysWhileItsAnswerComes(t *testing.T) {
+	t.Parallel()
+	a := startGuardedAnswer(t)
+	a.pool.mu.Lock()
+	a.pool.sweepSentinels(timer.BootClock().Add(2 * sentinelLifetime))
+	a.pool.mu.Unlock()
+	require.Equal(t, GuardOpen, a.guard.State(timer.BootClock()))
+}
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -165,11 +165,11 @@
 	return GuardEnded
 }
 
-// sweepSentinels closes the sentinels that no answer has needed for sentinelLifetime. p.mu must be held.
+// sweepSentinels closes the sentinels that no answer has needed for sentinelLifetime and that guard none. p.mu must be held.
 func (p *Pool) sweepSentinels(now time.Time) {
 	for address, s := range p.sentinels {
 		s.mu.Lock()
-		old := now.Sub(s.usedAt) > sentinelLifetime
+		old := now.Sub(s.usedAt) > sentinelLifetime && len(p.inUse[address]) == 0
 		s.mu.Unlock()
 		if old || s.replaceable(now) {
 			p.closeSentinel(address)
