Let only connections that were there before a request show that its process goes on

Cause: an answer through another host ended about 0.1 s after the direct connections to its process. A connection that was opened meanwhile, to the process that took its place, counted as one that stays, so that the cut answer looked complete though three others had ended (WHOLE). Change: Witness.Open is true only of connections that were established before the exchange began, as guards already have it. Result: TestOnlyConnectionsThatWereThereBeforeTheRequestShowThatItsProcessGoesOn failed before and passes now.

--- a/entry/connection/guard_test.go
+++ b/entry/connection/guard_test.go
@@ -77,3 +77,26 @@
 	a.pool.mu.Unlock()
 	require.Equal(t, GuardOpen, a.guard.State(timer.BootClock()))
 }
+
+// Guards against ORDER: a connection to the process after the one that wrote the answer was taken for a sign that the latter goes on.
+func TestOnlyConnectionsThatWereThereBeforeTheRequestShowThatItsProcessGoesOn(t *testing.T) {
+	t.Parallel()
+	begin := func(id string) func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+		return func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			s.beginUnframed(conn, r, id)
+			<-t.Context().Done()
+		}
+	}
+	s := startScriptedServer(t, begin("1"), begin("2"))
+	p := newPool()
+	defer p.Close()
+	first, err := do(t, p, s, "1")
+	require.NoError(t, err)
+	defer first.Abort()
+	second, err := do(t, p, s, "2")
+	require.NoError(t, err)
+	defer second.Abort()
+	require.Len(t, first.Witnesses(), 1)
+	require.False(t, first.Witnesses()[0].Open())
+	require.True(t, second.Witnesses()[0].Open())
+}
--- a/entry/connection/witness.go
+++ b/entry/connection/witness.go
@@ -13,7 +13,12 @@
 
 // Witness is a connection to an endpoint, beside that of an exchange, that shows whether the endpoint goes on. When the process at the endpoint
 // ends, all its connections end; when it ends one in order, the others stay.
-type Witness struct{ conn *pooledConn }
+type Witness struct {
+	conn *pooledConn
+	// wasThere is true if the connection was established before the exchange began. A later one may lead to the process after the one that writes
+	// the answer, since the end of an answer that comes through another host arrives late.
+	wasThere bool
+}
 
 // Witnesses returns the other connections to the exchange's endpoint.
 func (x *Exchange) Witnesses() []Witness {
@@ -23,15 +28,19 @@
 	var others []Witness
 	for c := range p.inUse[x.conn.address] {
 		if c != x.conn {
-			others = append(others, Witness{conn: c})
+			others = append(others, x.witness(c))
 		}
 	}
 	for _, c := range p.idle[x.conn.address] {
-		others = append(others, Witness{conn: c})
+		others = append(others, x.witness(c))
 	}
 	return others
 }
 
+func (x *Exchange) witness(c *pooledConn) Witness {
+	return Witness{conn: c, wasThere: !c.connectedAt.After(x.beganAt)}
+}
+
 // Connect opens a connection to the exchange's endpoint; Release must be called for it. The error is ErrNotSent.
 func (x *Exchange) Connect(ctx context.Context) (Witness, error) {
 	c, err := x.pool.dialForUse(ctx, x.conn.address)
@@ -47,8 +56,11 @@
 	w.conn.pool.putIdle(w.conn, 0)
 }
 
-// Open reports whether the connection is open. That of one through another host is not known: its end arrives only with that host's help.
-func (w Witness) Open() bool { return w.conn.relay == "" && w.conn.peerState() == peerOpen }
+// Open reports whether the connection is open and leads to the process that writes the answer. That of one through another host is not known: its
+// end arrives only with that host's help.
+func (w Witness) Open() bool {
+	return w.wasThere && w.conn.relay == "" && w.conn.peerState() == peerOpen
+}
 
 // Ended reports whether the endpoint has ended the connection. One that this host closed is neither open nor ended.
 func (w Witness) Ended() bool { return w.conn.peerState() == peerEnded }
