Connect another sentinel at once after one was reset that had stood

Cause: a process that crashes resets its sentinel. For 1 s after that none was tried, also at the process after it, so that its unframed answers had no guard and looked complete when cut (WHOLE). Change: the interval counts from the attempt, so that it bounds attempts as before. Result: TestSentinelThatWasResetAfterAWhileIsReplacedAtOnce failed before and passes now. Not covered: an engine that crashes twice within a second.

--- a/entry/connection/guard_test.go
+++ b/entry/connection/guard_test.go
@@ -100,3 +100,23 @@
 	require.False(t, first.Witnesses()[0].Open())
 	require.True(t, second.Witnesses()[0].Open())
 }
+
+// Guards against ORDER: for a second after a process was reset that had taken its sentinel, answers of the one after it had no guard.
+func TestSentinelThatWasResetAfterAWhileIsReplacedAtOnce(t *testing.T) {
+	t.Parallel()
+	a := startGuardedAnswer(t)
+	s := a.guard.s
+	s.mu.Lock()
+	s.triedAt = s.triedAt.Add(-sentinelRetryInterval)
+	s.mu.Unlock()
+	for _, conn := range a.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	a.endProcess()
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.failed
+	}, time.Minute, time.Millisecond)
+	require.True(t, s.replaceable(s.endedAt))
+}
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -15,7 +15,7 @@
 	// connect.
 	sentinelLifetime    = 10 * time.Second
 	sentinelDialTimeout = time.Second
-	// sentinelRetryInterval is the time after which another one is tried where the endpoint did not take a sentinel, or reset it.
+	// sentinelRetryInterval is the least time between two attempts where the endpoint did not take a sentinel, or reset it.
 	sentinelRetryInterval = time.Second
 )
 
@@ -23,6 +23,8 @@
 // from another one at the same address. An endpoint whose answers are not framed leaves no other connection that could.
 type sentinel struct {
 	mu sync.Mutex
+	// triedAt is when the attempt to connect began, by timer.BootClock.
+	triedAt time.Time
 	// conn is nil until it is established.
 	conn *pooledConn
 	// endedAt is when the connection ended or could not be established, by timer.BootClock; zero before.
@@ -65,7 +67,7 @@
 	s := p.sentinels[x.conn.address]
 	isNew := s == nil || s.replaceable(timer.BootClock())
 	if isNew {
-		s = &sentinel{}
+		s = &sentinel{triedAt: timer.BootClock()}
 		p.sentinels[x.conn.address] = s
 	}
 	p.mu.Unlock()
@@ -91,12 +93,13 @@
 	}
 }
 
-// replaceable reports whether another sentinel is to be connected in place of this one: at once after its process ended, later if it failed.
+// replaceable reports whether another sentinel is to be connected in place of this one: at once after its process ended, and not too soon after this
+// attempt if it failed.
 func (s *sentinel) replaceable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.failed {
-		return now.Sub(s.endedAt) >= sentinelRetryInterval
+		return now.Sub(s.triedAt) >= sentinelRetryInterval
 	}
 	return !s.endedAt.IsZero()
 }
