--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -33,7 +33,8 @@
 	failed bool
 	// guards are those that wait until it is established.
 	guards []*Guard
-	// usedAt is when an answer needed it last.
+	// active is how many answers it guards, and usedAt when that changed last.
+	active int
 	usedAt time.Time
 }
 
@@ -60,7 +61,7 @@
 	return state == peerOpen || c.relay != "" && state == peerUnknown
 }
 
-// Guard returns a guard for the exchange's answer. It connects to the endpoint if there is no sentinel yet.
+// Guard returns a guard for the exchange's answer, until Finish or Abort. It connects to the endpoint if there is no sentinel yet.
 func (x *Exchange) Guard() *Guard {
 	p := x.pool
 	p.mu.Lock()
@@ -73,6 +74,7 @@
 	p.mu.Unlock()
 	g := &Guard{x: x, s: s}
 	s.add(g)
+	x.guard = g
 	if isNew {
 		go p.connectSentinel(x.conn.address, s)
 	}
@@ -83,6 +85,7 @@
 func (s *sentinel) add(g *Guard) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.active++
 	s.usedAt = timer.BootClock()
 	switch {
 	case s.failed:
@@ -93,6 +96,17 @@
 	}
 }
 
+// release notes that the answer has ended. It has no effect on nil.
+func (g *Guard) release() {
+	if g == nil {
+		return
+	}
+	g.s.mu.Lock()
+	defer g.s.mu.Unlock()
+	g.s.active--
+	g.s.usedAt = timer.BootClock()
+}
+
 // replaceable reports whether another sentinel is to be connected in place of this one: at once after its process ended, and not too soon after this
 // attempt if it failed.
 func (s *sentinel) replaceable(now time.Time) bool {
@@ -172,7 +186,7 @@
 func (p *Pool) sweepSentinels(now time.Time) {
 	for address, s := range p.sentinels {
 		s.mu.Lock()
-		old := now.Sub(s.usedAt) > sentinelLifetime && len(p.inUse[address]) == 0
+		old := s.active == 0 && now.Sub(s.usedAt) > sentinelLifetime
 		s.mu.Unlock()
 		if old || s.replaceable(now) {
 			p.closeSentinel(address)
@@ -180,12 +194,23 @@
 	}
 }
 
-// closeSentinel closes the sentinel of an address, if there is one. Its end, if the endpoint has ended it, stays known to its guards. p.mu must be held.
-func (p *Pool) closeSentinel(address string) {
+// dropSentinel closes the sentinel of an address, if there is one and it guards no answer. p.mu must be held.
+func (p *Pool) dropSentinel(address string) {
 	s := p.sentinels[address]
 	if s == nil {
 		return
 	}
+	s.mu.Lock()
+	active := s.active
+	s.mu.Unlock()
+	if active == 0 {
+		p.closeSentinel(address)
+	}
+}
+
+// closeSentinel closes the sentinel of an address. What the guards of one that has ended have seen stays. p.mu must be held.
+func (p *Pool) closeSentinel(address string) {
+	s := p.sentinels[address]
 	delete(p.sentinels, address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
