--- /dev/null
+++ b/entry/connection/guard_test.go
@@ -0,0 +1,121 @@
+package connection
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/fleet/timer"
+)
+
+// guardedAnswer is an answer without framing that has begun and is guarded. conns are the connections of its endpoint.
+type guardedAnswer struct {
+	pool  *Pool
+	guard *Guard
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func startGuardedAnswer(t *testing.T) *guardedAnswer {
+	a := &guardedAnswer{pool: newPool()}
+	t.Cleanup(a.pool.Close)
+	answerOrWait := func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+		a.mu.Lock()
+		a.conns = append(a.conns, conn)
+		a.mu.Unlock()
+		s.read(r)
+		_, _ = io.WriteString(conn, answerStart+"\r\nfirst part")
+		_, _ = r.ReadByte()
+	}
+	s := startScriptedServer(t, answerOrWait, answerOrWait)
+	x, err := do(t, a.pool, s, "1")
+	require.NoError(t, err)
+	t.Cleanup(x.Finish)
+	a.guard = x.Guard()
+	require.Eventually(t, func() bool { return a.connCount() == 2 && a.guard.State() == GuardOpen }, time.Minute, time.Millisecond)
+	return a
+}
+
+func (a *guardedAnswer) connCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns)
+}
+
+// endProcess ends all connections in order.
+func (a *guardedAnswer) endProcess() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, conn := range a.conns {
+		_ = conn.Close()
+	}
+}
+
+// Guards against ORDER: a sweep between the end of a process and the check of the answer that it cut took away what its guard had seen.
+func TestGuardThatEndedWithItsAnswerHasEndedAfterASweep(t *testing.T) {
+	t.Parallel()
+	a := startGuardedAnswer(t)
+	a.endProcess()
+	require.Eventually(t, func() bool { return a.guard.State() == GuardEnded }, time.Minute, time.Millisecond)
+	a.pool.Sweep()
+	require.Equal(t, GuardEnded, a.guard.State())
+}
+
+// Guards against ORDER: an answer that came for longer than sentinels stay lost its guard, so that the end of its process made it look complete.
+func TestGuardStaysWhileItsAnswerComes(t *testing.T) {
+	t.Parallel()
+	a := startGuardedAnswer(t)
+	a.pool.mu.Lock()
+	a.pool.sweepSentinels(timer.BootClock().Add(2 * sentinelLifetime))
+	a.pool.mu.Unlock()
+	require.Equal(t, GuardOpen, a.guard.State())
+}
+
+// Guards against ORDER: a connection to the process after the one that wrote the answer was taken for a sign that the latter goes on.
+func TestOnlyConnectionsThatWereThereBeforeTheRequestShowThatItsProcessGoesOn(t *testing.T) {
+	t.Parallel()
+	begin := func(id string) func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+		return func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			s.beginUnframed(conn, r, id)
+			<-t.Context().Done()
+		}
+	}
+	s := startScriptedServer(t, begin("1"), begin("2"))
+	p := newPool()
+	defer p.Close()
+	first, err := do(t, p, s, "1")
+	require.NoError(t, err)
+	defer first.Abort()
+	second, err := do(t, p, s, "2")
+	require.NoError(t, err)
+	defer second.Abort()
+	require.Len(t, first.Witnesses(), 1)
+	require.False(t, first.Witnesses()[0].Open())
+	require.True(t, second.Witnesses()[0].Open())
+}
+
+// Guards against ORDER: for a second after a process was reset that had taken its sentinel, answers of the one after it had no guard.
+func TestSentinelThatWasResetAfterAWhileIsReplacedAtOnce(t *testing.T) {
+	t.Parallel()
+	a := startGuardedAnswer(t)
+	s := a.guard.s
+	s.mu.Lock()
+	s.triedAt = s.triedAt.Add(-sentinelRetryInterval)
+	s.mu.Unlock()
+	for _, conn := range a.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	a.endProcess()
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.failed
+	}, time.Minute, time.Millisecond)
+	require.True(t, s.replaceable(s.endedAt))
+}
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -18,7 +18,7 @@
 	// connect.
 	sentinelLifetime    = 10 * time.Second
 	sentinelDialTimeout = time.Second
-	// sentinelRetryInterval is the time after which another one is tried where the endpoint did not take a sentinel, or reset it.
+	// sentinelRetryInterval is the least time between two attempts where the endpoint did not take a sentinel, or reset it.
 	sentinelRetryInterval = time.Second
 	// sentinelSettleTime is the time in which all connections of a process that has ended are seen to end.
 	sentinelSettleTime = 20 * time.Millisecond
@@ -30,6 +30,8 @@
 // from another one at the same address. An endpoint whose answers are not framed leaves no other connection that could.
 type sentinel struct {
 	mu sync.Mutex
+	// triedAt is when the attempt to connect began, by timer.BootClock.
+	triedAt time.Time
 	// conn is nil until it is established.
 	conn *pooledConn
 	// endedAt is when the connection ended or could not be established, by timer.BootClock; zero before.
@@ -78,7 +80,7 @@
 	s := p.sentinels[x.conn.address]
 	isNew := s == nil || s.replaceable(timer.BootClock())
 	if isNew {
-		s = s.next()
+		s = s.next(timer.BootClock())
 		p.sentinels[x.conn.address] = s
 	}
 	p.mu.Unlock()
@@ -117,12 +119,13 @@
 	g.s.usedAt = timer.BootClock()
 }
 
-// replaceable reports whether another sentinel is to be connected in place of this one: at once after its process ended, later if it failed.
+// replaceable reports whether another sentinel is to be connected in place of this one: at once after its process ended, and not too soon after this
+// attempt if it failed.
 func (s *sentinel) replaceable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.failed {
-		return now.Sub(s.endedAt) >= sentinelRetryInterval
+		return now.Sub(s.triedAt) >= sentinelRetryInterval
 	}
 	return !s.endedAt.IsZero()
 }
@@ -167,11 +170,11 @@
 }
 
 // next returns a sentinel for the same address; nil stands for the first one.
-func (s *sentinel) next() *sentinel {
+func (s *sentinel) next(now time.Time) *sentinel {
 	if s == nil {
-		return &sentinel{idleTime: new(atomic.Int64)}
+		return &sentinel{triedAt: now, idleTime: new(atomic.Int64)}
 	}
-	return &sentinel{idleTime: s.idleTime}
+	return &sentinel{triedAt: now, idleTime: s.idleTime}
 }
 
 // endedIdle reports whether the sentinel ended at the age at which the endpoint ends connections over which nothing comes. s.mu must be held.
@@ -227,7 +230,7 @@
 	return GuardEnded
 }
 
-// sweepSentinels closes the sentinels that no answer has needed for sentinelLifetime. p.mu must be held.
+// sweepSentinels closes the sentinels that no answer has needed for sentinelLifetime and that guard none. p.mu must be held.
 func (p *Pool) sweepSentinels(now time.Time) {
 	for address, s := range p.sentinels {
 		s.mu.Lock()
--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -27,6 +27,8 @@
 	// is no longer ready.
 	host   int
 	sticky bool
+	// streams is true for one that sends only requests for streams.
+	streams bool
 	// requests is the number of requests so far.
 	requests int
 }
@@ -60,13 +62,23 @@
 
 func (c *caller) run(ctx context.Context) {
 	defer c.transport.CloseIdleConnections()
-	for timer.Sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(meanThinkTime))) {
-		if !c.sticky && !c.site.hosts[c.host].ready.Load() {
-			c.switchHost()
-		}
-		if !c.send(ctx) {
-			c.switchHost()
-		}
+	for c.think(ctx) {
+		c.sendNext(ctx)
+	}
+}
+
+// think waits for the time between a response and the next request. It returns false if ctx has ended.
+func (c *caller) think(ctx context.Context) bool {
+	return timer.Sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(meanThinkTime)))
+}
+
+// sendNext sends the next request, through another host if the present one is not ready or the request before failed.
+func (c *caller) sendNext(ctx context.Context) {
+	if !c.sticky && !c.site.hosts[c.host].ready.Load() {
+		c.switchHost()
+	}
+	if !c.send(ctx) {
+		c.switchHost()
 	}
 }
 
@@ -128,6 +140,8 @@
 		spec.key = keyName(max(int(c.site.newestKey.Load())-validKeyCount+1-c.random.IntN(oldKeyCount), 0))
 	}
 	switch n := c.random.IntN(10); {
+	case c.streams:
+		c.askForStream(&spec)
 	case n < 4:
 		spec.method, spec.path, spec.kind = http.MethodPost, "/once/x", checker.NonIdempotent
 	case n < 6:
@@ -135,12 +149,17 @@
 	case n < 8:
 		spec.method, spec.path, spec.kind = http.MethodGet, checker.MovedPath, checker.Idempotent
 	default:
-		spec.method, spec.path, spec.kind = http.MethodPost, "/stream/x", checker.Resumable
-		spec.parts = []string{sharedPart, strconv.Itoa(c.requests % sharedPartCount)}
+		c.askForStream(&spec)
 	}
 	return spec
 }
 
+// askForStream makes a request one for a stream.
+func (c *caller) askForStream(spec *requestSpec) {
+	spec.method, spec.path, spec.kind = http.MethodPost, c.site.streamPath(), checker.Resumable
+	spec.parts = []string{sharedPart, strconv.Itoa(c.requests % sharedPartCount)}
+}
+
 // send sends a request and records its result. It returns false if the request failed, so that the caller should switch to
 // another host.
 func (c *caller) send(ctx context.Context) bool {
@@ -159,7 +178,7 @@
 	}
 	r := c.site.newCall(ctx, c.host, spec, body, checker.RequestSent{SharesPart: len(spec.parts) > 0})
 	result, pause, broken := c.exchange(r, spec)
-	if result.Status == 0 && disconnects && ctx.Err() != nil {
+	if result.Status == 0 && result.Defect == "" && disconnects && ctx.Err() != nil {
 		c.site.record(checker.CallerDisconnected{Request: spec.id})
 		return true
 	}
@@ -186,6 +205,7 @@
 	body, err := io.ReadAll(response.Body)
 	result.Mixed = response.StatusCode == http.StatusOK && spec.mixed(string(body))
 	if err != nil {
+		result.Defect = spec.cutDefect(response.StatusCode, result.Mixed, string(body))
 		return result, 0, spec.broken(response.StatusCode, string(body))
 	}
 	result.Status, result.Seal = response.StatusCode, response.Header.Get(standin.SealHeader)
@@ -208,17 +228,32 @@
 func (c *caller) defect(spec requestSpec, seal, body string) string {
 	want := plainBody(spec.id)
 	if spec.kind == checker.Resumable {
+		events, rest := numberedEvents(body)
+		body = strings.Join(events, "") + rest
 		want = spec.streamBody(body)
 	}
 	switch {
 	case seal == "":
 		return "status 200 without the seal of an endpoint"
+	case spec.kind == checker.Resumable && spec.misplaced(body) != "":
+		return "events out of order: " + spec.misplaced(body)
 	case body != want:
 		return fmt.Sprintf("the body differs from the expected one, %d bytes instead of %d: %.200q", len(body), len(want), body)
 	}
 	return ""
 }
 
+// cutDefect describes what is wrong with a response that broke off; it is empty if what came of it is correct.
+func (spec requestSpec) cutDefect(status int, mixed bool, body string) string {
+	if spec.kind != checker.Resumable || status != http.StatusOK || mixed {
+		return ""
+	}
+	if misplaced := spec.misplaced(body); misplaced != "" {
+		return "broke off after events out of order: " + misplaced
+	}
+	return ""
+}
+
 // retryAfter returns the time in a Retry-After header, given in seconds; 0 if there is none.
 func retryAfter(h http.Header) time.Duration {
 	seconds, err := strconv.ParseFloat(h.Get(standin.RetryAfterHeader), 64)
