Notice a path that falls silent under open connections, from what is not acknowledged

Cause: a silent path was found by new connections only. Evidence used: TCP_INFO of direct connections in use that receive nothing. Data sent stays unacknowledged, or keep-alive probes (1 s apart) do. An endpoint whose process is merely silent is no such case, as its kernel acknowledges; nor is one that does not read a long body (window probes come ever less often: connections blocked by the window don't count). Change: after 0.3 s (sent) or 1.1 s (waits) relay.Unheard lets the path be checked by a connection with a relay beside it, at most twice a second. If that finds the path silent, and probes fail for 0.2 s, unheard connections are given up (0.7 s sent, 1.3 s waits). Data that is unacknowledged for 1.5 s ends its connection whatever is known of the path: it has been sent again several times. Where TCP_INFO is not available, paths are checked after 1 s without a byte, and BK2204 says so once; connections are then given up as before, 0.7 s after the path was found silent. TCP_USER_TIMEOUT (3 s) stays as it is: lowered, it would also end connections whose endpoint does not read. What was cut ends as broken off: requests that may run again and streams go on elsewhere, others get 502, which does not say "not run".

The test double of a link has the acknowledgements of the path that it simulates now; its data was acknowledged by loopback before. What is lost on it stays unacknowledged, as it sends nothing again. No assertion changed. pathTracker.check returns one value, as nobody used the other.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -75,6 +75,7 @@
 	PathLost               Number = 2201
 	PathRestored           Number = 2202
 	RelayUnavailable       Number = 2203
+	DeliveryUnknown        Number = 2204
 )
 
 // Entry is the catalogue's description of an event for operators.
@@ -144,6 +145,7 @@
 	{PathLost, "path lost", "This host can't connect to an endpoint, but another host can; requests go through others until it can again. Silent if connections hang; Doubted if only others of the service were tried.", "See what cuts the host off from the endpoint."},
 	{PathRestored, "path restored", "This host connects to the endpoint directly again.", "None."},
 	{RelayUnavailable, "relay unavailable", "A host that was asked to connect this one to an endpoint could not be reached, or can't connect itself.", "None, unless no host can."},
+	{DeliveryUnknown, "delivery unknown", "The system does not tell this host whether data on its connections to endpoints was acknowledged. Logged once. Paths are then checked after a longer silence.", "None."},
 }
 
 var texts = func() map[Number]string {
--- a/entry/node/endpoint_link_test.go
+++ b/entry/node/endpoint_link_test.go
@@ -6,6 +6,9 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
+
+	"balsamknot.org/entry/connection"
 )
 
 // cutForm is what a host sees of its connections to endpoints after their path was cut.
@@ -29,6 +32,8 @@
 	mu    sync.Mutex
 	form  cutForm
 	conns map[*linkConn]bool
+	// cutAt is when form was set.
+	cutAt time.Time
 	// only limits a cut to these addresses, unless it is empty.
 	only map[string]bool
 	// dials counts the connections that were tried while the path was cut.
@@ -79,7 +84,7 @@
 func (l *endpointLinks) cut(form cutForm, addresses ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.form, l.only = form, make(map[string]bool)
+	l.form, l.only, l.cutAt = form, make(map[string]bool), time.Now()
 	for _, address := range addresses {
 		l.only[address] = true
 	}
@@ -101,6 +106,10 @@
 	address   string
 	closeOnce sync.Once
 	closed    chan struct{}
+
+	mu sync.Mutex
+	// lostAt is when data sent was first lost; zero if none was.
+	lostAt time.Time
 }
 
 // SyscallConn implements syscall.Conn.
@@ -126,11 +135,33 @@
 // Write implements net.Conn. What is sent over a silent link is lost.
 func (c *linkConn) Write(p []byte) (int, error) {
 	if c.links.formOf(c.address, false) == cutSilent {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.lostAt.IsZero() {
+			c.lostAt = time.Now()
+		}
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
 }
 
+// Delivery implements connection.DeliveryReporter. What was lost stays unacknowledged, as nothing is sent again.
+func (c *linkConn) Delivery() (connection.Delivery, error) {
+	form := c.links.formOf(c.address, false)
+	c.links.mu.Lock()
+	cutAt := c.links.cutAt
+	c.links.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.lostAt.IsZero():
+		return connection.Delivery{Unacknowledged: true, HeardAgo: time.Since(c.lostAt)}, nil
+	case form == cutSilent:
+		return connection.Delivery{HeardAgo: time.Since(cutAt)}, nil
+	}
+	return connection.Delivery{}, nil
+}
+
 func (c *linkConn) isClosed() bool {
 	select {
 	case <-c.closed:
--- a/entry/node/paths.go
+++ b/entry/node/paths.go
@@ -31,6 +31,8 @@
 	table *relay.Table
 	// tunnels holds the connections of other hosts for which this one is the relay.
 	tunnels map[net.Conn]bool
+	// deliveryUnknown is used to log once that the state of connections can't be read.
+	deliveryUnknown sync.Once
 }
 
 const (
@@ -239,6 +241,8 @@
 		switch c := c.(type) {
 		case relay.Probe:
 			p.n.wg.Go(func() { p.probe(c.Address) })
+		case relay.Check:
+			p.n.wg.Go(func() { p.check(c.Address) })
 		case relay.Lost:
 			event.LogText(p.n.log, zerolog.WarnLevel, event.PathLost).Str("Endpoint", string(c.Endpoint)).Bool("Silent", c.Silent).Bool("Doubted", c.Doubted).Send()
 			p.n.endpointConns.DropIdle(c.Address)
@@ -249,15 +253,20 @@
 	}
 }
 
-// tick starts the probes that are due and gives up the connections that stall on paths that went silent.
+// tick starts the probes and checks that are due, and gives up the connections that stall on paths that went silent.
 func (p *pathTracker) tick(now time.Time) {
 	p.update(now, relay.Tick{})
-	p.mu.Lock()
-	silent := p.table.SilentAddresses(now, stallTimeout)
-	p.mu.Unlock()
-	for _, address := range silent {
+	for _, address := range p.silentAddresses(now, stallTimeout) {
 		p.n.endpointConns.AbortSilent(now, address, stallTimeout)
 	}
+	p.tickUnheard(now)
+}
+
+// silentAddresses returns the addresses whose path has been silent for d.
+func (p *pathTracker) silentAddresses(now time.Time, d time.Duration) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.SilentAddresses(now, d)
 }
 
 // probe tries a direct connection to an endpoint whose path is gone.
@@ -295,25 +304,24 @@
 		return false
 	}
 	blames, _, _ := p.checks.Do(address, func() (any, error) {
-		_, endpointsFault := p.check(address)
-		return endpointsFault, nil
+		return p.check(address), nil
 	})
 	return blames.(bool)
 }
 
-// check tries to connect to an endpoint. listens is true if that succeeds, directly or through a relay, and endpointsFault is false if the
-// cause of a failure is this host's own path to it, or may be.
-func (p *pathTracker) check(address string) (listens, endpointsFault bool) {
+// check tries to connect to an endpoint, directly and through a relay. It returns false if the cause of a failure is this host's own path to
+// the endpoint, or may be.
+func (p *pathTracker) check(address string) (endpointsFault bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout+relayDelay)
 	defer cancel()
 	conn, err := p.dialBoth(ctx, address)
 	if err == nil {
 		defer conn.Close()
 		_, relayed := conn.(relayedConn)
-		return true, !relayed
+		return !relayed
 	}
 	var failed *pathError
-	return false, errors.As(err, &failed) && failed.endpointDown
+	return errors.As(err, &failed) && failed.endpointDown
 }
 
 // listening reports whether something listens at an address. known is false if neither a connection nor a refusal that is the endpoint's came
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -3,7 +3,7 @@
 //
 // A path is gone if a direct connection fails and a relay connects to the same endpoint: then the endpoint is alive. If the relay fails
 // too, the endpoint is dead, as far as the relay is in contact with other endpoints of the service. Nothing is exchanged while direct
-// connections succeed. If several paths to a service are lost in a short time, the others are doubted: they are tried anew in the background,
+// connections succeed and open ones are heard. If several paths to a service are lost in a short time, the others are doubted: they are tried anew in the background,
 // and requests take a relay meanwhile. A path that is gone is probed until a connection succeeds; one that was lost several times must hold
 // for a while first (flap damping).
 package relay
@@ -123,6 +123,8 @@
 	lostAt      time.Time
 	heardAt     time.Time
 	probeAt     time.Time
+	// checkAt is from when the path may be checked again, see Unheard.
+	checkAt time.Time
 	// losses counts the losses of which each came within flapWindow of the one before.
 	losses int
 	// holdsSince is when the path that is gone could be connected to again; zero if the last connection failed.
@@ -168,6 +170,8 @@
 		t.failed(now, e.Address)
 	case Bypassed:
 		return t.bypassed(now, e)
+	case Unheard:
+		return t.unheard(now, e.Address)
 	case Unavailable:
 		t.avoidUntil[e.Host] = now.Add(relayBackoff)
 	case Tick:
