Do not take an answer that outlived its sentinel unread for one that outlived it

Callers that read slowly got cut unframed streams that look complete (ORDER), where another process listens at the address at once. Cause: a sentinel that ended over 20 ms before the end of the answer was read counted for nothing. With a caller that reads slowly, the end waits behind events that nobody has read, at this host and at the endpoint's kernel: when it is read was taken for when it was. Change: after the end of a sentinel, the connections in use that are open and have nothing unread are marked as having outlived it, at five times 20 ms apart. Only for their answers does it say nothing. Assertions: Guard.State has no time any more; the tests of sentinels ask the same without it. Where a sentinel ended, they end the answer's connection, too. What remains: at an endpoint that ends idle connections, the sound answer of a connection that has unread bytes at all five times is taken for broken off.

--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -71,6 +71,8 @@
 	heardAt atomic.Int64
 	// peerEnded is true once it was found that the endpoint ended the connection, or sent something unasked.
 	peerEnded atomic.Bool
+	// outlived is the last sentinel of the address after whose end the connection was open.
+	outlived atomic.Pointer[sentinel]
 	// connectedAt is when the connection was established, by timer.BootClock.
 	connectedAt time.Time
 	// expires is the time from which the connection is not used again, because the endpoint may be closing it.
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,10 @@
 	// connect.
 	sentinelLifetime    = 10 * time.Second
 	sentinelDialTimeout = time.Second
+	// sentinelSettleTime is the time in which all connections of a process that has ended are seen to end.
+	sentinelSettleTime = 20 * time.Millisecond
+	// outlivedChecks is how often is looked for connections that outlived a sentinel: those with unread bytes can't show it each time.
+	outlivedChecks = 5
 )
 
 // sentinel is a connection to an endpoint over which nothing is sent. It ends with the process that accepted it, so that it tells that process
@@ -103,6 +109,7 @@
 	}
 	var buf [1]byte
 	n, err := c.Conn.Read(buf[:])
+	defer p.noteOutlived(address, s)
 	s.mu.Lock()
 	// An endpoint that takes no further connections resets this one, and a path that is lost ends it: neither tells of the process.
 	s.failed = s.failed || n > 0 || !errors.Is(err, io.EOF)
@@ -111,6 +118,21 @@
 	_ = c.Conn.Close()
 }
 
+// noteOutlived marks the connections in use that stay open after the end of a sentinel, so that no process of theirs ended with it.
+func (p *Pool) noteOutlived(address string, s *sentinel) {
+	for range outlivedChecks {
+		time.Sleep(sentinelSettleTime)
+		p.mu.Lock()
+		conns := slices.Collect(maps.Keys(p.inUse[address]))
+		p.mu.Unlock()
+		for _, c := range conns {
+			if c.goesOn() {
+				c.outlived.Store(s)
+			}
+		}
+	}
+}
+
 // established notes the result of the attempt to connect and returns whether there is a connection that can be observed.
 func (s *sentinel) established(c *pooledConn, err error) bool {
 	s.mu.Lock()
@@ -140,16 +162,17 @@
 	GuardAbsent GuardState = iota
 	// GuardOpen means that the process goes on.
 	GuardOpen
-	// GuardEnded means that its connection ended no earlier than a time.
+	// GuardEnded means that its connection ended, and that the answer's did not stay open after it.
 	GuardEnded
 )
 
-// State returns what the guard has seen. A sentinel that ended before since says nothing.
-func (g *Guard) State(since time.Time) GuardState {
+// State returns what the guard has seen. A sentinel that the answer's connection outlived says nothing. When the end of the answer is read does not
+// matter: with a caller that reads slowly, that is long after it arrived.
+func (g *Guard) State() GuardState {
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
 	switch {
-	case !g.valid, g.s.failed, !g.s.endedAt.IsZero() && g.s.endedAt.Before(since):
+	case !g.valid, g.s.failed, g.x.conn.outlived.Load() == g.s:
 		return GuardAbsent
 	case g.s.endedAt.IsZero():
 		return GuardOpen
--- a/entry/connection/sentinel_test.go
+++ b/entry/connection/sentinel_test.go
@@ -96,8 +96,8 @@
 	defer x.Abort()
 	g := x.Guard()
 	<-reset
-	require.Never(t, func() bool { return g.State(time.Time{}) == GuardEnded }, 100*time.Millisecond, time.Millisecond)
-	require.Equal(t, GuardAbsent, g.State(time.Time{}))
+	require.Never(t, func() bool { return g.State() == GuardEnded }, 100*time.Millisecond, time.Millisecond)
+	require.Equal(t, GuardAbsent, g.State())
 }
 
 // Guards against ORDER: the sentinel of an answer that took long, or whose endpoint was removed meanwhile, was given up, and one that had ended was
@@ -132,17 +132,19 @@
 			p := newPool()
 			x, err := do(t, p, s, "id-1")
 			require.NoError(t, err)
-			defer close(closed)
 			g := x.Guard()
-			require.Eventually(t, func() bool { return g.State(time.Time{}) == GuardOpen }, time.Minute, time.Millisecond)
+			require.Eventually(t, func() bool { return g.State() == GuardOpen }, time.Minute, time.Millisecond)
 			if test.ended {
+				close(closed)
+				require.Eventually(t, func() bool { return x.conn.peerState() == peerEnded }, time.Minute, time.Millisecond)
 				close(end)
-				require.Eventually(t, func() bool { return g.State(time.Time{}) == GuardEnded }, time.Minute, time.Millisecond)
+				require.Eventually(t, func() bool { return g.State() == GuardEnded }, time.Minute, time.Millisecond)
 			} else {
+				defer close(closed)
 				defer close(end)
 			}
 			test.drop(p, s.address())
-			require.Equal(t, test.want, g.State(time.Time{}))
+			require.Equal(t, test.want, g.State())
 			x.Abort()
 			later(p, time.Minute)
 			require.Empty(t, p.sentinels)
--- a/entry/connection/witness.go
+++ b/entry/connection/witness.go
@@ -67,16 +67,8 @@
 	if c.peerEnded.Load() {
 		return peerEnded
 	}
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return peerUnknown
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return peerUnknown
-	}
 	state := peerUnknown
-	err = raw.Control(func(fd uintptr) {
+	c.control(func(fd int) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(fds, 0)
 		switch {
@@ -87,12 +79,31 @@
 			state = peerEnded
 		}
 	})
-	if err != nil {
-		return peerUnknown
-	}
 	return state
 }
 
+// goesOn reports whether the connection is open and nothing of it is unread. While bytes are unread, the end may wait behind them at the endpoint.
+func (c *pooledConn) goesOn() bool {
+	var buf [1]byte
+	read := false
+	c.control(func(fd int) {
+		_, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		read = errors.Is(err, unix.EAGAIN)
+	})
+	return read && c.peerState() == peerOpen
+}
+
+// control calls f with the connection's file descriptor, unless it is closed or has none.
+func (c *pooledConn) control(f func(fd int)) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := conn.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+	}
+}
+
 // endedByPeer reports whether an error of a read means that the other side ended the connection.
 func endedByPeer(err error) bool {
 	return err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, io.ErrNoProgress)
--- a/entry/node/completion.go
+++ b/entry/node/completion.go
@@ -64,7 +64,6 @@
 		Settle: endSettleTime, RestartTime: minRestartTime, RetryInterval: endRetryInterval, Timeout: endCheckTimeout,
 	})
 	others := x.Witnesses()
-	since := timer.BootClock().Add(-endSettleTime)
 	var newest *connection.Witness
 	next := check.Update(timer.BootClock(), completion.Ended{})
 	for {
@@ -84,7 +83,7 @@
 				return completion.Unconfirmed, seen
 			}
 			seen = observe(others, newest)
-			seen.Guard = guardStates[guard.State(since)]
+			seen.Guard = guardStates[guard.State()]
 			next = check.Update(timer.BootClock(), seen)
 		case completion.Conclude:
 			return c.Verdict, seen
