Learn at which age an endpoint ends sentinels that are idle

Callers lost sound answers without a marked end (LOST) at endpoints that end connections over which nothing comes: an answer that ended within 20 ms of its sentinel was taken for broken off, and a crash was recorded for it. Cause: that nothing is sent over a sentinel gives the endpoint a reason of its own to end it. The absence of a connection was taken for that of the process. Evidence: a first form of the test, which let three answers and their sentinels end at set times, failed without the change in three runs of three; it failed once with it beside other work, by its own timing (the ages differed by more than 30 ms), and is replaced by two tests without such times. Change: the age of a sentinel that a connection outlived is kept for its address, as long as the address has a sentinel. One that ends at that age says nothing. Connections through another host outlive none, since their end is not known. Only a sentinel that its endpoint ended in order teaches an age: a first form of this change took the age at which this host closed it, or at which it was reset (TestIdleTimeIsLearntOnlyFromSentinelsThatTheEndpointEndsInOrder failed, 3 of 3). Result: the three tests pass ten times with the race detector. What remains: until an answer has outlived a sentinel, and where all answers take as long as the endpoint's idle time.

--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamknot.org/fleet/timer"
@@ -38,6 +39,9 @@
 	// active is how many answers it guards, and usedAt when that changed last.
 	active int
 	usedAt time.Time
+	// idleTime is the age at which the endpoint ended a sentinel that other connections outlived; 0 if it ended none so. It is shared by the
+	// sentinels of an address.
+	idleTime *atomic.Int64
 }
 
 // Guard observes through a sentinel whether the process that writes one answer goes on.
@@ -55,7 +59,7 @@
 	s := p.sentinels[x.conn.address]
 	isNew := s == nil || s.over()
 	if isNew {
-		s = &sentinel{}
+		s = s.next()
 		p.sentinels[x.conn.address] = s
 	}
 	p.mu.Unlock()
@@ -109,13 +113,16 @@
 	}
 	var buf [1]byte
 	n, err := c.Conn.Read(buf[:])
-	defer p.noteOutlived(address, s)
 	s.mu.Lock()
-	// An endpoint that takes no further connections resets this one, and a path that is lost ends it: neither tells of the process.
-	s.failed = s.failed || n > 0 || !errors.Is(err, io.EOF)
 	s.endedAt = timer.BootClock()
+	// An endpoint that takes no further connections resets this one, and a path that is lost ends it: neither tells of the process.
+	s.failed = s.failed || n > 0 || !errors.Is(err, io.EOF) || s.endedIdle()
+	failed := s.failed
 	s.mu.Unlock()
 	_ = c.Conn.Close()
+	if !failed {
+		p.noteOutlived(address, s)
+	}
 }
 
 // noteOutlived marks the connections in use that stay open after the end of a sentinel, so that no process of theirs ended with it.
@@ -126,13 +133,28 @@
 		conns := slices.Collect(maps.Keys(p.inUse[address]))
 		p.mu.Unlock()
 		for _, c := range conns {
-			if c.goesOn() {
+			if c.goesOn() && c.connectedAt.Before(s.endedAt) {
 				c.outlived.Store(s)
+				s.idleTime.Store(int64(s.endedAt.Sub(s.conn.connectedAt)))
 			}
 		}
 	}
 }
 
+// next returns a sentinel for the same address; nil stands for the first one.
+func (s *sentinel) next() *sentinel {
+	if s == nil {
+		return &sentinel{idleTime: new(atomic.Int64)}
+	}
+	return &sentinel{idleTime: s.idleTime}
+}
+
+// endedIdle reports whether the sentinel ended at the age at which the endpoint ends connections over which nothing comes. s.mu must be held.
+func (s *sentinel) endedIdle() bool {
+	idle, age := time.Duration(s.idleTime.Load()), s.endedAt.Sub(s.conn.connectedAt)
+	return idle > 0 && (age-idle).Abs() <= sentinelSettleTime+idle/20
+}
+
 // established notes the result of the attempt to connect and returns whether there is a connection that can be observed.
 func (s *sentinel) established(c *pooledConn, err error) bool {
 	s.mu.Lock()
@@ -186,7 +208,7 @@
 		s.mu.Lock()
 		old := s.active == 0 && now.Sub(s.usedAt) > sentinelLifetime
 		s.mu.Unlock()
-		if old || s.over() {
+		if old {
 			p.closeSentinel(address)
 		}
 	}
--- a/entry/connection/sentinel_test.go
+++ b/entry/connection/sentinel_test.go
@@ -151,3 +151,80 @@
 		})
 	}
 }
+
+// Guards against LOST: an endpoint that ends connections over which nothing comes was taken for one that ended with its answer, each time that an
+// answer ended soon after its sentinel.
+func TestSentinelThatAnAnswerOutlivesTeachesTheEndpointsIdleTime(t *testing.T) {
+	t.Parallel()
+	const idle = 50 * time.Millisecond
+	over := make(chan struct{})
+	defer close(over)
+	answer := func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+		s.beginUnframed(conn, r, "id-1")
+		<-over
+	}
+	s := startScriptedServer(t, answer, func(*scriptedServer, net.Conn, *bufio.Reader) { time.Sleep(idle) }, answer)
+	p := newPool()
+	first, err := do(t, p, s, "id-1")
+	require.NoError(t, err)
+	defer first.Abort()
+	g := first.Guard()
+	require.Eventually(t, func() bool { return g.s.idleTime.Load() >= int64(idle/2) }, time.Minute, time.Millisecond)
+	require.Equal(t, GuardAbsent, g.State())
+	p.Sweep()
+	second, err := do(t, p, s, "id-1")
+	require.NoError(t, err)
+	defer second.Abort()
+	next := second.Guard().s
+	require.NotSame(t, g.s, next)
+	require.Same(t, g.s.idleTime, next.idleTime, "the next sentinel of the address knows the time, too")
+}
+
+// Guards against LOST and ORDER: which ends of sentinels are put down to the endpoint's idle time.
+func TestSentinelThatEndsAtTheEndpointsIdleTimeSaysNothing(t *testing.T) {
+	t.Parallel()
+	const idle = time.Second
+	for age, want := range map[time.Duration]bool{
+		idle: true, idle - 60*time.Millisecond: true, idle + 60*time.Millisecond: true,
+		idle / 2: false, idle - 100*time.Millisecond: false, idle + 100*time.Millisecond: false,
+	} {
+		s := (*sentinel)(nil).next()
+		s.conn = &pooledConn{connectedAt: time.Unix(1000, 0)}
+		s.endedAt = s.conn.connectedAt.Add(age)
+		require.False(t, s.endedIdle(), "an idle time that is not known")
+		s.idleTime.Store(int64(idle))
+		require.Equal(t, want, s.endedIdle(), "age %s", age)
+	}
+}
+
+// Guards against ORDER: the age at which this host closed a sentinel, or the endpoint reset it, was taken for the endpoint's idle time, so that the next one
+// that ended at that age with its process said nothing.
+func TestIdleTimeIsLearntOnlyFromSentinelsThatTheEndpointEndsInOrder(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]func(s *sentinel, peer net.Conn){
+		"closed here": func(s *sentinel, _ net.Conn) { _ = s.conn.Conn.Close() },
+		"reset":       func(_ *sentinel, peer net.Conn) { _ = peer.(*net.TCPConn).SetLinger(0); _ = peer.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			peers, over := make(chan net.Conn, 1), make(chan struct{})
+			s := startScriptedServer(t,
+				func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+					s.beginUnframed(conn, r, "id-1")
+					<-over
+				},
+				func(_ *scriptedServer, conn net.Conn, _ *bufio.Reader) {
+					peers <- conn
+					<-over
+				})
+			defer close(over)
+			x, err := do(t, newPool(), s, "id-1")
+			require.NoError(t, err)
+			defer x.Abort()
+			g := x.Guard()
+			require.Eventually(t, func() bool { return g.State() == GuardOpen }, time.Minute, time.Millisecond)
+			end(g.s, <-peers)
+			require.Never(t, func() bool { return g.s.idleTime.Load() != 0 }, 200*time.Millisecond, 10*time.Millisecond)
+		})
+	}
+}
--- a/entry/connection/witness.go
+++ b/entry/connection/witness.go
@@ -82,7 +82,8 @@
 	return state
 }
 
-// goesOn reports whether the connection is open and nothing of it is unread. While bytes are unread, the end may wait behind them at the endpoint.
+// goesOn reports whether the connection is open and nothing of it is unread. While bytes are unread, the end may wait behind them at the endpoint. That
+// of a connection through another host is not known, see Witness.Open.
 func (c *pooledConn) goesOn() bool {
 	var buf [1]byte
 	read := false
@@ -90,7 +91,7 @@
 		_, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		read = errors.Is(err, unix.EAGAIN)
 	})
-	return read && c.peerState() == peerOpen
+	return read && c.relay == "" && c.peerState() == peerOpen
 }
 
 // control calls f with the connection's file descriptor, unless it is closed or has none.
