--- a/entry/connection/sentinel_test.go
+++ b/entry/connection/sentinel_test.go
@@ -162,13 +162,15 @@
 			p := newPool()
 			x, err := do(t, p, s, "id-1")
 			require.NoError(t, err)
-			defer close(closed)
 			g := x.Guard()
 			require.Eventually(t, func() bool { return g.State() == GuardOpen }, time.Minute, time.Millisecond)
 			if test.ended {
+				close(closed)
+				require.Eventually(t, func() bool { return x.conn.peerState() == peerEnded }, time.Minute, time.Millisecond)
 				close(end)
 				require.Eventually(t, func() bool { return g.State() == GuardEnded }, time.Minute, time.Millisecond)
 			} else {
+				defer close(closed)
 				defer close(end)
 			}
 			test.drop(p, s.address())
@@ -182,28 +184,46 @@
 
 // Guards against LOST: an endpoint that ends connections over which nothing comes was taken for one that ended with its answer, each time that an
 // answer ended soon after its sentinel.
-func TestSentinelThatEndsAtTheEndpointsIdleTimeSaysNothing(t *testing.T) {
+func TestSentinelThatAnAnswerOutlivesTeachesTheEndpointsIdleTime(t *testing.T) {
 	t.Parallel()
-	const idle = 200 * time.Millisecond
-	var handlers []func(s *scriptedServer, conn net.Conn, r *bufio.Reader)
-	for _, run := range []struct{ answer, sentinel time.Duration }{{2 * idle, idle}, {idle, idle}, {idle / 2, idle / 2}} {
-		handlers = append(handlers, func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
-			s.beginUnframed(conn, r, "id-1")
-			time.Sleep(run.answer)
-		}, func(*scriptedServer, net.Conn, *bufio.Reader) { time.Sleep(run.sentinel) })
+	const idle = 50 * time.Millisecond
+	over := make(chan struct{})
+	defer close(over)
+	answer := func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+		s.beginUnframed(conn, r, "id-1")
+		<-over
 	}
-	s := startScriptedServer(t, handlers...)
+	s := startScriptedServer(t, answer, func(*scriptedServer, net.Conn, *bufio.Reader) { time.Sleep(idle) }, answer)
 	p := newPool()
-	for i, want := range []GuardState{GuardAbsent, GuardAbsent, GuardEnded} {
-		x, err := do(t, p, s, "id-1")
-		require.NoError(t, err)
-		g := x.Guard()
-		_, err = io.ReadAll(x.Response.Body)
-		require.NoError(t, err)
-		require.Eventually(t, func() bool { return g.State() != GuardOpen }, time.Second, time.Millisecond)
-		require.Equal(t, want, g.State(), "answer %d", i)
-		x.Abort()
-		p.Sweep()
+	first, err := do(t, p, s, "id-1")
+	require.NoError(t, err)
+	defer first.Abort()
+	g := first.Guard()
+	require.Eventually(t, func() bool { return g.s.idleTime.Load() >= int64(idle/2) }, time.Minute, time.Millisecond)
+	require.Equal(t, GuardAbsent, g.State())
+	p.Sweep()
+	second, err := do(t, p, s, "id-1")
+	require.NoError(t, err)
+	defer second.Abort()
+	next := second.Guard().s
+	require.NotSame(t, g.s, next)
+	require.Same(t, g.s.idleTime, next.idleTime, "the next sentinel of the address knows the time, too")
+}
+
+// Guards against LOST and ORDER: which ends of sentinels are put down to the endpoint's idle time.
+func TestSentinelThatEndsAtTheEndpointsIdleTimeSaysNothing(t *testing.T) {
+	t.Parallel()
+	const idle = time.Second
+	for age, want := range map[time.Duration]bool{
+		idle: true, idle - 60*time.Millisecond: true, idle + 60*time.Millisecond: true,
+		idle / 2: false, idle - 100*time.Millisecond: false, idle + 100*time.Millisecond: false,
+	} {
+		s := (*sentinel)(nil).next(time.Unix(1000, 0))
+		s.conn = &pooledConn{connectedAt: time.Unix(1000, 0)}
+		s.endedAt = s.conn.connectedAt.Add(age)
+		require.False(t, s.endedIdle(), "an idle time that is not known")
+		s.idleTime.Store(int64(idle))
+		require.Equal(t, want, s.endedIdle(), "age %s", age)
 	}
 }
 
