--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -86,7 +86,7 @@
 		return
 	}
 	var buf [1]byte
-	n, err := c.Conn.Read(buf[:])
+	n, err := c.Read(buf[:])
 	s.mu.Lock()
 	s.failed = n > 0 || !endedByPeer(err)
 	s.endedAt = timer.BootClock()
