Ask a young connection's process for its start before a stream goes on there

Cause: what is known of an address comes from the store and is older than the process that answers; nothing in an answer tells the process. Change: an engine's report states the start of its process, as the registration does. A request that is bound to a version asks for it over the very connection that it is sent over, unless the host's copy of the store is younger than the connection by registrationDelay (3 s). So a stale copy makes more connections young, and no bound on its age is needed beside. Another start, or another endpoint's refusal: nothing is sent, the attempt goes on as unreachable elsewhere, and other connections to the address are not used again. No start in the answer, or no answer within 0.3 s, three connections and 64 KB: the request is sent as before. What a connection told is kept with it, and compared with the registration of each later request. Events BK1410 and BK1411, metric entry_process_reports_total.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -26,6 +26,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Process is the process that the request is bound to.
+	Process Process
 	// Written is called once when Body is no longer in use: with nil after the request was written, with an error if it was not written to
 	// its end. Nil means that it is not called.
 	Written func(error)
@@ -51,10 +53,10 @@
 }
 
 // Do sends a request and reads the status and headers of its answer. The deadline applies to connecting and to the body as well. The connection is closed
-// when ctx ends before Do returns. The error is ErrNotSent when no connection could be established, and ErrIncomplete otherwise.
+// when ctx ends before Do returns. The error is ErrNotSent when no connection to the request's process could be established, and ErrIncomplete otherwise.
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (*Exchange, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, deadline)
-	c, err := p.get(dialCtx, address)
+	c, err := p.getFor(dialCtx, address, r.Process)
 	cancel()
 	if err != nil {
 		r.written(err)
@@ -188,6 +190,9 @@
 	x.Abort()
 }
 
+// Confirmed reports whether a report over the exchange's connection told which process it leads to.
+func (x *Exchange) Confirmed() bool { return x.conn.startedAt != 0 }
+
 // ConnectedAt returns when the exchange's connection was established, by timer.BootClock.
 func (x *Exchange) ConnectedAt() time.Time { return x.conn.connectedAt }
 
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -31,6 +31,8 @@
 	IdleTimeout time.Duration
 	// MaxIdlePerEndpoint is the largest number of idle connections to one address.
 	MaxIdlePerEndpoint int
+	// OnReport is called with what was learnt from each report of a process. Nil means that it is not called.
+	OnReport func(address string, result ReportResult, err error)
 }
 
 // Errors of Pool.Do.
@@ -73,6 +75,10 @@
 	peerEnded atomic.Bool
 	// connectedAt is when the connection was established, by timer.BootClock.
 	connectedAt time.Time
+	// asked is true once a report was asked for over the connection. startedAt is the start time that it stated, 0 if none, and misdirected is
+	// true if an endpoint with another ID answered.
+	asked, misdirected bool
+	startedAt          int64
 	// expires is the time from which the connection is not used again, because the endpoint may be closing it.
 	expires time.Time
 }
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"balsamknot.org/entry/connection"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/completion"
 	"balsamknot.org/fleet/memory"
@@ -65,6 +66,9 @@
 	for _, verdict := range []completion.Verdict{completion.Complete, completion.BrokenOff, completion.Unconfirmed} {
 		m.set.NewCounter(unmarkedEnd(verdict))
 	}
+	for _, result := range connection.ReportResults {
+		m.set.NewCounter(processReports(result))
+	}
 	for _, kind := range peer.Kinds {
 		m.set.NewCounter(messageBytes(kind))
 	}
@@ -132,6 +136,15 @@
 // recordMisplaced counts a run whose events did not go on from the position of its stream.
 func (m *meter) recordMisplaced() { m.set.GetOrCreateCounter(misplacedRuns).Inc() }
 
+// recordReport counts a report of an engine's process, by what was learnt from it.
+func (m *meter) recordReport(result connection.ReportResult) {
+	m.set.GetOrCreateCounter(processReports(result)).Inc()
+}
+
+func processReports(result connection.ReportResult) string {
+	return `entry_process_reports_total{result="` + string(result) + `"}`
+}
+
 // recordUnmarkedEnd counts an answer that only the end of its connection ended, by what it was taken for.
 func (m *meter) recordUnmarkedEnd(verdict completion.Verdict) {
 	m.set.GetOrCreateCounter(unmarkedEnd(verdict)).Inc()
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -105,7 +105,7 @@
 	n.relayDialer = connection.NewTCPDialer(connection.TCPConfig{DialTimeout: peerDialTimeout, DeadPeerTimeout: connDeadAfter})
 	n.engines = platform.NewEngineClient(n.paths.Dial)
 	n.endpointConns = connection.New(connection.Config{
-		Dialer: n.paths, IdleTimeout: connIdleTimeout, MaxIdlePerEndpoint: maxIdleConnsPerEndpoint,
+		Dialer: n.paths, IdleTimeout: connIdleTimeout, MaxIdlePerEndpoint: maxIdleConnsPerEndpoint, OnReport: n.noteReport,
 	})
 	n.membership = newMembership(n)
 	n.slots = newSlotManager(n)
--- /dev/null
+++ b/entry/node/stream_process_test.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/entry/connection"
+	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/site"
+	"balsamknot.org/fleet/timer"
+	"balsamknot.org/platform/standin"
+)
+
+// takenUpWhereReports begins streams at a site of two versions whose engines answer calls for their reports with report, and takes the streams
+// up again. It returns the site and how many began and went on.
+func takenUpWhereReports(t *testing.T, subnet int, report http.HandlerFunc) (s *versionSite, began, wentOn int) {
+	const streams = 30
+	s = newSessionSite(t, standin.DefaultVersion, secondVersion)
+	for _, e := range s.engines {
+		e.AnswerReports(report)
+	}
+	s.startNodes(3, subnet)
+	names := s.beginStreams(streams)
+	require.Zero(t, s.reportCount(), "asked for requests that are not bound")
+	return s, len(names), s.takeUpStreams(names)
+}
+
+// reportCount returns how many reports the engines of a site were asked for.
+func (s *versionSite) reportCount() int {
+	count := 0
+	for _, e := range s.engines {
+		count += e.ReportCount()
+	}
+	return count
+}
+
+// dials returns how many connections the nodes of a site opened to endpoints.
+func (s *testSite) dials() int {
+	dials := int64(0)
+	for _, n := range s.nodes {
+		dials += n.endpointConns.Dials()
+	}
+	return int(dials)
+}
+
+// Guards against LOST: streams did not go on at engines that do not support reports.
+func TestStreamsGoOnAtEnginesWithoutReports(t *testing.T) {
+	t.Parallel()
+	s, began, wentOn := takenUpWhereReports(t, 157, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	require.Equal(t, began, wentOn)
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+}
+
+// Guards against LATE and LOST: a request waited for a silent engine's report until its caller had given up.
+func TestStreamsGoOnThoughReportsDoNotCome(t *testing.T) {
+	t.Parallel()
+	s, began, wentOn := takenUpWhereReports(t, 158, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	require.Equal(t, began, wentOn)
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+}
+
+// Guards against cost: an engine was asked more than once over a connection.
+func TestOneReportAConnectionIsAskedFor(t *testing.T) {
+	t.Parallel()
+	s, began, wentOn := takenUpWhereReports(t, 159, nil)
+	require.Equal(t, began, wentOn)
+	require.NotZero(t, s.reportCount())
+	require.LessOrEqual(t, s.reportCount(), s.dials())
+}
+
+// Guards against cost: plain services, which have no reports, and requests that are not bound were asked for.
+func TestOnlyRequestsThatGoOnWithAStreamOfAnEngineAreBoundToAProcess(t *testing.T) {
+	t.Parallel()
+	s := newVersionSite(t, false, standin.DefaultVersion)
+	s.startNodes(1, 160)
+	set := &site.Set{Services: map[site.ServiceName]site.Service{"engines": {Engine: &site.Engine{}}, "plain": {}}}
+	now, record := timer.BootClock(), endpoint.Record{Instance: endpoint.Instance{ID: "i-1", StartedAt: 1}}
+	bound := func(q *request) connection.Process {
+		q.set = set
+		return s.nodes[0].boundProcess(now, q, record)
+	}
+	require.Equal(t, connection.Process{}, bound(&request{service: "engines"}))
+	require.Equal(t, connection.Process{}, bound(&request{service: "plain", version: standin.DefaultVersion}))
+	process := bound(&request{service: "engines", version: standin.DefaultVersion})
+	require.Equal(t, record.Instance, process.Instance)
+	require.False(t, process.KnownBefore.After(now.Add(-registrationDelay)))
+}
