Keep the known origin of a stream when another one is stated later

Cause: Registry.record replaced what was known whatever its version. Change: an origin of another version than the known one is not recorded and not sent to replicas; it is logged (BK1412) and counted (entry_origin_conflicts_total). The one of the same version only renews the time for which it is kept, as before. Result: TestKnownOriginIsNotReplacedByAnotherVersion passes; it fails in both cases with the comparison removed (the behaviour before).

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -50,6 +50,7 @@
 	StreamWentOn           Number = 1409
 	ProcessNotRegistered   Number = 1410
 	ReportMissing          Number = 1411
+	OriginConflict         Number = 1412
 	ClaimWon               Number = 1501
 	ClaimDeferred          Number = 1502
 	ClaimUnsettled         Number = 1503
@@ -121,6 +122,7 @@
 	{StreamWentOn, "stream went on", "An endpoint sent the first event of a stream that goes on after Position: the event's ID is First. ConnectedMs is the age of the connection and BeliefMs that of the host's copy of the store: if the connection is younger, the copy may not know its process.", "None. If First does not follow Position: look at the endpoint."},
 	{ProcessNotRegistered, "another process answered", "A request that goes on with a stream was not sent to an endpoint: the process at its address is not the one that is registered, which began at StartedAt. The request goes to another endpoint.", "None, unless it lasts for more than some seconds: look why the endpoint's registration does not change."},
 	{ReportMissing, "process not known", "An engine was asked which process it is, for a stream that goes on there, and did not tell: absent, its answer has no start; lost, no answer came in time. The stream goes on there.", "If lost and frequent: look at the engine."},
+	{OriginConflict, "two origins of a stream", "This host knows the software version that began a stream (Known), and another one was stated later (Rejected), by itself or by another host; the first is kept.", "Look for an endpoint that was replaced in place at about that time."},
 	{ClaimWon, "claim won", "A quorum of electors vouches for this home.", "None."},
 	{ClaimDeferred, "claim deferred", "Another home holds the key; it was asked for the answer.", "None."},
 	{ClaimUnsettled, "claim unsettled", "Too few electors vouched; nothing was sent. The caller was told Unknown.", "Check the hosts if it lasts longer than ElectorGrace."},
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -50,6 +50,7 @@
 	storeReturns     = "entry_store_returns_total"
 	droppedReads     = "entry_store_reads_dropped_total"
 	misplacedRuns    = "entry_misplaced_runs_total"
+	originConflicts  = "entry_origin_conflicts_total"
 )
 
 // meter holds the metrics of a node.
@@ -60,7 +61,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns, originConflicts} {
 		m.set.NewCounter(name)
 	}
 	for _, verdict := range []completion.Verdict{completion.Complete, completion.BrokenOff, completion.Unconfirmed} {
@@ -136,6 +137,9 @@
 // recordMisplaced counts a run whose events did not go on from the position of its stream.
 func (m *meter) recordMisplaced() { m.set.GetOrCreateCounter(misplacedRuns).Inc() }
 
+// recordOriginConflict counts an origin of a stream that was not recorded, since another one is known.
+func (m *meter) recordOriginConflict() { m.set.GetOrCreateCounter(originConflicts).Inc() }
+
 // recordReport counts a report of an engine's process, by what was learnt from it.
 func (m *meter) recordReport(result connection.ReportResult) {
 	m.set.GetOrCreateCounter(processReports(result)).Inc()
--- a/entry/node/streams.go
+++ b/entry/node/streams.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
@@ -60,12 +63,17 @@
 	}
 }
 
-// update applies an event to the registry and sends origins to their replicas.
+// update applies an event to the registry, sends origins to their replicas and logs conflicts.
 func (s *streamTracker) update(now time.Time, e stream.Event) {
 	s.mu.Lock()
-	command := s.registry.Update(now, e)
+	commands := s.registry.Update(now, e)
 	s.mu.Unlock()
-	s.replicate(command.Origins)
+	s.replicate(commands.Origins)
+	for _, c := range commands.Conflicts {
+		s.n.meter.recordOriginConflict()
+		event.LogText(s.n.log, zerolog.WarnLevel, event.OriginConflict).Uint64("Stream", uint64(c.Known.Stream)).Str("Service", string(c.Known.Service)).
+			Str("Known", string(c.Known.Version)).Str("Rejected", string(c.Rejected.Version)).Send()
+	}
 }
 
 // replicate sends each origin to its replicas, those for the same host together.
--- a/fleet/stream/stream.go
+++ b/fleet/stream/stream.go
@@ -61,8 +61,18 @@
 func (Received) event()   {}
 func (Tick) event()       {}
 
-// Replicate is the only command of Registry.Update: the origins are to be sent to their replicas.
-type Replicate struct{ Origins []Origin }
+// Commands is what Registry.Update asks for.
+type Commands struct {
+	// Origins are to be sent to their replicas.
+	Origins []Origin
+	// Conflicts are to be logged.
+	Conflicts []Conflict
+}
+
+// Conflict is an origin that was not recorded, since the stream's origin is known and another one.
+type Conflict struct {
+	Known, Rejected Origin
+}
 
 // Registry holds the origins that this host knows and the versions of each service. It is not safe for concurrent use.
 type Registry struct {
@@ -93,8 +103,8 @@
 	}
 }
 
-// Update applies one event at time now and returns what is to be sent to other hosts. It does no I/O and starts no goroutine.
-func (r *Registry) Update(now time.Time, event Event) Replicate {
+// Update applies one event at time now and returns what is to be done. It does no I/O and starts no goroutine.
+func (r *Registry) Update(now time.Time, event Event) Commands {
 	switch e := event.(type) {
 	case Registered:
 		r.noteLastSeen(now, e.Record.Instance.ID)
@@ -107,17 +117,23 @@
 		r.noteLastSeen(now, e.ID)
 		delete(r.endpoints, e.ID)
 	case Begun:
-		several := r.several(now, e.Origin.Service)
-		r.record(entry{origin: e.Origin, recordedAt: now, local: !several})
-		if several {
-			return Replicate{Origins: []Origin{e.Origin}}
-		}
+		return r.begin(now, e)
 	case Received:
-		r.record(entry{origin: e.Origin, recordedAt: now})
+		return Commands{Conflicts: r.record(entry{origin: e.Origin, recordedAt: now})}
 	case Tick:
 		r.expire(now)
 	}
-	return Replicate{}
+	return Commands{}
+}
+
+// begin records an origin of this host, and returns it if its replicas need it.
+func (r *Registry) begin(now time.Time, e Begun) Commands {
+	several := r.several(now, e.Origin.Service)
+	conflicts := r.record(entry{origin: e.Origin, recordedAt: now, local: !several})
+	if len(conflicts) > 0 || !several {
+		return Commands{Conflicts: conflicts}
+	}
+	return Commands{Origins: []Origin{e.Origin}}
 }
 
 // noteLastSeen notes that the version of an endpoint's registration, if there is one, was registered until now.
@@ -136,16 +152,22 @@
 	return v
 }
 
-func (r *Registry) record(e entry) {
-	if _, known := r.origins[e.origin.Stream]; !known {
+// record records an origin, unless another one is known: the first one was recorded nearer to the stream's begin. It returns the conflict.
+func (r *Registry) record(e entry) []Conflict {
+	before, known := r.origins[e.origin.Stream]
+	if known && before.origin.Version != e.origin.Version {
+		return []Conflict{{Known: before.origin, Rejected: e.origin}}
+	}
+	if !known {
 		r.order = append(r.order, e.origin.Stream)
 	}
 	r.origins[e.origin.Stream] = e
+	return nil
 }
 
 // takeLocal returns the origins of a service that were not sent to their replicas, as if they had been.
-func (r *Registry) takeLocal(service site.ServiceName) Replicate {
-	var out Replicate
+func (r *Registry) takeLocal(service site.ServiceName) Commands {
+	var out Commands
 	for _, id := range r.order {
 		if e := r.origins[id]; e.local && e.origin.Service == service {
 			out.Origins = append(out.Origins, e.origin)
--- a/fleet/stream/stream_test.go
+++ b/fleet/stream/stream_test.go
@@ -83,6 +83,24 @@
 	require.NotEqual(t, IDOf("a"), IDOf("b"))
 }
 
+// Guards against ORDER: a wrong origin that came late replaced the right one, on all replicas.
+func TestKnownOriginIsNotReplacedByAnotherVersion(t *testing.T) {
+	t.Parallel()
+	for name, late := range map[string]Event{"received": Received{origin("a", "v2")}, "begun": Begun{origin("a", "v2")}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := NewRegistry(start)
+			r.Update(start, Registered{record("i-1", "v1")})
+			r.Update(start, Registered{record("i-2", "v2")})
+			r.Update(start, Begun{origin("a", "v1")})
+			require.Equal(t, Commands{Conflicts: []Conflict{{Known: origin("a", "v1"), Rejected: origin("a", "v2")}}}, r.Update(start, late))
+			version, known := r.Origin(IDOf("a"))
+			require.True(t, known)
+			require.Equal(t, endpoint.Version("v1"), version)
+		})
+	}
+}
+
 func BenchmarkBegun(b *testing.B) {
 	r := NewRegistry(start)
 	r.Update(start, Registered{record("i-1", "v1")})
