--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"balsamknot.org/entry/connection"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/completion"
 	"balsamknot.org/fleet/memory"
@@ -49,6 +50,7 @@
 	storeReturns     = "entry_store_returns_total"
 	droppedReads     = "entry_store_reads_dropped_total"
 	misplacedRuns    = "entry_misplaced_runs_total"
+	originConflicts  = "entry_origin_conflicts_total"
 )
 
 // meter holds the metrics of a node.
@@ -59,12 +61,15 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns, originConflicts} {
 		m.set.NewCounter(name)
 	}
 	for _, verdict := range []completion.Verdict{completion.Complete, completion.BrokenOff, completion.Unconfirmed} {
 		m.set.NewCounter(unmarkedEnd(verdict))
 	}
+	for _, result := range connection.ReportResults {
+		m.set.NewCounter(processReports(result))
+	}
 	for _, kind := range peer.Kinds {
 		m.set.NewCounter(messageBytes(kind))
 	}
@@ -132,6 +137,18 @@
 // recordMisplaced counts a run whose events did not go on from the position of its stream.
 func (m *meter) recordMisplaced() { m.set.GetOrCreateCounter(misplacedRuns).Inc() }
 
+// recordOriginConflict counts an origin of a stream that was not recorded, since another one is known.
+func (m *meter) recordOriginConflict() { m.set.GetOrCreateCounter(originConflicts).Inc() }
+
+// recordReport counts a report of an engine's process, by what was learnt from it.
+func (m *meter) recordReport(result connection.ReportResult) {
+	m.set.GetOrCreateCounter(processReports(result)).Inc()
+}
+
+func processReports(result connection.ReportResult) string {
+	return `entry_process_reports_total{result="` + string(result) + `"}`
+}
+
 // recordUnmarkedEnd counts an answer that only the end of its connection ended, by what it was taken for.
 func (m *meter) recordUnmarkedEnd(verdict completion.Verdict) {
 	m.set.GetOrCreateCounter(unmarkedEnd(verdict)).Inc()
