--- a/entry/connection/guard_test.go
+++ b/entry/connection/guard_test.go
@@ -38,7 +38,7 @@
 	require.NoError(t, err)
 	t.Cleanup(x.Finish)
 	a.guard = x.Guard()
-	require.Eventually(t, func() bool { return a.connCount() == 2 && a.guard.State(timer.BootClock()) == GuardOpen }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return a.connCount() == 2 && a.guard.State() == GuardOpen }, time.Minute, time.Millisecond)
 	return a
 }
 
@@ -61,11 +61,10 @@
 func TestGuardThatEndedWithItsAnswerHasEndedAfterASweep(t *testing.T) {
 	t.Parallel()
 	a := startGuardedAnswer(t)
-	began := timer.BootClock()
 	a.endProcess()
-	require.Eventually(t, func() bool { return a.guard.State(began) == GuardEnded }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return a.guard.State() == GuardEnded }, time.Minute, time.Millisecond)
 	a.pool.Sweep()
-	require.Equal(t, GuardEnded, a.guard.State(began))
+	require.Equal(t, GuardEnded, a.guard.State())
 }
 
 // Guards against ORDER: an answer that came for longer than sentinels stay lost its guard, so that the end of its process made it look complete.
@@ -75,7 +74,7 @@
 	a.pool.mu.Lock()
 	a.pool.sweepSentinels(timer.BootClock().Add(2 * sentinelLifetime))
 	a.pool.mu.Unlock()
-	require.Equal(t, GuardOpen, a.guard.State(timer.BootClock()))
+	require.Equal(t, GuardOpen, a.guard.State())
 }
 
 // Guards against ORDER: a connection to the process after the one that wrote the answer was taken for a sign that the latter goes on.
