--- a/entry/node/stream_goes_on_test.go
+++ b/entry/node/stream_goes_on_test.go
@@ -30,7 +30,7 @@
 					_, _ = io.WriteString(w, textFrom(after+1, streamEvents))
 				}
 			})
-			text, whole := s.readStream("/persistent/x", 0)
+			text, whole := s.readStream(0)
 			require.NotContains(t, text, "no such run")
 			require.True(t, whole)
 			require.Equal(t, textFrom(1, streamEvents), text)
