Ask a process for its start before a stream begins there, where its endpoint has just ended connections

Cause: the version of a stream was that of the registration by which it was placed. Change: the pool remembers where endpoints ended connections, or refused them, other than after an answer. For 3 s after that a new stream of a route that may be resumed asks for the process's report over a young connection first, as a stream that goes on does. Nothing is asked at endpoints that end nothing. Assertions: the test of what is bound asked that new streams are not; they are now, only where connections ended, and that is asked.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -72,11 +73,11 @@
 	_ = c.SetDeadline(deadline)
 	x := &Exchange{pool: p, conn: c, beganAt: timer.BootClock()}
 	if err := x.send(r); err != nil {
-		_ = c.Close()
+		x.closeFailed(err)
 		return nil, err
 	}
 	if err := x.readHead(r.ID, r.Method); err != nil {
-		_ = c.Close()
+		x.closeFailed(err)
 		return nil, eris.Wrapf(errors.Join(ErrIncomplete, err), "read the answer of endpoint %s", address)
 	}
 	return x, nil
@@ -213,10 +214,19 @@
 func (x *Exchange) Abort() {
 	x.releaseOnce.Do(func() {
 		x.guard.release()
-		_ = x.conn.Close()
+		x.closeFailed(nil)
 	})
 }
 
+// closeFailed closes the connection of an exchange without a whole answer, and notes if the endpoint ended it. err is the error of the exchange, if
+// there is one.
+func (x *Exchange) closeFailed(err error) {
+	if x.conn.peerEnded.Load() || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		x.pool.noteEnded(x.conn.address)
+	}
+	_ = x.conn.Close()
+}
+
 // Finish returns the connection to the pool after the complete answer was read. It closes the connection instead if it cannot be
 // used again: the answer ends it, the request was not written completely, or bytes follow the answer. It has no effect after
 // Abort.
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"slices"
@@ -53,6 +54,8 @@
 	inUse map[string]map[*pooledConn]bool
 	// sentinels holds the sentinels by address.
 	sentinels map[string]*sentinel
+	// endedAt holds when an endpoint last ended a connection, or refused one, other than after an answer, by address and timer.BootClock.
+	endedAt map[string]time.Time
 	// dials counts the connections that were established.
 	dials int64
 }
@@ -90,7 +93,7 @@
 
 // New returns an empty pool. Close closes its idle connections.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, idle: make(map[string][]*pooledConn), inUse: make(map[string]map[*pooledConn]bool), sentinels: make(map[string]*sentinel)}
+	return &Pool{cfg: cfg, idle: make(map[string][]*pooledConn), inUse: make(map[string]map[*pooledConn]bool), sentinels: make(map[string]*sentinel), endedAt: make(map[string]time.Time)}
 }
 
 // Relayed is implemented by connections that lead through another host, the relay.
@@ -108,10 +111,30 @@
 			return c, nil
 		}
 		c.peerEnded.Store(true)
+		p.noteEnded(address)
 		_ = c.Close()
 	}
 }
 
+// endingMemory is how long it is remembered that an endpoint ended a connection.
+const endingMemory = 10 * time.Second
+
+// noteEnded notes that an endpoint ended a connection, or refused one, other than after an answer.
+func (p *Pool) noteEnded(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endedAt[address] = timer.BootClock()
+}
+
+// EndedSince reports whether an endpoint has since ended a connection, or refused one, other than after an answer: another process may listen at
+// its address.
+func (p *Pool) EndedSince(address string, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ended := p.endedAt[address]
+	return ended && !at.Before(since)
+}
+
 func (p *Pool) popIdle(address string) *pooledConn {
 	now := time.Now()
 	p.mu.Lock()
@@ -166,6 +189,9 @@
 func (p *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
 	conn, err := p.cfg.Dialer.Dial(ctx, address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.noteEnded(address)
+		}
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connect to endpoint %s", address)
 	}
 	p.mu.Lock()
@@ -262,6 +288,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweepSentinels(timer.BootClock())
+	maps.DeleteFunc(p.endedAt, func(_ string, at time.Time) bool { return timer.BootClock().Sub(at) > endingMemory })
 	for address, conns := range p.idle {
 		unexpired := conns[:0]
 		for _, c := range conns {
--- a/entry/connection/process.go
+++ b/entry/connection/process.go
@@ -19,6 +19,8 @@
 	Instance endpoint.Instance
 	// KnownBefore is the time before which a connection must have been established to lead to a registered process without a question.
 	KnownBefore time.Time
+	// IfEnded restricts the question to endpoints that have ended connections since KnownBefore, as they do when their process ends.
+	IfEnded bool
 }
 
 // ErrOtherProcess means that another process listens at the endpoint's address than the registered one. The request was not sent.
@@ -65,7 +67,7 @@
 			return nil, err
 		}
 		usable := true
-		if c.needsReport(process) && reports < maxReports && reportCtx.Err() == nil {
+		if p.needsReport(c, process) && reports < maxReports && reportCtx.Err() == nil {
 			usable = p.askForReport(reportCtx, c, process.Instance)
 		}
 		if c.contradicts(process.Instance) {
@@ -81,8 +83,11 @@
 }
 
 // needsReport reports whether it is to be asked which process the connection leads to.
-func (c *pooledConn) needsReport(process Process) bool {
-	return !c.asked && !c.connectedAt.Before(process.KnownBefore)
+func (p *Pool) needsReport(c *pooledConn, process Process) bool {
+	if c.asked || c.connectedAt.Before(process.KnownBefore) {
+		return false
+	}
+	return !process.IfEnded || p.EndedSince(c.address, process.KnownBefore)
 }
 
 // contradicts reports whether the connection is known to lead to another process than that of an instance.
--- a/entry/node/stream_process.go
+++ b/entry/node/stream_process.go
@@ -9,6 +9,7 @@
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/connection"
 	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -16,13 +17,15 @@
 // hosts have read.
 const registrationDelay = 3 * time.Second
 
-// boundProcess returns the process that must get a request that goes on with a stream of an engine: the registered one. What the local copy of
-// the store says of a connection's process holds if the copy is younger than the connection by registrationDelay.
+// boundProcess returns the process that must get a request of a stream that may go on later: the registered one, whose version is recorded. What
+// the local copy of the store says of a connection's process holds if the copy is younger than the connection by registrationDelay. For a new
+// stream, the process is asked only where the endpoint ended connections in that time.
 func (n *Node) boundProcess(now time.Time, q *request, target endpoint.Record) connection.Process {
-	if q.version == "" || q.set.Services[q.service].Engine == nil {
+	begins := q.version == ""
+	if q.set.Services[q.service].Engine == nil || begins && q.route.RetryMode != site.Resumable {
 		return connection.Process{}
 	}
-	return connection.Process{Instance: target.Instance, KnownBefore: now.Add(-n.storeView.age(now) - registrationDelay)}
+	return connection.Process{Instance: target.Instance, KnownBefore: now.Add(-n.storeView.age(now) - registrationDelay), IfEnded: begins}
 }
 
 // noteOtherProcess logs a request that was not sent, since another process was found at the endpoint's address than the registered one.
--- a/entry/node/stream_process_test.go
+++ b/entry/node/stream_process_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -78,12 +79,40 @@
 	set := &site.Set{Services: map[site.ServiceName]site.Service{"engines": {Engine: &site.Engine{}}, "plain": {}}}
 	now, record := timer.BootClock(), endpoint.Record{Instance: endpoint.Instance{ID: "i-1", StartedAt: 1}}
 	bound := func(q *request) connection.Process {
-		q.set = set
+		q.set, q.route = set, &site.Route{RetryMode: site.Resumable}
 		return s.nodes[0].boundProcess(now, q, record)
 	}
-	require.Equal(t, connection.Process{}, bound(&request{service: "engines"}))
+	require.True(t, bound(&request{service: "engines"}).IfEnded, "a new stream")
 	require.Equal(t, connection.Process{}, bound(&request{service: "plain", version: standin.DefaultVersion}))
 	process := bound(&request{service: "engines", version: standin.DefaultVersion})
 	require.Equal(t, record.Instance, process.Instance)
+	require.False(t, process.IfEnded)
 	require.False(t, process.KnownBefore.After(now.Add(-registrationDelay)))
 }
+
+// Guards against ORDER: a stream that began in a process which had taken an engine's place, and was not registered yet, was recorded with the version of the
+// process before.
+func TestStreamsDoNotBeginInAProcessThatIsNotRegisteredYet(t *testing.T) {
+	t.Parallel()
+	const streams = 40
+	s := newSessionSite(t, standin.DefaultVersion)
+	replaced := s.addReplaceable("i-replaced")
+	s.startNodes(3, 161)
+	s.takeUpStreams(s.beginStreams(streams))
+	replaced.version.Store(secondVersion)
+	replaced.SetVersion(secondVersion)
+	replaced.Crash()
+	require.NoError(t, replaced.ListenAgainAs("i-replaced"))
+	var names []string
+	for i := range streams {
+		if name := fmt.Sprintf("late-%d", i); s.begin(s.nodes[i%len(s.nodes)], name) {
+			names = append(names, name)
+		}
+	}
+	replaced.RegisterReady()
+	s.awaitChangesInUse()
+	wentOn := s.takeUpStreams(names)
+	t.Logf("%d of %d streams went on, %d at another version", wentOn, len(names), s.mixed())
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+	require.Greater(t, wentOn, streams/2)
+}
