Do not judge LOST beside bad parts while a surge asks for more streams than there are slots

Traced: in the surge 318 refusals of streams are "no place: NoRoom", by design of the surge; 19 are NoBudget. The check compares what crashes cost with what was asked and has no place for more callers than slots. Change: requests of callers do not count as sound ones beside a part while a surge lasts.

--- a/soak/checker/event.go
+++ b/soak/checker/event.go
@@ -37,7 +37,8 @@
 	PoisonPart bool
 	// TakesUp is the ID of the request that began the stream which this one takes up; empty for other requests.
 	TakesUp string
-	// SharesPart is true for a request without such a part that shares its other parts with those that have one.
+	// SharesPart is true for a request without such a part that shares its other parts with those that have one, unless a surge makes callers ask
+	// for more streams than engines have slots.
 	SharesPart bool
 }
 
--- a/soak/site/caller.go
+++ b/soak/site/caller.go
@@ -176,7 +176,7 @@
 	if spec.method == http.MethodPost {
 		body = strings.NewReader("body of " + spec.id)
 	}
-	r := c.site.newCall(ctx, c.host, spec, body, checker.RequestSent{SharesPart: len(spec.parts) > 0})
+	r := c.site.newCall(ctx, c.host, spec, body, checker.RequestSent{SharesPart: len(spec.parts) > 0 && c.site.surges.Load() == 0})
 	result, pause, broken := c.exchange(r, spec)
 	if result.Status == 0 && result.Defect == "" && disconnects && ctx.Err() != nil {
 		c.site.record(checker.CallerDisconnected{Request: spec.id})
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -67,8 +67,8 @@
 	lateLists atomic.Int64
 	// misplacing is the number of active faults that make engines go on with streams at other positions than they were asked to.
 	misplacing atomic.Int64
-	// surgeCallers is the number of callers that surges have added so far.
-	surgeCallers atomic.Int64
+	// surgeCallers is the number of callers that surges have added so far, and surges the number of active ones.
+	surgeCallers, surges atomic.Int64
 
 	wg     sync.WaitGroup
 	cancel context.CancelFunc
--- a/soak/site/surge.go
+++ b/soak/site/surge.go
@@ -12,6 +12,8 @@
 
 // surge lets further callers send requests for streams, more than engines have slots, until a time, and returns once these are answered.
 func (s *Site) surge(ctx context.Context, end checker.Time) {
+	s.surges.Add(1)
+	defer s.surges.Add(-1)
 	var wg sync.WaitGroup
 	for range surgeFactor * s.cfg.Callers {
 		c := s.newCaller(s.cfg.Callers + int(s.surgeCallers.Add(1)))
