Don't take an answer sent before a crash for a sign of life after it

Cause: an answer that is read to its end over a connection from before an interruption rules out that the endpoint crashed there. The answer may have been sent before the crash and be read by the host just after it saw the broken connection. It was recorded for the part that all prompts share, by another host, but not for the bad one. Change: such an answer counts only if it is read more than 100 ms after the interruption, as the parts of answers do already for answers with unmarked ends. After a time-out any later answer counts, as before.

--- a/fleet/interruption/interruption.go
+++ b/fleet/interruption/interruption.go
@@ -249,8 +249,8 @@
 	}
 }
 
-// answered drops the runs that did not end in a crash: those that ended while the connection was open and, if they only timed out,
-// all that ended before.
+// answered drops the runs that did not end in a crash: those that ended while the connection was open, so long ago that the answer was sent
+// after that, and, if they only timed out, all that ended before.
 func (t *Tracker) answered(now time.Time, e Answered) []Command {
 	in := t.incarnations[e.Endpoint]
 	if in == nil {
@@ -258,7 +258,10 @@
 	}
 	return t.drop(in, reasonAnswered, func(run pendingRun) bool {
 		timedOut := !run.broken && !run.unmarked
-		return run.EndedAt.Before(now) && (timedOut || run.EndedAt.After(e.ConnectedAt))
+		if timedOut {
+			return run.EndedAt.Before(now)
+		}
+		return now.Sub(run.EndedAt) > buffered && run.EndedAt.After(e.ConnectedAt)
 	})
 }
 
