Divide the listing of a large service's caches into groups, and search these for who began a stream

Cause: one keeper lists all engines, 128 at a time, silent ones among them until their time limits; a list that takes longer than 0.4 s is cut short and asked anew, so that one of 2.5 s comes with the fourth request. Change: a lookup may name a group of at most 160 engines, which its host lists at once (ListGroup). pool.Search asks for the two groups to which the prompt's prefix falls, and for all groups when nobody there has the part and no list of theirs is awaited. The rule by which one version counts as the only one is as before, over the groups that are asked. A list may take 3.5 s, and is given up sooner only when it is late compared with others (CancelList). Evidence: TestTimeUntilItIsKnownWhoBeganAStreamDoesNotGrowWithThePool, virtual time.

--- a/entry/node/cache_list.go
+++ b/entry/node/cache_list.go
@@ -6,16 +6,16 @@
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/timer"
 )
 
 // listCache queries an engine for its cache contents and passes the reply, or that there is none, to this host's keeper.
-func (s *slotManager) listCache(c pool.ListCache) {
-	ctx, cancel := context.WithTimeout(s.runCtx, c.TimeLimit)
-	defer cancel()
+func (s *slotManager) listCache(ctx context.Context, c pool.ListCache) {
 	instance := c.Endpoint.Instance
 	parts, err := s.n.engines.CachedParts(ctx, instance, c.Endpoint.Address)
+	s.cancelList(instance)
 	s.update(timer.BootClock(), pool.CacheListed{Service: c.Service, Instance: instance, Failed: err != nil, Parts: parts})
 	level := zerolog.InfoLevel
 	if err != nil {
@@ -24,3 +24,22 @@
 	event.LogText(s.n.log, level, event.CacheListed).Str("Endpoint", string(instance.ID)).Str("Service", string(c.Service)).
 		Int("Parts", len(parts)).Err(err).Send()
 }
+
+// beginList returns the context of a request for a list, which ends after its time limit or with cancelList.
+func (s *slotManager) beginList(c pool.ListCache) context.Context {
+	ctx, cancel := context.WithTimeout(s.runCtx, c.TimeLimit)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelLists[c.Endpoint.Instance] = cancel
+	return ctx
+}
+
+// cancelList ends the request for an engine's list, if there is one.
+func (s *slotManager) cancelList(instance endpoint.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel := s.cancelLists[instance]; cancel != nil {
+		cancel()
+		delete(s.cancelLists, instance)
+	}
+}
--- a/entry/node/slot_manager.go
+++ b/entry/node/slot_manager.go
@@ -27,8 +27,10 @@
 	// startedAt is when the process started, by the boot clock.
 	startedAt time.Time
 
-	mu               sync.Mutex
-	keeper           *pool.Keeper
+	mu     sync.Mutex
+	keeper *pool.Keeper
+	// cancelLists ends the list of an engine that is being read.
+	cancelLists      map[endpoint.Instance]context.CancelFunc
 	lastTicketNumber uint64
 	// replies holds the channel of each request of this host that waits for a keeper's reply, by the number of its ticket.
 	replies map[uint64]chan pool.Command
@@ -78,7 +80,7 @@
 		// processes apart.
 		lastTicketNumber: rand.Uint64() >> 1,
 		n:                n, runCtx: context.Background(), startedAt: timer.BootClock(), replies: make(map[uint64]chan pool.Command), heldSlots: make(map[pool.Ticket]heldSlot),
-		keeper: pool.New(poolConfig(n.cfg)), sentLimits: make(map[endpoint.Instance]sentLimit),
+		keeper: pool.New(poolConfig(n.cfg)), cancelLists: make(map[endpoint.Instance]context.CancelFunc), sentLimits: make(map[endpoint.Instance]sentLimit),
 		sentStatements: make(map[endpoint.Instance]sentStatement), rests: rest.NewTable(),
 		leavings: announcement.NewSchedule(announcement.Config{Repeats: leavingRepeats(), Memory: leavingMemory}),
 	}
@@ -109,7 +111,11 @@
 			s.shareLimits(c)
 			continue
 		case pool.ListCache:
-			s.n.wg.Go(func() { s.listCache(c) })
+			ctx := s.beginList(c)
+			s.n.wg.Go(func() { s.listCache(ctx, c) })
+			continue
+		case pool.CancelList:
+			s.cancelList(c.Instance)
 			continue
 		}
 		ticket, reply := toSlotReply(c)
--- a/fleet/pool/cache_list.go
+++ b/fleet/pool/cache_list.go
@@ -34,6 +34,8 @@
 	Part    chat.PartID
 	// MinTokens and MaxTokens bound the tokens that an engine keeps if it ran that request; a MaxTokens of 0 is no bound.
 	MinTokens, MaxTokens int
+	// Group has the engines that are meant.
+	Group ListGroup
 }
 
 // PartQueried asks which versions cache a part of a prompt. While that is not known, the keeper lists the caches of the engines that it has not
@@ -54,14 +56,20 @@
 	cacheListWait = 60 * time.Millisecond
 	// listDemandPeriod is how long engines are asked for lists after the event that needs them: the first slot request, or a PartQueried.
 	listDemandPeriod = 500 * time.Millisecond
-	// maxConcurrentLists is how many engines of a service are asked at the same time. Each is asked once at a time.
-	maxConcurrentLists = 128
-	// minListTimeLimit is the time for an engine's first list, and minListBackoff the time after which an engine without one is asked again.
-	// Both double with each failure, up to maxListTimeLimit and maxListBackoff.
-	minListTimeLimit = 400 * time.Millisecond
+	// maxConcurrentLists is how many engines of a service are asked at the same time: three groups, since a host of a small fleet lists several.
+	// Each is asked once at a time.
+	maxConcurrentLists = 3 * maxGroupSize
+	// minListTimeLimit is the time for an engine's first two lists: that of a slow list after a pause of a second. It doubles with each second
+	// failure, up to maxListTimeLimit.
+	minListTimeLimit = 3500 * time.Millisecond
 	maxListTimeLimit = 6400 * time.Millisecond
-	minListBackoff   = 100 * time.Millisecond
-	maxListBackoff   = 2 * time.Second
+	// minLateAfter is the time after which a list may be late compared with those of other engines; it doubles with each failure. lateFactor
+	// is by how much it takes longer than their median then.
+	minLateAfter = 400 * time.Millisecond
+	lateFactor   = 3
+	// minListBackoff is the time after which an engine without a list is asked again. It doubles with each failure, up to maxListBackoff.
+	minListBackoff = 100 * time.Millisecond
+	maxListBackoff = 2 * time.Second
 	// listPatience is how long a lookup that has found one version waits for the list of an engine of another one, from when the engine was
 	// asked first: longer than a sound engine is silent, and shorter than callers wait.
 	listPatience = 1500 * time.Millisecond
@@ -76,9 +84,8 @@
 	started bool
 	// deadline is when slot requests no longer wait for lists.
 	deadline time.Time
-	// wantedUntil is when engines are no longer asked, unless another event needs their lists. wantedSince is when the first event of the present
-	// series needed them; a pause of listDemandMemory ends a series.
-	wantedSince, wantedUntil time.Time
+	// wantedUntil is when no engine is asked any more, unless another event needs lists.
+	wantedUntil time.Time
 	// inFlight is the number of lists that are requested now.
 	inFlight int
 }
@@ -98,36 +105,57 @@
 // engineList is the state of the list of one engine.
 type engineList struct {
 	state listState
-	// askedAt is when the engine was asked first; zero before.
-	askedAt time.Time
+	// askedAt is when the engine was asked first; zero before. requestedAt is when it was asked last, and took how long its list took.
+	askedAt, requestedAt time.Time
+	took                 time.Duration
+	// cancelled is true if the keeper gave up the list that is requested now.
+	cancelled bool
 	// failures is how often the engine was asked in vain, and retryAt when it may be asked again.
 	failures int
 	retryAt  time.Time
+	// wantedUntil is when the engine is no longer asked, unless another event needs its list. wantedSince is when the first event of the present
+	// series needed it; a pause of listDemandMemory ends a series.
+	wantedSince, wantedUntil time.Time
+}
+
+// want records that an event needs the list.
+func (l *engineList) want(now time.Time) {
+	if now.Sub(l.wantedUntil) > listDemandMemory {
+		l.wantedSince = now
+	}
+	l.wantedUntil = now.Add(listDemandPeriod)
 }
 
-// due reports whether the engine may be asked now.
-func (l engineList) due(now time.Time) bool { return l.state == unlisted && !now.Before(l.retryAt) }
+// due reports whether the engine is to be asked now.
+func (l engineList) due(now time.Time) bool {
+	return l.state == unlisted && now.Before(l.wantedUntil) && !now.Before(l.retryAt)
+}
+
+// timeLimit returns the time for the engine's next list.
+func (l engineList) timeLimit() time.Duration {
+	return doubled(minListTimeLimit, l.failures/2, maxListTimeLimit)
+}
 
 // request records that the engine was asked.
 func (l *engineList) request(now time.Time) {
-	l.state = listRequested
+	l.state, l.requestedAt, l.cancelled = listRequested, now, false
 	if l.askedAt.IsZero() {
 		l.askedAt = now
 	}
 }
 
-// overdue reports whether the list, which is wanted since a time, is missing although the engine has had listPatience to give it.
-func (l engineList) overdue(now, wantedSince time.Time) bool {
+// overdue reports whether the list is missing although the engine has had listPatience to give it.
+func (l engineList) overdue(now time.Time) bool {
 	if l.state == listed || l.askedAt.IsZero() {
 		return false
 	}
-	return now.Sub(l.askedAt) >= listPatience && now.Sub(wantedSince) >= listPatience
+	return now.Sub(l.askedAt) >= listPatience && now.Sub(l.wantedSince) >= listPatience
 }
 
 // finish records the result of a request for the list.
 func (l *engineList) finish(now time.Time, failed bool) {
 	if !failed {
-		*l = engineList{state: listed}
+		*l = engineList{state: listed, took: now.Sub(l.requestedAt)}
 		return
 	}
 	l.state, l.retryAt = unlisted, now.Add(doubled(minListBackoff, l.failures, maxListBackoff))
@@ -143,13 +171,17 @@
 }
 
 // listCaches starts the cache listing at the service's first request, unless another keeper has sent the cache contents or
-// this host may not be the keeper.
+// this host may not be the keeper. The engines of a service that is divided into several groups are listed by the hosts of these, for lookups only.
 func (s *service) listCaches(now time.Time, e SlotRequested) []Command {
 	if s.listing.started || s.engine == nil || e.KeeperUnconfirmed {
 		return nil
 	}
-	s.listing.started, s.listing.deadline = true, now.Add(cacheListWait)
-	return s.demandLists(now)
+	s.listing.started = true
+	if s.listGroupCount() > 1 {
+		return nil
+	}
+	s.listing.deadline = now.Add(cacheListWait)
+	return s.demandLists(now, s.sorted)
 }
 
 // queryPart requests the lists that a lookup needs. No slot request waits for them.
@@ -160,25 +192,25 @@
 	if _, known := s.versionsCaching(now, e.Lookup); known {
 		return nil
 	}
-	return s.demandLists(now)
+	return s.demandLists(now, s.members(e.Lookup.Group))
 }
 
-// demandLists requests lists from now on for listDemandPeriod.
-func (s *service) demandLists(now time.Time) []Command {
-	if now.Sub(s.listing.wantedUntil) > listDemandMemory {
-		s.listing.wantedSince = now
+// demandLists requests the lists of engines from now on for listDemandPeriod.
+func (s *service) demandLists(now time.Time, engines []*endpointState) []Command {
+	for _, st := range engines {
+		st.list.want(now)
 	}
 	s.listing.wantedUntil = now.Add(listDemandPeriod)
-	return s.requestLists(now)
+	return s.requestLists(now, engines)
 }
 
-// requestLists requests the lists of engines that are due, as many as may be requested at the same time. Those that failed least come first.
-func (s *service) requestLists(now time.Time) []Command {
+// requestLists requests the lists of those engines that are due, as many as may be requested at the same time. Those that failed least come first.
+func (s *service) requestLists(now time.Time, engines []*endpointState) []Command {
 	if !now.Before(s.listing.wantedUntil) || s.listing.inFlight >= maxConcurrentLists {
 		return nil
 	}
 	var due []*endpointState
-	for _, st := range s.sorted {
+	for _, st := range engines {
 		if st.list.due(now) {
 			due = append(due, st)
 		}
@@ -189,7 +221,7 @@
 		st.list.request(now)
 		s.listing.inFlight++
 		commands = append(commands, ListCache{
-			Service: s.name, Endpoint: st.record, TimeLimit: doubled(minListTimeLimit, st.list.failures, maxListTimeLimit),
+			Service: s.name, Endpoint: st.record, TimeLimit: st.list.timeLimit(),
 		})
 	}
 	return commands
@@ -206,7 +238,7 @@
 			st.listedTokens[part.ID] = part.Tokens
 		}
 	}
-	return append(s.requestLists(now), s.drainQueue(now)...)
+	return append(s.requestLists(now, s.sorted), s.drainQueue(now)...)
 }
 
 // VersionsCaching returns the software versions whose engines are known to cache a part of a prompt at the given length, in order. known is
@@ -215,30 +247,27 @@
 	return k.service(lookup.Service).versionsCaching(now, lookup)
 }
 
-// versionsCaching returns Keeper.VersionsCaching. An engine that has not listed its cache may cache the part too, as one does that lost the
-// request before its first event, so that a version counts as the only one when all engines of the others are listed or overdue. That one engine
-// lists it is no proof then, but an engine that is silent for long costs no more than the streams that it began. Without a version that is found,
-// all engines must be listed. Several remain several.
+// versionsCaching returns Keeper.VersionsCaching.
 func (s *service) versionsCaching(now time.Time, lookup PartLookup) (versions []endpoint.Version, known bool) {
 	if s.engine == nil {
 		return nil, false
 	}
-	allListed := true
+	return decideVersions(s.answerGroup(now, lookup))
+}
+
+// decideVersions returns the versions that answers found. An engine that has not listed its cache may cache the part too, as one does that lost the
+// request before its first event, so that a version counts as the only one when all engines of the others are listed or overdue. That one engine
+// lists it is no proof then, but an engine that is silent for long costs no more than the streams that it began. Without a version that is found,
+// all engines must be listed. Several remain several.
+func decideVersions(answers ...GroupAnswer) (versions []endpoint.Version, known bool) {
 	var awaited []endpoint.Version
-	for _, st := range s.sorted {
-		switch {
-		case st.caches(lookup):
-			versions = append(versions, st.record.Version)
-		case st.list.state == listed:
-		default:
-			allListed = false
-			if !st.list.overdue(now, s.listing.wantedSince) {
-				awaited = append(awaited, st.record.Version)
-			}
-		}
+	allListed := true
+	for _, a := range answers {
+		versions = append(versions, a.Found...)
+		awaited = append(awaited, a.Awaited...)
+		allListed = allListed && !a.Unlisted
 	}
-	slices.Sort(versions)
-	versions = slices.Compact(versions)
+	versions = distinct(versions)
 	switch len(versions) {
 	case 0:
 		return nil, allListed
@@ -251,6 +280,46 @@
 	return versions, true
 }
 
+// AnswerGroup returns what the keeper knows of the engines of the lookup's group.
+func (k *Keeper) AnswerGroup(now time.Time, lookup PartLookup) GroupAnswer {
+	return k.service(lookup.Service).answerGroup(now, lookup)
+}
+
+func (s *service) answerGroup(now time.Time, lookup PartLookup) GroupAnswer {
+	a := GroupAnswer{Group: lookup.Group}
+	members := s.members(lookup.Group)
+	for _, st := range s.enginesCaching(lookup.Part, members) {
+		if lookup.Group.contains(st) && st.caches(lookup) {
+			a.Found = append(a.Found, st.record.Version)
+		}
+	}
+	for _, st := range members {
+		if st.list.state == listed || st.caches(lookup) {
+			continue
+		}
+		a.Unlisted = true
+		if !st.list.overdue(now) {
+			a.Awaited = append(a.Awaited, st.record.Version)
+		}
+	}
+	a.Found, a.Awaited = distinct(a.Found), distinct(a.Awaited)
+	return a
+}
+
+// enginesCaching returns the engines that may be known to cache a part: those of the index, unless it is full, and members then.
+func (s *service) enginesCaching(part chat.PartID, members []*endpointState) []*endpointState {
+	if indexed := s.caching[part]; len(indexed) < maxIndexedEngines {
+		return indexed
+	}
+	return members
+}
+
+// distinct returns versions in order, each once.
+func distinct(versions []endpoint.Version) []endpoint.Version {
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
 // cacheBlock is the number of tokens that engines keep or evict together, so that they may keep fewer of a part than it has.
 const cacheBlock = 16
 
--- a/fleet/pool/cache_list_test.go
+++ b/fleet/pool/cache_list_test.go
@@ -65,6 +65,9 @@
 
 func (l *listingSite) apply(commands []Command) {
 	for _, command := range commands {
+		if c, ok := command.(CancelList); ok {
+			l.cancel(c.Instance)
+		}
 		c, ok := command.(ListCache)
 		if !ok {
 			continue
@@ -84,6 +87,15 @@
 	}
 }
 
+// cancel lets the list of an engine fail now.
+func (l *listingSite) cancel(instance endpoint.Instance) {
+	for i, e := range l.events {
+		if e.result.Instance == instance {
+			l.events[i] = listEvent{l.now, CacheListed{Service: e.result.Service, Instance: instance, Failed: true}}
+		}
+	}
+}
+
 func (l *listingSite) concurrent() int {
 	n := 0
 	for _, inFlight := range l.inFlight {
--- a/fleet/pool/group.go
+++ b/fleet/pool/group.go
@@ -35,13 +35,24 @@
 // Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2018.
 type groups []*group
 
-// newGroups divides endpoints, which are in order of ID, into groups of about maxSize at most.
-func newGroups(endpoints []*endpointState, maxSize int) groups {
+// groupCount returns the least power of two of groups that have at most maxSize endpoints on average.
+func groupCount(endpoints, maxSize int) int {
 	count := 1
-	for len(endpoints) > count*maxSize {
+	for endpoints > count*maxSize {
 		count *= 2
 	}
-	gs := make(groups, count)
+	return count
+}
+
+// homeIndexes returns the indexes of the two groups that follow from a key.
+func homeIndexes(key, mask uint64) (first, second uint64) {
+	hash := mix64(key)
+	return hash & mask, hash >> 32 & mask
+}
+
+// newGroups divides endpoints, which are in order of ID, into groups of about maxSize at most.
+func newGroups(endpoints []*endpointState, maxSize int) groups {
+	gs := make(groups, groupCount(len(endpoints), maxSize))
 	for i := range gs {
 		gs[i] = &group{}
 	}
@@ -61,8 +72,7 @@
 
 // first returns the index of the group to which a key falls.
 func (gs groups) first(key uint64) uint64 {
-	hash := mix64(key)
-	first, second := hash&gs.mask(), hash>>32&gs.mask()
+	first, second := homeIndexes(key, gs.mask())
 	if gs[first].load() > groupLoadFactor*gs[second].load()+groupLoadMargin {
 		return second
 	}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -326,7 +326,8 @@
 	}
 	s.deleteEndedSerialRuns(now)
 	s.expireStatements(now)
-	commands := append(s.tickLimits(now), s.requestLists(now)...)
+	commands := append(s.tickLimits(now), s.cancelLateLists(now)...)
+	commands = append(commands, s.requestLists(now, s.sorted)...)
 	s.queue = slices.DeleteFunc(s.queue, func(q queuedRequest) bool {
 		if now.Before(q.deadline) {
 			return false
