Ask the hosts that list the groups of a large service who began a stream

Change: after a start of all hosts the caller's host searches among the hosts that list the groups (GroupLookups and GroupReplies in peer.Extensions, with a recorded message); a service of one group is asked of its keeper as before. A host lists a group only as the first of the group's ranking, or for one that got no reply from the first three queries. Hosts of earlier releases ignore the messages.

--- a/entry/node/stream_cache.go
+++ b/entry/node/stream_cache.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/chat"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
@@ -36,7 +37,7 @@
 	if q.call.Prompt.MaxOutputTokens > 0 {
 		lookup.MaxTokens = own.Tokens + q.call.Prompt.MaxOutputTokens
 	}
-	versions := s.versionsCaching(ctx, lookup)
+	versions := s.findVersions(ctx, lookup, q.call.Prompt.SharedPrefix())
 	if len(versions) != 1 {
 		return "", false
 	}
@@ -50,6 +51,15 @@
 	return time.Duration(partQueryShare*float64(patience)) - timer.BootClock().Sub(q.start)
 }
 
+// findVersions returns the versions that cache a part of a prompt with a prefix: as the keeper of the service says, or, of a service of several
+// groups, as the hosts say that list these.
+func (s *streamTracker) findVersions(ctx context.Context, query peer.PartLookup, prefix chat.PartID) []endpoint.Version {
+	if groups := s.n.slots.listGroupCount(query.Service); groups > 1 {
+		return s.searchGroups(ctx, query.ToPool(), prefix, groups)
+	}
+	return s.versionsCaching(ctx, query)
+}
+
 // versionsCaching asks the keeper of a service which versions cache a part, until the keeper knows or ctx ends.
 func (s *streamTracker) versionsCaching(ctx context.Context, query peer.PartLookup) []endpoint.Version {
 	nonce, replies := s.partQueries.begin(1)
@@ -90,10 +100,15 @@
 	}
 }
 
+// knowsEngines reports whether this host has a copy of the store that is not old.
+func (s *streamTracker) knowsEngines(now time.Time) bool {
+	return s.n.storeView.setVersion() != 0 && s.n.storeView.age(now) <= staleAge
+}
+
 // answerLookup tells a host which versions cache a part, once that is known. A host with an old copy of the store, or none, does not reply: it
 // may not know the engines of another version.
 func (s *streamTracker) answerLookup(now time.Time, to host.ID, nonce uint64, lookup pool.PartLookup) {
-	if s.n.storeView.setVersion() == 0 || s.n.storeView.age(now) > staleAge {
+	if !s.knowsEngines(now) {
 		return
 	}
 	s.n.slots.update(now, pool.PartQueried{Lookup: lookup, KeeperUnconfirmed: s.n.slots.justStarted()})
--- a/entry/node/streams.go
+++ b/entry/node/streams.go
@@ -10,6 +10,7 @@
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
@@ -25,9 +26,11 @@
 	// numberings holds what the streams of each service have shown of the IDs of their events.
 	numberings map[site.ServiceName]*stream.Numbering
 
-	// originQueries ask hosts for the origins of streams, and partQueries ask keepers which versions cache a part of a prompt.
+	// originQueries ask hosts for the origins of streams, partQueries ask keepers which versions cache a part of a prompt, and groupQueries the
+	// hosts that list the groups of a large service.
 	originQueries *queries[streamReply]
 	partQueries   *queries[[]endpoint.Version]
+	groupQueries  *queries[pool.GroupAnswer]
 }
 
 // streamReply is a reply to a query, with the host that sent it.
@@ -56,7 +59,7 @@
 func newStreamTracker(n *Node) *streamTracker {
 	return &streamTracker{
 		n: n, registry: stream.NewRegistry(timer.BootClock()), numberings: make(map[site.ServiceName]*stream.Numbering),
-		originQueries: newQueries[streamReply](), partQueries: newQueries[[]endpoint.Version](),
+		originQueries: newQueries[streamReply](), partQueries: newQueries[[]endpoint.Version](), groupQueries: newQueries[pool.GroupAnswer](),
 	}
 }
 
@@ -105,6 +108,7 @@
 		s.originQueries.deliver(reply.Nonce, streamReply{d.From, reply})
 	}
 	s.handlePartMessages(now, d)
+	s.handleGroupMessages(now, d)
 }
 
 // recordBegin records that the caller got the first event of a stream that it may take up later, or goes on with one here.
--- a/entry/peer/extension.go
+++ b/entry/peer/extension.go
@@ -25,10 +25,13 @@
 	CopyNotices []CopyNotice `cbor:"6,keyasint,omitempty"`
 	// SetState accompanies the heartbeats of the sender.
 	SetState *SetState `cbor:"7,keyasint,omitempty"`
+	// GroupLookups and GroupReplies are about the caches of a group of engines.
+	GroupLookups []GroupLookup `cbor:"8,keyasint,omitempty"`
+	GroupReplies []GroupReply  `cbor:"9,keyasint,omitempty"`
 }
 
 func (e Extensions) empty() bool {
-	return len(e.PartLookups) == 0 && e.Gossip == nil && e.SetState == nil && !e.aboutCopies()
+	return len(e.PartLookups)+len(e.GroupLookups)+len(e.GroupReplies) == 0 && e.Gossip == nil && e.SetState == nil && !e.aboutCopies()
 }
 
 // aboutCopies reports whether the extensions are about copies of the platform's store.
