--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"balsamknot.org/fleet/host"
+	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
 )
 
@@ -26,6 +28,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Process is the process that the request is bound to.
+	Process Process
 	// Written is called once when Body is no longer in use: with nil after the request was written, with an error if it was not written to
 	// its end. Nil means that it is not called.
 	Written func(error)
@@ -45,16 +49,20 @@
 
 	pool *Pool
 	conn *pooledConn
+	// beganAt is when the exchange got its connection, which was open then, by timer.BootClock.
+	beganAt time.Time
 	// writeDone receives the result of a write that runs while the answer is read; nil when the request was written before.
 	writeDone   chan error
 	releaseOnce sync.Once
+	// guard is the guard of the answer; nil if there is none.
+	guard *Guard
 }
 
 // Do sends a request and reads the status and headers of its answer. The deadline applies to connecting and to the body as well. The connection is closed
-// when ctx ends before Do returns. The error is ErrNotSent when no connection could be established, and ErrIncomplete otherwise.
+// when ctx ends before Do returns. The error is ErrNotSent when no connection to the request's process could be established, and ErrIncomplete otherwise.
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (*Exchange, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, deadline)
-	c, err := p.get(dialCtx, address)
+	c, err := p.getFor(dialCtx, address, r.Process)
 	cancel()
 	if err != nil {
 		r.written(err)
@@ -63,13 +71,13 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	_ = c.SetDeadline(deadline)
-	x := &Exchange{pool: p, conn: c}
+	x := &Exchange{pool: p, conn: c, beganAt: timer.BootClock()}
 	if err := x.send(r); err != nil {
-		_ = c.Close()
+		x.closeFailed(err)
 		return nil, err
 	}
 	if err := x.readHead(r.ID, r.Method); err != nil {
-		_ = c.Close()
+		x.closeFailed(err)
 		return nil, eris.Wrapf(errors.Join(ErrIncomplete, err), "read the answer of endpoint %s", address)
 	}
 	return x, nil
@@ -188,6 +196,9 @@
 	x.Abort()
 }
 
+// Confirmed reports whether a report over the exchange's connection told which process it leads to.
+func (x *Exchange) Confirmed() bool { return x.conn.startedAt != 0 }
+
 // ConnectedAt returns when the exchange's connection was established, by timer.BootClock.
 func (x *Exchange) ConnectedAt() time.Time { return x.conn.connectedAt }
 
@@ -200,13 +211,28 @@
 }
 
 // Abort closes the connection, by which the endpoint notices that it can stop work. It has no effect after Finish.
-func (x *Exchange) Abort() { x.releaseOnce.Do(func() { _ = x.conn.Close() }) }
+func (x *Exchange) Abort() {
+	x.releaseOnce.Do(func() {
+		x.guard.release()
+		x.closeFailed(nil)
+	})
+}
+
+// closeFailed closes the connection of an exchange without a whole answer, and notes if the endpoint ended it. err is the error of the exchange, if
+// there is one.
+func (x *Exchange) closeFailed(err error) {
+	if x.conn.peerEnded.Load() || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		x.pool.noteEnded(x.conn.address)
+	}
+	_ = x.conn.Close()
+}
 
 // Finish returns the connection to the pool after the complete answer was read. It closes the connection instead if it cannot be
 // used again: the answer ends it, the request was not written completely, or bytes follow the answer. It has no effect after
 // Abort.
 func (x *Exchange) Finish() {
 	x.releaseOnce.Do(func() {
+		x.guard.release()
 		if x.Response.Close || !x.requestWritten() || x.conn.reader.Buffered() > 0 {
 			_ = x.conn.Close()
 			return
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"slices"
@@ -31,6 +32,8 @@
 	IdleTimeout time.Duration
 	// MaxIdlePerEndpoint is the largest number of idle connections to one address.
 	MaxIdlePerEndpoint int
+	// OnReport is called with what was learnt from each report of a process. Nil means that it is not called.
+	OnReport func(address string, result ReportResult, err error)
 }
 
 // Errors of Pool.Do.
@@ -51,6 +54,8 @@
 	inUse map[string]map[*pooledConn]bool
 	// sentinels holds the sentinels by address.
 	sentinels map[string]*sentinel
+	// endedAt holds when an endpoint last ended a connection, or refused one, other than after an answer, by address and timer.BootClock.
+	endedAt map[string]time.Time
 	// dials counts the connections that were established.
 	dials int64
 }
@@ -71,8 +76,14 @@
 	heardAt atomic.Int64
 	// peerEnded is true once it was found that the endpoint ended the connection, or sent something unasked.
 	peerEnded atomic.Bool
+	// outlived is the last sentinel of the address after whose end the connection was open.
+	outlived atomic.Pointer[sentinel]
 	// connectedAt is when the connection was established, by timer.BootClock.
 	connectedAt time.Time
+	// asked is true once a report was asked for over the connection. startedAt is the start time that it stated, 0 if none, and misdirected is
+	// true if an endpoint with another ID answered.
+	asked, misdirected bool
+	startedAt          int64
 	// expires is the time from which the connection is not used again, because the endpoint may be closing it.
 	expires time.Time
 }
@@ -82,7 +93,7 @@
 
 // New returns an empty pool. Close closes its idle connections.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, idle: make(map[string][]*pooledConn), inUse: make(map[string]map[*pooledConn]bool), sentinels: make(map[string]*sentinel)}
+	return &Pool{cfg: cfg, idle: make(map[string][]*pooledConn), inUse: make(map[string]map[*pooledConn]bool), sentinels: make(map[string]*sentinel), endedAt: make(map[string]time.Time)}
 }
 
 // Relayed is implemented by connections that lead through another host, the relay.
@@ -100,10 +111,30 @@
 			return c, nil
 		}
 		c.peerEnded.Store(true)
+		p.noteEnded(address)
 		_ = c.Close()
 	}
 }
 
+// endingMemory is how long it is remembered that an endpoint ended a connection.
+const endingMemory = 10 * time.Second
+
+// noteEnded notes that an endpoint ended a connection, or refused one, other than after an answer.
+func (p *Pool) noteEnded(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endedAt[address] = timer.BootClock()
+}
+
+// EndedSince reports whether an endpoint has since ended a connection, or refused one, other than after an answer: another process may listen at
+// its address.
+func (p *Pool) EndedSince(address string, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ended := p.endedAt[address]
+	return ended && !at.Before(since)
+}
+
 func (p *Pool) popIdle(address string) *pooledConn {
 	now := time.Now()
 	p.mu.Lock()
@@ -158,6 +189,9 @@
 func (p *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
 	conn, err := p.cfg.Dialer.Dial(ctx, address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.noteEnded(address)
+		}
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connect to endpoint %s", address)
 	}
 	p.mu.Lock()
@@ -254,6 +288,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweepSentinels(timer.BootClock())
+	maps.DeleteFunc(p.endedAt, func(_ string, at time.Time) bool { return timer.BootClock().Sub(at) > endingMemory })
 	for address, conns := range p.idle {
 		unexpired := conns[:0]
 		for _, c := range conns {
@@ -271,11 +306,11 @@
 	}
 }
 
-// DropIdle closes the connections to an address that no request uses.
+// DropIdle closes the connections to an address that no request uses. A sentinel that guards an answer stays.
 func (p *Pool) DropIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeSentinel(address)
+	p.dropSentinel(address)
 	for _, c := range p.idle[address] {
 		_ = c.Conn.Close()
 	}
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamknot.org/fleet/timer"
@@ -13,45 +18,75 @@
 	// connect.
 	sentinelLifetime    = 10 * time.Second
 	sentinelDialTimeout = time.Second
+	// sentinelRetryInterval is the least time between two attempts where the endpoint did not take a sentinel, or reset it.
+	sentinelRetryInterval = time.Second
+	// sentinelSettleTime is the time in which all connections of a process that has ended are seen to end.
+	sentinelSettleTime = 20 * time.Millisecond
+	// outlivedChecks is how often is looked for connections that outlived a sentinel: those with unread bytes can't show it each time.
+	outlivedChecks = 5
 )
 
 // sentinel is a connection to an endpoint over which nothing is sent. It ends with the process that accepted it, so that it tells that process
 // from another one at the same address. An endpoint whose answers are not framed leaves no other connection that could.
 type sentinel struct {
 	mu sync.Mutex
+	// triedAt is when the attempt to connect began, by timer.BootClock.
+	triedAt time.Time
 	// conn is nil until it is established.
 	conn *pooledConn
-	// endedAt is when the endpoint ended the connection, by timer.BootClock; zero before.
+	// endedAt is when the connection ended or could not be established, by timer.BootClock; zero before.
 	endedAt time.Time
-	// failed is true if it could not be established, or something came over it.
+	// failed is true if it could not be established, was closed here, or did not end in order.
 	failed bool
+	// idled is true if it ended at the age at which the endpoint ends idle connections.
+	idled bool
 	// guards are those that wait until it is established.
 	guards []*Guard
-	// usedAt is when an answer needed it last.
+	// active is how many answers it guards, and usedAt when that changed last.
+	active int
 	usedAt time.Time
+	// idleTime is the age at which the endpoint ended a sentinel that other connections outlived; 0 if it ended none so. It is shared by the
+	// sentinels of an address.
+	idleTime *atomic.Int64
 }
 
 // Guard observes through a sentinel whether the process that writes one answer goes on.
 type Guard struct {
 	x *Exchange
 	s *sentinel
-	// valid is true if the sentinel was established while the answer had not ended.
+	// valid is true if the process that took the sentinel's connection is known to be the one that writes the answer.
 	valid bool
 }
 
-// Guard returns a guard for the exchange's answer. It connects to the endpoint if there is no sentinel yet.
+// check notes whether the answer's connection was open when the sentinel was already there: when the request began, or now. Both lead to the
+// endpoint the same way, directly or through the same host, so that their ends arrive together. s.mu must be held.
+func (g *Guard) check() {
+	sentinel, answer := g.s.conn, g.x.conn
+	wasThere := !sentinel.connectedAt.After(g.x.beganAt)
+	g.valid = sentinel.relay == answer.relay && (wasThere || answer.notEnded())
+}
+
+// notEnded reports whether the endpoint has not ended the connection, as far as this host has received. What comes through another host is known
+// only when it is read.
+func (c *pooledConn) notEnded() bool {
+	state := c.peerState()
+	return state == peerOpen || c.relay != "" && state == peerUnknown
+}
+
+// Guard returns a guard for the exchange's answer, until Finish or Abort. It connects to the endpoint if there is no sentinel yet.
 func (x *Exchange) Guard() *Guard {
 	p := x.pool
 	p.mu.Lock()
 	s := p.sentinels[x.conn.address]
-	isNew := s == nil || s.over()
+	isNew := s == nil || s.replaceable(timer.BootClock())
 	if isNew {
-		s = &sentinel{}
+		s = s.next(timer.BootClock())
 		p.sentinels[x.conn.address] = s
 	}
 	p.mu.Unlock()
 	g := &Guard{x: x, s: s}
 	s.add(g)
+	x.guard = g
 	if isNew {
 		go p.connectSentinel(x.conn.address, s)
 	}
@@ -62,19 +97,37 @@
 func (s *sentinel) add(g *Guard) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.active++
 	s.usedAt = timer.BootClock()
-	if s.conn == nil {
+	switch {
+	case s.failed:
+	case s.conn == nil:
 		s.guards = append(s.guards, g)
+	default:
+		g.check()
+	}
+}
+
+// release notes that the answer has ended. It has no effect on nil.
+func (g *Guard) release() {
+	if g == nil {
 		return
 	}
-	g.valid = g.x.conn.peerState() == peerOpen
+	g.s.mu.Lock()
+	defer g.s.mu.Unlock()
+	g.s.active--
+	g.s.usedAt = timer.BootClock()
 }
 
-// over reports whether the sentinel is of no more use.
-func (s *sentinel) over() bool {
+// replaceable reports whether another sentinel is to be connected in place of this one: at once after its process ended, and not too soon after this
+// attempt if it failed.
+func (s *sentinel) replaceable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.failed || !s.endedAt.IsZero()
+	if s.failed {
+		return now.Sub(s.triedAt) >= sentinelRetryInterval
+	}
+	return !s.endedAt.IsZero()
 }
 
 // connectSentinel establishes a sentinel and waits until the endpoint ends it.
@@ -86,12 +139,48 @@
 		return
 	}
 	var buf [1]byte
-	n, err := c.Conn.Read(buf[:])
+	n, err := c.Read(buf[:])
 	s.mu.Lock()
-	s.failed = n > 0 || !endedByPeer(err)
 	s.endedAt = timer.BootClock()
+	// An endpoint that takes no further connections resets this one, and a path that is lost ends it: neither tells of the process.
+	s.failed = s.failed || n > 0 || !errors.Is(err, io.EOF)
+	s.idled = !s.failed && s.endedIdle()
+	tells := !s.failed && !s.idled
 	s.mu.Unlock()
 	_ = c.Conn.Close()
+	if tells {
+		p.noteOutlived(address, s)
+	}
+}
+
+// noteOutlived marks the connections in use that stay open after the end of a sentinel, so that no process of theirs ended with it.
+func (p *Pool) noteOutlived(address string, s *sentinel) {
+	for range outlivedChecks {
+		time.Sleep(sentinelSettleTime)
+		p.mu.Lock()
+		conns := slices.Collect(maps.Keys(p.inUse[address]))
+		p.mu.Unlock()
+		for _, c := range conns {
+			if c.goesOn() && c.connectedAt.Before(s.endedAt) {
+				c.outlived.Store(s)
+				s.idleTime.Store(int64(s.endedAt.Sub(s.conn.connectedAt)))
+			}
+		}
+	}
+}
+
+// next returns a sentinel for the same address; nil stands for the first one.
+func (s *sentinel) next(now time.Time) *sentinel {
+	if s == nil {
+		return &sentinel{triedAt: now, idleTime: new(atomic.Int64)}
+	}
+	return &sentinel{triedAt: now, idleTime: s.idleTime}
+}
+
+// endedIdle reports whether the sentinel ended at the age at which the endpoint ends connections over which nothing comes. s.mu must be held.
+func (s *sentinel) endedIdle() bool {
+	idle, age := time.Duration(s.idleTime.Load()), s.endedAt.Sub(s.conn.connectedAt)
+	return idle > 0 && (age-idle).Abs() <= sentinelSettleTime+idle/20
 }
 
 // established notes the result of the attempt to connect and returns whether there is a connection that can be observed.
@@ -100,17 +189,17 @@
 	defer s.mu.Unlock()
 	guards := s.guards
 	s.guards = nil
-	// The end of a connection through another host arrives only with that host's help.
-	if err != nil || c.relay != "" {
-		s.failed = true
+	// It may have been closed meanwhile.
+	if err != nil || s.failed {
 		if err == nil {
 			_ = c.Conn.Close()
 		}
+		s.failed, s.endedAt = true, timer.BootClock()
 		return false
 	}
 	s.conn = c
 	for _, g := range guards {
-		g.valid = g.x.conn.peerState() == peerOpen
+		g.check()
 	}
 	return true
 }
@@ -123,16 +212,17 @@
 	GuardAbsent GuardState = iota
 	// GuardOpen means that the process goes on.
 	GuardOpen
-	// GuardEnded means that its connection ended no earlier than a time.
+	// GuardEnded means that its connection ended, and that the answer's did not stay open after it.
 	GuardEnded
 )
 
-// State returns what the guard has seen. A sentinel that ended before since says nothing.
-func (g *Guard) State(since time.Time) GuardState {
+// State returns what the guard has seen. A sentinel that the answer's connection outlived says nothing. When the end of the answer is read does not
+// matter: with a caller that reads slowly, that is long after it arrived.
+func (g *Guard) State() GuardState {
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
 	switch {
-	case !g.valid, g.s.failed, !g.s.endedAt.IsZero() && g.s.endedAt.Before(since):
+	case !g.valid, g.s.failed, g.s.idled, g.x.conn.outlived.Load() == g.s:
 		return GuardAbsent
 	case g.s.endedAt.IsZero():
 		return GuardOpen
@@ -140,28 +230,39 @@
 	return GuardEnded
 }
 
-// sweepSentinels closes the sentinels that no answer has needed for sentinelLifetime. p.mu must be held.
+// sweepSentinels closes the sentinels that no answer has needed for sentinelLifetime and that guard none. p.mu must be held.
 func (p *Pool) sweepSentinels(now time.Time) {
 	for address, s := range p.sentinels {
 		s.mu.Lock()
-		old := now.Sub(s.usedAt) > sentinelLifetime
+		old := s.active == 0 && now.Sub(s.usedAt) > sentinelLifetime
 		s.mu.Unlock()
-		if old || s.over() {
+		if old {
 			p.closeSentinel(address)
 		}
 	}
 }
 
-// closeSentinel closes the sentinel of an address, if there is one. p.mu must be held.
-func (p *Pool) closeSentinel(address string) {
+// dropSentinel closes the sentinel of an address, if there is one and it guards no answer. p.mu must be held.
+func (p *Pool) dropSentinel(address string) {
 	s := p.sentinels[address]
 	if s == nil {
 		return
 	}
+	s.mu.Lock()
+	active := s.active
+	s.mu.Unlock()
+	if active == 0 {
+		p.closeSentinel(address)
+	}
+}
+
+// closeSentinel closes the sentinel of an address. What the guards of one that has ended have seen stays. p.mu must be held.
+func (p *Pool) closeSentinel(address string) {
+	s := p.sentinels[address]
 	delete(p.sentinels, address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed = true
+	s.failed = s.failed || s.endedAt.IsZero()
 	if s.conn != nil {
 		_ = s.conn.Conn.Close()
 	}
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
@@ -211,10 +212,11 @@
 	n.crashes.update(now, interruption.Sent{Run: q.run()})
 	x, err := n.endpointConns.Do(q.r.Context(), target.Address, connection.Request{
 		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.bodyData(),
-		Written: q.writingBody(a.LastSend()),
+		Process: n.boundProcess(now, q, target), Written: q.writingBody(a.LastSend()),
 	}, time.Now().Add(timeLeft))
 	if errors.Is(err, connection.ErrNotSent) {
 		n.crashes.recordUnreachable(timer.BootClock(), q, err)
+		n.noteOtherProcess(q, err)
 		if q.disconnected() {
 			n.endDisconnected(q)
 		}
@@ -273,6 +275,9 @@
 		return pool.Rejected, a.Update(timer.BootClock(), attempt.NotExecuted{ID: id})
 	case status >= http.StatusInternalServerError:
 		return n.endpointFailed(q, a, id, x)
+	case status != http.StatusOK && !q.firstByteAt.IsZero():
+		x.Discard()
+		return n.misplaced(q, a, id, x, eris.Errorf("status %d in place of its events", status))
 	case q.route.Streaming && status == http.StatusOK:
 		return n.streamEvents(q, a, id, x)
 	}
--- a/entry/node/stream_position_test.go
+++ b/entry/node/stream_position_test.go
@@ -52,8 +52,8 @@
 
 // readStream sends a request that takes a stream up after a position, 0 for a new stream, and returns the text of its answer. whole is true if
 // the answer ended as complete.
-func (s *testSite) readStream(path string, after int) (text string, whole bool) {
-	r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodPost, path, "id-1", "k1", nil)
+func (s *testSite) readStream(after int) (text string, whole bool) {
+	r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodPost, "/persistent/x", "id-1", "k1", nil)
 	r.Header.Set(standin.PromptPartsHeader, promptOf("id-1"))
 	if after > 0 {
 		r.Header.Set(standin.LastEventIDHeader, strconv.Itoa(after))
@@ -83,7 +83,7 @@
 				}
 				_, _ = io.WriteString(w, textFrom(after+1, streamEvents))
 			})
-			text, _ := s.readStream("/persistent/x", 0)
+			text, _ := s.readStream(0)
 			require.Equal(t, 1, strings.Count(text, textOfEvent(1)))
 			require.LessOrEqual(t, strings.Count(text, "id: "), streamEvents)
 		})
@@ -107,7 +107,7 @@
 					_, _ = io.WriteString(w, textFrom(after+1, streamEvents))
 				}
 			})
-			text, whole := s.readStream("/persistent/x", 0)
+			text, whole := s.readStream(0)
 			require.True(t, whole)
 			require.Equal(t, textFrom(1, streamEvents), text)
 		})
@@ -128,7 +128,7 @@
 				_, _ = io.WriteString(w, textFrom(first, streamEvents))
 			})
 			s.nodes[0].haveRunForLifetime()
-			text, whole := s.readStream("/persistent/x", position)
+			text, whole := s.readStream(position)
 			require.True(t, whole)
 			require.Equal(t, textFrom(position+1, streamEvents), text)
 		})
--- a/soak/checker/event.go
+++ b/soak/checker/event.go
@@ -37,7 +37,8 @@
 	PoisonPart bool
 	// TakesUp is the ID of the request that began the stream which this one takes up; empty for other requests.
 	TakesUp string
-	// SharesPart is true for a request without such a part that shares its other parts with those that have one.
+	// SharesPart is true for a request without such a part that shares its other parts with those that have one, unless a surge makes callers ask
+	// for more streams than engines have slots.
 	SharesPart bool
 }
 
@@ -100,7 +101,7 @@
 	Seal string
 	// Mixed is true if the response, complete or not, holds events of another version than the one that began the stream.
 	Mixed bool
-	// Defect describes what is wrong with a complete response; it is empty if the response is correct.
+	// Defect describes what is wrong with a response, or with what came of one that broke off; it is empty if that is correct.
 	Defect string
 }
 
--- a/soak/schedule/schedule_test.go
+++ b/soak/schedule/schedule_test.go
@@ -72,6 +72,56 @@
 	require.Positive(t, returns)
 }
 
+// The seeds with faults of streams have each kind of them: processes of the same and of another version that register at once or later, and each
+// misplacement. Other seeds have none.
+func TestStreamsAreCutAndMisplacedOnTheirSeeds(t *testing.T) {
+	t.Parallel()
+	switches, sicknesses := map[[2]bool]bool{}, map[Misbehaviour]bool{}
+	for seed := range uint64(120) {
+		for _, f := range Generate(config(seed)) {
+			switch f.Action {
+			case SwitchEngine:
+				switches[[2]bool{f.Upgrade, f.Delay > 0}] = true
+				require.Less(t, f.Delay, maxRegistrationDelay)
+			case SickenEngines:
+				sicknesses[f.Sickness] = true
+				require.True(t, f.Sickness.Misplaces())
+			default:
+				require.False(t, f.Sickness.Misplaces())
+				continue
+			}
+			require.Equal(t, uint64(streamRemainder), seed%streamSeeds)
+		}
+	}
+	require.Len(t, switches, 4)
+	require.Len(t, sicknesses, len(misplacements))
+}
+
+// Surges come on their seeds alone, each beside another fault, and do not overlap.
+func TestSurgesComeBesideOtherFaultsOnTheirSeeds(t *testing.T) {
+	t.Parallel()
+	beside := map[Action]int{}
+	for seed := range uint64(50) {
+		faults := Generate(config(seed))
+		var end time.Duration
+		for _, f := range faults {
+			if f.Action != SurgeLoad {
+				continue
+			}
+			require.Equal(t, uint64(surgeRemainder), seed%surgeSeeds)
+			require.GreaterOrEqual(t, f.At, end)
+			end = f.At + f.For
+			for _, action := range []Action{ReplaceEndpoint, EndEndpoint, KillAllHosts} {
+				beside[action] += countEnds(faults, action, f.At+surgeLead, f.At+surgeLead)
+			}
+		}
+	}
+	require.Len(t, beside, 3)
+	require.Positive(t, beside[ReplaceEndpoint])
+	require.Positive(t, beside[EndEndpoint])
+	require.Positive(t, beside[KillAllHosts])
+}
+
 // countEnds returns how many faults with an action start from one time to another.
 func countEnds(faults []Fault, action Action, from, to time.Duration) int {
 	count := 0
