--- a/entry/node/store_order_test.go
+++ b/entry/node/store_order_test.go
@@ -18,7 +18,7 @@
 func TestEndpointReplacedInPlaceWithinOneAnswerStaysInUse(t *testing.T) {
 	t.Parallel()
 	s := newVersionSite(t, false, standin.DefaultVersion)
-	replaced := s.addReplaceable("i-replaced")
+	replaced := s.addReplaceable()
 	s.startNodes(3, 152)
 	replaced.replace(secondVersion)
 	s.awaitChangesInUse()
@@ -33,7 +33,7 @@
 	t.Parallel()
 	const streams, hosts = 60, 6
 	s := newVersionSite(t, false, standin.DefaultVersion)
-	replaced := s.addReplaceable("i-replaced")
+	replaced := s.addReplaceable()
 	s.startNodes(hosts, 153)
 	replaced.replace(secondVersion)
 	s.awaitChangesInUse()
@@ -86,10 +86,10 @@
 	version atomic.Value
 }
 
-func (s *versionSite) addReplaceable(id string) *replaceable {
+func (s *versionSite) addReplaceable() *replaceable {
 	r := &replaceable{store: s.store}
 	r.version.Store(standin.DefaultVersion)
-	r.Endpoint = s.addEndpoint(id, "engines", func(w http.ResponseWriter, request *http.Request) { s.answer(w, request, r.version.Load().(string)) })
+	r.Endpoint = s.addEndpoint("i-replaced", "engines", func(w http.ResponseWriter, request *http.Request) { s.answer(w, request, r.version.Load().(string)) })
 	return r
 }
 
@@ -140,7 +140,7 @@
 	const streams = 60
 	s := newVersionSite(t, false, standin.DefaultVersion)
 	s.prompt = sessionPrompt
-	replaced := s.addReplaceable("i-replaced")
+	replaced := s.addReplaceable()
 	s.startNodes(3, 156)
 	names := s.beginStreams(streams)
 	replaced.version.Store(secondVersion)
--- a/entry/node/stream_process_test.go
+++ b/entry/node/stream_process_test.go
@@ -96,7 +96,7 @@
 	t.Parallel()
 	const streams = 40
 	s := newSessionSite(t, standin.DefaultVersion)
-	replaced := s.addReplaceable("i-replaced")
+	replaced := s.addReplaceable()
 	s.startNodes(3, 161)
 	s.takeUpStreams(s.beginStreams(streams))
 	replaced.version.Store(secondVersion)
