Wait for the earlier connections of an endpoint that takes no new ones before its answer counts as cut

Callers lost sound unframed answers of endpoints that leave (LOST): such an endpoint stops listening and completes its answers, and a refused connection was the proof that its process had ended with the answer. The stand-in's endLate ends all connections of the process late, the guard's, too, as a process has none after its end. A test of a guard that leads to an earlier process, which goes on, is added, known red.

--- a/entry/node/unmarked_end_test.go
+++ b/entry/node/unmarked_end_test.go
@@ -234,6 +234,46 @@
 	require.Equal(t, 8, whole)
 }
 
+// Guards against LOST: sound unframed answers of an endpoint that is leaving were cut, since it takes no new connections while it completes them.
+func TestSoundUnframedAnswersOfAnEndpointThatTakesNoNewConnectionsAreComplete(t *testing.T) {
+	t.Parallel()
+	s := newUnframedSite(t, 1, "plain")
+	s.startNodes(1, 205)
+	go func() { _ = (<-s.halfway).Listener.Close() }()
+	whole, _ := s.send("/once/x", standin.Slots)
+	t.Logf("%d whole, %d broken off, %d unconfirmed", whole, s.endsTakenFor("broken off"), s.endsTakenFor("unconfirmed"))
+	require.Equal(t, standin.Slots, whole)
+}
+
+// Guards against ORDER: the guard leads to a process from before that goes on, so that it says nothing of the one that writes.
+func TestCutAnswerDoesNotLookCompleteBecauseThePreviousProcessGoesOn(t *testing.T) {
+	t.Parallel()
+	s := newUnframedSite(t, 1, "engines")
+	s.startNodes(1, 206)
+	e := s.endpoints[0]
+	whole, _ := s.send("/draft/x", 1)
+	require.Equal(t, 1, whole)
+	s.awaitHalfwayAgain()
+	go func() {
+		<-s.halfway
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for conn := range e.conns {
+			_ = conn.Close()
+		}
+	}()
+	_, truncated := s.send("/draft/x", 2)
+	require.Zero(t, truncated)
+}
+
+// awaitHalfwayAgain makes the next answer that has come halfway count as the first one.
+func (s *unframedSite) awaitHalfwayAgain() {
+	s.halfwayOnce = sync.Once{}
+	for len(s.halfway) > 0 {
+		<-s.halfway
+	}
+}
+
 // endsTakenFor returns how many unmarked ends the nodes took for what a verdict says.
 func (s *unframedSite) endsTakenFor(verdict string) int {
 	n := 0
@@ -262,6 +302,7 @@
 		for _, conn := range late {
 			_ = conn.Close()
 		}
+		e.CloseClientConnections()
 	})
 }
 
--- a/fleet/completion/completion.go
+++ b/fleet/completion/completion.go
@@ -94,8 +94,9 @@
 type Check struct {
 	cfg     Config
 	endedAt time.Time
-	// inTime is true if the new connection was established within RestartTime of the answer's end.
-	inTime bool
+	// inTime is true if the new connection was established within RestartTime of the answer's end, and refused if nothing listened at the last
+	// attempt.
+	inTime, refused bool
 }
 
 // New returns a check that waits for Ended.
@@ -108,12 +109,13 @@
 		c.endedAt = now
 		return Connect{}
 	case Connected:
-		c.inTime = now.Sub(c.endedAt) <= c.cfg.RestartTime
+		c.inTime, c.refused = now.Sub(c.endedAt) <= c.cfg.RestartTime, false
 		return Observe{After: c.cfg.Settle}
 	case Refused:
-		return Conclude{BrokenOff}
+		c.inTime, c.refused = false, true
+		return Observe{After: c.cfg.Settle}
 	case Unreachable:
-		c.inTime = false
+		c.inTime, c.refused = false, false
 		return Observe{After: c.cfg.Settle}
 	case Observed:
 		return c.judge(now, e)
@@ -122,15 +124,19 @@
 }
 
 // judge concludes from what is seen of the connections. A new connection that was established late may lead to a process that started since. One
-// that was established in time may do so, too, unless an earlier connection stays or there was none that could have ended.
+// that was established in time may do so, too, unless an earlier connection stays or there was none that could have ended. Where nothing listens,
+// the process has ended, or it is leaving and completes its answers: then earlier connections stay until Timeout.
 func (c *Check) judge(now time.Time, e Observed) Command {
 	staying := e.Open > 0 || e.Guard == GuardOpen
+	timedOut := now.Sub(c.endedAt) >= c.cfg.Timeout
 	switch {
-	case e.Guard == GuardEnded:
+	case e.Guard == GuardEnded, c.refused && !staying:
 		return Conclude{BrokenOff}
-	case staying && e.Ended == 0, c.inTime && e.NewOpen && (staying || e.Ended == 0):
+	case c.refused && !timedOut:
+		return Connect{After: c.cfg.RetryInterval}
+	case staying && e.Ended == 0, c.refused, c.inTime && e.NewOpen && (staying || e.Ended == 0):
 		return Conclude{Complete}
-	case e.NewOpen, now.Sub(c.endedAt) >= c.cfg.Timeout:
+	case e.NewOpen, timedOut:
 		return Conclude{Unconfirmed}
 	}
 	return Connect{After: c.cfg.RetryInterval}
