--- a/entry/node/slow_caller_test.go
+++ b/entry/node/slow_caller_test.go
@@ -46,19 +46,25 @@
 	return s, written
 }
 
+// beginSlowly sends a request over a connection with a small buffer and returns the body of the answer, of which nothing is read.
+func (s *unframedSite) beginSlowly() io.Reader {
+	r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodPost, "/draft/x", "id-1", "k1", nil)
+	r.Header.Set(standin.PromptPartsHeader, promptOf("1"))
+	response, err := (&http.Transport{DialContext: dialWithSmallBuffer}).RoundTrip(r)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = response.Body.Close() })
+	return response.Body
+}
+
 // Guards against ORDER: the end of a stream that was cut is read long after that of its guard where the caller reads slowly, and looked complete.
 func TestCutStreamDoesNotLookCompleteToACallerThatReadsSlowly(t *testing.T) {
 	t.Parallel()
 	s, written := newLargeStreamSite(t, 207)
-	r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodPost, "/draft/x", "id-1", "k1", nil)
-	r.Header.Set(standin.PromptPartsHeader, promptOf("1"))
-	response, err := (&http.Transport{DialContext: dialWithSmallBuffer}).RoundTrip(r)
-	require.NoError(t, err)
-	defer response.Body.Close()
+	body := s.beginSlowly()
 	<-written
 	s.endpoints[0].replaceAtOnce()
 	time.Sleep(200 * time.Millisecond)
-	text, err := io.ReadAll(response.Body)
+	text, err := io.ReadAll(body)
 	require.Error(t, err, "%d bytes look complete", len(text))
 }
 
@@ -66,16 +72,12 @@
 func TestWholeStreamIsCompleteToACallerThatReadsSlowly(t *testing.T) {
 	t.Parallel()
 	s, written := newLargeStreamSite(t, 208)
-	r := standin.NewCall(s.nodes[0].cfg.CallerAddress, http.MethodPost, "/draft/x", "id-1", "k1", nil)
-	r.Header.Set(standin.PromptPartsHeader, promptOf("1"))
-	response, err := (&http.Transport{DialContext: dialWithSmallBuffer}).RoundTrip(r)
-	require.NoError(t, err)
-	defer response.Body.Close()
+	body := s.beginSlowly()
 	<-written
 	for conn := range s.endpoints[0].conns {
 		_ = conn.Close()
 	}
 	time.Sleep(200 * time.Millisecond)
-	_, err = io.ReadAll(response.Body)
+	_, err := io.ReadAll(body)
 	require.NoError(t, err)
 }
--- a/fleet/pool/search.go
+++ b/fleet/pool/search.go
@@ -27,8 +27,8 @@
 // Search finds the versions that cache the last part of a prompt among the groups of a large service. It asks first for the groups to which the
 // prompt's prefix falls, since chats are placed there, and for all groups only when nobody there has the part and no list of theirs is awaited.
 //
-// What is found in these groups decides alone: of two engines that ran a request one after the other, the second one was chosen by the same
-// prefix, and another group would have been chosen only for lack of a free slot in this one, or for parts that are cached there. Where they
+// What is found in these groups decides alone: of two engines that ran a request one after the other, the second one was placed by the same
+// prefix, and another group would have been taken only for lack of a free slot in this one, or for parts that are cached there. Where they
 // have nothing, the stream was placed elsewhere, and the engines of all groups count.
 //
 // It is not safe for concurrent use.
