--- a/review/second/deployment/deployment.go
+++ b/review/second/deployment/deployment.go
@@ -53,6 +53,8 @@
 	Name, Callers, ready, settings, log string
 	// Process is the host's process.
 	Process *exec.Cmd
+	// Link carries the TCP connections of other hosts to this one, with Config.Links.
+	Link    *Proxy
 	program string
 	memory  string
 }
@@ -68,14 +70,17 @@
 	DataCentres []string
 	// StoreAddress returns the address of the store for a host.
 	StoreAddress func(host int) string
+	// Links is true if the hosts reach each other through proxies; see Host.Link.
+	Links bool
 	// MemoryMB is the memory of a host, in units of 2^20 bytes; 0 for that of the small sites.
 	MemoryMB int
 }
 
 // Deployment is a set of running entry hosts.
 type Deployment struct {
-	cfg   Config
-	Hosts []*Host
+	cfg        Config
+	Hosts      []*Host
+	forwarders []*Forwarder
 }
 
 const (
@@ -95,9 +100,15 @@
 		return nil, err
 	}
 	ip := func(i int) string { return fmt.Sprintf("127.%d.1.%d", network, i+1) }
+	published := func(i int) string {
+		if cfg.Links {
+			return fmt.Sprintf("127.%d.2.%d", network, i+1)
+		}
+		return ip(i)
+	}
 	var seeds []string
 	for i := range min(cfg.Hosts, 3) {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", ip(i), base))
+		seeds = append(seeds, fmt.Sprintf("%s:%d", published(i), base))
 	}
 	for i := range cfg.Hosts {
 		h := &Host{
@@ -128,6 +139,17 @@
 LoadFactor = 2
 `, h.Name, cfg.DataCentres[i%len(cfg.DataCentres)], ip(i), h.Callers, h.ready, ip(i), base+metricsPort, base+firstPeerPort, base+peerPorts,
 			strings.Join(seeds, ","), cfg.StoreAddress(i))
+		if cfg.Links {
+			settings += "PublishedAddress = " + published(i) + "\n"
+			if h.Link, err = NewProxyAt(fmt.Sprintf("%s:%d", published(i), base+firstPeerPort+1), fmt.Sprintf("%s:%d", ip(i), base+firstPeerPort+1)); err != nil {
+				return d, err
+			}
+			forwarder, err := NewForwarder(fmt.Sprintf("%s:%d", published(i), base+firstPeerPort), fmt.Sprintf("%s:%d", ip(i), base+firstPeerPort))
+			if err != nil {
+				return d, err
+			}
+			d.forwarders = append(d.forwarders, forwarder)
+		}
 		if err := os.WriteFile(h.settings, []byte(settings), 0o600); err != nil {
 			return d, err
 		}
@@ -213,6 +235,12 @@
 		if h.Process != nil && h.Process.Process != nil {
 			h.Kill()
 		}
+		if h.Link != nil {
+			h.Link.Close()
+		}
+	}
+	for _, f := range d.forwarders {
+		f.Close()
 	}
 }
 
--- a/review/second/deployment/proxy.go
+++ b/review/second/deployment/proxy.go
@@ -21,9 +21,12 @@
 	silent         atomic.Bool
 }
 
-// NewProxy returns a proxy in front of target.
-func NewProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// NewProxy returns a proxy in front of target, at a free port.
+func NewProxy(target string) (*Proxy, error) { return NewProxyAt("127.0.0.1:0", target) }
+
+// NewProxyAt returns a proxy at an address in front of target.
+func NewProxyAt(address, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -109,3 +112,43 @@
 		}
 	}
 }
+
+// Forwarder passes datagrams on.
+type Forwarder struct{ in, out *net.UDPConn }
+
+// NewForwarder passes the datagrams that come to an address on to target.
+func NewForwarder(address, target string) (*Forwarder, error) {
+	to, err := net.ResolveUDPAddr("udp4", target)
+	if err != nil {
+		return nil, err
+	}
+	at, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	f := &Forwarder{}
+	if f.in, err = net.ListenUDP("udp4", at); err != nil {
+		return nil, err
+	}
+	if f.out, err = net.DialUDP("udp4", nil, to); err != nil {
+		_ = f.in.Close()
+		return nil, err
+	}
+	go func() {
+		buf := make([]byte, 64<<10)
+		for {
+			n, _, err := f.in.ReadFromUDP(buf)
+			if err != nil {
+				return
+			}
+			_, _ = f.out.Write(buf[:n])
+		}
+	}()
+	return f, nil
+}
+
+// Close ends the forwarder.
+func (f *Forwarder) Close() {
+	_ = f.in.Close()
+	_ = f.out.Close()
+}
