--- a/review/second/case-7/main.go
+++ b/review/second/case-7/main.go
@@ -33,8 +33,8 @@
 	// killAfter is the time from the first stream to the end of the hosts' processes, and downTime how long these are down.
 	killAfter = 2500 * time.Millisecond
 	downTime  = 500 * time.Millisecond
-	// emptyTime is the time from the end of a draining engine's last stream to its own end.
-	emptyTime = 500 * time.Millisecond
+	// drainTime is the shortest time from the begin of an engine's drain to its end. It ends when it runs nothing any more then.
+	drainTime = 2500 * time.Millisecond
 	// tries is how often a client sends, and pause the shortest time between two.
 	tries    = 12
 	pause    = 500 * time.Millisecond
@@ -227,8 +227,9 @@
 
 // leaveWhenEmpty ends a draining engine and removes its registration when it runs nothing any more.
 func (e *engine) leaveWhenEmpty(record *deployment.Record) {
+	shortest := time.After(drainTime)
 	<-e.empty
-	time.Sleep(emptyTime)
+	<-shortest
 	e.registration.Deregister()
 	e.Kill()
 	record.Printf("%s has left", e.Name)
