Remember what engines listed after they have left, so that streams are not joined from two versions

Cause: without hosts that remember, the version is taken from the engines that cache the last part of the prompt. Two requests of one session have the same last part and had run at both versions. The keeper dropped an engine's list together with its registration, so that the other version was left as the only one. Evidence: the script refuses all of these streams while the old engines are registered, and lets them go on some 0.3 s after these left. Change: the keeper remembers the caches of engines that left for stream.Lifetime, also of those that were replaced in place. Related: a slot that was granted since the start, before the engine listed its cache, leaves the version open and proves none; a keeper that has just started lists the engines of services with several versions at once, so that fewer leave unlisted.

--- a/entry/node/cache_list.go
+++ b/entry/node/cache_list.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -25,6 +27,27 @@
 		Int("Parts", len(parts)).Err(err).Send()
 }
 
+// listAfterStart lets this host, once after its start, list the caches of the engines whose keeper it is, where these have several versions: the sooner
+// that is, the more engines list what they cache before they leave or get requests again.
+func (s *slotManager) listAfterStart(now time.Time) {
+	if s.listedAfterStart || s.justStarted() || !s.n.streams.knowsEngines(now) {
+		return
+	}
+	s.listedAfterStart = true
+	for _, service := range s.services() {
+		if s.n.membership.keeper(now, service) == s.n.cfg.Host {
+			s.update(now, pool.ListsNeeded{Service: service})
+		}
+	}
+}
+
+// services returns the names of all services.
+func (s *slotManager) services() []site.ServiceName {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.Services()
+}
+
 // beginList returns the context of a request for a list, which ends after its time limit or with cancelList.
 func (s *slotManager) beginList(c pool.ListCache) context.Context {
 	ctx, cancel := context.WithTimeout(s.runCtx, c.TimeLimit)
--- a/entry/node/slot_manager.go
+++ b/entry/node/slot_manager.go
@@ -25,6 +25,8 @@
 	runCtx context.Context
 	// startedAt is when the process started, by the boot clock.
 	startedAt time.Time
+	// listedAfterStart is true once listAfterStart has done its work. Only tick uses it.
+	listedAfterStart bool
 
 	mu     sync.Mutex
 	keeper *pool.Keeper
@@ -98,6 +100,7 @@
 // tick lets the local keeper enforce its time-outs and send cache updates, and repeats which endpoints leave.
 func (s *slotManager) tick(now time.Time) {
 	s.update(now, pool.Tick{})
+	s.listAfterStart(now)
 	s.repeatLeavings(now)
 }
 
--- a/entry/node/stream_restart_test.go
+++ b/entry/node/stream_restart_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/platform/standin"
 )
 
@@ -230,3 +231,51 @@
 	t.Logf("%d of %d streams went on, %d at another version", wentOn, len(atSecond), s.mixed())
 	require.LessOrEqual(t, s.mixed(), allowedMixed)
 }
+
+// Guards against ORDER: two requests of each session ran at engines of two versions. After a start of all hosts, when the engines of the old version had left, all
+// its streams went on at the new one, whose engines cached the sessions' parts too.
+func TestStreamsDoNotGoOnAtTheVersionOfAnotherRequestOfTheirSession(t *testing.T) {
+	t.Parallel()
+	const sessions = 12
+	s := newSessionSite(t, standin.DefaultVersion, standin.DefaultVersion)
+	s.prompt = func(requestID string) string {
+		_, session, _ := strings.Cut(streamName(requestID), "-")
+		return standin.PromptOf([]string{"aa1"}, "5e"+session)
+	}
+	s.startNodes(3, 64)
+	atOld := s.beginStreams(sessions)
+	var replaced []*standin.Endpoint
+	replaced, s.engines = s.engines, nil
+	for i, old := range replaced {
+		e := s.addEndpoint(fmt.Sprintf("j-%d", i), "engines", func(w http.ResponseWriter, r *http.Request) { s.answer(w, r, secondVersion) })
+		e.CachePrompts()
+		e.RegisterVersion(secondVersion)
+		old.RegisterDraining()
+	}
+	for _, n := range s.nodes {
+		require.Eventually(t, func() bool {
+			return n.knowsEndpoint("j-0") && n.knowsEndpoint("j-1") && n.leaves("i-0") && n.leaves("i-1")
+		}, time.Minute, time.Millisecond)
+	}
+	for i := range sessions {
+		require.True(t, s.begin(s.nodes[i%len(s.nodes)], fmt.Sprintf("new-%d", i)))
+	}
+	s.restartAll(65)
+	require.Zero(t, s.takeUpStreams(atOld), "both versions cache the part of each session")
+	for _, old := range replaced {
+		old.Deregister()
+		old.Crash()
+	}
+	for _, n := range s.nodes {
+		require.Eventually(t, func() bool { return !n.knowsEndpoint("i-0") && !n.knowsEndpoint("i-1") }, time.Minute, time.Millisecond)
+	}
+	wentOn := s.takeUpStreams(atOld)
+	t.Logf("%d of %d streams went on, %d at another version", wentOn, len(atOld), s.mixed())
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+}
+
+// leaves reports whether an endpoint is registered and gets no new requests from the node.
+func (n *testNode) leaves(id string) bool {
+	instance, registered := n.slots.registeredInstance(endpoint.ID(id))
+	return registered && !n.slots.usable(instance)
+}
--- a/entry/peer/group_lookup.go
+++ b/entry/peer/group_lookup.go
@@ -43,14 +43,16 @@
 	Found    []endpoint.Version `cbor:"4,keyasint,omitempty"`
 	Awaited  []endpoint.Version `cbor:"5,keyasint,omitempty"`
 	Unlisted bool               `cbor:"6,keyasint,omitempty"`
+	// Possible is ignored by hosts of releases before it.
+	Possible []endpoint.Version `cbor:"7,keyasint,omitempty"`
 }
 
 // FromGroupAnswer converts an answer to a message.
 func FromGroupAnswer(nonce uint64, a pool.GroupAnswer) GroupReply {
-	return GroupReply{Nonce: nonce, Index: a.Group.Index, Count: a.Group.Count, Found: a.Found, Awaited: a.Awaited, Unlisted: a.Unlisted}
+	return GroupReply{Nonce: nonce, Index: a.Group.Index, Count: a.Group.Count, Found: a.Found, Awaited: a.Awaited, Unlisted: a.Unlisted, Possible: a.Possible}
 }
 
 // ToPool converts the message to an answer.
 func (r GroupReply) ToPool() pool.GroupAnswer {
-	return pool.GroupAnswer{Group: pool.ListGroup{Index: r.Index, Count: r.Count}, Found: r.Found, Awaited: r.Awaited, Unlisted: r.Unlisted}
+	return pool.GroupAnswer{Group: pool.ListGroup{Index: r.Index, Count: r.Count}, Found: r.Found, Awaited: r.Awaited, Unlisted: r.Unlisted, Possible: r.Possible}
 }
--- a/fleet/pool/cache_list.go
+++ b/fleet/pool/cache_list.go
@@ -27,28 +27,13 @@
 	Parts []chat.Part
 }
 
-// PartLookup names a part of a prompt at the length that it has in one request. The last part of a session's prompts has another length in each
-// turn.
-type PartLookup struct {
-	Service site.ServiceName
-	Part    chat.PartID
-	// MinTokens and MaxTokens bound the tokens that an engine keeps if it ran that request; a MaxTokens of 0 is no bound.
-	MinTokens, MaxTokens int
-	// Group has the engines that are meant.
-	Group ListGroup
-}
-
-// PartQueried asks which versions cache a part of a prompt. While that is not known, the keeper lists the caches of the engines that it has not
-// listed; see Keeper.VersionsCaching. Whoever needs the answer repeats the event until there is one.
-type PartQueried struct {
-	Lookup PartLookup
-	// KeeperUnconfirmed is SlotRequested.KeeperUnconfirmed.
-	KeeperUnconfirmed bool
-}
+// ListsNeeded asks for the lists of a service's engines if these have several software versions. A keeper that has just started gets it, so that it knows what engines
+// cached before it granted slots, and what those cached that leave soon.
+type ListsNeeded struct{ Service site.ServiceName }
 
 func (ListCache) command() {}
 func (CacheListed) event() {}
-func (PartQueried) event() {}
+func (ListsNeeded) event() {}
 
 const (
 	// cacheListWait is how long a keeper without cache information queues requests while it waits for the lists. Processing
@@ -184,15 +169,21 @@
 	return s.demandLists(now, s.sorted)
 }
 
-// queryPart requests the lists that a lookup needs. No slot request waits for them.
-func (s *service) queryPart(now time.Time, e PartQueried) []Command {
-	if s.engine == nil || e.KeeperUnconfirmed {
+// listVersions requests the lists of a service whose engines have several software versions.
+func (s *service) listVersions(now time.Time) []Command {
+	if s.engine == nil || s.listGroupCount() > 1 || len(s.versions()) < 2 {
 		return nil
 	}
-	if _, known := s.versionsCaching(now, e.Lookup); known {
-		return nil
+	return s.demandLists(now, s.sorted)
+}
+
+// versions returns the software versions of the registered engines, in order.
+func (s *service) versions() []endpoint.Version {
+	versions := make([]endpoint.Version, 0, len(s.sorted))
+	for _, st := range s.sorted {
+		versions = append(versions, st.record.Version)
 	}
-	return s.demandLists(now, s.members(e.Lookup.Group))
+	return distinct(versions)
 }
 
 // demandLists requests the lists of engines from now on for listDemandPeriod.
@@ -234,104 +225,14 @@
 	if st := s.endpoints[e.Instance.ID]; st != nil && st.record.Instance == e.Instance {
 		st.list.finish(now, e.Failed)
 		for _, part := range e.Parts {
-			s.addPart(now, st, part.ID)
-			st.listedTokens[part.ID] = part.Tokens
+			cached := st.cachedParts[part.ID]
+			cached.usedAt, cached.listed, cached.tokens = now, true, part.Tokens
+			s.putPart(now, st, part.ID, cached)
 		}
 	}
 	return append(s.requestLists(now, s.sorted), s.drainQueue(now)...)
 }
 
-// VersionsCaching returns the software versions whose engines are known to cache a part of a prompt at the given length, in order. known is
-// false while the list of an engine is awaited that could add a version.
-func (k *Keeper) VersionsCaching(now time.Time, lookup PartLookup) (versions []endpoint.Version, known bool) {
-	return k.service(lookup.Service).versionsCaching(now, lookup)
-}
-
-// versionsCaching returns Keeper.VersionsCaching.
-func (s *service) versionsCaching(now time.Time, lookup PartLookup) (versions []endpoint.Version, known bool) {
-	if s.engine == nil {
-		return nil, false
-	}
-	return decideVersions(s.answerGroup(now, lookup))
-}
-
-// decideVersions returns the versions that answers found. An engine that has not listed its cache may cache the part too, as one does that lost the
-// request before its first event, so that a version counts as the only one when all engines of the others are listed or overdue. That one engine
-// lists it is no proof then, but an engine that is silent for long costs no more than the streams that it began. Without a version that is found,
-// all engines must be listed. Several remain several.
-func decideVersions(answers ...GroupAnswer) (versions []endpoint.Version, known bool) {
-	var awaited []endpoint.Version
-	allListed := true
-	for _, a := range answers {
-		versions = append(versions, a.Found...)
-		awaited = append(awaited, a.Awaited...)
-		allListed = allListed && !a.Unlisted
-	}
-	versions = distinct(versions)
-	switch len(versions) {
-	case 0:
-		return nil, allListed
-	case 1:
-		isOther := func(v endpoint.Version) bool { return v != versions[0] }
-		if slices.ContainsFunc(awaited, isOther) {
-			return nil, false
-		}
-	}
-	return versions, true
-}
-
-// AnswerGroup returns what the keeper knows of the engines of the lookup's group.
-func (k *Keeper) AnswerGroup(now time.Time, lookup PartLookup) GroupAnswer {
-	return k.service(lookup.Service).answerGroup(now, lookup)
-}
-
-func (s *service) answerGroup(now time.Time, lookup PartLookup) GroupAnswer {
-	a := GroupAnswer{Group: lookup.Group}
-	members := s.members(lookup.Group)
-	for _, st := range s.enginesCaching(lookup.Part, members) {
-		if lookup.Group.contains(st) && st.caches(lookup) {
-			a.Found = append(a.Found, st.record.Version)
-		}
-	}
-	for _, st := range members {
-		if st.list.state == listed || st.caches(lookup) {
-			continue
-		}
-		a.Unlisted = true
-		if !st.evacuated && !st.list.overdue(now) {
-			a.Awaited = append(a.Awaited, st.record.Version)
-		}
-	}
-	a.Found, a.Awaited = distinct(a.Found), distinct(a.Awaited)
-	return a
-}
-
-// enginesCaching returns the engines that may be known to cache a part: those of the index, unless it is full, and members then.
-func (s *service) enginesCaching(part chat.PartID, members []*endpointState) []*endpointState {
-	if indexed := s.caching[part]; len(indexed) < maxIndexedEngines {
-		return indexed
-	}
-	return members
-}
-
-// distinct returns versions in order, each once.
-func distinct(versions []endpoint.Version) []endpoint.Version {
-	slices.Sort(versions)
-	return slices.Compact(versions)
-}
-
-// cacheBlock is the number of tokens that engines keep or evict together, so that they may keep fewer of a part than it has.
-const cacheBlock = 16
-
-// caches reports whether the engine caches a part at the length of the lookup. The length of a part that the engine has not listed is not known.
-func (st *endpointState) caches(lookup PartLookup) bool {
-	if _, cached := st.cachedParts[lookup.Part]; !cached {
-		return false
-	}
-	tokens, listed := st.listedTokens[lookup.Part]
-	return !listed || tokens > lookup.MinTokens-cacheBlock && (lookup.MaxTokens == 0 || tokens <= lookup.MaxTokens)
-}
-
 // awaitsCacheLists reports whether requests are to stay queued until each engine was asked for its list once.
 func (s *service) awaitsCacheLists(now time.Time) bool {
 	return now.Before(s.listing.deadline) && slices.ContainsFunc(s.sorted, func(st *endpointState) bool {
--- a/fleet/pool/cache_update.go
+++ b/fleet/pool/cache_update.go
@@ -63,8 +63,10 @@
 		if st == nil {
 			continue
 		}
-		for _, part := range cached.Parts {
-			s.addPart(now, st, part)
+		for _, id := range cached.Parts {
+			part := st.cachedParts[id]
+			part.usedAt = now
+			s.putPart(now, st, id, part)
 		}
 	}
 }
--- a/fleet/pool/choice.go
+++ b/fleet/pool/choice.go
@@ -217,7 +217,7 @@
 		return ""
 	}
 	for _, st := range s.caching[prefix] {
-		if !st.evacuated && now.Sub(st.cachedParts[prefix]) < partLifetime {
+		if !st.evacuated && now.Sub(st.cachedParts[prefix].usedAt) < partLifetime {
 			return st.record.Instance.ID
 		}
 	}
--- a/fleet/pool/endpoint_state.go
+++ b/fleet/pool/endpoint_state.go
@@ -56,11 +56,10 @@
 	// work is what the endpoint still has to do, and slowdown how long it takes, compared with the other engines.
 	work     engineWork
 	slowdown slowdown
-	// cachedParts holds the time of the last use of each part of a prompt that the endpoint is assumed to cache.
-	cachedParts map[chat.PartID]time.Time
-	// list is the state of the engine's cache list, and listedTokens holds how many tokens the engine keeps of each part by that.
-	list         engineList
-	listedTokens map[chat.PartID]int
+	// cachedParts holds the parts of prompts that the endpoint is assumed to cache.
+	cachedParts map[chat.PartID]cachedPart
+	// list is the state of the engine's cache list.
+	list engineList
 	// failureShare is the moving average of failures, from 0 for none to 1 for all requests.
 	failureShare float64
 	// connectionFailures counts connection failures and time-outs since the last completed request.
@@ -87,16 +86,15 @@
 }
 
 func newEndpointState(r endpoint.Record) *endpointState {
-	return &endpointState{record: r, hash: xxhash.Sum64String(string(r.Instance.ID)), cachedParts: make(map[chat.PartID]time.Time), listedTokens: make(map[chat.PartID]int)}
+	return &endpointState{record: r, hash: xxhash.Sum64String(string(r.Instance.ID)), cachedParts: make(map[chat.PartID]cachedPart)}
 }
 
 // evictParts removes the parts that have not been used within partLifetime and returns them.
 func (st *endpointState) evictParts(now time.Time) []chat.PartID {
 	var evicted []chat.PartID
-	for id, used := range st.cachedParts {
-		if now.Sub(used) > partLifetime {
+	for id, part := range st.cachedParts {
+		if now.Sub(part.usedAt) > partLifetime {
 			delete(st.cachedParts, id)
-			delete(st.listedTokens, id)
 			evicted = append(evicted, id)
 		}
 	}
@@ -151,8 +149,8 @@
 	cached := true
 	for i := range len(p.Parts) - 1 {
 		if cached {
-			used, found := st.cachedParts[p.Parts[i].ID]
-			cached = found && now.Sub(used) < partLifetime
+			part, found := st.cachedParts[p.Parts[i].ID]
+			cached = found && now.Sub(part.usedAt) < partLifetime
 		}
 		if !cached {
 			tokens += p.Parts[i].Tokens
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -53,6 +53,8 @@
 	reachableShare float64
 	// evacuated holds the data centres that the operator evacuates.
 	evacuated map[host.DataCentre]bool
+	// startedAt is the time of the first event.
+	startedAt time.Time
 }
 
 // New returns a keeper without services and endpoints.
@@ -66,6 +68,9 @@
 // Update applies one event at time now and returns the resulting commands.
 // It does no I/O and starts no goroutine.
 func (k *Keeper) Update(now time.Time, event Event) []Command {
+	if k.startedAt.IsZero() {
+		k.startedAt = now
+	}
 	switch e := event.(type) {
 	case SlotRequested:
 		return k.service(e.Service).request(now, e)
@@ -78,7 +83,7 @@
 		k.service(e.Service).adoptSlot(now, e)
 	case CacheUpdated:
 		k.service(e.Service).applyCacheUpdate(now, e)
-	case CacheListed, PartQueried:
+	case CacheListed, PartQueried, ListsNeeded:
 		return k.list(now, e)
 	case LimitReported, StatementReported:
 		return k.report(now, e)
@@ -105,6 +110,8 @@
 		return k.service(e.Service).cacheListed(now, e)
 	case PartQueried:
 		return k.service(e.Lookup.Service).queryPart(now, e)
+	case ListsNeeded:
+		return k.service(e.Service).listVersions(now)
 	}
 	return nil
 }
@@ -115,7 +122,7 @@
 	case EndpointRegistered:
 		return k.register(now, e.Record)
 	case EndpointRemoved:
-		return k.unregister(e.ID)
+		return k.unregister(now, e.ID)
 	case DataCentreEvacuated:
 		return k.evacuate(now, e)
 	}
@@ -153,7 +160,7 @@
 	s := k.services[name]
 	if s == nil {
 		s = newService(name, k.cfg)
-		s.reachableShare, s.evacuated = k.reachableShare, k.evacuated
+		s.reachableShare, s.evacuated, s.startedAt = k.reachableShare, k.evacuated, k.startedAt
 		k.services[name] = s
 	}
 	return s
@@ -171,19 +178,19 @@
 // register adds an endpoint to its service and removes it from the one for which it was registered before.
 func (k *Keeper) register(now time.Time, r endpoint.Record) []Command {
 	if old, ok := k.serviceByEndpoint[r.Instance.ID]; ok && old != r.Service {
-		k.service(old).remove(r.Instance.ID)
+		k.service(old).remove(now, r.Instance.ID)
 	}
 	k.serviceByEndpoint[r.Instance.ID] = r.Service
 	return k.service(r.Service).add(now, r)
 }
 
-func (k *Keeper) unregister(id endpoint.ID) []Command {
+func (k *Keeper) unregister(now time.Time, id endpoint.ID) []Command {
 	service, ok := k.serviceByEndpoint[id]
 	if !ok {
 		return nil
 	}
 	delete(k.serviceByEndpoint, id)
-	k.service(service).remove(id)
+	k.service(service).remove(now, id)
 	return nil
 }
 
@@ -229,6 +236,9 @@
 	return k.service(service).endpoints[id]
 }
 
+// Services returns the names of the services, in order.
+func (k *Keeper) Services() []site.ServiceName { return sortedKeys(k.services) }
+
 // LastEndpoint returns the endpoint that last served a prompt with the same shared prefix; empty when none is known.
 func (k *Keeper) LastEndpoint(now time.Time, name site.ServiceName, p chat.Prompt) endpoint.ID {
 	return k.service(name).lastEndpoint(now, p)
--- a/fleet/pool/list_group.go
+++ b/fleet/pool/list_group.go
@@ -16,8 +16,10 @@
 // GroupAnswer is what a host knows of the engines of a group that may cache a part of a prompt.
 type GroupAnswer struct {
 	Group ListGroup
-	// Found has the versions whose engines cache the part, in order.
-	Found []endpoint.Version
+	// Found has the versions whose engines cache the part, or did until they left, in order. Possible has those whose engines may cache it only for
+	// requests that came after the host started, so that it is no sign by itself of where an older stream began.
+	Found    []endpoint.Version
+	Possible []endpoint.Version
 	// Awaited has the versions of the engines that are still to be asked or awaited, in order, and Unlisted is true if an engine has not listed its
 	// cache, awaited or not.
 	Awaited  []endpoint.Version
@@ -54,9 +56,9 @@
 // isAll reports whether the group has all engines.
 func (g ListGroup) isAll() bool { return g.Count <= 1 }
 
-// contains reports whether an engine belongs to the group.
-func (g ListGroup) contains(st *endpointState) bool {
-	return g.isAll() || st.hash%uint64(g.Count) == uint64(g.Index)
+// contains reports whether the engine with a hash belongs to the group.
+func (g ListGroup) contains(hash uint64) bool {
+	return g.isAll() || hash%uint64(g.Count) == uint64(g.Index)
 }
 
 // members returns the engines of a group, in order of ID.
@@ -69,7 +71,7 @@
 	}
 	var members []*endpointState
 	for _, st := range s.sorted {
-		if g.contains(st) {
+		if g.contains(st.hash) {
 			members = append(members, st)
 		}
 	}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -43,10 +43,13 @@
 	groups       groups
 	maxGroupSize int
 	caching      cacheIndex
-	heldSlots    map[Ticket]*heldSlot
-	queue        requestQueue
-	budget       retryBudget
-	serial       serialRuns
+	// departed remembers the caches of engines that have left, and startedAt is when this host began to follow the services.
+	departed  departedEngines
+	startedAt time.Time
+	heldSlots map[Ticket]*heldSlot
+	queue     requestQueue
+	budget    retryBudget
+	serial    serialRuns
 	// sent holds the newest cache update for the standbys by shared prefix, and pending the updates to be sent at the
 	// next tick.
 	sent    map[chat.PartID]sentUpdate
@@ -124,7 +127,8 @@
 		s.registerCold(now, st, false)
 		return s.drainQueue(now)
 	}
-	s.remove(r.Instance.ID)
+	s.remove(now, r.Instance.ID)
+	s.departed.restore(r.Instance)
 	st := newEndpointState(r)
 	st.limiter, st.arrivals, st.evacuated = s.limiters[r.Instance], s.arrivalsOf(r.Instance.ID), s.evacuated[r.DataCentre]
 	st.limited = st.limiter.limited()
@@ -140,12 +144,15 @@
 	return s.drainQueue(now)
 }
 
-func (s *service) remove(id endpoint.ID) {
+func (s *service) remove(now time.Time, id endpoint.ID) {
 	st := s.endpoints[id]
 	if st == nil {
 		return
 	}
 	delete(s.endpoints, id)
+	if s.engine != nil {
+		s.departed.add(now, st)
+	}
 	s.perDataCentre.remove(st.record.DataCentre)
 	if at, found := searchEndpoint(s.sorted, id); found {
 		s.sorted = slices.Delete(s.sorted, at, at+1)
@@ -171,10 +178,17 @@
 	}
 }
 
-// addPart records that an engine has a part of a prompt in its cache.
-func (s *service) addPart(now time.Time, st *endpointState, part chat.PartID) {
-	st.cachedParts[part] = now
-	s.caching.used(part, st)
+// grantPart records that an engine gets a request with a part of a prompt, which it caches from then on.
+func (s *service) grantPart(now time.Time, st *endpointState, id chat.PartID) {
+	part, known := st.cachedParts[id]
+	part.usedAt, part.granted = now, part.granted || !known
+	s.putPart(now, st, id, part)
+}
+
+// putPart records what is known of a part that an engine caches.
+func (s *service) putPart(now time.Time, st *endpointState, id chat.PartID, part cachedPart) {
+	st.cachedParts[id] = part
+	s.caching.used(id, st)
 	if len(st.cachedParts) <= maxParts {
 		return
 	}
@@ -205,8 +219,9 @@
 	st.begin(now, h.work, readMs)
 	s.addRunning(st, 1)
 	for _, part := range p.CachedParts() {
-		s.addPart(now, st, part.ID)
+		s.grantPart(now, st, part.ID)
 	}
+	s.noteOwnPart(now, st, p)
 }
 
 // releaseSlot frees a held slot and records the result of the request at the endpoint.
--- a/fleet/pool/start_lookup_test.go
+++ b/fleet/pool/start_lookup_test.go
@@ -354,7 +354,7 @@
 
 func atHome(home []ListGroup, st *endpointState) bool {
 	for _, g := range home {
-		if g.contains(st) {
+		if g.contains(st.hash) {
 			return true
 		}
 	}
