Ask the guard of an unmarked end whether its process goes on, since an open connection may be silent

Cause: the end of an answer without a length is judged by a connection that was opened before, the guard. It had gone silent with the others, so that the end of its process did not arrive; that was taken for a process that goes on. Change: after the answer's end the guard is asked, and its process goes on if anything is answered within 0.2 s. A process that was killed cannot answer. A guard that was not heard for a second is asked when an answer begins, too, and replaced if it does not answer. Beside a silent guard other open connections count for nothing, and the process that listens is asked whether it is the registered one. A reset with a question unread counts as the end of the process, as the kernel resets then. The stand-in's process answers nothing any more from the moment at which it ends (Endpoint.End): its connections are closed one by one, and the guard's answered in between.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
@@ -30,8 +31,9 @@
 	Body   []byte
 	// StartedAt is the start time of the process that is registered at the address; 0 when unknown.
 	StartedAt int64
-	// Process is the process that the request is bound to.
-	Process Process
+	// Endpoint is the endpoint that the request is meant for, and Process the process that the request is bound to.
+	Endpoint endpoint.ID
+	Process  Process
 	// Written is called once when Body is no longer in use: with nil after the request was written, with an error if it was not written to
 	// its end. Nil means that it is not called.
 	Written func(error)
@@ -56,6 +58,9 @@
 	// writeDone receives the result of a write that runs while the answer is read; nil when the request was written before.
 	writeDone   chan error
 	releaseOnce sync.Once
+	// instance is the endpoint that the request is meant for, and startedAt Request.StartedAt.
+	instance  endpoint.ID
+	startedAt int64
 	// guard is the guard of the answer; nil if there is none.
 	guard *Guard
 }
@@ -74,7 +79,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	_ = c.SetDeadline(deadline)
-	x := &Exchange{pool: p, conn: c, beganAt: timer.BootClock()}
+	x := &Exchange{pool: p, conn: c, instance: r.Endpoint, startedAt: r.StartedAt, beganAt: timer.BootClock()}
 	if err := x.send(r); err != nil {
 		x.closeFailed(err)
 		return nil, err
--- a/entry/connection/guard_test.go
+++ b/entry/connection/guard_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -137,3 +138,95 @@
 	require.Equal(t, GuardAbsent, a.guard.State(), "closed")
 	a.guard.x.guard = nil
 }
+
+// ask asks the guard and returns its state once that is no longer GuardOpen.
+func (a *guardedAnswer) ask(t *testing.T) GuardState {
+	t.Helper()
+	a.guard.Ask()
+	require.Eventually(t, func() bool { return a.guard.State() != GuardOpen }, time.Minute, time.Millisecond)
+	return a.guard.State()
+}
+
+// startAnsweringGuard is startGuardedAnswer at an endpoint that answers each question over the sentinel with a status line.
+func startAnsweringGuard(t *testing.T, reply string) *guardedAnswer {
+	a := &guardedAnswer{pool: newPool()}
+	t.Cleanup(a.pool.Close)
+	s := startScriptedServer(t,
+		func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			a.keep(conn)
+			s.read(r)
+			_, _ = io.WriteString(conn, answerStart+"\r\nfirst part")
+			_, _ = r.ReadByte()
+		},
+		func(_ *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			a.keep(conn)
+			for {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, reply)
+			}
+		})
+	x, err := do(t, a.pool, s, "1")
+	require.NoError(t, err)
+	t.Cleanup(x.Finish)
+	a.guard = x.Guard()
+	require.Eventually(t, func() bool { return a.connCount() == 2 && a.guard.State() == GuardOpen }, time.Minute, time.Millisecond)
+	return a
+}
+
+func (a *guardedAnswer) keep(conn net.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conns = append(a.conns, conn)
+}
+
+func TestGuardIsAliveOnceItHasAnsweredWhateverItSays(t *testing.T) {
+	t.Parallel()
+	for _, reply := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	} {
+		require.Equal(t, GuardAlive, startAnsweringGuard(t, reply).ask(t), reply)
+	}
+}
+
+func TestGuardOfAnEndedProcessHasEndedThoughItIsAsked(t *testing.T) {
+	t.Parallel()
+	a := startAnsweringGuard(t, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+	a.endProcess()
+	require.Equal(t, GuardEnded, a.ask(t))
+}
+
+// Guards against MIXED: the kernel resets a connection whose process ended with a question unread, which was taken for an endpoint that takes no further
+// connections.
+func TestGuardHasEndedIfItIsResetWithAQuestionUnread(t *testing.T) {
+	t.Parallel()
+	a := startGuardedAnswer(t)
+	time.Sleep(2 * refusalTime)
+	a.guard.Ask()
+	require.Eventually(t, func() bool {
+		a.guard.s.mu.Lock()
+		defer a.guard.s.mu.Unlock()
+		return a.guard.s.question.unanswered()
+	}, time.Minute, time.Millisecond)
+	for _, conn := range a.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	a.endProcess()
+	require.Equal(t, GuardEnded, a.ask(t))
+}
+
+// Guards against LOST: a sentinel that had gone silent before an answer began guarded it, and all that followed.
+func TestSentinelThatIsSilentAtTheBeginOfAnAnswerIsReplaced(t *testing.T) {
+	t.Parallel()
+	a := startGuardedAnswer(t)
+	silent := a.guard.s
+	go a.pool.testSentinel(a.guard.x.conn.address, silent)
+	require.Eventually(t, func() bool {
+		a.guard.mu.Lock()
+		defer a.guard.mu.Unlock()
+		return a.guard.s != silent
+	}, time.Minute, time.Millisecond)
+	require.NotEqual(t, GuardAlive, a.guard.State())
+}
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -82,10 +82,10 @@
 	outlived atomic.Pointer[sentinel]
 	// connectedAt is when the connection was established, by timer.BootClock.
 	connectedAt time.Time
-	// asked is true once a report was asked for over the connection. startedAt is the start time that it stated, 0 if none, and misdirected is
+	// asked is true once a report was asked for over the connection, and answered if something was answered to that. startedAt is the start time that it stated, 0 if none, and misdirected is
 	// true if an endpoint with another ID answered.
-	asked, misdirected bool
-	startedAt          int64
+	asked, answered, misdirected bool
+	startedAt                    int64
 	// expires is the time from which the connection is not used again, because the endpoint may be closing it.
 	expires time.Time
 }
--- a/entry/connection/process.go
+++ b/entry/connection/process.go
@@ -93,7 +93,7 @@
 
 // contradicts reports whether the connection is known to lead to another process than that of an instance.
 func (c *pooledConn) contradicts(instance endpoint.Instance) bool {
-	return c.misdirected || (c.startedAt != 0 && c.startedAt != instance.StartedAt)
+	return c.misdirected || (c.startedAt != 0 && instance.StartedAt != 0 && c.startedAt != instance.StartedAt)
 }
 
 // askForReport asks for the report of the process that a connection leads to and notes what it says. It returns false if the connection can't
@@ -109,6 +109,7 @@
 		p.reportRead(c, ReportLost, err)
 		return false
 	}
+	c.answered = true
 	c.startedAt, err = platform.DecodeReport(r.status, r.body)
 	c.misdirected = errors.Is(err, platform.ErrMisdirected)
 	switch {
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -22,13 +21,21 @@
 	sentinelRetryInterval = time.Second
 	// sentinelSettleTime is the time in which all connections of a process that has ended are seen to end.
 	sentinelSettleTime = 20 * time.Millisecond
+	// staleAfter is the time after which a sentinel that was not heard is asked at the begin of an answer, and sentinelAnswerTime that in which it must
+	// answer then.
+	staleAfter         = time.Second
+	sentinelAnswerTime = 200 * time.Millisecond
 	// outlivedChecks is how often is looked for connections that outlived a sentinel: those with unread bytes can't show it each time.
 	outlivedChecks = 5
 )
 
-// sentinel is a connection to an endpoint over which nothing is sent. It ends with the process that accepted it, so that it tells that process
-// from another one at the same address. An endpoint whose answers are not framed leaves no other connection that could.
+// sentinel is a connection to an endpoint that ends with the process that accepted it, so that it tells that process from another one at the same
+// address. An endpoint whose answers are not framed leaves no other connection that could. Nothing is sent over it but questions whether the process
+// goes on; see Guard.Ask.
 type sentinel struct {
+	// instance is the endpoint that is asked.
+	instance endpoint.ID
+
 	mu sync.Mutex
 	// triedAt is when the attempt to connect began, by timer.BootClock.
 	triedAt time.Time
@@ -36,36 +43,43 @@
 	conn *pooledConn
 	// endedAt is when the connection ended or could not be established, by timer.BootClock; zero before.
 	endedAt time.Time
-	// failed is true if it could not be established, was closed here, or did not end in order.
+	// failed is true if it could not be established, was closed here, did not answer, or did not end in order.
 	failed bool
-	// idled is true if it ended at the age at which the endpoint ends idle connections.
+	// idled is true if the endpoint ended it as it ends idle connections.
 	idled bool
-	// guards are those that wait until it is established.
-	guards []*Guard
-	// active is how many answers it guards, and usedAt when that changed last.
-	active int
+	// guards are those of the answers that it guards. The value is true if the process that took the connection is known to be the one that
+	// writes the answer.
+	guards map[*Guard]bool
+	// usedAt is when guards changed last.
 	usedAt time.Time
 	// retired is true if it guards no further answers, so that it is closed after the last one.
 	retired bool
-	// idleTime is the age at which the endpoint ended a sentinel that other connections outlived; 0 if it ended none so. It is shared by the
-	// sentinels of an address.
-	idleTime *atomic.Int64
+	// question is what was asked and answered over it.
+	question question
+	// idleTime and askedIdleTime are the times after which the endpoint ended a sentinel that other connections outlived: one that was never asked,
+	// since it was established, and one that was, since its last answer; 0 if it ended none so. They are shared by the sentinels of an address.
+	idleTime, askedIdleTime *atomic.Int64
 }
 
 // Guard observes through a sentinel whether the process that writes one answer goes on.
 type Guard struct {
 	x *Exchange
+
+	mu sync.Mutex
+	// s is another one if the first one did not answer at the begin of the answer.
 	s *sentinel
-	// valid is true if the process that took the sentinel's connection is known to be the one that writes the answer.
-	valid bool
+	// askedAt is when Ask was called, by timer.BootClock; zero before.
+	askedAt time.Time
+	// moved is true after moveTo, and released after release.
+	moved, released bool
 }
 
-// check notes whether the answer's connection was open when the sentinel was already there: when the request began, or now. Both lead to the
+// follows reports whether the answer's connection was open when the sentinel was already there: when the request began, or now. Both lead to the
 // endpoint the same way, directly or through the same host, so that their ends arrive together. s.mu must be held.
-func (g *Guard) check() {
-	sentinel, answer := g.s.conn, g.x.conn
+func (g *Guard) follows(s *sentinel) bool {
+	sentinel, answer := s.conn, g.x.conn
 	wasThere := !sentinel.connectedAt.After(g.x.beganAt)
-	g.valid = sentinel.relay == answer.relay && (wasThere || answer.notEnded())
+	return sentinel.relay == answer.relay && (wasThere || answer.notEnded())
 }
 
 // notEnded reports whether the endpoint has not ended the connection, as far as this host has received. What comes through another host is known
@@ -75,22 +89,26 @@
 	return state == peerOpen || c.relay != "" && state == peerUnknown
 }
 
-// Guard returns a guard for the exchange's answer, until Finish or Abort. It connects to the endpoint if there is no sentinel yet.
+// Guard returns a guard for the exchange's answer, until Finish or Abort. It connects to the endpoint if there is no sentinel yet. One that was not heard
+// for long may be silent: it is asked, and replaced if it does not answer.
 func (x *Exchange) Guard() *Guard {
-	p := x.pool
+	p, now := x.pool, timer.BootClock()
 	p.mu.Lock()
 	s := p.sentinels[x.conn.address]
-	isNew := s == nil || s.replaceable(timer.BootClock())
+	isNew := s == nil || s.replaceable(now)
 	if isNew {
-		s = s.next(timer.BootClock())
+		s = s.next(now, x.instance)
 		p.sentinels[x.conn.address] = s
 	}
 	p.mu.Unlock()
 	g := &Guard{x: x, s: s}
 	s.add(g)
 	x.guard = g
-	if isNew {
+	switch {
+	case isNew:
 		go p.connectSentinel(x.conn.address, s)
+	case s.stale(now):
+		go p.testSentinel(x.conn.address, s)
 	}
 	return g
 }
@@ -99,15 +117,8 @@
 func (s *sentinel) add(g *Guard) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.active++
 	s.usedAt = timer.BootClock()
-	switch {
-	case s.failed:
-	case s.conn == nil:
-		s.guards = append(s.guards, g)
-	default:
-		g.check()
-	}
+	s.guards[g] = s.conn != nil && !s.failed && g.follows(s)
 }
 
 // release notes that the answer has ended. It has no effect on nil.
@@ -115,15 +126,28 @@
 	if g == nil {
 		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.released = true
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
-	g.s.active--
+	delete(g.s.guards, g)
 	g.s.usedAt = timer.BootClock()
-	if g.s.retired && g.s.active == 0 {
+	if g.s.retired && len(g.s.guards) == 0 {
 		g.s.close()
 	}
 }
 
+// moveTo lets another sentinel guard the answer.
+func (g *Guard) moveTo(s *sentinel) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.released {
+		g.s, g.moved = s, true
+		s.add(g)
+	}
+}
+
 // replaceable reports whether another sentinel is to be connected in place of this one: at once after its process ended, and not too soon after this
 // attempt if it failed.
 func (s *sentinel) replaceable(now time.Time) bool {
@@ -143,13 +167,11 @@
 	if !s.established(c, err) {
 		return
 	}
-	var buf [1]byte
-	n, err := c.Read(buf[:])
+	err = s.readAnswers()
 	s.mu.Lock()
 	s.endedAt = timer.BootClock()
-	// An endpoint that takes no further connections resets this one, and a path that is lost ends it: neither tells of the process.
-	s.failed = s.failed || n > 0 || !errors.Is(err, io.EOF)
-	s.idled = !s.failed && s.endedIdle()
+	s.failed = s.failed || !s.tellsEnd(err)
+	s.idled = !s.failed && (s.question.last || s.endedIdle())
 	tells := !s.failed && !s.idled
 	s.mu.Unlock()
 	_ = c.Conn.Close()
@@ -168,32 +190,51 @@
 		for _, c := range conns {
 			if c.goesOn() && c.connectedAt.Before(s.endedAt) {
 				c.outlived.Store(s)
-				s.idleTime.Store(int64(s.endedAt.Sub(s.conn.connectedAt)))
+				s.noteIdleTime()
 			}
 		}
 	}
 }
 
-// next returns a sentinel for the same address; nil stands for the first one.
-func (s *sentinel) next(now time.Time) *sentinel {
-	if s == nil {
-		return &sentinel{triedAt: now, idleTime: new(atomic.Int64)}
+// next returns a sentinel for the same address; nil stands for the first one. instance is the endpoint that is registered there.
+func (s *sentinel) next(now time.Time, instance endpoint.ID) *sentinel {
+	next := &sentinel{triedAt: now, instance: instance, guards: make(map[*Guard]bool), idleTime: new(atomic.Int64), askedIdleTime: new(atomic.Int64)}
+	if s != nil {
+		next.idleTime, next.askedIdleTime = s.idleTime, s.askedIdleTime
 	}
-	return &sentinel{triedAt: now, idleTime: s.idleTime}
+	return next
+}
+
+// idle returns for how long nothing had come over the sentinel when it ended, and the endpoint's idle time for such connections. s.mu must be held.
+func (s *sentinel) idle() (idle time.Duration, limit *atomic.Int64) {
+	if s.question.answeredAt.IsZero() {
+		return s.endedAt.Sub(s.conn.connectedAt), s.idleTime
+	}
+	return s.endedAt.Sub(s.question.answeredAt), s.askedIdleTime
 }
 
 // endedIdle reports whether the sentinel ended at the age at which the endpoint ends connections over which nothing comes. s.mu must be held.
 func (s *sentinel) endedIdle() bool {
-	idle, age := time.Duration(s.idleTime.Load()), s.endedAt.Sub(s.conn.connectedAt)
-	return idle > 0 && (age-idle).Abs() <= sentinelSettleTime+idle/20
+	idle, known := s.idle()
+	limit := time.Duration(known.Load())
+	return limit > 0 && (idle-limit).Abs() <= sentinelSettleTime+limit/20
+}
+
+// noteIdleTime learns the endpoint's idle time from a sentinel that other connections outlived.
+func (s *sentinel) noteIdleTime() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.question.unanswered() {
+		return
+	}
+	idle, limit := s.idle()
+	limit.Store(int64(idle))
 }
 
 // established notes the result of the attempt to connect and returns whether there is a connection that can be observed.
 func (s *sentinel) established(c *pooledConn, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	guards := s.guards
-	s.guards = nil
 	// It may have been closed meanwhile.
 	if err != nil || s.failed {
 		if err == nil {
@@ -203,9 +244,10 @@
 		return false
 	}
 	s.conn = c
-	for _, g := range guards {
-		g.check()
+	for g := range s.guards {
+		s.guards[g] = g.follows(s)
 	}
+	s.sendQuestion()
 	return true
 }
 
@@ -215,8 +257,12 @@
 const (
 	// GuardAbsent means that there was no connection to observe.
 	GuardAbsent GuardState = iota
-	// GuardOpen means that the process goes on.
+	// GuardOpen means that the end of its connection has not arrived.
 	GuardOpen
+	// GuardSilent means that its connection did not answer and did not end in order either.
+	GuardSilent
+	// GuardAlive means that the process has answered since Ask was called.
+	GuardAlive
 	// GuardEnded means that its connection ended, and that the answer's did not stay open after it.
 	GuardEnded
 )
@@ -224,12 +270,21 @@
 // State returns what the guard has seen. A sentinel that the answer's connection outlived says nothing. When the end of the answer is read does not
 // matter: with a caller that reads slowly, that is long after it arrived.
 func (g *Guard) State() GuardState {
-	g.s.mu.Lock()
-	defer g.s.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch {
-	case !g.valid, g.s.failed, g.s.idled, g.x.conn.outlived.Load() == g.s:
+	case !s.guards[g] && g.moved, s.guards[g] && s.failed && s.question.unanswered():
+		return GuardSilent
+	case !s.guards[g]:
+		return GuardAbsent
+	case s.question.answeredSince(g.askedAt):
+		return GuardAlive
+	case s.failed, s.idled, g.x.conn.outlived.Load() == s:
 		return GuardAbsent
-	case g.s.endedAt.IsZero():
+	case s.endedAt.IsZero():
 		return GuardOpen
 	}
 	return GuardEnded
@@ -239,7 +294,7 @@
 func (p *Pool) sweepSentinels(now time.Time) {
 	for address, s := range p.sentinels {
 		s.mu.Lock()
-		old := s.active == 0 && now.Sub(s.usedAt) > sentinelLifetime
+		old := len(s.guards) == 0 && now.Sub(s.usedAt) > sentinelLifetime
 		s.mu.Unlock()
 		if old {
 			p.closeSentinel(address)
@@ -254,7 +309,7 @@
 		return
 	}
 	s.mu.Lock()
-	active := s.active
+	active := len(s.guards)
 	s.mu.Unlock()
 	if active == 0 {
 		p.closeSentinel(address)
@@ -271,7 +326,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retired = true
-	if s.active == 0 {
+	if len(s.guards) == 0 {
 		s.close()
 	}
 }
--- a/entry/connection/sentinel_test.go
+++ b/entry/connection/sentinel_test.go
@@ -218,7 +218,7 @@
 		idle: true, idle - 60*time.Millisecond: true, idle + 60*time.Millisecond: true,
 		idle / 2: false, idle - 100*time.Millisecond: false, idle + 100*time.Millisecond: false,
 	} {
-		s := (*sentinel)(nil).next(time.Unix(1000, 0))
+		s := (*sentinel)(nil).next(time.Unix(1000, 0), "i-1")
 		s.conn = &pooledConn{connectedAt: time.Unix(1000, 0)}
 		s.endedAt = s.conn.connectedAt.Add(age)
 		require.False(t, s.endedIdle(), "an idle time that is not known")
--- a/entry/connection/witness.go
+++ b/entry/connection/witness.go
@@ -7,8 +7,11 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"balsamknot.org/fleet/endpoint"
 )
 
 // Witness is a connection to an endpoint, beside that of an exchange, that shows whether the endpoint goes on. When the process at the endpoint
@@ -47,6 +50,21 @@
 	return Witness{conn: c}, err
 }
 
+// Listener asks the process that a connection of Connect leads to whether it is the one that is registered as the exchange's endpoint. known is false if it
+// did not answer in time.
+func (x *Exchange) Listener(ctx context.Context, w Witness) (registered, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, listenerTimeout)
+	defer cancel()
+	instance := endpoint.Instance{ID: x.instance, StartedAt: x.startedAt}
+	if !x.pool.askForReport(ctx, w.conn, instance) {
+		w.conn.single.Store(true)
+	}
+	return !w.conn.contradicts(instance), w.conn.answered
+}
+
+// listenerTimeout limits the time for the answer to Listener.
+const listenerTimeout = 100 * time.Millisecond
+
 // Release makes a connection of Connect available to requests, unless the endpoint has ended it.
 func (w Witness) Release() {
 	if w.conn.peerState() == peerEnded {
--- a/entry/node/completion.go
+++ b/entry/node/completion.go
@@ -20,6 +20,8 @@
 	endSettleTime = 20 * time.Millisecond
 	// minRestartTime is the time in which a new connection must be established to show that the endpoint did not stop listening.
 	minRestartTime = 100 * time.Millisecond
+	// endAnswerTime is the time in which the guard of an answer is heard if its process goes on.
+	endAnswerTime = 200 * time.Millisecond
 	// endRetryInterval is the time between two attempts to connect to an endpoint that does not react, and endCheckTimeout that after which
 	// the end of its answer stays unconfirmed.
 	endRetryInterval = 100 * time.Millisecond
@@ -61,8 +63,9 @@
 // checkEnd carries out a completion.Check. It also returns what was last observed of the endpoint's connections.
 func checkEnd(ctx context.Context, x *connection.Exchange, guard *connection.Guard) (verdict completion.Verdict, seen completion.Observed) {
 	check := completion.New(completion.Config{
-		Settle: endSettleTime, RestartTime: minRestartTime, RetryInterval: endRetryInterval, Timeout: endCheckTimeout,
+		Settle: endSettleTime, RestartTime: minRestartTime, AnswerTime: endAnswerTime, RetryInterval: endRetryInterval, Timeout: endCheckTimeout,
 	})
+	guard.Ask()
 	others := x.Witnesses()
 	var newest *connection.Witness
 	next := check.Update(timer.BootClock(), completion.Ended{})
@@ -85,6 +88,9 @@
 			seen = observe(others, newest)
 			seen.Guard = guardStates[guard.State()]
 			next = check.Update(timer.BootClock(), seen)
+		case completion.Identify:
+			guard.GiveUp()
+			next = check.Update(timer.BootClock(), completion.Identified{Listener: identify(ctx, x, newest)})
 		case completion.Conclude:
 			return c.Verdict, seen
 		}
@@ -92,7 +98,23 @@
 }
 
 var guardStates = map[connection.GuardState]completion.Guard{
-	connection.GuardAbsent: completion.GuardAbsent, connection.GuardOpen: completion.GuardOpen, connection.GuardEnded: completion.GuardEnded,
+	connection.GuardAbsent: completion.GuardAbsent, connection.GuardOpen: completion.GuardOpen, connection.GuardSilent: completion.GuardSilent,
+	connection.GuardAlive: completion.GuardAlive, connection.GuardEnded: completion.GuardEnded,
+}
+
+// identify returns which process the newest connection leads to, if there is one.
+func identify(ctx context.Context, x *connection.Exchange, newest *connection.Witness) completion.Listener {
+	if newest == nil || newest.Ended() {
+		return completion.ListenerUnknown
+	}
+	registered, known := x.Listener(ctx, *newest)
+	switch {
+	case !known:
+		return completion.ListenerUnknown
+	case registered:
+		return completion.ListenerRegistered
+	}
+	return completion.ListenerOther
 }
 
 // observe returns the state of the connections that were there before, and of the newest one, if any.
--- a/entry/node/crash_request_test.go
+++ b/entry/node/crash_request_test.go
@@ -226,6 +226,7 @@
 			return
 		}
 		_, _ = io.WriteString(conn, "id: 1\ndata: a\n\n")
+		e.End()
 		_ = conn.Close()
 		end(s, e, w)
 	}
--- a/entry/node/unmarked_end_test.go
+++ b/entry/node/unmarked_end_test.go
@@ -103,6 +103,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ended = true
+	e.End()
 	_ = e.Listener.Close()
 	for conn := range e.conns {
 		_ = conn.Close()
@@ -115,6 +116,8 @@
 func (e *unframedEndpoint) replaceAtOnce() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.AnswerReports(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	defer e.AnswerReports(nil)
 	for conn := range e.conns {
 		_ = conn.Close()
 	}
@@ -288,6 +291,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ended = true
+	e.End()
 	_ = e.Listener.Close()
 	var late []net.Conn
 	for conn := range e.conns {
--- a/fleet/completion/completion.go
+++ b/fleet/completion/completion.go
@@ -4,6 +4,9 @@
 // A new connection is opened at once: one that is established and stays shows that something listens at the address right after the answer's end,
 // but not that it is the same process. The connections that were open before show the rest. They end together with the process, and stay when
 // it ended only the one answer. One of them, the guard, is opened for that while the answer comes.
+//
+// An open connection may have gone silent, so that its end does not arrive here. The guard is therefore asked a question after the answer's end: its
+// process goes on if it answers. A guard that does not answer says nothing, and neither do the connections that stay open beside it.
 package completion
 
 import "time"
@@ -14,6 +17,8 @@
 	Settle time.Duration
 	// RestartTime is the time in which a connection must be established to show that the endpoint did not stop listening.
 	RestartTime time.Duration
+	// AnswerTime is the time in which the guard's process answers if it goes on.
+	AnswerTime time.Duration
 	// RetryInterval is the time between two attempts to connect, and Timeout that after which the answer stays unconfirmed.
 	RetryInterval, Timeout time.Duration
 }
@@ -50,12 +55,27 @@
 type Observed struct {
 	// NewOpen is true if the new connection is open.
 	NewOpen bool
-	// Open is how many of the earlier connections are open, and Ended how many the endpoint has ended since.
+	// Open is how many of the earlier connections are open as far as this host can tell, and Ended how many the endpoint has ended since.
 	Open, Ended int
 	// Guard is the state of the connection that was opened while the answer came.
 	Guard Guard
 }
 
+// Identified reports which process the new connection leads to.
+type Identified struct{ Listener Listener }
+
+// Listener is the process that listens at the endpoint's address after an answer's end.
+type Listener string
+
+// Listeners.
+const (
+	// ListenerUnknown means that it was not asked, or did not answer.
+	ListenerUnknown Listener = ""
+	// ListenerRegistered means that it is the one that is registered, and ListenerOther that it is another one.
+	ListenerRegistered Listener = "registered"
+	ListenerOther      Listener = "other"
+)
+
 // Guard is the state of the connection that guards an answer.
 type Guard string
 
@@ -63,9 +83,12 @@
 const (
 	// GuardAbsent means that there is none.
 	GuardAbsent Guard = ""
-	// GuardOpen means that the process which took it goes on, and GuardEnded that it ended together with the answer.
-	GuardOpen  Guard = "open"
-	GuardEnded Guard = "ended"
+	// GuardOpen means that its end has not arrived, GuardSilent that it did not answer in time, GuardAlive that the process which took it has answered since the answer's end, and GuardEnded
+	// that it ended together with the answer.
+	GuardOpen   Guard = "open"
+	GuardSilent Guard = "silent"
+	GuardAlive  Guard = "alive"
+	GuardEnded  Guard = "ended"
 )
 
 func (Ended) event()       {}
@@ -73,6 +96,7 @@
 func (Refused) event()     {}
 func (Unreachable) event() {}
 func (Observed) event()    {}
+func (Identified) event()  {}
 
 // Command is the next step of a Check. Update returns exactly one for each event.
 type Command interface{ command() }
@@ -83,11 +107,15 @@
 // Observe asks for Observed after a time.
 type Observe struct{ After time.Duration }
 
+// Identify asks for Identified, and that the guard, which does not answer, be given up.
+type Identify struct{}
+
 // Conclude ends the check.
 type Conclude struct{ Verdict Verdict }
 
 func (Connect) command()  {}
 func (Observe) command()  {}
+func (Identify) command() {}
 func (Conclude) command() {}
 
 // Check is the state of one answer. It is not safe for concurrent use.
@@ -97,6 +125,11 @@
 	// inTime is true if the new connection was established within RestartTime of the answer's end, and refused if nothing listened at the last
 	// attempt.
 	inTime, refused bool
+	// seen is what was last observed.
+	seen Observed
+	// silent is true if the guard did not answer, and listener is the process that listens then.
+	silent   bool
+	listener Listener
 }
 
 // New returns a check that waits for Ended.
@@ -118,26 +151,50 @@
 		c.inTime, c.refused = false, false
 		return Observe{After: c.cfg.Settle}
 	case Observed:
-		return c.judge(now, e)
+		c.seen = e
+		return c.judge(now)
+	case Identified:
+		c.listener = e.Listener
+		return c.judge(now)
 	}
 	return Conclude{Unconfirmed}
 }
 
-// judge concludes from what is seen of the connections. A new connection that was established late may lead to a process that started since. One
-// that was established in time may do so, too, unless an earlier connection stays or there was none that could have ended. Where nothing listens,
-// the process has ended, or it is leaving and completes its answers: then earlier connections stay until Timeout.
-func (c *Check) judge(now time.Time, e Observed) Command {
-	staying := e.Open > 0 || e.Guard == GuardOpen
-	timedOut := now.Sub(c.endedAt) >= c.cfg.Timeout
+// judge concludes from what is seen of the connections. Where nothing listens, the process has ended, or it is leaving and completes its answers: then its
+// guard answers.
+func (c *Check) judge(now time.Time) Command {
+	e := c.seen
+	elapsed := now.Sub(c.endedAt)
 	switch {
-	case e.Guard == GuardEnded, c.refused && !staying:
+	case e.Guard == GuardAlive:
+		return Conclude{Complete}
+	case e.Guard == GuardEnded, c.listener == ListenerOther, c.refused && e.Open == 0 && e.Guard == GuardAbsent:
 		return Conclude{BrokenOff}
-	case c.refused && !timedOut:
-		return Connect{After: c.cfg.RetryInterval}
-	case staying && e.Ended == 0, c.refused, c.inTime && e.NewOpen && (staying || e.Ended == 0):
+	case e.Guard == GuardOpen && elapsed < c.cfg.AnswerTime:
+		return Observe{After: c.cfg.Settle}
+	case !c.silent && (e.Guard == GuardOpen || e.Guard == GuardSilent):
+		c.silent = true
+		return Identify{}
+	case c.listens():
 		return Conclude{Complete}
-	case e.NewOpen, timedOut:
+	case e.NewOpen, elapsed >= c.cfg.Timeout:
 		return Conclude{Unconfirmed}
 	}
 	return Connect{After: c.cfg.RetryInterval}
 }
+
+// listens reports whether something listened at the endpoint's address right after the answer's end, and the earlier connections do not show that it is another
+// process. A new connection that was established late may lead to a process that started since. One that was established in time may do so, too,
+// unless an earlier one stays or there was none that could have ended. Beside a guard that is silent, the others may be, too.
+func (c *Check) listens() bool {
+	e := c.seen
+	switch {
+	case !c.inTime:
+		return false
+	case c.silent:
+		return e.NewOpen && (e.Ended == 0 || c.listener == ListenerRegistered)
+	case e.Open > 0:
+		return e.NewOpen || e.Ended == 0
+	}
+	return e.NewOpen && e.Ended == 0
+}
