Tell a reset from an orderly end where the write of the request was told of it

Callers got part of an answer as a whole one: a runner answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. Cause: the kernel reports a reset once, to the side of the connection that asks first. If that is the write of the request, the read sees an orderly end. Nobody asked for the result of the write. A relay copies both directions, and told its host that the endpoint ended in order. Change: reset.Watch remembers a reset of which a write was told. At the end of an answer that only the end of the connection marks, the state of the socket says whether the end came first (CLOSE-WAIT); else the write in progress is awaited, and a reset makes the answer incomplete. Also: the begin of an answer to a guard's question shows that its process goes on, however that answer ends.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/timer"
@@ -114,6 +115,27 @@
 	return nil
 }
 
+// Write implements net.Conn.
+func (c *pooledConn) Write(p []byte) (int, error) { return c.writes.Write(c.Conn, p) }
+
+// errReset means that the endpoint reset the connection whose end was to end the answer.
+var errReset = errors.New("the connection was reset")
+
+// unmarkedBody is the body of an answer that only the end of its connection ends. A relay says itself whether the endpoint's connection ended in order.
+type unmarkedBody struct {
+	io.ReadCloser
+	conn *pooledConn
+}
+
+// Read implements io.Reader. The error is io.EOF only if the connection ended in order.
+func (b unmarkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.conn.relay == "" && !b.conn.writes.EndedInOrder(b.conn.Conn) {
+		err = eris.Wrapf(errors.Join(errReset, io.ErrUnexpectedEOF), "read the answer of endpoint %s", b.conn.address)
+	}
+	return n, err
+}
+
 // writeAll writes parts one after the other, without copying them together.
 func (c *pooledConn) writeAll(parts ...[]byte) error {
 	for _, part := range parts {
@@ -161,16 +183,19 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		answer := platform.ReadAnswer(response.StatusCode, response.Header)
-		if answer.ID == id || (answer.ID == "" && response.StatusCode >= http.StatusBadRequest) {
-			x.Response, x.Answer = response, answer
+		a := platform.ReadAnswer(response.StatusCode, response.Header)
+		if a.ID == id || (a.ID == "" && response.StatusCode >= http.StatusBadRequest) {
+			x.Response, x.Answer = response, a
+			if !answer.EndMarked(response) {
+				response.Body = unmarkedBody{response.Body, x.conn}
+			}
 			return nil
 		}
 		if response.Close {
-			return eris.Errorf("answer belongs to request %q, which also ends the connection", answer.ID)
+			return eris.Errorf("answer belongs to request %q, which also ends the connection", a.ID)
 		}
 		if !readToEnd(response.Body) {
-			return eris.Errorf("the answer to request %q, which was skipped, broke off or is too long", answer.ID)
+			return eris.Errorf("the answer to request %q, which was skipped, broke off or is too long", a.ID)
 		}
 	}
 	return eris.Errorf("more than %d other answers came first", maxSkippedAnswers)
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -21,6 +21,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"balsamknot.org/entry/reset"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/timer"
 )
@@ -82,6 +83,8 @@
 	outlived atomic.Pointer[sentinel]
 	// connectedAt is when the connection was established, by timer.BootClock.
 	connectedAt time.Time
+	// writes remembers a reset of which a write was told.
+	writes reset.Watch
 	// asked is true once a report was asked for over the connection, and answered if something was answered to that. startedAt is the start time that it stated, 0 if none, and misdirected is
 	// true if an endpoint with another ID answered.
 	asked, answered, misdirected bool
--- a/entry/connection/question.go
+++ b/entry/connection/question.go
@@ -15,7 +15,7 @@
 
 // question is the state of the questions over a sentinel. One is sent at a time.
 type question struct {
-	// askedAt is when the one was sent that is not answered yet; zero if there is none. again is true if another one is to follow it.
+	// askedAt is when the one was sent whose answer has not ended yet; zero if there is none. again is true if another one is to follow it.
 	askedAt time.Time
 	again   bool
 	// sendErr is the error with which the last one was sent.
@@ -26,8 +26,8 @@
 	last bool
 }
 
-// unanswered reports whether there is a question that is not answered.
-func (q question) unanswered() bool { return !q.askedAt.IsZero() }
+// unanswered reports whether there is a question whose answer has not begun.
+func (q question) unanswered() bool { return !q.askedAt.IsZero() && q.answered.Before(q.askedAt) }
 
 // answeredSince reports whether a question was answered that was sent at t or later. It is false for a zero t.
 func (q question) answeredSince(t time.Time) bool { return !t.IsZero() && !q.answered.Before(t) }
@@ -113,18 +113,26 @@
 		return eris.Wrapf(err, "read the answer of the process at %s", s.conn.address)
 	}
 	defer response.Body.Close()
+	s.noteAnswer(response.Close)
 	if !readToEnd(response.Body) {
 		return eris.Errorf("the answer of the process at %s broke off or is too long", s.conn.address)
 	}
 	s.conn.limited.left = unlimited
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q := &s.question
-	q.answeredAt, q.answered, q.askedAt, q.last = timer.BootClock(), q.askedAt, time.Time{}, response.Close
+	s.question.askedAt = time.Time{}
 	s.sendQuestion()
 	return nil
 }
 
+// noteAnswer notes the begin of an answer, which shows that the process goes on. last is true if the endpoint ends the connection after it.
+func (s *sentinel) noteAnswer(last bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := &s.question
+	q.answeredAt, q.answered, q.last = timer.BootClock(), q.askedAt, last
+}
+
 // heardAt returns when the process was last heard: when the connection was established, or answered a question. s.mu must be held.
 func (s *sentinel) heardAt() time.Time {
 	if s.question.answeredAt.After(s.conn.connectedAt) {
--- a/entry/peer/tunnel.go
+++ b/entry/peer/tunnel.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"balsamknot.org/entry/reset"
 	"balsamknot.org/fleet/endpoint"
 )
 
@@ -173,24 +174,32 @@
 // connections. sent holds what the host sent after its request.
 func Relay(client net.Conn, sent io.Reader, upstream net.Conn) {
 	var wg sync.WaitGroup
+	to := &watchedWriter{conn: upstream}
 	wg.Go(func() {
 		defer upstream.Close()
-		_, _ = io.CopyBuffer(onlyWriter{upstream}, io.MultiReader(sent, onlyReader{client}), make([]byte, tunnelReaderSize))
+		_, _ = io.CopyBuffer(to, io.MultiReader(sent, onlyReader{client}), make([]byte, tunnelReaderSize))
 	})
-	copyChunks(client, upstream)
+	copyChunks(client, upstream, &to.writes)
 	_ = upstream.Close()
 	_ = client.Close()
 	wg.Wait()
 }
 
-// onlyReader and onlyWriter hide the methods with which io.Copy would let the kernel copy.
-type (
-	onlyReader struct{ io.Reader }
-	onlyWriter struct{ io.Writer }
-)
+// onlyReader hides the methods with which io.Copy would let the kernel copy.
+type onlyReader struct{ io.Reader }
+
+// watchedWriter writes to the connection to an endpoint.
+type watchedWriter struct {
+	conn   net.Conn
+	writes reset.Watch
+}
+
+// Write implements io.Writer.
+func (w *watchedWriter) Write(p []byte) (int, error) { return w.writes.Write(w.conn, p) }
 
-// copyChunks copies what the endpoint sends to the host. It resets the host's connection if the endpoint's broke off.
-func copyChunks(client, upstream net.Conn) {
+// copyChunks copies what the endpoint sends to the host. It resets the host's connection if the endpoint's broke off, also if the writes to the endpoint were
+// told of that.
+func copyChunks(client, upstream net.Conn, writes *reset.Watch) {
 	buf := make([]byte, chunkHeadSize+tunnelChunkSize)
 	for {
 		n, err := upstream.Read(buf[chunkHeadSize:])
@@ -201,7 +210,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && writes.EndedInOrder(upstream):
 			_, _ = client.Write([]byte{0, 0})
 			return
 		case err != nil:
--- a/entry/peer/tunnel_test.go
+++ b/entry/peer/tunnel_test.go
@@ -151,3 +151,35 @@
 	_, err := s.open("i-a")
 	require.ErrorIs(t, err, ErrRelayUnavailable)
 }
+
+// Guards against MIXED: an endpoint that reset its connection during an upload ended its tunnel in order, since the relay's write was told of the reset.
+func TestTunnelOfAnEndpointThatResetsDuringAnUploadBreaksOff(t *testing.T) {
+	t.Parallel()
+	upload := make([]byte, 16<<20)
+	s := newTunnelSite(t)
+	for range 20 {
+		tunnel, far := s.connect(t)
+		go func() { _, _ = tunnel.Write(upload) }()
+		go func() {
+			_, _ = io.WriteString(far, "part")
+			time.Sleep(5 * time.Millisecond)
+			_ = far.(*net.TCPConn).SetLinger(0)
+			_ = far.Close()
+		}()
+		_, err := io.Copy(io.Discard, tunnel)
+		require.Error(t, err)
+		<-s.clients
+	}
+}
+
+func TestTunnelEndsInOrderWithItsEndpointsSideDuringAnUpload(t *testing.T) {
+	t.Parallel()
+	tunnel, far := newTunnelSite(t).connect(t)
+	go func() { _, _ = tunnel.Write(make([]byte, 16<<20)) }()
+	_, err := io.WriteString(far, "all of it")
+	require.NoError(t, err)
+	require.NoError(t, far.(*net.TCPConn).CloseWrite())
+	got, err := io.ReadAll(tunnel)
+	require.NoError(t, err)
+	require.Equal(t, "all of it", string(got))
+}
