Use nothing of an answer whose head can't be trusted

Callers got answers whose status is none (600, 999), whose heads have a blank in a name, with the sizes of their chunks as the body where that name was "Transfer-Encoding ", and answers that name two requests. Heads with status 000 or 099 were skipped like informational ones, so that the next answer on the connection was taken for theirs. Cause: net/http reads heads leniently, and each reader used what it got. Change: whether a head can be trusted is decided once, before anything of it is used (answer.CheckHead): a status of HTTP, no other protocol, and tokens for names, informational heads included. Each reader of answers asks for that: requests' answers and skipped ones, reports, answers to guards, replies of relays (answer.ReadHead), the store, cache lists, other hosts, and the endpoints and documents of balsamknot (answer.Transport). An answer that names two requests belongs to none.

--- a/balsamknot/node/documents.go
+++ b/balsamknot/node/documents.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/object"
@@ -64,7 +65,7 @@
 	d := &documents{n: n, fetching: make(map[revision.DocumentName]bool)}
 	d.platform = &platform.Client{
 		Address: n.cfg.PlatformAddress,
-		HTTP:    &http.Client{Transport: &http.Transport{DialContext: countingDial(n.meter.countRead)}, Timeout: watchTimeout},
+		HTTP:    &http.Client{Transport: answer.Transport{Base: &http.Transport{DialContext: countingDial(n.meter.countRead)}}, Timeout: watchTimeout},
 	}
 	d.tracker = revision.NewTracker(validateDocument)
 	d.current.Store(&snapshot{objects: &object.Objects{}})
--- a/balsamknot/node/keeper.go
+++ b/balsamknot/node/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/engine"
 	"balsamknot.org/fleet/fingerprint"
 	"balsamknot.org/fleet/host"
@@ -63,8 +64,8 @@
 		n: n, admission: keeper.New(), waiters: make(map[keeper.Ticket]chan keeper.Command), endpoints: make(map[engine.ID]*keptEndpoint),
 		polledLoads:    make(map[engine.ID]int),
 		downReportedAt: make(map[engine.ID]time.Time),
-		pooledClient:   &http.Client{Transport: endpointTransport(false)},
-		unpooledClient: &http.Client{Transport: endpointTransport(true)},
+		pooledClient:   &http.Client{Transport: answer.Transport{Base: endpointTransport(false)}},
+		unpooledClient: &http.Client{Transport: answer.Transport{Base: endpointTransport(true)}},
 	}
 }
 
--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -175,7 +175,7 @@
 	request := &http.Request{Method: method}
 	for range maxSkippedAnswers + 1 {
 		x.conn.limited.left = maxHeadBytes
-		response, err := http.ReadResponse(x.conn.reader, request) //nolint:bodyclose // Finish and Abort end the exchange.
+		response, err := answer.ReadHead(x.conn.reader, request) //nolint:bodyclose // Finish and Abort end the exchange.
 		if err != nil {
 			return err
 		}
@@ -184,6 +184,9 @@
 			continue
 		}
 		a := platform.ReadAnswer(response.StatusCode, response.Header)
+		if a.Ambiguous {
+			return eris.Wrapf(answer.ErrHead, "it names request %q and another one", a.ID)
+		}
 		if a.ID == id || (a.ID == "" && response.StatusCode >= http.StatusBadRequest) {
 			x.Response, x.Answer = response, a
 			if !answer.EndMarked(response) {
--- a/entry/connection/process.go
+++ b/entry/connection/process.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/platform"
 )
@@ -143,7 +144,7 @@
 	}
 	c.limited.left = maxReportBytes
 	defer func() { c.limited.left = unlimited }()
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+	response, err := answer.ReadHead(c.reader, &http.Request{Method: http.MethodGet})
 	if err != nil {
 		return report{}, eris.Wrapf(err, "read the report of endpoint %s at %s", id, c.address)
 	}
--- a/entry/connection/question.go
+++ b/entry/connection/question.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/timer"
 	"balsamknot.org/platform"
 )
@@ -108,7 +109,7 @@
 // readAnswer reads an answer and sends the next question, if one is due.
 func (s *sentinel) readAnswer() error {
 	s.conn.limited.left = maxReportBytes
-	response, err := http.ReadResponse(s.conn.reader, &http.Request{Method: http.MethodGet})
+	response, err := answer.ReadHead(s.conn.reader, &http.Request{Method: http.MethodGet})
 	if err != nil {
 		return eris.Wrapf(err, "read the answer of the process at %s", s.conn.address)
 	}
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -13,6 +13,7 @@
 
 	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/catalogue"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/site"
@@ -125,9 +126,9 @@
 	return &storeView{
 		n: n, wakeups: make(chan struct{}, 1), setWakeups: make(chan struct{}, 1), loaded: make(chan struct{}), copyStates: make(chan peer.CopyState, 1),
 		subscribers: make(map[host.ID]subscriber), knowEras: make(map[host.ID]time.Time),
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: answer.Transport{Base: &http.Transport{
 			DialContext: n.dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: readerConnIdleTimeout, DisableCompression: true,
-		}},
+		}}},
 		history: catalogue.NewHistory(), peerSets: newPeerSets(),
 		selector: catalogue.NewSourceSelector(catalogue.SourceSelectorConfig{
 			Self: n.cfg.Host, ActiveReaders: activeReaders, DirectReadAge: directReadAge, FirstReadDelay: firstReadDelay,
--- a/entry/peer/tunnel.go
+++ b/entry/peer/tunnel.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamknot.org/entry/reset"
+	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/endpoint"
 )
 
@@ -99,7 +100,7 @@
 		return nil, errors.Join(ErrRelayUnavailable, err)
 	}
 	reader := bufio.NewReaderSize(conn, tunnelReaderSize)
-	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+	response, err := answer.ReadHead(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return nil, errors.Join(ErrRelayUnavailable, err)
 	}
--- a/entry/peer/tunnel_test.go
+++ b/entry/peer/tunnel_test.go
@@ -183,3 +183,17 @@
 	require.NoError(t, err)
 	require.Equal(t, "all of it", string(got))
 }
+
+// Guards against MIXED: a reply whose head can't be trusted was taken for a tunnel.
+func TestReplyWhoseHeadCannotBeTrustedIsNoTunnel(t *testing.T) {
+	t.Parallel()
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nBad Name: 1\r\n\r\n", "HTTP/9.9 200 OK\r\n\r\n", "HTTP/1.1 099 Low\r\n\r\n"} {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = far.Read(make([]byte, 1<<10))
+			_, _ = io.WriteString(far, head)
+		}()
+		_, err := OpenTunnel(t.Context(), near, TunnelTarget{Endpoint: "i-a", Address: "127.0.0.1:1"})
+		require.ErrorIs(t, err, ErrRelayUnavailable, head)
+	}
+}
