Take a buffered answer whose end is not marked for truncated in balsamknot, too

Related to answers that are reset during an upload: the HTTP clients of balsamknot write and read side by side as well, and an answer with neither a length nor chunks was delivered as a whole one however its connection ended. Streams there have an end marker of their own, and documents of the platform must be marked already. Change: such an answer counts as truncated: a call with a key is not sent again, any other is. Test: TestBufferedAnswerWhoseEndIsNotMarkedIsTruncated failed before.

--- a/balsamknot/node/endpoint.go
+++ b/balsamknot/node/endpoint.go
@@ -302,6 +302,8 @@
 		return fmt.Errorf("%w: %w", errTruncated, err)
 	case len(content) > maxAnswerBytes:
 		return errAnswerTooLarge
+	case !answer.EndMarked(response):
+		return errTruncated
 	}
 	if err := frames.writeHead(response); err != nil {
 		return sendError{err}
