Do not take idle connections that their endpoint closed for signs of its end

Cause: the server keeps idle connections for 0.3 s. The idle connection that the check of an earlier answer had left in the pool had ended by then, no guard outlived its answer, and an end beside no open connection stays unconfirmed. On the way: two streams of an engine that ended at one moment had each seen the other's connection end. Change: a connection that has been idle for as long as the endpoint is known to keep idle ones says nothing. Where only others have ended, the process that listens is asked, and the answer is complete if that is the registered one by its start time. One that does not say when it started is no longer taken for the registered one beside a silent guard. Tests: TestIdleConnectionThatItsEndpointClosedInTimeIsNoSignOfItsEnd, rows of TestCheckConcludesFromWhatTheConnectionsShow.

--- a/entry/connection/guard_test.go
+++ b/entry/connection/guard_test.go
@@ -225,3 +225,36 @@
 	}, time.Minute, time.Millisecond)
 	require.NotEqual(t, GuardAlive, a.guard.State())
 }
+
+// Guards against LOST: an idle connection that its endpoint had closed counted as one that ended together with the answer, so that sound answers of endpoints
+// that keep idle connections for a short time were cut.
+func TestIdleConnectionThatItsEndpointClosedInTimeIsNoSignOfItsEnd(t *testing.T) {
+	t.Parallel()
+	const limit = 60 * time.Millisecond
+	p := newPool()
+	defer p.Close()
+	closeIdle := make(chan struct{})
+	over := make(chan struct{})
+	defer close(over)
+	s := startScriptedServer(t,
+		func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			s.beginUnframed(conn, r, "id-1")
+			<-over
+		},
+		func(*scriptedServer, net.Conn, *bufio.Reader) { <-closeIdle })
+	x, err := do(t, p, s, "id-1")
+	require.NoError(t, err)
+	defer x.Abort()
+	idle, err := x.Connect(t.Context())
+	require.NoError(t, err)
+	idle.Release()
+	ended := func() bool { return x.Witnesses()[0].Ended() }
+	close(closeIdle)
+	require.Eventually(t, ended, time.Minute, time.Millisecond, "the idle time of the endpoint is not known")
+	p.mu.Lock()
+	p.sentinels[s.address()] = (*sentinel)(nil).next(time.Time{}, "i-1")
+	p.sentinels[s.address()].idleTime.Store(int64(limit))
+	p.mu.Unlock()
+	time.Sleep(limit)
+	require.False(t, ended())
+}
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -85,10 +85,12 @@
 	connectedAt time.Time
 	// writes remembers a reset of which a write was told.
 	writes reset.Watch
-	// asked is true once a report was asked for over the connection, and answered if something was answered to that. startedAt is the start time that it stated, 0 if none, and misdirected is
+	// asked is true once a report was asked for over the connection. startedAt is the start time that it stated, 0 if none, and misdirected is
 	// true if an endpoint with another ID answered.
-	asked, answered, misdirected bool
-	startedAt                    int64
+	asked, misdirected bool
+	startedAt          int64
+	// idleSince is when the connection became idle, by timer.BootClock; zero while it is in use.
+	idleSince time.Time
 	// expires is the time from which the connection is not used again, because the endpoint may be closing it.
 	expires time.Time
 }
@@ -176,6 +178,7 @@
 	c.heardAt.Store(timer.BootClock().UnixNano())
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.idleSince = time.Time{}
 	if p.inUse[c.address] == nil {
 		p.inUse[c.address] = make(map[*pooledConn]bool)
 	}
@@ -290,6 +293,7 @@
 		_ = c.Conn.Close()
 		return
 	}
+	c.idleSince = timer.BootClock()
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
--- a/entry/connection/process.go
+++ b/entry/connection/process.go
@@ -110,7 +110,6 @@
 		p.reportRead(c, ReportLost, err)
 		return false
 	}
-	c.answered = true
 	c.startedAt, err = platform.DecodeReport(r.status, r.body)
 	c.misdirected = errors.Is(err, platform.ErrMisdirected)
 	switch {
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -217,7 +217,31 @@
 func (s *sentinel) endedIdle() bool {
 	idle, known := s.idle()
 	limit := time.Duration(known.Load())
-	return limit > 0 && (idle-limit).Abs() <= sentinelSettleTime+limit/20
+	return limit > 0 && (idle-limit).Abs() <= idleTolerance(limit)
+}
+
+// idleLimit returns the least time after which the endpoint at an address was found to end idle connections, less idleTolerance; 0 if it was not. p.mu must
+// be held.
+func (p *Pool) idleLimit(address string) time.Duration {
+	s := p.sentinels[address]
+	if s == nil {
+		return 0
+	}
+	limit := time.Duration(0)
+	for _, learnt := range []*atomic.Int64{s.idleTime, s.askedIdleTime} {
+		if d := time.Duration(learnt.Load()); d > 0 && (limit == 0 || d < limit) {
+			limit = d
+		}
+	}
+	return limit - idleTolerance(limit)
+}
+
+// idleTolerance is by how much the idle time of a connection may differ from the endpoint's limit.
+func idleTolerance(limit time.Duration) time.Duration {
+	if limit == 0 {
+		return 0
+	}
+	return sentinelSettleTime + limit/20
 }
 
 // noteIdleTime learns the endpoint's idle time from a sentinel that other connections outlived.
--- a/entry/connection/witness.go
+++ b/entry/connection/witness.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"balsamknot.org/fleet/endpoint"
+	"balsamknot.org/fleet/timer"
 )
 
 // Witness is a connection to an endpoint, beside that of an exchange, that shows whether the endpoint goes on. When the process at the endpoint
@@ -21,6 +22,8 @@
 	// wasThere is true if the connection was established before the exchange began. A later one may lead to the process after the one that writes
 	// the answer, since the end of an answer that comes through another host arrives late.
 	wasThere bool
+	// idledOut is true if the connection has been idle for as long as the endpoint keeps idle connections, so that its end says nothing.
+	idledOut bool
 }
 
 // Witnesses returns the other connections to the exchange's endpoint.
@@ -34,8 +37,11 @@
 			others = append(others, x.witness(c))
 		}
 	}
+	limit, now := p.idleLimit(x.conn.address), timer.BootClock()
 	for _, c := range p.idle[x.conn.address] {
-		others = append(others, x.witness(c))
+		w := x.witness(c)
+		w.idledOut = limit > 0 && now.Sub(c.idleSince) >= limit
+		others = append(others, w)
 	}
 	return others
 }
@@ -51,7 +57,7 @@
 }
 
 // Listener asks the process that a connection of Connect leads to whether it is the one that is registered as the exchange's endpoint. known is false if it
-// did not answer in time.
+// does not say so in time.
 func (x *Exchange) Listener(ctx context.Context, w Witness) (registered, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, listenerTimeout)
 	defer cancel()
@@ -59,7 +65,7 @@
 	if !x.pool.askForReport(ctx, w.conn, instance) {
 		w.conn.single.Store(true)
 	}
-	return !w.conn.contradicts(instance), w.conn.answered
+	return w.conn.startedAt == instance.StartedAt, w.conn.startedAt != 0 || w.conn.misdirected
 }
 
 // listenerTimeout limits the time for the answer to Listener.
@@ -80,8 +86,8 @@
 	return w.wasThere && w.conn.relay == "" && w.conn.peerState() == peerOpen
 }
 
-// Ended reports whether the endpoint has ended the connection. One that this host closed is neither open nor ended.
-func (w Witness) Ended() bool { return w.conn.peerState() == peerEnded }
+// Ended reports whether the endpoint has ended the connection, and not because it was idle. One that this host closed is neither open nor ended.
+func (w Witness) Ended() bool { return !w.idledOut && w.conn.peerState() == peerEnded }
 
 // peerState is the state of the endpoint's side of a connection.
 type peerState int
--- a/entry/node/completion.go
+++ b/entry/node/completion.go
@@ -89,7 +89,9 @@
 			seen.Guard = guardStates[guard.State()]
 			next = check.Update(timer.BootClock(), seen)
 		case completion.Identify:
-			guard.GiveUp()
+			if guard.State() == connection.GuardOpen {
+				guard.GiveUp()
+			}
 			next = check.Update(timer.BootClock(), completion.Identified{Listener: identify(ctx, x, newest)})
 		case completion.Conclude:
 			return c.Verdict, seen
--- a/fleet/completion/completion.go
+++ b/fleet/completion/completion.go
@@ -69,7 +69,7 @@
 
 // Listeners.
 const (
-	// ListenerUnknown means that it was not asked, or did not answer.
+	// ListenerUnknown means that it was not asked, did not answer, or did not say since when it runs.
 	ListenerUnknown Listener = ""
 	// ListenerRegistered means that it is the one that is registered, and ListenerOther that it is another one.
 	ListenerRegistered Listener = "registered"
@@ -107,7 +107,7 @@
 // Observe asks for Observed after a time.
 type Observe struct{ After time.Duration }
 
-// Identify asks for Identified, and that the guard, which does not answer, be given up.
+// Identify asks for Identified, and that a guard that does not answer be given up.
 type Identify struct{}
 
 // Conclude ends the check.
@@ -127,9 +127,9 @@
 	inTime, refused bool
 	// seen is what was last observed.
 	seen Observed
-	// silent is true if the guard did not answer, and listener is the process that listens then.
-	silent   bool
-	listener Listener
+	// silent is true if the guard did not answer, and listener is the process that listens, once asked is true.
+	silent, asked bool
+	listener      Listener
 }
 
 // New returns a check that waits for Ended.
@@ -154,7 +154,7 @@
 		c.seen = e
 		return c.judge(now)
 	case Identified:
-		c.listener = e.Listener
+		c.listener, c.asked = e.Listener, true
 		return c.judge(now)
 	}
 	return Conclude{Unconfirmed}
@@ -172,8 +172,10 @@
 		return Conclude{BrokenOff}
 	case e.Guard == GuardOpen && elapsed < c.cfg.AnswerTime:
 		return Observe{After: c.cfg.Settle}
-	case !c.silent && (e.Guard == GuardOpen || e.Guard == GuardSilent):
-		c.silent = true
+	}
+	c.silent = c.silent || e.Guard == GuardOpen || e.Guard == GuardSilent
+	switch {
+	case c.mustIdentify():
 		return Identify{}
 	case c.listens():
 		return Conclude{Complete}
@@ -183,6 +185,14 @@
 	return Connect{After: c.cfg.RetryInterval}
 }
 
+// mustIdentify reports whether it is to be asked which process listens: the guard does not answer, or others have ended and nothing else tells.
+func (c *Check) mustIdentify() bool {
+	if c.asked {
+		return false
+	}
+	return c.silent || c.inTime && c.seen.NewOpen && c.seen.Ended > 0 && c.seen.Open == 0
+}
+
 // listens reports whether something listened at the endpoint's address right after the answer's end, and the earlier connections do not show that it is another
 // process. A new connection that was established late may lead to a process that started since. One that was established in time may do so, too,
 // unless an earlier one stays or there was none that could have ended. Beside a guard that is silent, the others may be, too.
@@ -191,10 +201,8 @@
 	switch {
 	case !c.inTime:
 		return false
-	case c.silent:
-		return e.NewOpen && (e.Ended == 0 || c.listener == ListenerRegistered)
-	case e.Open > 0:
+	case !c.silent && e.Open > 0:
 		return e.NewOpen || e.Ended == 0
 	}
-	return e.NewOpen && e.Ended == 0
+	return e.NewOpen && (e.Ended == 0 || c.listener == ListenerRegistered)
 }
--- a/fleet/completion/completion_test.go
+++ b/fleet/completion/completion_test.go
@@ -25,10 +25,18 @@
 	const ms = time.Millisecond
 	settle, again := Observe{After: cfg.Settle}, Connect{After: cfg.RetryInterval}
 	for name, steps := range map[string][]step{
-		"it listens, the others stay":      {{ms, Connected{}, settle}, {21 * ms, Observed{true, 2, 0, GuardAbsent}, Conclude{Complete}}},
-		"it listens, there are no others":  {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 0, GuardAbsent}, Conclude{Complete}}},
-		"it listens, another answer ended": {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardAbsent}, Conclude{Unconfirmed}}},
-		"the same, the guard answers":      {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardAlive}, Conclude{Complete}}},
+		"it listens, the others stay":     {{ms, Connected{}, settle}, {21 * ms, Observed{true, 2, 0, GuardAbsent}, Conclude{Complete}}},
+		"it listens, there are no others": {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 0, GuardAbsent}, Conclude{Complete}}},
+		"it listens, another answer ended": {
+			{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardAbsent}, Identify{}}, {22 * ms, Identified{}, Conclude{Unconfirmed}},
+		},
+		"the same, by the registered process": {
+			{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardAbsent}, Identify{}}, {22 * ms, Identified{ListenerRegistered}, Conclude{Complete}},
+		},
+		"the same, by another process": {
+			{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardAbsent}, Identify{}}, {22 * ms, Identified{ListenerOther}, Conclude{BrokenOff}},
+		},
+		"it listens, another answer ended, the guard answers": {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardAlive}, Conclude{Complete}}},
 		"the same, the guard is silent": {
 			{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardOpen}, settle}, {210 * ms, Observed{true, 0, 1, GuardOpen}, Identify{}},
 			{211 * ms, Identified{}, Conclude{Unconfirmed}},
@@ -67,8 +75,10 @@
 			{ms, Refused{}, settle}, {21 * ms, Observed{false, 1, 0, GuardAbsent}, again}, {122 * ms, Refused{}, settle},
 			{142 * ms, Observed{false, 0, 1, GuardAbsent}, Conclude{BrokenOff}},
 		},
-		"it listens, one idle one ended":      {{ms, Connected{}, settle}, {21 * ms, Observed{true, 1, 1, GuardAbsent}, Conclude{Complete}}},
-		"it listens, all idle ones ended":     {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 2, GuardAbsent}, Conclude{Unconfirmed}}},
+		"it listens, one idle one ended": {{ms, Connected{}, settle}, {21 * ms, Observed{true, 1, 1, GuardAbsent}, Conclude{Complete}}},
+		"it listens, all idle ones ended": {
+			{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 2, GuardAbsent}, Identify{}}, {22 * ms, Identified{}, Conclude{Unconfirmed}},
+		},
 		"nothing listens":                     {{ms, Refused{}, settle}, {21 * ms, Observed{}, Conclude{BrokenOff}}},
 		"it resets new ones, the others stay": {{ms, Connected{}, settle}, {21 * ms, Observed{false, 3, 0, GuardAbsent}, Conclude{Complete}}},
 		"it listened for a moment only": {
