--- a/fleet/completion/completion.go
+++ b/fleet/completion/completion.go
@@ -83,8 +83,8 @@
 const (
 	// GuardAbsent means that there is none.
 	GuardAbsent Guard = ""
-	// GuardOpen means that its end has not arrived, GuardSilent that it did not answer in time, GuardAlive that the process which took it has answered since the answer's end, and GuardEnded
-	// that it ended together with the answer.
+	// GuardOpen means that its end has not arrived, GuardSilent that it did not answer in time, GuardAlive that the process which took it has answered
+	// since the answer's end, and GuardEnded that it ended together with the answer.
 	GuardOpen   Guard = "open"
 	GuardSilent Guard = "silent"
 	GuardAlive  Guard = "alive"
--- a/fleet/completion/completion_test.go
+++ b/fleet/completion/completion_test.go
@@ -10,7 +10,10 @@
 
 var (
 	start = time.Unix(1000, 0)
-	cfg   = Config{Settle: 20 * time.Millisecond, RestartTime: 100 * time.Millisecond, AnswerTime: 200 * time.Millisecond, RetryInterval: 100 * time.Millisecond, Timeout: 500 * time.Millisecond}
+	cfg   = Config{
+		Settle: 20 * time.Millisecond, RestartTime: 100 * time.Millisecond, AnswerTime: 200 * time.Millisecond, RetryInterval: 100 * time.Millisecond,
+		Timeout: 500 * time.Millisecond,
+	}
 )
 
 // step is an event some time after the answer's end, and the command that must follow.
--- a/fleet/pool/cache_list.go
+++ b/fleet/pool/cache_list.go
@@ -27,8 +27,8 @@
 	Parts []chat.Part
 }
 
-// ListsNeeded asks for the lists of a service's engines if these have several software versions. A keeper that has just started gets it, so that it knows what engines
-// cached before it granted slots, and what those cached that leave soon.
+// ListsNeeded asks for the lists of a service's engines if these have several software versions. A keeper that has just started gets it, so that it
+// knows what engines cached before it granted slots, and what those cached that leave soon.
 type ListsNeeded struct{ Service site.ServiceName }
 
 func (ListCache) command() {}
--- a/fleet/pool/part_lookup.go
+++ b/fleet/pool/part_lookup.go
@@ -56,10 +56,10 @@
 	return decideVersions(s.answerGroup(now, lookup))
 }
 
-// decideVersions returns the versions that answers found, and beside these the ones that are possible. An engine that has not listed its cache may cache the part too, as one does that lost the
-// request before its first event, so that a version counts as the only one when all engines of the others are listed or overdue. That one engine
-// lists it is no proof then, but an engine that is silent for long costs no more than the streams that it began. Without a version that is found,
-// all engines must be listed. Several remain several.
+// decideVersions returns the versions that answers found, and beside these the ones that are possible. An engine that has not listed its cache may
+// cache the part too, as one does that lost the request before its first event, so that a version counts as the only one when all engines of the
+// others are listed or overdue. That one engine lists it is no proof then, but an engine that is silent for long costs no more than the streams that it
+// began. Without a version that is found, all engines must be listed. Several remain several.
 func decideVersions(answers ...GroupAnswer) (versions []endpoint.Version, known bool) {
 	var awaited, possible []endpoint.Version
 	allListed := true
