Keep a guard on answers whose sentinel ended while they came, and ask who listens where there is none

Change: a sentinel that ended in order while its answers come is succeeded by another one, at most each 0.2 s. Where an answer has no guard and no other connection stays, the process that listens is asked, and another one than the registered one means that the answer broke off. A pool that is closed connects no sentinels any more. Tests: TestAnswerKeepsAGuardThoughTheEndpointClosesTheSentinelAfterAQuestion; rows of TestCheckConcludesFromWhatTheConnectionsShow.

--- a/entry/connection/guard_test.go
+++ b/entry/connection/guard_test.go
@@ -258,3 +258,28 @@
 	time.Sleep(limit)
 	require.False(t, ended())
 }
+
+// Guards against MIXED: the answer to a question ended the sentinel where the endpoint closes its connections after each answer, so that other answers that still
+// came had no guard any more.
+func TestAnswerKeepsAGuardThoughTheEndpointClosesTheSentinelAfterAQuestion(t *testing.T) {
+	t.Parallel()
+	a := startAnsweringGuard(t, "HTTP/1.1 404 Not Found\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(minSentinelLife)
+	a.guard.mu.Lock()
+	first := a.guard.s
+	a.guard.mu.Unlock()
+	first.ask()
+	require.Eventually(t, func() bool {
+		first.mu.Lock()
+		defer first.mu.Unlock()
+		return !first.question.answeredAt.IsZero()
+	}, time.Minute, time.Millisecond)
+	a.mu.Lock()
+	_ = a.conns[1].Close()
+	a.mu.Unlock()
+	require.Eventually(t, func() bool {
+		a.guard.mu.Lock()
+		defer a.guard.mu.Unlock()
+		return a.guard.s != first
+	}, time.Minute, time.Millisecond)
+}
--- a/entry/connection/pool.go
+++ b/entry/connection/pool.go
@@ -61,6 +61,8 @@
 	startedAt map[string]int64
 	// dials counts the connections that were established.
 	dials int64
+	// closed is true after Close.
+	closed bool
 }
 
 // pooledConn is a connection to an endpoint, idle in the pool or in use by one Exchange.
@@ -387,6 +389,7 @@
 		}
 	}
 	clear(p.idle)
+	p.closed = true
 	for address := range p.sentinels {
 		p.closeSentinel(address)
 	}
--- a/entry/connection/question.go
+++ b/entry/connection/question.go
@@ -155,21 +155,9 @@
 	s.ask()
 	time.Sleep(sentinelAnswerTime)
 	guards := s.giveUpSilent(asked)
-	if len(guards) == 0 {
-		return
-	}
-	next := s.next(timer.BootClock(), s.instance)
-	p.mu.Lock()
-	if p.sentinels[address] == s {
-		p.sentinels[address] = next
-	} else {
-		next.retired = true
-	}
-	p.mu.Unlock()
-	for _, g := range guards {
-		g.moveTo(next)
+	if len(guards) > 0 {
+		p.succeed(address, s, guards)
 	}
-	p.connectSentinel(address, next)
 }
 
 // GiveUp gives a guard up that has not answered since Ask, so that the next answers have another one.
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,8 @@
 	// connect.
 	sentinelLifetime    = 10 * time.Second
 	sentinelDialTimeout = time.Second
+	// minSentinelLife is how long a sentinel must have been open for another one to take its place while its answers come.
+	minSentinelLife = 200 * time.Millisecond
 	// sentinelRetryInterval is the least time between two attempts where the endpoint did not take a sentinel, or reset it.
 	sentinelRetryInterval = time.Second
 	// sentinelSettleTime is the time in which all connections of a process that has ended are seen to end.
@@ -161,6 +164,10 @@
 
 // connectSentinel establishes a sentinel and waits until the endpoint ends it.
 func (p *Pool) connectSentinel(address string, s *sentinel) {
+	if p.isClosed() {
+		s.established(nil, net.ErrClosed)
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), sentinelDialTimeout)
 	c, err := p.dial(ctx, address)
 	cancel()
@@ -178,6 +185,49 @@
 	if tells {
 		p.noteOutlived(address, s)
 	}
+	if guards := s.unguarded(); len(guards) > 0 {
+		p.succeed(address, s, guards)
+	}
+}
+
+// unguarded removes and returns the guards of a sentinel that ended in order although the process goes on, whose answers still come.
+func (s *sentinel) unguarded() []*Guard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endedAt.Sub(s.conn.connectedAt) < minSentinelLife {
+		return nil
+	}
+	var guards []*Guard
+	for g := range s.guards {
+		goesOn := s.idled || g.x.conn.outlived.Load() == s
+		if goesOn && !s.failed && g.x.conn.notEnded() {
+			guards = append(guards, g)
+			delete(s.guards, g)
+		}
+	}
+	return guards
+}
+
+// succeed connects another sentinel in place of one that tells nothing any more, for the answers of guards and for the next ones.
+func (p *Pool) succeed(address string, s *sentinel, guards []*Guard) {
+	next := s.next(timer.BootClock(), s.instance)
+	p.mu.Lock()
+	if p.sentinels[address] == s {
+		p.sentinels[address] = next
+	} else {
+		next.retired = true
+	}
+	p.mu.Unlock()
+	for _, g := range guards {
+		g.moveTo(next)
+	}
+	p.connectSentinel(address, next)
+}
+
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
 }
 
 // noteOutlived marks the connections in use that stay open after the end of a sentinel, so that no process of theirs ended with it.
--- a/fleet/completion/completion.go
+++ b/fleet/completion/completion.go
@@ -185,12 +185,12 @@
 	return Connect{After: c.cfg.RetryInterval}
 }
 
-// mustIdentify reports whether it is to be asked which process listens: the guard does not answer, or others have ended and nothing else tells.
+// mustIdentify reports whether it is to be asked which process listens: the guard does not answer, or there is none and no other connection stays.
 func (c *Check) mustIdentify() bool {
 	if c.asked {
 		return false
 	}
-	return c.silent || c.inTime && c.seen.NewOpen && c.seen.Ended > 0 && c.seen.Open == 0
+	return c.silent || c.inTime && c.seen.NewOpen && c.seen.Open == 0
 }
 
 // listens reports whether something listened at the endpoint's address right after the answer's end, and the earlier connections do not show that it is another
--- a/fleet/completion/completion_test.go
+++ b/fleet/completion/completion_test.go
@@ -28,8 +28,13 @@
 	const ms = time.Millisecond
 	settle, again := Observe{After: cfg.Settle}, Connect{After: cfg.RetryInterval}
 	for name, steps := range map[string][]step{
-		"it listens, the others stay":     {{ms, Connected{}, settle}, {21 * ms, Observed{true, 2, 0, GuardAbsent}, Conclude{Complete}}},
-		"it listens, there are no others": {{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 0, GuardAbsent}, Conclude{Complete}}},
+		"it listens, the others stay": {{ms, Connected{}, settle}, {21 * ms, Observed{true, 2, 0, GuardAbsent}, Conclude{Complete}}},
+		"it listens, there are no others": {
+			{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 0, GuardAbsent}, Identify{}}, {22 * ms, Identified{}, Conclude{Complete}},
+		},
+		"another process listens, there are no others": {
+			{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 0, GuardAbsent}, Identify{}}, {22 * ms, Identified{ListenerOther}, Conclude{BrokenOff}},
+		},
 		"it listens, another answer ended": {
 			{ms, Connected{}, settle}, {21 * ms, Observed{true, 0, 1, GuardAbsent}, Identify{}}, {22 * ms, Identified{}, Conclude{Unconfirmed}},
 		},
