--- a/standin/network/link.go
+++ b/standin/network/link.go
@@ -81,6 +81,11 @@
 func (l *Link) Silence() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.silenceAll()
+}
+
+// silenceAll silences every open connection. mu must be held.
+func (l *Link) silenceAll() {
 	for p := range l.conns {
 		p.mu.Lock()
 		p.silent = true
@@ -128,8 +133,10 @@
 	l.endAll()
 }
 
-// endAll ends every open connection in order. mu must be held.
+// endAll ends every open connection in order. Nothing comes from the target over one of them once another has ended, as a process that was killed sends
+// nothing more. mu must be held.
 func (l *Link) endAll() {
+	l.silenceAll()
 	for p := range l.conns {
 		if tcp, ok := p.client.(*net.TCPConn); ok {
 			_ = tcp.CloseWrite()
