Give a request its endpoint as one instance, and send the call for a report in one place

A request held its endpoint's ID and start time in two fields, and the exchange put them together again as the endpoint.Instance that its caller had; the call for a report was put together twice, for a pooled connection and for a sentinel. Ruled out: a change of what is sent or decided. The same instance is passed, and both callers wrote the same bytes. Change: Request.Instance and Exchange.instance in place of StartedAt and Endpoint; pooledConn.callForReport, which readReport and the questions of guards use; the guards of a silent sentinel are collected with maps.Keys. Conclusion: no behaviour changes, and no test was touched for it.

--- a/entry/connection/exchange.go
+++ b/entry/connection/exchange.go
@@ -30,11 +30,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// StartedAt is the start time of the process that is registered at the address; 0 when unknown.
-	StartedAt int64
-	// Endpoint is the endpoint that the request is meant for, and Process the process that the request is bound to.
-	Endpoint endpoint.ID
-	Process  Process
+	// Instance is the endpoint that the request is meant for, with the start time of the process that is registered at the address; 0 when unknown.
+	Instance endpoint.Instance
+	// Process is the process that the request is bound to.
+	Process Process
 	// Written is called once when Body is no longer in use: with nil after the request was written, with an error if it was not written to
 	// its end. Nil means that it is not called.
 	Written func(error)
@@ -59,9 +58,8 @@
 	// writeDone receives the result of a write that runs while the answer is read; nil when the request was written before.
 	writeDone   chan error
 	releaseOnce sync.Once
-	// instance is the endpoint that the request is meant for, and startedAt Request.StartedAt.
-	instance  endpoint.ID
-	startedAt int64
+	// instance is Request.Instance.
+	instance endpoint.Instance
 	// guard is the guard of the answer; nil if there is none.
 	guard *Guard
 }
@@ -69,7 +67,7 @@
 // Do sends a request and reads the status and headers of its answer. The deadline applies to connecting and to the body as well. The connection is closed
 // when ctx ends before Do returns. The error is ErrNotSent when no connection to the request's process could be established, and ErrIncomplete otherwise.
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (*Exchange, error) {
-	p.noteProcess(address, r.StartedAt)
+	p.noteProcess(address, r.Instance.StartedAt)
 	dialCtx, cancel := context.WithDeadline(ctx, deadline)
 	c, err := p.getFor(dialCtx, address, r.Process)
 	cancel()
@@ -80,7 +78,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	_ = c.SetDeadline(deadline)
-	x := &Exchange{pool: p, conn: c, instance: r.Endpoint, startedAt: r.StartedAt, beganAt: timer.BootClock()}
+	x := &Exchange{pool: p, conn: c, instance: r.Instance, beganAt: timer.BootClock()}
 	if err := x.send(r); err != nil {
 		x.closeFailed(err)
 		return nil, err
--- a/entry/connection/process.go
+++ b/entry/connection/process.go
@@ -134,11 +134,17 @@
 // errStray means that an answer to another request came in place of the report.
 var errStray = errors.New("the answer belongs to another request")
 
-// readReport sends the call for the report of an endpoint and reads the answer.
-func (c *pooledConn) readReport(id endpoint.ID) (report, error) {
+// callForReport sends the call for the report of an endpoint.
+func (c *pooledConn) callForReport(id endpoint.ID) error {
 	target, header := platform.ReportCall(id)
 	call := Request{Method: http.MethodGet, Target: target, Host: c.address, Header: header}
-	if _, err := c.Write(call.encodeHead()); err != nil {
+	_, err := c.Write(call.encodeHead())
+	return err
+}
+
+// readReport sends the call for the report of an endpoint and reads the answer.
+func (c *pooledConn) readReport(id endpoint.ID) (report, error) {
+	if err := c.callForReport(id); err != nil {
 		return report{}, eris.Wrapf(err, "ask endpoint %s at %s for its report", id, c.address)
 	}
 	c.limited.left = maxReportBytes
--- a/entry/connection/question.go
+++ b/entry/connection/question.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -11,7 +13,6 @@
 
 	"balsamknot.org/fleet/answer"
 	"balsamknot.org/fleet/timer"
-	"balsamknot.org/platform"
 )
 
 // question is the state of the questions over a sentinel. One is sent at a time.
@@ -61,11 +62,9 @@
 	if !q.again || !q.askedAt.IsZero() || s.conn == nil || s.failed || !s.endedAt.IsZero() || !s.conn.notEnded() {
 		return
 	}
-	target, header := platform.ReportCall(s.instance)
-	call := Request{Method: http.MethodGet, Target: target, Host: s.conn.address, Header: header}
 	q.again, q.askedAt = false, timer.BootClock()
 	_ = s.conn.SetWriteDeadline(time.Now().Add(questionTimeout))
-	_, q.sendErr = s.conn.Write(call.encodeHead())
+	q.sendErr = s.conn.callForReport(s.instance)
 }
 
 // refusalTime is the time within which an endpoint that takes no further connections resets one that was established.
@@ -174,10 +173,7 @@
 	if s.question.answeredSince(since) || s.failed || !s.endedAt.IsZero() {
 		return nil
 	}
-	var guards []*Guard
-	for g := range s.guards {
-		guards = append(guards, g)
-	}
+	guards := slices.Collect(maps.Keys(s.guards))
 	clear(s.guards)
 	s.close()
 	return guards
--- a/entry/connection/sentinel.go
+++ b/entry/connection/sentinel.go
@@ -69,7 +69,7 @@
 	x *Exchange
 
 	mu sync.Mutex
-	// s is another one if the first one did not answer at the begin of the answer.
+	// s is another one than at first if that one did not answer at the begin of the answer, or ended while it came.
 	s *sentinel
 	// askedAt is when Ask was called, by timer.BootClock; zero before.
 	askedAt time.Time
@@ -100,7 +100,7 @@
 	s := p.sentinels[x.conn.address]
 	isNew := s == nil || s.replaceable(now)
 	if isNew {
-		s = s.next(now, x.instance)
+		s = s.next(now, x.instance.ID)
 		p.sentinels[x.conn.address] = s
 	}
 	p.mu.Unlock()
--- a/entry/connection/witness.go
+++ b/entry/connection/witness.go
@@ -11,7 +11,6 @@
 
 	"golang.org/x/sys/unix"
 
-	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -61,11 +60,10 @@
 func (x *Exchange) Listener(ctx context.Context, w Witness) (registered, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, listenerTimeout)
 	defer cancel()
-	instance := endpoint.Instance{ID: x.instance, StartedAt: x.startedAt}
-	if !x.pool.askForReport(ctx, w.conn, instance) {
+	if !x.pool.askForReport(ctx, w.conn, x.instance) {
 		w.conn.single.Store(true)
 	}
-	return w.conn.startedAt == instance.StartedAt, w.conn.startedAt != 0 || w.conn.misdirected
+	return w.conn.startedAt == x.instance.StartedAt, w.conn.startedAt != 0 || w.conn.misdirected
 }
 
 // listenerTimeout limits the time for the answer to Listener.
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -238,7 +238,7 @@
 	n.crashes.update(now, interruption.Sent{Run: q.run()})
 	x, err := n.endpointConns.Do(n.connectionContext(q), target.Address, connection.Request{
 		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.bodyData(),
-		StartedAt: target.Instance.StartedAt, Endpoint: id, Process: n.boundProcess(now, q, grant), Written: q.writingBody(a.LastSend()),
+		Instance: target.Instance, Process: n.boundProcess(now, q, grant), Written: q.writingBody(a.LastSend()),
 	}, time.Now().Add(timeLeft))
 	if errors.Is(err, connection.ErrNotSent) {
 		n.crashes.recordUnreachable(timer.BootClock(), q, err)
