Start guarded answers in one way in tests, and ask for a lookup's answer in one place

Cause: startAnsweringGuard repeated startGuardedAnswer but for what serves the sentinel, and four tests of lookups repeated the question and its two checks. Ruled out: weaker checks: each test asserts what it did, through startGuardedAnswerBeside and requireAnswer. Change: test files only. Conclusion: the tests read as what differs between them.

--- a/entry/connection/guard_test.go
+++ b/entry/connection/guard_test.go
@@ -24,17 +24,22 @@
 }
 
 func startGuardedAnswer(t *testing.T) *guardedAnswer {
+	return startGuardedAnswerBeside(t, beginAnswer)
+}
+
+// startGuardedAnswerBeside is startGuardedAnswer at an endpoint that serves the sentinel with sentinel.
+func startGuardedAnswerBeside(t *testing.T, sentinel func(s *scriptedServer, conn net.Conn, r *bufio.Reader)) *guardedAnswer {
 	a := &guardedAnswer{pool: newPool()}
 	t.Cleanup(a.pool.Close)
-	answerOrWait := func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
-		a.mu.Lock()
-		a.conns = append(a.conns, conn)
-		a.mu.Unlock()
-		s.read(r)
-		_, _ = io.WriteString(conn, answerStart+"\r\nfirst part")
-		_, _ = r.ReadByte()
+	keeping := func(serve func(*scriptedServer, net.Conn, *bufio.Reader)) func(*scriptedServer, net.Conn, *bufio.Reader) {
+		return func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+			a.mu.Lock()
+			a.conns = append(a.conns, conn)
+			a.mu.Unlock()
+			serve(s, conn, r)
+		}
 	}
-	s := startScriptedServer(t, answerOrWait, answerOrWait)
+	s := startScriptedServer(t, keeping(beginAnswer), keeping(sentinel))
 	x, err := do(t, a.pool, s, "1")
 	require.NoError(t, err)
 	t.Cleanup(x.Finish)
@@ -43,6 +48,13 @@
 	return a
 }
 
+// beginAnswer reads a request and begins its answer.
+func beginAnswer(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
+	s.read(r)
+	_, _ = io.WriteString(conn, answerStart+"\r\nfirst part")
+	_, _ = r.ReadByte()
+}
+
 func (a *guardedAnswer) connCount() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -150,37 +162,15 @@
 // startAnsweringGuard is startGuardedAnswer at an endpoint that answers each question over the sentinel with reply; one that is empty stands for an endpoint
 // that does not read them.
 func startAnsweringGuard(t *testing.T, reply string) *guardedAnswer {
-	a := &guardedAnswer{pool: newPool()}
-	t.Cleanup(a.pool.Close)
-	s := startScriptedServer(t,
-		func(s *scriptedServer, conn net.Conn, r *bufio.Reader) {
-			a.keep(conn)
-			s.read(r)
-			_, _ = io.WriteString(conn, answerStart+"\r\nfirst part")
-			_, _ = r.ReadByte()
-		},
-		func(_ *scriptedServer, conn net.Conn, r *bufio.Reader) {
-			a.keep(conn)
-			for reply != "" {
-				if _, err := http.ReadRequest(r); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, reply)
+	return startGuardedAnswerBeside(t, func(_ *scriptedServer, conn net.Conn, r *bufio.Reader) {
+		for reply != "" {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
 			}
-			<-t.Context().Done()
-		})
-	x, err := do(t, a.pool, s, "1")
-	require.NoError(t, err)
-	t.Cleanup(x.Finish)
-	a.guard = x.Guard()
-	require.Eventually(t, func() bool { return a.connCount() == 2 && a.guard.State() == GuardOpen }, time.Minute, time.Millisecond)
-	return a
-}
-
-func (a *guardedAnswer) keep(conn net.Conn) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.conns = append(a.conns, conn)
+			_, _ = io.WriteString(conn, reply)
+		}
+		<-t.Context().Done()
+	})
 }
 
 func TestGuardIsAliveOnceItHasAnsweredWhateverItSays(t *testing.T) {
--- a/fleet/pool/part_lookup_test.go
+++ b/fleet/pool/part_lookup_test.go
@@ -26,18 +26,24 @@
 	require.NotNil(t, l.keeper.service(assistant).heldSlots[ticket], "no slot is granted")
 }
 
+// requireAnswer asks for the part of ownLookup until it is known which versions cache it.
+func (l *listingSite) requireAnswer(t *testing.T, want ...endpoint.Version) {
+	t.Helper()
+	versions, known, _ := l.answer(time.Second)
+	require.True(t, known)
+	require.Equal(t, want, versions)
+}
+
 // Guards against ORDER: two requests of one session ran at engines of two versions. When the engines of one version had left, its streams went on at the
 // other one, whose engines cached the part too.
 func TestVersionCountsWhoseEnginesHaveLeftSinceTheyListedThePart(t *testing.T) {
 	l := newListingSite("v1", "v2")
 	l.caches(0)
 	l.caches(1)
-	versions, known, _ := l.answer(time.Second)
-	require.True(t, known)
-	require.Equal(t, []endpoint.Version{"v1", "v2"}, versions)
+	l.requireAnswer(t, "v1", "v2")
 
 	l.unregister(0)
-	versions, known = l.keeper.VersionsCaching(l.now, ownLookup)
+	versions, known := l.keeper.VersionsCaching(l.now, ownLookup)
 	require.True(t, known)
 	require.Equal(t, []endpoint.Version{"v1", "v2"}, versions, "the engine of v1 has left")
 
@@ -55,9 +61,7 @@
 	require.True(t, known)
 	delete(l.cached, engineID(0))
 	l.register(0, 2, "v2")
-	versions, known, _ := l.answer(time.Second)
-	require.True(t, known)
-	require.Equal(t, []endpoint.Version{"v1", "v2"}, versions)
+	l.requireAnswer(t, "v1", "v2")
 }
 
 func TestEngineWhoseRegistrationReturnsIsListedAnew(t *testing.T) {
@@ -90,9 +94,7 @@
 	l.caches(0)
 	l.caches(1)
 	l.grant(t)
-	versions, known, _ := l.answer(time.Second)
-	require.True(t, known)
-	require.Equal(t, []endpoint.Version{"v2"}, versions)
+	l.requireAnswer(t, "v2")
 }
 
 func TestSlotThatWasGrantedAtAnotherVersionLeavesTheVersionOpen(t *testing.T) {
@@ -100,9 +102,7 @@
 	l.caches(0)
 	l.caches(1)
 	l.grant(t)
-	versions, known, _ := l.answer(time.Second)
-	require.True(t, known)
-	require.Equal(t, []endpoint.Version{"v1", "v2"}, versions)
+	l.requireAnswer(t, "v1", "v2")
 }
 
 func TestOnlyServicesWithSeveralVersionsAreListedAfterAStart(t *testing.T) {
