Log and count the ends of outages of the store, and removals that are deferred

The logs did not tell whether a host had deferred the removal, why, or whether it had not read it yet.

BK1211 says that a host takes a time without a confirmation for an outage that has ended, with the length of that time, how many of its own reads failed in it, and who confirmed the copy again; BK1212 says which removals it defers for that; BK2003 says whether a removal had been deferred. entry_store_outages_total, entry_deferred_removals_total and entry_missing_endpoints count them. What a reader or the store sent is one argument now, which names its source.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -39,6 +39,8 @@
 	EvacuationEnded        Number = 1208
 	EvacuationEmpty        Number = 1209
 	HomesUnknown           Number = 1210
+	OutageEnded            Number = 1211
+	RemovalsDeferred       Number = 1212
 	KeeperAssigned         Number = 1301
 	KeeperWithdrawn        Number = 1302
 	EndpointLost           Number = 1303
@@ -121,6 +123,8 @@
 	{EvacuationEnded, "evacuation ended", "The operator has ended the evacuation of DataCentre: its endpoints get requests again.", "None."},
 	{EvacuationEmpty, "evacuated data centre has no endpoints", "No endpoint is registered in the DataCentre that the operator evacuates.", "Check the name; remove the key if it is wrong."},
 	{HomesUnknown, "home regions are not known", "The set lists as homes of the Routes and Workspaces counted, of which the first are named, only regions without a known data centre: their requests are refused.", "See docs/operators/home-regions.md."},
+	{OutageEnded, "outage of the store ended", "No read confirmed this host's copy for GapMs, in which FailedReads of its own failed; Source confirmed it again. Registrations that are missing then are kept for GraceMs more.", "Look for BK1203 before it, here and on other hosts."},
+	{RemovalsDeferred, "removals deferred", "Endpoints are no longer registered, and are kept for GraceMs more since the store was away: their registrations may have expired in that time. The first ones are named.", "None; BK2003 with Deferred follows for those that do not return."},
 	{KeeperAssigned, "endpoint kept", "This node became the keeper of an endpoint.", "None."},
 	{KeeperWithdrawn, "endpoint handed over", "Another node became the keeper of an endpoint.", "None."},
 	{EndpointLost, "endpoint lost", "An endpoint broke off or can't be reached.", "Check the endpoint."},
@@ -152,7 +156,7 @@
 	{LogLinesDropped, "log lines dropped", "More lines than the log's budget, or a reader that does not read; counted by event.", "Read the log faster, or look at the counters."},
 	{RegistrationUnreadable, "registration unreadable", "A registration in the platform's store can't be read and names no endpoint, or a set can't be used; the set before it stays in force.", "Find who wrote it."},
 	{EndpointRegistered, "endpoint registered", "An endpoint registered itself, or changed what it says of itself.", "None."},
-	{EndpointRemoved, "endpoint gone", "An endpoint is no longer registered, or did not come back after an outage of the store.", "None, unless it should be there."},
+	{EndpointRemoved, "endpoint gone", "An endpoint is no longer registered, or, with Deferred, did not come back after an outage of the store.", "None, unless it should be there."},
 	{CacheListed, "cache listed", "A keeper asked an engine what its cache holds; with an error, that remains unknown, and the engine is asked again while a stream that is taken up needs it.", "With errors from one engine for long: look at that engine."},
 	{EndpointLimited, "endpoint limited", "An endpoint's answer states how many requests a second (PerSecond) it takes from all hosts together, or another number than before; Unreadable if it is no number. Requests beyond it go to other endpoints or are refused.", "Find out what the endpoint lacks."},
 	{EndpointLimitEnded, "endpoint limit ended", "An endpoint's answer no longer states a limit; its requests increase over 6 s.", "None."},
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -53,6 +53,8 @@
 	originConflicts    = "entry_origin_conflicts_total"
 	evacuationRefusals = "entry_evacuation_refusals_total"
 	homeRefusals       = "entry_home_refusals_total"
+	storeOutages       = "entry_store_outages_total"
+	deferredRemovals   = "entry_deferred_removals_total"
 )
 
 // meter holds the metrics of a node.
@@ -63,7 +65,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns, originConflicts, evacuationRefusals, homeRefusals} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns, originConflicts, evacuationRefusals, homeRefusals, storeOutages, deferredRemovals} {
 		m.set.NewCounter(name)
 	}
 	for _, verdict := range []completion.Verdict{completion.Complete, completion.BrokenOff, completion.Unconfirmed} {
@@ -79,6 +81,7 @@
 	m.set.NewGauge("entry_belief_age_seconds", func() float64 { return n.storeView.age(timer.BootClock()).Seconds() })
 	m.set.NewGauge("entry_set_version", func() float64 { return float64(n.storeView.setVersion()) })
 	m.set.NewGauge("entry_store_era", func() float64 { return float64(n.storeView.position().Era) })
+	m.set.NewGauge("entry_missing_endpoints", func() float64 { return float64(n.storeView.missingCount()) })
 	m.set.NewGauge("entry_store_revision", func() float64 { return float64(n.storeView.position().Revision) })
 	m.set.NewGauge("entry_hosts_live", func() float64 { return float64(n.membership.liveCount()) })
 	m.set.NewGauge("entry_hosts_earlier_release", func() float64 { return float64(n.membership.earlierReleaseCount()) })
@@ -136,6 +139,12 @@
 // recordStoreReturn counts a return of the platform's store from an older copy.
 func (m *meter) recordStoreReturn() { m.set.GetOrCreateCounter(storeReturns).Inc() }
 
+// recordOutage counts an outage of the platform's store that has ended.
+func (m *meter) recordOutage() { m.set.GetOrCreateCounter(storeOutages).Inc() }
+
+// recordDeferrals counts endpoints whose removal is deferred after an outage.
+func (m *meter) recordDeferrals(n int) { m.set.GetOrCreateCounter(deferredRemovals).Add(n) }
+
 // recordDroppedRead counts what was read in an earlier era of the store than that of this host's copy.
 func (m *meter) recordDroppedRead() { m.set.GetOrCreateCounter(droppedReads).Inc() }
 
--- /dev/null
+++ b/entry/node/outage.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
+	"balsamknot.org/fleet/catalogue"
+)
+
+// maxNamedDeferrals is how many endpoints whose removal is deferred are named in one log line.
+const maxNamedDeferrals = 5
+
+// recordOutage logs and counts the end of an outage of the store, if there was one. source confirmed the copy again.
+func (v *storeView) recordOutage(now time.Time, outage *catalogue.Outage, source string) {
+	if outage == nil {
+		return
+	}
+	v.n.meter.recordOutage()
+	event.LogText(v.n.log, zerolog.WarnLevel, event.OutageEnded).Str("Source", source).Int64("GapMs", outage.Gap.Milliseconds()).
+		Int("FailedReads", outage.FailedReads).Int64("GraceMs", outage.GraceEnd.Sub(now).Milliseconds()).Send()
+}
+
+// recordDeferrals logs and counts the removals that an update deferred.
+func (v *storeView) recordDeferrals(now time.Time, difference catalogue.Difference) {
+	if len(difference.Deferred) == 0 {
+		return
+	}
+	v.n.meter.recordDeferrals(len(difference.Deferred))
+	named := difference.Deferred[:min(len(difference.Deferred), maxNamedDeferrals)]
+	event.LogText(v.n.log, zerolog.WarnLevel, event.RemovalsDeferred).Int("Endpoints", len(difference.Deferred)).Interface("First", named).
+		Int64("GraceMs", difference.GraceEnd.Sub(now).Milliseconds()).Send()
+}
+
+// missingCount returns how many endpoints are kept although they are not registered.
+func (v *storeView) missingCount() int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.catalogue.MissingCount()
+}
--- a/entry/node/readers.go
+++ b/entry/node/readers.go
@@ -35,7 +35,7 @@
 	case state.NewestChange.After(position):
 		err = v.fetchChanges(ctx, reader, position, state.NewestChange)
 	default:
-		v.confirmUnchanged(sentAt.Add(-age))
+		v.confirmUnchanged(sentAt.Add(-age), reader)
 	}
 	switch {
 	case err != nil:
@@ -124,7 +124,9 @@
 		return holder, err
 	}
 	sentAt = sentAt.Add(-time.Duration(update.AgeMs) * time.Millisecond)
-	err = v.applyWithSetEra(sentAt, update.Entries, update.Position(q.After.Era), update.Full, update.SetEra)
+	err = v.applyResult(readResult{
+		source: string(id), sentAt: sentAt, entries: update.Entries, at: update.Position(q.After.Era), full: update.Full, setEra: update.SetEra,
+	})
 	return "", eris.Wrapf(err, "fetch from reader %s", id)
 }
 
--- a/entry/node/store_changes.go
+++ b/entry/node/store_changes.go
@@ -33,7 +33,7 @@
 		case catalogue.Registered:
 			v.propagateRegistration(now, change.Record)
 		case catalogue.Removed:
-			v.propagateRemoval(now, change.ID)
+			v.propagateRemoval(now, change.ID, difference.AfterGrace)
 		}
 	}
 	if difference.Set != nil {
@@ -75,8 +75,8 @@
 	v.n.slots.update(now, pool.EndpointRegistered{Record: record})
 }
 
-func (v *storeView) propagateRemoval(now time.Time, id endpoint.ID) {
-	event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRemoved).Str("Endpoint", string(id)).Send()
+func (v *storeView) propagateRemoval(now time.Time, id endpoint.ID, deferred bool) {
+	event.LogText(v.n.log, zerolog.InfoLevel, event.EndpointRemoved).Str("Endpoint", string(id)).Bool("Deferred", deferred).Send()
 	v.n.paths.update(now, relay.Removed{ID: id})
 	v.n.crashes.update(now, interruption.Removed{ID: id})
 	v.n.streams.update(now, stream.Removed{ID: id})
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -298,7 +298,7 @@
 	v.mu.Unlock()
 	source := string(step.Reader)
 	if step.Reader == "" {
-		source = "store"
+		source = sourceStore
 		v.n.meter.recordStoreRead(err)
 		v.recordStoreRead(now, sentAt, err)
 	}
@@ -321,6 +321,7 @@
 		v.lastStoreReadAt = sentAt
 	} else {
 		v.lastStoreReadAt = time.Time{}
+		v.catalogue.ReadFailed()
 	}
 	v.mu.Unlock()
 	if err != nil && couldRead {
@@ -328,49 +329,70 @@
 	}
 }
 
-// confirmUnchanged records that the copy contains every change made before sentAt.
-func (v *storeView) confirmUnchanged(sentAt time.Time) {
+// confirmUnchanged records that a reader's copy, with all changes made before sentAt, has none that this host lacks.
+func (v *storeView) confirmUnchanged(sentAt time.Time, reader host.ID) {
+	now := timer.BootClock()
 	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.catalogue.Confirm(timer.BootClock(), sentAt)
+	outage := v.catalogue.Confirm(now, sentAt)
 	v.notePassedOn(sentAt)
+	v.mu.Unlock()
+	v.recordOutage(now, outage, string(reader))
 }
 
+// readResult is the result of a read of the store, made by this host or by another one.
+type readResult struct {
+	// source is the host that sent it, or sourceStore.
+	source string
+	// sentAt is when the read of the store was sent.
+	sentAt  time.Time
+	entries []catalogue.Entry
+	// at is the position at which the read ended.
+	at   catalogue.Position
+	full bool
+	// setEra is the era of the read that contained the set; a host may pass on one that it read in an earlier era.
+	setEra catalogue.Era
+}
+
+// sourceStore is the source of this host's own reads.
+const sourceStore = "store"
+
 // apply merges the result of a read that was sent at sentAt and ended at a position, and notifies the subscribers if it changed an entry. The
 // error is errEarlierEra, and nothing is merged, if this host's copy is from a later era.
 func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool) error {
-	return v.applyWithSetEra(sentAt, entries, at, full, at.Era)
+	return v.applyResult(readResult{source: sourceStore, sentAt: sentAt, entries: entries, at: at, full: full, setEra: at.Era})
 }
 
-// applyWithSetEra is apply for the entries of a reader, which may hold a set that it read in an earlier era.
-func (v *storeView) applyWithSetEra(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool, setEra catalogue.Era) error {
-	changes, setValues := v.decode(entries)
+// applyResult is apply for the result of any source.
+func (v *storeView) applyResult(r readResult) error {
+	changes, setValues := v.decode(r.entries)
 	v.applying.Lock()
 	defer v.applying.Unlock()
 	now := timer.BootClock()
 	v.mu.Lock()
 	before, newestBefore := v.catalogue.Position(), v.history.NewestChange()
-	if !before.Admits(at, full) {
+	if !before.Admits(r.at, r.full) {
 		v.mu.Unlock()
 		v.n.meter.recordDroppedRead()
-		event.LogText(v.n.log, zerolog.WarnLevel, event.EarlierEraDropped).Int64("Era", int64(at.Era)).Int64("OwnEra", int64(before.Era)).Send()
+		event.LogText(v.n.log, zerolog.WarnLevel, event.EarlierEraDropped).Int64("Era", int64(r.at.Era)).Int64("OwnEra", int64(before.Era)).Send()
 		return errEarlierEra
 	}
 	difference := v.catalogue.Apply(now, catalogue.Update{
-		SentAt: sentAt, Position: at, Full: full, SetEra: setEra, Changes: changes,
+		SentAt: r.sentAt, Position: r.at, Full: r.full, SetEra: r.setEra, Changes: changes,
 	})
 	if difference.Set != nil {
 		v.setValue = setValues[difference.Set]
 	}
-	if !before.Includes(at, full) {
-		v.history.Record(now, v.withNewestSet(entries, full), at, full)
+	if !before.Includes(r.at, r.full) {
+		v.history.Record(now, v.withNewestSet(r.entries, r.full), r.at, r.full)
 	}
 	newest := v.history.NewestChange()
 	v.mu.Unlock()
-	v.recordReturn(before, at, difference)
+	v.recordReturn(before, r.at, difference)
+	v.recordOutage(now, difference.Outage, r.source)
+	v.recordDeferrals(now, difference)
 	v.propagate(now, difference)
 	v.mu.Lock()
-	v.notePassedOn(sentAt)
+	v.notePassedOn(r.sentAt)
 	v.mu.Unlock()
 	if newest.After(newestBefore) {
 		v.notifySubscribers(now, peer.CopyNotice{NewestChange: newest})
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -73,6 +73,13 @@
 	// Missing is how many endpoints are kept although they are no longer registered, until the grace period after an outage ends, and Held how
 	// many are registered and get no requests for now.
 	Missing, Held int
+	// Outage is the outage of the platform that the update has ended, nil if there was none.
+	Outage *Outage
+	// Deferred holds the endpoints that are no longer registered, and whose removal is deferred since this update, until GraceEnd.
+	Deferred []endpoint.ID
+	GraceEnd time.Time
+	// AfterGrace is true if the removals in Endpoints had been deferred.
+	AfterGrace bool
 }
 
 // Catalogue is the local copy. It is not safe for concurrent use.
@@ -84,6 +91,8 @@
 	position Position
 	// confirmedAt is when the newest applied read was sent: the copy contains every change made before.
 	confirmedAt time.Time
+	// failedReads is how many of this host's own reads have failed since the copy was confirmed.
+	failedReads int
 	endpoints   map[endpoint.ID]endpoint.Record
 	// pendingRemovals holds endpoints that were registered before an outage and are missing after it, with the time at which
 	// they will be removed.
@@ -109,28 +118,17 @@
 	}
 }
 
-// Confirm records that the copy contains every change made before sentAt. It takes a long time without a confirmation for an outage.
-func (c *Catalogue) Confirm(now, sentAt time.Time) {
-	if !c.confirmedAt.IsZero() && sentAt.Sub(c.confirmedAt) > c.cfg.OutageThreshold {
-		c.graceEnd = now.Add(c.cfg.RecoveryGrace)
-	}
-	if sentAt.After(c.confirmedAt) {
-		c.confirmedAt = sentAt
-	}
-}
-
 // Apply merges an update that arrived at time now, change by change, and returns what changed. A set whose version is lower than that of the set in
 // force is ignored; one with the same version replaces it only if the store has returned from an older copy since, and was written to again. An
 // update whose read was sent before that of an earlier update does not change the copy's age. Only a full update can move the position back: the
 // copy already has the changes of any other one that ends before it.
 func (c *Catalogue) Apply(now time.Time, u Update) Difference {
-	c.Confirm(now, u.SentAt)
-	var d Difference
+	d := Difference{Outage: c.Confirm(now, u.SentAt)}
 	if !c.position.Includes(u.Position, u.Full) {
 		c.merge(now, u, &d)
 		c.position = u.Position
 	}
-	d.Missing, d.Held = len(c.pendingRemovals), len(c.held)
+	d.Missing, d.Held, d.GraceEnd = len(c.pendingRemovals), len(c.held), c.graceEnd
 	return d
 }
 
@@ -150,7 +148,7 @@
 	}
 	if u.Full {
 		for _, id := range c.unlisted(u) {
-			d.Endpoints = append(d.Endpoints, c.remove(now, id)...)
+			c.remove(now, id, d)
 		}
 		d.DataCentres = append(d.DataCentres, c.evacuations.endUnlisted(u.Changes, olderCopy)...)
 	}
@@ -168,7 +166,7 @@
 	case Removed:
 		delete(c.held, change.ID)
 		delete(c.outdated, change.ID)
-		d.Endpoints = append(d.Endpoints, c.remove(now, change.ID)...)
+		c.remove(now, change.ID, d)
 	case Evacuated:
 		d.DataCentres = append(d.DataCentres, c.evacuations.begin(change.DataCentre)...)
 	case Reopened:
@@ -244,20 +242,21 @@
 	}
 }
 
-// remove deletes an endpoint and returns its removal if it did. During the grace period after an outage it defers the removal of
-// endpoints that had not announced that they leave: their registration may have expired only because of the outage.
-func (c *Catalogue) remove(now time.Time, id endpoint.ID) []Change {
+// remove deletes an endpoint and adds its removal to d. During the grace period after an outage it defers the removal of endpoints that had not
+// announced that they leave: their registration may have expired only because of the outage.
+func (c *Catalogue) remove(now time.Time, id endpoint.ID, d *Difference) {
 	record, known := c.endpoints[id]
 	if !known {
-		return nil
+		return
 	}
-	if now.Before(c.graceEnd) && !record.Leaving {
-		if _, pending := c.pendingRemovals[id]; !pending {
-			c.pendingRemovals[id] = c.graceEnd
-		}
-		return nil
+	if !now.Before(c.graceEnd) || record.Leaving {
+		d.Endpoints = append(d.Endpoints, c.drop(now, record)...)
+		return
+	}
+	if _, pending := c.pendingRemovals[id]; !pending {
+		c.pendingRemovals[id] = c.graceEnd
+		d.Deferred = append(d.Deferred, id)
 	}
-	return c.drop(now, record)
 }
 
 func (c *Catalogue) drop(now time.Time, record endpoint.Record) []Change {
@@ -270,7 +269,7 @@
 // Tick removes the endpoints that did not register again within the grace period after an outage, and returns them with those whose registration
 // is no longer held back. It also ends the evacuations that an older copy of the store lacks and that were not written again in that time. A copy that is confirmed only up to a time within these periods may lack changes that were made since.
 func (c *Catalogue) Tick(now time.Time) Difference {
-	var d Difference
+	d := Difference{AfterGrace: true}
 	for _, id := range slices.Sorted(maps.Keys(c.pendingRemovals)) {
 		if !c.confirmedAt.Before(c.pendingRemovals[id]) {
 			d.Endpoints = append(d.Endpoints, c.drop(now, c.endpoints[id])...)
