Take a time without reads for an outage of the store only if there is evidence of one

The store was there all the while.

Cause: more than 2.5 s between two confirmations of a host's copy counted as an outage, after which removals are deferred. Hosts that start with an old copy, hosts that the store turns away, and hosts whose readers were lost find such a gap as well. Each counted the deferral from when it learned of the return.

Change: a gap counts as an outage if a read of this host that was sent in it failed, or if the host that confirms the copy states the outage; not if that host has read, or knows of reads, all the while. A read refused for its rate is no failure. Only hosts whose own read shows the return state it, so that one that is turned away misleads nobody. The grace period counts from the return, at all hosts, also for a store that returns from an older copy. CopyState says both, in fields of their own; hosts of earlier releases ignore them, and their silence is no evidence. This works since it asks for what an outage makes: a failed read, which the other causes of a gap don't bring to hosts that the store serves.

Three tests of outages now also record the failed reads that an outage has (TestRegistrationExpiredDuringOutage..., TestEndpointIsRemovedOnlyByAReadSentAfterTheGracePeriod, TestEvacuationThatAnOlderCopyLacks...): before, the gap alone was their outage; what they ask for is unchanged.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -123,7 +123,7 @@
 	{EvacuationEnded, "evacuation ended", "The operator has ended the evacuation of DataCentre: its endpoints get requests again.", "None."},
 	{EvacuationEmpty, "evacuated data centre has no endpoints", "No endpoint is registered in the DataCentre that the operator evacuates.", "Check the name; remove the key if it is wrong."},
 	{HomesUnknown, "home regions are not known", "The set lists as homes of the Routes and Workspaces counted, of which the first are named, only regions without a known data centre: their requests are refused.", "See docs/operators/home-regions.md."},
-	{OutageEnded, "outage of the store ended", "No read confirmed this host's copy for GapMs, in which FailedReads of its own failed; Source confirmed it again. Registrations that are missing then are kept for GraceMs more.", "Look for BK1203 before it, here and on other hosts."},
+	{OutageEnded, "outage of the store ended", "No read confirmed this host's copy for GapMs, until Source did. Evidence tells why that counts as an outage: own, reads of this host failed meanwhile; stated, Source knows of it. Registrations that are missing now are kept for GraceMs more.", "Look for BK1203 before it, here and on other hosts."},
 	{RemovalsDeferred, "removals deferred", "Endpoints are no longer registered, and are kept for GraceMs more since the store was away: their registrations may have expired in that time. The first ones are named.", "None; BK2003 with Deferred follows for those that do not return."},
 	{KeeperAssigned, "endpoint kept", "This node became the keeper of an endpoint.", "None."},
 	{KeeperWithdrawn, "endpoint handed over", "Another node became the keeper of an endpoint.", "None."},
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -9,6 +9,7 @@
 
 	"balsamknot.org/entry/connection"
 	"balsamknot.org/entry/peer"
+	"balsamknot.org/fleet/catalogue"
 	"balsamknot.org/fleet/completion"
 	"balsamknot.org/fleet/memory"
 	"balsamknot.org/fleet/pool"
@@ -53,7 +54,6 @@
 	originConflicts    = "entry_origin_conflicts_total"
 	evacuationRefusals = "entry_evacuation_refusals_total"
 	homeRefusals       = "entry_home_refusals_total"
-	storeOutages       = "entry_store_outages_total"
 	deferredRemovals   = "entry_deferred_removals_total"
 )
 
@@ -65,9 +65,12 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns, originConflicts, evacuationRefusals, homeRefusals, storeOutages, deferredRemovals} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns, originConflicts, evacuationRefusals, homeRefusals, deferredRemovals} {
 		m.set.NewCounter(name)
 	}
+	for _, evidence := range []catalogue.Evidence{catalogue.OwnReads, catalogue.Stated} {
+		m.set.NewCounter(storeOutages(evidence))
+	}
 	for _, verdict := range []completion.Verdict{completion.Complete, completion.BrokenOff, completion.Unconfirmed} {
 		m.set.NewCounter(unmarkedEnd(verdict))
 	}
@@ -139,8 +142,15 @@
 // recordStoreReturn counts a return of the platform's store from an older copy.
 func (m *meter) recordStoreReturn() { m.set.GetOrCreateCounter(storeReturns).Inc() }
 
+// storeOutages is the name of the series of outages by evidence.
+func storeOutages(evidence catalogue.Evidence) string {
+	return `entry_store_outages_total{evidence="` + string(evidence) + `"}`
+}
+
 // recordOutage counts an outage of the platform's store that has ended.
-func (m *meter) recordOutage() { m.set.GetOrCreateCounter(storeOutages).Inc() }
+func (m *meter) recordOutage(evidence catalogue.Evidence) {
+	m.set.GetOrCreateCounter(storeOutages(evidence)).Inc()
+}
 
 // recordDeferrals counts endpoints whose removal is deferred after an outage.
 func (m *meter) recordDeferrals(n int) { m.set.GetOrCreateCounter(deferredRemovals).Add(n) }
--- a/entry/node/outage.go
+++ b/entry/node/outage.go
@@ -17,9 +17,9 @@
 	if outage == nil {
 		return
 	}
-	v.n.meter.recordOutage()
-	event.LogText(v.n.log, zerolog.WarnLevel, event.OutageEnded).Str("Source", source).Int64("GapMs", outage.Gap.Milliseconds()).
-		Int("FailedReads", outage.FailedReads).Int64("GraceMs", outage.GraceEnd.Sub(now).Milliseconds()).Send()
+	v.n.meter.recordOutage(outage.Evidence)
+	event.LogText(v.n.log, zerolog.WarnLevel, event.OutageEnded).Str("Source", source).Str("Evidence", string(outage.Evidence)).
+		Int64("GapMs", outage.Gap.Milliseconds()).Int64("GraceMs", outage.GraceEnd.Sub(now).Milliseconds()).Send()
 }
 
 // recordDeferrals logs and counts the removals that an update deferred.
--- a/entry/node/readers.go
+++ b/entry/node/readers.go
@@ -27,15 +27,18 @@
 		return err
 	}
 	age := time.Duration(state.AgeMs) * time.Millisecond
+	confirmation := catalogue.Confirmation{
+		SentAt: sentAt.Add(-age), SteadySince: state.SteadySince.Before(sentAt), OutageEnd: state.OutageEnd.Before(sentAt),
+	}
 	switch {
 	case state.AgeMs < 0:
 		return eris.Wrapf(errReaderStarting, "ask reader %s", reader)
 	case state.NewestChange.Era < position.Era:
 		return eris.Wrapf(errEarlierEra, "ask reader %s", reader)
 	case state.NewestChange.After(position):
-		err = v.fetchChanges(ctx, reader, position, state.NewestChange)
+		err = v.fetchChanges(ctx, reader, position, state.NewestChange, confirmation)
 	default:
-		v.confirmUnchanged(sentAt.Add(-age), reader)
+		v.confirmUnchanged(confirmation, reader)
 	}
 	switch {
 	case err != nil:
@@ -94,26 +97,28 @@
 }
 
 // fetchChanges fetches the changes after a position from a reader, or from a host to which the reader refers, and applies them. newest is that of
-// the reader's newest change; a host that had the copy before the store returned from an older one may not have it yet.
-func (v *storeView) fetchChanges(ctx context.Context, reader host.ID, after, newest catalogue.Position) error {
+// the reader's newest change; a host that had the copy before the store returned from an older one may not have it yet. stated is how the reader
+// confirmed its copy.
+func (v *storeView) fetchChanges(ctx context.Context, reader host.ID, after, newest catalogue.Position, stated catalogue.Confirmation) error {
 	q := peer.UpdateQuery{
 		After: after, EraStated: true, Asker: catalogue.Asker{Host: v.n.cfg.Host, DataCentre: v.n.cfg.DataCentre},
 	}
-	holder, err := v.fetchFrom(ctx, reader, q)
+	holder, err := v.fetchFrom(ctx, reader, q, stated)
 	if err != nil || holder == "" {
 		return err
 	}
 	q.Direct = true
-	if _, err := v.fetchFrom(ctx, holder, q); err == nil && !newest.After(v.position()) {
+	if _, err := v.fetchFrom(ctx, holder, q, stated); err == nil && !newest.After(v.position()) {
 		return nil
 	}
 	q.After = v.position()
-	_, err = v.fetchFrom(ctx, reader, q)
+	_, err = v.fetchFrom(ctx, reader, q, stated)
 	return err
 }
 
-// fetchFrom sends a query to a host and applies the update. If holder is not empty, that host has the update, and nothing was applied.
-func (v *storeView) fetchFrom(ctx context.Context, id host.ID, q peer.UpdateQuery) (holder host.ID, err error) {
+// fetchFrom sends a query to a host and applies the update, of which a reader has stated what it knows of outages. If holder is not empty, that host
+// has the update, and nothing was applied.
+func (v *storeView) fetchFrom(ctx context.Context, id host.ID, q peer.UpdateQuery, stated catalogue.Confirmation) (holder host.ID, err error) {
 	address, known := v.n.membership.readerAddress(id)
 	if !known {
 		return "", eris.Errorf("fetch from reader %s: unknown host", id)
@@ -123,9 +128,9 @@
 	if err != nil || holder != "" {
 		return holder, err
 	}
-	sentAt = sentAt.Add(-time.Duration(update.AgeMs) * time.Millisecond)
+	stated.SentAt = sentAt.Add(-time.Duration(update.AgeMs) * time.Millisecond)
 	err = v.applyResult(readResult{
-		source: string(id), sentAt: sentAt, entries: update.Entries, at: update.Position(q.After.Era), full: update.Full, setEra: update.SetEra,
+		source: string(id), confirmation: stated, entries: update.Entries, at: update.Position(q.After.Era), full: update.Full, setEra: update.SetEra,
 	})
 	return "", eris.Wrapf(err, "fetch from reader %s", id)
 }
@@ -165,6 +170,7 @@
 	state := peer.CopyState{
 		Nonce: nonce, NewestChange: v.history.NewestChange(), AgeMs: v.catalogue.Age(now).Milliseconds() + 1,
 		ReadsPlatform: now.Sub(v.lastStoreReadAt) < recentReadWindow,
+		OutageEnd:     peer.AgoAt(now, v.catalogue.OutageEnd()), SteadySince: peer.AgoAt(now, v.catalogue.SteadySince()),
 	}
 	if !v.history.Position().Loaded() {
 		state.AgeMs = -1
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -215,11 +215,16 @@
 	if err != nil {
 		return 0, err
 	}
+	return minWatchInterval, v.apply(sentAt, entriesOf(page), position, full)
+}
+
+// entriesOf returns the entries of a read of the store.
+func entriesOf(page platform.Page) []catalogue.Entry {
 	entries := make([]catalogue.Entry, len(page.Changes))
 	for i, c := range page.Changes {
 		entries[i] = catalogue.Entry{Key: c.Key, Value: c.Value, Removed: c.Removed, Revision: catalogue.Revision(c.Revision)}
 	}
-	return minWatchInterval, v.apply(sentAt, entries, position, full)
+	return entries
 }
 
 // readStore watches the store for changes after the copy's position. It reads the whole store, and full is true, if there is no copy yet, the
@@ -321,7 +326,9 @@
 		v.lastStoreReadAt = sentAt
 	} else {
 		v.lastStoreReadAt = time.Time{}
-		v.catalogue.ReadFailed()
+	}
+	if err != nil && !errors.Is(err, platform.ErrRateLimited) {
+		v.catalogue.ReadFailed(sentAt)
 	}
 	v.mu.Unlock()
 	if err != nil && couldRead {
@@ -329,12 +336,12 @@
 	}
 }
 
-// confirmUnchanged records that a reader's copy, with all changes made before sentAt, has none that this host lacks.
-func (v *storeView) confirmUnchanged(sentAt time.Time, reader host.ID) {
+// confirmUnchanged records that a reader's copy has no change that this host lacks.
+func (v *storeView) confirmUnchanged(f catalogue.Confirmation, reader host.ID) {
 	now := timer.BootClock()
 	v.mu.Lock()
-	outage := v.catalogue.Confirm(now, sentAt)
-	v.notePassedOn(sentAt)
+	outage := v.catalogue.Confirm(f)
+	v.notePassedOn(f.SentAt)
 	v.mu.Unlock()
 	v.recordOutage(now, outage, string(reader))
 }
@@ -342,10 +349,9 @@
 // readResult is the result of a read of the store, made by this host or by another one.
 type readResult struct {
 	// source is the host that sent it, or sourceStore.
-	source string
-	// sentAt is when the read of the store was sent.
-	sentAt  time.Time
-	entries []catalogue.Entry
+	source       string
+	confirmation catalogue.Confirmation
+	entries      []catalogue.Entry
 	// at is the position at which the read ended.
 	at   catalogue.Position
 	full bool
@@ -359,7 +365,8 @@
 // apply merges the result of a read that was sent at sentAt and ended at a position, and notifies the subscribers if it changed an entry. The
 // error is errEarlierEra, and nothing is merged, if this host's copy is from a later era.
 func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool) error {
-	return v.applyResult(readResult{source: sourceStore, sentAt: sentAt, entries: entries, at: at, full: full, setEra: at.Era})
+	confirmation := catalogue.Confirmation{SentAt: sentAt, AnsweredAt: timer.BootClock()}
+	return v.applyResult(readResult{source: sourceStore, confirmation: confirmation, entries: entries, at: at, full: full, setEra: at.Era})
 }
 
 // applyResult is apply for the result of any source.
@@ -377,7 +384,7 @@
 		return errEarlierEra
 	}
 	difference := v.catalogue.Apply(now, catalogue.Update{
-		SentAt: r.sentAt, Position: r.at, Full: r.full, SetEra: r.setEra, Changes: changes,
+		Confirmation: r.confirmation, Position: r.at, Full: r.full, SetEra: r.setEra, Changes: changes,
 	})
 	if difference.Set != nil {
 		v.setValue = setValues[difference.Set]
@@ -392,7 +399,7 @@
 	v.recordDeferrals(now, difference)
 	v.propagate(now, difference)
 	v.mu.Lock()
-	v.notePassedOn(r.sentAt)
+	v.notePassedOn(r.confirmation.SentAt)
 	v.mu.Unlock()
 	if newest.After(newestBefore) {
 		v.notifySubscribers(now, peer.CopyNotice{NewestChange: newest})
--- a/entry/peer/copy_state.go
+++ b/entry/peer/copy_state.go
@@ -1,6 +1,10 @@
 package peer
 
-import "balsamknot.org/fleet/catalogue"
+import (
+	"time"
+
+	"balsamknot.org/fleet/catalogue"
+)
 
 // CopyProbe queries the state of a reader's copy of the platform's store. The reader replies with a CopyState.
 type CopyProbe struct {
@@ -14,6 +18,29 @@
 	NewestChange  catalogue.Position `cbor:"2,keyasint"`
 	AgeMs         int64              `cbor:"3,keyasint"`
 	ReadsPlatform bool               `cbor:"4,keyasint,omitempty"`
+	// OutageEnd is when the last outage of the store ended, and SteadySince from when on reads of it have followed each other closely. Hosts of
+	// earlier releases state neither.
+	OutageEnd   Ago `cbor:"5,keyasint,omitempty"`
+	SteadySince Ago `cbor:"6,keyasint,omitempty"`
+}
+
+// Ago is a time before a message was sent, in milliseconds, plus one; 0 if there is none.
+type Ago int64
+
+// AgoAt returns how long before now t is; t is zero if there is none.
+func AgoAt(now, t time.Time) Ago {
+	if t.IsZero() {
+		return 0
+	}
+	return Ago(now.Sub(t).Milliseconds() + 1)
+}
+
+// Before returns the time, if the message was sent at sentAt; zero if there is none.
+func (a Ago) Before(sentAt time.Time) time.Time {
+	if a <= 0 {
+		return time.Time{}
+	}
+	return sentAt.Add(-time.Duration(a-1) * time.Millisecond)
 }
 
 // CopyNotice informs the hosts that probed the sender recently that its copy changed, or that it can no longer read the platform. Its fields are
--- a/entry/peer/copy_state_test.go
+++ b/entry/peer/copy_state_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -45,3 +46,24 @@
 	_, err = parseUpdateQuery(map[string][]string{afterParam: {"3"}, eraParam: {"x"}})
 	require.ErrorContains(t, err, "era")
 }
+
+// Recorded from the release that introduced OutageEnd and SteadySince. Later ones must be able to read it.
+func TestRecordedCopyStateAfterAnOutageIsReadable(t *testing.T) {
+	t.Parallel()
+	raw, err := hex.DecodeString("a20161610581a6010702a20104021901e0031404f5051903210619032b")
+	require.NoError(t, err)
+	d, err := Decode(raw)
+	require.NoError(t, err)
+	state := copyMessages.CopyStates[0]
+	state.OutageEnd, state.SteadySince = 801, 811
+	require.Equal(t, Datagram{From: "a", Extensions: Extensions{CopyStates: []CopyState{state}}}, d)
+}
+
+func TestAgoTellsTheTime(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	for _, then := range []time.Time{{}, now, now.Add(-800 * time.Millisecond)} {
+		require.Equal(t, then, AgoAt(now, then).Before(now))
+	}
+	require.True(t, Ago(-5).Before(now).IsZero(), "no host states that")
+}
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -25,7 +25,7 @@
 	// RecoveryGrace is how long the removal of endpoints is deferred after an outage of the platform, so that endpoints whose
 	// registration expired during the outage can register again.
 	RecoveryGrace time.Duration
-	// OutageThreshold is the time without a successful read after which the next update is treated as the end of an outage.
+	// OutageThreshold is the time without a successful read from which on it is treated as an outage, if there is Evidence of one.
 	OutageThreshold time.Duration
 	// ReturnHold is how long an endpoint that was removed, and is registered again in an older copy of the store, gets no requests unless it
 	// registers anew: longer than the registration of one that has ended lasts.
@@ -34,8 +34,7 @@
 
 // Update is the result of one read of the platform, made by this host or by a reader.
 type Update struct {
-	// SentAt is when the read was sent. The update contains every change made before that time.
-	SentAt time.Time
+	Confirmation
 	// Full is true when the update lists the whole state. Endpoints that it does not list have been removed.
 	Full bool
 	// Position is the position after which the next read continues. The catalogue's Position must admit it.
@@ -91,14 +90,16 @@
 	position Position
 	// confirmedAt is when the newest applied read was sent: the copy contains every change made before.
 	confirmedAt time.Time
-	// failedReads is how many of this host's own reads have failed since the copy was confirmed.
-	failedReads int
-	endpoints   map[endpoint.ID]endpoint.Record
+	// steadySince is from when on confirmations followed each other within Config.OutageThreshold.
+	steadySince time.Time
+	// failedReadAt is when the newest read of this host that failed was sent.
+	failedReadAt time.Time
+	endpoints    map[endpoint.ID]endpoint.Record
 	// pendingRemovals holds endpoints that were registered before an outage and are missing after it, with the time at which
 	// they will be removed.
 	pendingRemovals map[endpoint.ID]time.Time
-	// graceEnd is the time until which removals are deferred after the last outage.
-	graceEnd time.Time
+	// outageEnd is when the last outage ended that was witnessed, and graceEnd the time until which removals are deferred.
+	outageEnd, graceEnd time.Time
 	// departed holds the instances of endpoints that are no longer registered.
 	departed map[endpoint.Instance]departure
 	// held holds registrations from an older copy of the store, of endpoints that had departed before, and outdated those of endpoints that had
@@ -123,22 +124,24 @@
 // update whose read was sent before that of an earlier update does not change the copy's age. Only a full update can move the position back: the
 // copy already has the changes of any other one that ends before it.
 func (c *Catalogue) Apply(now time.Time, u Update) Difference {
-	d := Difference{Outage: c.Confirm(now, u.SentAt)}
+	returnedAt := c.returnedAt(u.Confirmation)
+	d := Difference{Outage: c.Confirm(u.Confirmation)}
 	if !c.position.Includes(u.Position, u.Full) {
-		c.merge(now, u, &d)
+		c.merge(now, returnedAt, u, &d)
 		c.position = u.Position
 	}
 	d.Missing, d.Held, d.GraceEnd = len(c.pendingRemovals), len(c.held), c.graceEnd
 	return d
 }
 
-// merge applies the changes of an update to the copy and adds to d what changed.
-func (c *Catalogue) merge(now time.Time, u Update, d *Difference) {
+// merge applies the changes of an update to the copy and adds to d what changed. If the store has returned from an older copy, that was at
+// returnedAt.
+func (c *Catalogue) merge(now, returnedAt time.Time, u Update, d *Difference) {
 	olderCopy := c.position.Loaded() && u.Position.Era > c.position.Era
 	switch {
 	case olderCopy:
-		c.graceEnd = now.Add(c.cfg.RecoveryGrace)
-		u.Changes = c.withoutDeparted(now, u.Changes)
+		c.deferRemovals(returnedAt, true)
+		u.Changes = c.withoutDeparted(returnedAt, u.Changes)
 		c.noteOutdated(u.Changes)
 	case u.Full:
 		c.dropUnlistedHeld(u)
--- a/fleet/catalogue/catalogue_test.go
+++ b/fleet/catalogue/catalogue_test.go
@@ -17,6 +17,12 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
+// sent returns the confirmation of a read of another host that was sent then.
+func sent(d time.Duration) Confirmation { return Confirmation{SentAt: at(d)} }
+
+// read returns the confirmation of an own read that was sent, and answered at once, then.
+func read(d time.Duration) Confirmation { return Confirmation{SentAt: at(d), AnsweredAt: at(d)} }
+
 func newCatalogue() *Catalogue {
 	return New(Config{Lease: 4 * time.Second, RecoveryGrace: 2 * time.Second, OutageThreshold: 2500 * time.Millisecond, ReturnHold: 5 * time.Second})
 }
@@ -50,33 +56,34 @@
 	t.Parallel()
 	c := newCatalogue()
 	require.False(t, c.Valid(at(0)))
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(5), Changes: published(&site.Set{Version: 7})})
-	c.Apply(at(1), Update{SentAt: at(1), Position: atRevision(6), Changes: published(&site.Set{Version: 6})})
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: atRevision(5), Changes: published(&site.Set{Version: 7})})
+	c.Apply(at(1), Update{Confirmation: sent(1), Position: atRevision(6), Changes: published(&site.Set{Version: 6})})
 	require.Equal(t, site.Version(7), c.set.Version)
 }
 
 func TestTheLeaseCountsFromWhenTheReadWasSent(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(3*time.Second), Update{SentAt: at(0), Position: atRevision(1), Changes: published(&site.Set{Version: 1})})
+	c.Apply(at(3*time.Second), Update{Confirmation: sent(0), Position: atRevision(1), Changes: published(&site.Set{Version: 1})})
 	require.True(t, c.Valid(at(3999*time.Millisecond)))
 	require.False(t, c.Valid(at(4*time.Second)))
-	c.Apply(at(5*time.Second), Update{SentAt: at(4500 * time.Millisecond), Position: atRevision(1)})
+	c.Apply(at(5*time.Second), Update{Confirmation: sent(4500 * time.Millisecond), Position: atRevision(1)})
 	require.True(t, c.Valid(at(5*time.Second)))
-	c.Apply(at(6*time.Second), Update{SentAt: at(2 * time.Second)})
+	c.Apply(at(6*time.Second), Update{Confirmation: sent(2 * time.Second)})
 	require.Equal(t, 1500*time.Millisecond, c.Age(at(6*time.Second)), "an older confirmation must not move the age back")
 }
 
 func TestRegistrationExpiredDuringOutageIsKeptForRecoveryGrace(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Changes: registered(record("back", false), record("lost", false), record("leaving", true))})
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: atRevision(1), Full: true, Changes: registered(record("back", false), record("lost", false), record("leaving", true))})
+	c.ReadFailed(at(5 * time.Second))
 	recoveredAt := 6 * time.Second
-	change := c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Changes: removed("back", "lost", "leaving")})
+	change := c.Apply(at(recoveredAt), Update{Confirmation: sent(recoveredAt), Position: atRevision(2), Changes: removed("back", "lost", "leaving")})
 	require.Equal(t, removed("leaving"), change.Endpoints)
-	c.Apply(at(recoveredAt+time.Second), Update{SentAt: at(recoveredAt + time.Second), Position: atRevision(3), Changes: registered(record("back", false))})
+	c.Apply(at(recoveredAt+time.Second), Update{Confirmation: sent(recoveredAt + time.Second), Position: atRevision(3), Changes: registered(record("back", false))})
 	require.Empty(t, c.Tick(c.confirmedAt).Endpoints)
-	c.Apply(at(recoveredAt+2100*time.Millisecond), Update{SentAt: at(recoveredAt + 2*time.Second), Position: atRevision(3)})
+	c.Apply(at(recoveredAt+2100*time.Millisecond), Update{Confirmation: sent(recoveredAt + 2*time.Second), Position: atRevision(3)})
 	require.Equal(t, removed("lost"), c.Tick(c.confirmedAt).Endpoints)
 	require.Len(t, c.endpoints, 1)
 }
@@ -85,12 +92,13 @@
 func TestEndpointIsRemovedOnlyByAReadSentAfterTheGracePeriod(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Changes: registered(record("back", false), record("lost", false))})
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: atRevision(1), Full: true, Changes: registered(record("back", false), record("lost", false))})
+	c.ReadFailed(at(5 * time.Second))
 	recoveredAt := 6 * time.Second
-	c.Apply(at(recoveredAt), Update{SentAt: at(recoveredAt), Position: atRevision(2), Changes: removed("back", "lost")})
+	c.Apply(at(recoveredAt), Update{Confirmation: sent(recoveredAt), Position: atRevision(2), Changes: removed("back", "lost")})
 	require.Empty(t, c.Tick(c.confirmedAt).Endpoints)
 	change := c.Apply(at(recoveredAt+4*time.Second), Update{
-		SentAt: at(recoveredAt + 3900*time.Millisecond), Position: atRevision(4), Changes: registered(record("back", false)),
+		Confirmation: sent(recoveredAt + 3900*time.Millisecond), Position: atRevision(4), Changes: registered(record("back", false)),
 	})
 	require.Empty(t, change.Endpoints, "it was never removed")
 	require.Equal(t, removed("lost"), c.Tick(c.confirmedAt).Endpoints)
@@ -99,8 +107,8 @@
 func TestRemovalWithoutOutageTakesEffectAtOnce(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Changes: registered(record("a", false), record("b", false))})
-	change := c.Apply(at(time.Second), Update{SentAt: at(time.Second), Position: atRevision(2), Full: true, Changes: registered(record("b", false))})
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: atRevision(1), Full: true, Changes: registered(record("a", false), record("b", false))})
+	change := c.Apply(at(time.Second), Update{Confirmation: sent(time.Second), Position: atRevision(2), Full: true, Changes: registered(record("b", false))})
 	require.Equal(t, removed("a"), change.Endpoints)
 }
 
@@ -174,8 +182,6 @@
 	require.Equal(t, Step{}, s.Next(at(0), ranked, true, 0))
 }
 
-// A follower is a host that fetches a reader's changes. After each fetch, at arbitrary times, it must have the same keys and
-// values as the reader, also after removals, expired tombstones and full reads.
 // During an outage registrations end and return as they were. A host that read the store in between lacks them; a reader that did not has
 // the same values as before.
 func TestReaderSendsEntriesThatWereRemovedAndWrittenAgain(t *testing.T) {
@@ -218,6 +224,8 @@
 	require.Equal(t, atRevision(8), h.Position())
 }
 
+// A follower is a host that fetches a reader's changes. After each fetch, at arbitrary times, it must have the same keys and
+// values as the reader, also after removals, expired tombstones and full reads.
 func TestFollowerConvergesToReaderHistory(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
--- a/fleet/catalogue/evacuation_test.go
+++ b/fleet/catalogue/evacuation_test.go
@@ -34,13 +34,13 @@
 func TestEvacuationCountsUntilItsKeyIsRemoved(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	d := c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 5), Full: true, Changes: evacuated("b", "a")})
+	d := c.Apply(at(0), Update{Confirmation: sent(0), Position: inEra(1, 5), Full: true, Changes: evacuated("b", "a")})
 	require.Equal(t, evacuated("b", "a"), d.DataCentres)
-	d = c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 6), Changes: evacuated("a")})
+	d = c.Apply(at(1), Update{Confirmation: sent(1), Position: inEra(1, 6), Changes: evacuated("a")})
 	require.Empty(t, d.DataCentres, "it is known")
-	d = c.Apply(at(2), Update{SentAt: at(2), Position: inEra(1, 7), Changes: reopened("a", "unknown")})
+	d = c.Apply(at(2), Update{Confirmation: sent(2), Position: inEra(1, 7), Changes: reopened("a", "unknown")})
 	require.Equal(t, reopened("a"), d.DataCentres)
-	d = c.Apply(at(3), Update{SentAt: at(3), Position: inEra(1, 8), Full: true, Changes: evacuated("c")})
+	d = c.Apply(at(3), Update{Confirmation: sent(3), Position: inEra(1, 8), Full: true, Changes: evacuated("c")})
 	require.Equal(t, []Change{Evacuated{"c"}, Reopened{"b"}}, d.DataCentres, "the whole store has no other any more")
 }
 
@@ -48,10 +48,10 @@
 func TestEvacuationThatBeginsAndEndsInOneReadHasNoEffect(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 5), Full: true})
-	d := c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 7), Changes: []Change{Evacuated{"a"}, Reopened{"a"}}})
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: inEra(1, 5), Full: true})
+	d := c.Apply(at(1), Update{Confirmation: sent(1), Position: inEra(1, 7), Changes: []Change{Evacuated{"a"}, Reopened{"a"}}})
 	require.Equal(t, []Change{Evacuated{"a"}, Reopened{"a"}}, d.DataCentres)
-	d = c.Apply(at(2), Update{SentAt: at(2), Position: inEra(1, 8), Full: true})
+	d = c.Apply(at(2), Update{Confirmation: sent(2), Position: inEra(1, 8), Full: true})
 	require.Empty(t, d.DataCentres)
 }
 
@@ -59,48 +59,49 @@
 	t.Parallel()
 	newReturned := func() *Catalogue {
 		c := newCatalogue()
-		c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 500), Full: true, Changes: evacuated("a", "b")})
-		d := c.Apply(at(time.Second), Update{SentAt: at(time.Second), Position: inEra(2, 480), Full: true})
+		c.Apply(at(0), Update{Confirmation: sent(0), Position: inEra(1, 500), Full: true, Changes: evacuated("a", "b")})
+		d := c.Apply(at(time.Second), Update{Confirmation: sent(time.Second), Position: inEra(2, 480), Full: true})
 		require.Empty(t, d.DataCentres)
 		return c
 	}
 	c := newReturned()
-	d := c.Apply(at(2*time.Second), Update{SentAt: at(2 * time.Second), Position: inEra(2, 480), Full: true})
+	d := c.Apply(at(2*time.Second), Update{Confirmation: sent(2 * time.Second), Position: inEra(2, 480), Full: true})
 	require.Empty(t, d.DataCentres, "a further read of the copy says nothing new")
-	d = c.Apply(at(2*time.Second), Update{SentAt: at(2 * time.Second), Position: inEra(2, 481), Changes: evacuated("a")})
+	d = c.Apply(at(2*time.Second), Update{Confirmation: sent(2 * time.Second), Position: inEra(2, 481), Changes: evacuated("a")})
 	require.Empty(t, d.DataCentres)
 	require.Empty(t, c.Tick(at(time.Minute)).DataCentres, "the copy does not hold what was written since")
-	c.Confirm(at(3*time.Second), at(3*time.Second))
+	c.Confirm(sent(3 * time.Second))
 	require.Equal(t, reopened("b"), c.Tick(at(3*time.Second)).DataCentres, "the operator has not written it again")
-	c.Confirm(at(time.Minute), at(time.Minute))
+	c.Confirm(sent(time.Minute))
 	require.Empty(t, c.Tick(at(time.Minute)).DataCentres)
 
 	c = newReturned()
-	d = c.Apply(at(2*time.Second), Update{SentAt: at(2 * time.Second), Position: inEra(2, 482), Changes: reopened("a")})
+	d = c.Apply(at(2*time.Second), Update{Confirmation: sent(2 * time.Second), Position: inEra(2, 482), Changes: reopened("a")})
 	require.Equal(t, reopened("a"), d.DataCentres, "the operator has ended it")
 
 	c = newReturned()
-	c.Confirm(at(10*time.Second), at(10*time.Second))
+	c.ReadFailed(at(5 * time.Second))
+	c.Confirm(sent(10 * time.Second))
 	require.Empty(t, c.Tick(at(10*time.Second)).DataCentres, "the store was down since, so that the operator could not write")
-	c.Confirm(at(12*time.Second), at(12*time.Second))
+	c.Confirm(sent(12 * time.Second))
 	require.Equal(t, reopened("a", "b"), c.Tick(at(12*time.Second)).DataCentres)
 
 	c = newReturned()
-	c.Apply(at(2*time.Second), Update{SentAt: at(2 * time.Second), Position: inEra(3, 470), Full: true})
-	c.Confirm(at(3500*time.Millisecond), at(3500*time.Millisecond))
+	c.Apply(at(2*time.Second), Update{Confirmation: sent(2 * time.Second), Position: inEra(3, 470), Full: true})
+	c.Confirm(sent(3500 * time.Millisecond))
 	require.Empty(t, c.Tick(at(3500*time.Millisecond)).DataCentres, "the store returned once more")
 }
 
 func TestEvacuationThatAnOlderCopyHasCountsUntilItIsEndedAgain(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 500), Full: true, Changes: evacuated("a")})
-	c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 501), Changes: reopened("a")})
-	d := c.Apply(at(2), Update{SentAt: at(2), Position: inEra(2, 500), Full: true, Changes: evacuated("a")})
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: inEra(1, 500), Full: true, Changes: evacuated("a")})
+	c.Apply(at(1), Update{Confirmation: sent(1), Position: inEra(1, 501), Changes: reopened("a")})
+	d := c.Apply(at(2), Update{Confirmation: sent(2), Position: inEra(2, 500), Full: true, Changes: evacuated("a")})
 	require.Equal(t, evacuated("a"), d.DataCentres)
-	c.Confirm(at(time.Minute), at(time.Minute))
+	c.Confirm(sent(time.Minute))
 	require.Empty(t, c.Tick(at(time.Minute)).DataCentres)
-	d = c.Apply(at(time.Minute), Update{SentAt: at(time.Minute), Position: inEra(2, 502), Changes: reopened("a")})
+	d = c.Apply(at(time.Minute), Update{Confirmation: sent(time.Minute), Position: inEra(2, 502), Changes: reopened("a")})
 	require.Equal(t, reopened("a"), d.DataCentres)
 }
 
@@ -109,7 +110,7 @@
 	c := newCatalogue()
 	a, b := record("a", false), record("b", false)
 	a.DataCentre, b.DataCentre = "z1", "z2"
-	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 5), Full: true, Changes: registered(a, b)})
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: inEra(1, 5), Full: true, Changes: registered(a, b)})
 	require.Equal(t, 1, c.EndpointsIn("z1"))
 	require.Zero(t, c.EndpointsIn("z3"))
 }
--- a/fleet/catalogue/order_test.go
+++ b/fleet/catalogue/order_test.go
@@ -123,7 +123,7 @@
 			changes = append(changes, Registered{h.store.records[string(e.Value)]})
 		}
 	}
-	h.catalogue.Apply(now, Update{SentAt: sentAt, Position: a.at, Full: a.full, Changes: changes})
+	h.catalogue.Apply(now, Update{Confirmation: Confirmation{SentAt: sentAt}, Position: a.at, Full: a.full, Changes: changes})
 	if !position.Includes(a.at, a.full) {
 		h.history.Record(now, a.entries, a.at, a.full)
 	}
@@ -226,7 +226,7 @@
 			follower.readHost(now, reader)
 		}
 		for _, h := range []*hostModel{reader, follower} {
-			h.catalogue.Confirm(now, now.Add(time.Minute))
+			h.catalogue.Confirm(Confirmation{SentAt: now.Add(time.Minute)})
 			h.catalogue.Tick(now.Add(time.Minute))
 			h.requireEqual(r, store.endpoints())
 		}
@@ -238,8 +238,8 @@
 	t.Parallel()
 	earlier, later := instanceRecord("a", 1, false), instanceRecord("a", 2, false)
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Changes: registered(earlier)})
-	d := c.Apply(at(1), Update{SentAt: at(1), Position: atRevision(5), Changes: []Change{
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: atRevision(1), Full: true, Changes: registered(earlier)})
+	d := c.Apply(at(1), Update{Confirmation: sent(1), Position: atRevision(5), Changes: []Change{
 		Removed{"a"}, Registered{later}, Registered{record("b", false)}, Removed{"b"},
 	}})
 	require.Equal(t, []Change{Removed{"a"}, Registered{later}, Registered{record("b", false)}, Removed{"b"}}, d.Endpoints)
@@ -250,16 +250,16 @@
 	t.Parallel()
 	c := newCatalogue()
 	newer := &site.Set{Version: 3}
-	d := c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Changes: []Change{Published{&site.Set{Version: 2}}, Published{newer}}})
+	d := c.Apply(at(0), Update{Confirmation: sent(0), Position: atRevision(1), Changes: []Change{Published{&site.Set{Version: 2}}, Published{newer}}})
 	require.Same(t, newer, d.Set)
 }
 
 func TestAnswerThatTheCopyAlreadyHasIsNotAppliedAgain(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: atRevision(1), Full: true, Changes: registered(record("a", false))})
-	c.Apply(at(1), Update{SentAt: at(1), Position: atRevision(3), Changes: removed("a")})
-	require.Empty(t, c.Apply(at(2), Update{SentAt: at(2), Position: atRevision(2), Changes: registered(record("a", false))}).Endpoints)
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: atRevision(1), Full: true, Changes: registered(record("a", false))})
+	c.Apply(at(1), Update{Confirmation: sent(1), Position: atRevision(3), Changes: removed("a")})
+	require.Empty(t, c.Apply(at(2), Update{Confirmation: sent(2), Position: atRevision(2), Changes: registered(record("a", false))}).Endpoints)
 }
 
 func TestHistoryKeepsTheOrderOfChangesOfAnotherReader(t *testing.T) {
--- a/fleet/catalogue/peer_sets_test.go
+++ b/fleet/catalogue/peer_sets_test.go
@@ -67,14 +67,14 @@
 func TestAdoptedSetIsReplacedByANewerOneAndDoesNotConfirmTheCopy(t *testing.T) {
 	t.Parallel()
 	c, now := New(Config{Lease: 5 * time.Second}), time.Unix(1000, 0)
-	c.Apply(now, Update{SentAt: now, Full: true, Position: Position{Era: 4, Revision: 10}, Changes: []Change{Published{&site.Set{Version: 4}}}})
+	c.Apply(now, Update{Confirmation: Confirmation{SentAt: now}, Full: true, Position: Position{Era: 4, Revision: 10}, Changes: []Change{Published{&site.Set{Version: 4}}}})
 	later := now.Add(3 * time.Second)
 	require.False(t, c.Adopt(&site.Set{Version: 4}, 5))
 	require.False(t, c.Adopt(&site.Set{Version: 3}, 5))
 	require.False(t, c.Adopt(nil, 5))
 	require.True(t, c.Adopt(&site.Set{Version: 9}, 3))
 	require.Equal(t, 3*time.Second, c.Age(later))
-	update := Update{SentAt: later, Position: Position{Era: 4, Revision: 11}, Changes: []Change{Published{&site.Set{Version: 8}}}}
+	update := Update{Confirmation: Confirmation{SentAt: later}, Position: Position{Era: 4, Revision: 11}, Changes: []Change{Published{&site.Set{Version: 8}}}}
 	require.Nil(t, c.Apply(later, update).Set)
 	update.Changes = []Change{Published{&site.Set{Version: 9}}}
 	require.NotNil(t, c.Apply(later, update).Set, "it was written again after the return")
@@ -132,7 +132,7 @@
 func TestSetOfAnEarlierEraInAReadersCopyIsReplacedByOneOfTheSameVersion(t *testing.T) {
 	t.Parallel()
 	c, now := New(Config{Lease: 5 * time.Second}), time.Unix(1000, 0)
-	update := Update{SentAt: now, Full: true, Position: Position{Era: 4, Revision: 10}, Changes: []Change{Published{&site.Set{Version: 9}}}, SetEra: 3}
+	update := Update{Confirmation: Confirmation{SentAt: now}, Full: true, Position: Position{Era: 4, Revision: 10}, Changes: []Change{Published{&site.Set{Version: 9}}}, SetEra: 3}
 	require.NotNil(t, c.Apply(now, update).Set)
 	require.Nil(t, c.Apply(now, update).Set)
 	update.SetEra = 0
--- a/fleet/catalogue/position_test.go
+++ b/fleet/catalogue/position_test.go
@@ -120,22 +120,22 @@
 	t.Parallel()
 	c := newCatalogue()
 	first, again := &site.Set{Version: 7}, &site.Set{Version: 7}
-	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 500), Full: true, Changes: published(first)})
-	require.Nil(t, c.Apply(at(1), Update{SentAt: at(1), Position: inEra(1, 501), Changes: published(again)}).Set)
-	require.Nil(t, c.Apply(at(2), Update{SentAt: at(2), Position: inEra(2, 480), Full: true, Changes: published(&site.Set{Version: 5})}).Set, "never back")
-	require.Same(t, again, c.Apply(at(3), Update{SentAt: at(3), Position: inEra(2, 481), Changes: published(again)}).Set)
-	require.Nil(t, c.Apply(at(4), Update{SentAt: at(4), Position: inEra(2, 482), Changes: published(first)}).Set)
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: inEra(1, 500), Full: true, Changes: published(first)})
+	require.Nil(t, c.Apply(at(1), Update{Confirmation: sent(1), Position: inEra(1, 501), Changes: published(again)}).Set)
+	require.Nil(t, c.Apply(at(2), Update{Confirmation: sent(2), Position: inEra(2, 480), Full: true, Changes: published(&site.Set{Version: 5})}).Set, "never back")
+	require.Same(t, again, c.Apply(at(3), Update{Confirmation: sent(3), Position: inEra(2, 481), Changes: published(again)}).Set)
+	require.Nil(t, c.Apply(at(4), Update{Confirmation: sent(4), Position: inEra(2, 482), Changes: published(first)}).Set)
 }
 
 // An endpoint whose registration the copy lacks is kept for the grace period, though the store was hardly away.
 func TestRegistrationThatACopyLacksIsKeptForRecoveryGrace(t *testing.T) {
 	t.Parallel()
 	c := newCatalogue()
-	c.Apply(at(0), Update{SentAt: at(0), Position: inEra(1, 500), Full: true, Changes: registered(record("back", false), record("lost", false))})
-	change := c.Apply(at(time.Second), Update{SentAt: at(time.Second), Position: inEra(2, 480), Full: true})
+	c.Apply(at(0), Update{Confirmation: sent(0), Position: inEra(1, 500), Full: true, Changes: registered(record("back", false), record("lost", false))})
+	change := c.Apply(at(time.Second), Update{Confirmation: sent(time.Second), Position: inEra(2, 480), Full: true})
 	require.Empty(t, change.Endpoints)
 	require.Equal(t, 2, change.Missing)
-	c.Apply(at(2*time.Second), Update{SentAt: at(2 * time.Second), Position: inEra(2, 481), Changes: registered(record("back", false))})
-	c.Confirm(at(4*time.Second), at(3100*time.Millisecond))
+	c.Apply(at(2*time.Second), Update{Confirmation: sent(2 * time.Second), Position: inEra(2, 481), Changes: registered(record("back", false))})
+	c.Confirm(sent(3100 * time.Millisecond))
 	require.Equal(t, removed("lost"), c.Tick(c.confirmedAt).Endpoints)
 }
--- a/fleet/catalogue/return.go
+++ b/fleet/catalogue/return.go
@@ -42,23 +42,23 @@
 }
 
 // withoutDeparted returns the changes of a read of an older copy of the store but for the registrations of instances that had departed, and of
-// earlier instances of endpoints that have restarted. It holds these back: they may have ended long ago.
-func (c *Catalogue) withoutDeparted(now time.Time, changes []Change) []Change {
+// earlier instances of endpoints that have restarted. It holds these back: they may have ended long ago. The store returned at returnedAt.
+func (c *Catalogue) withoutDeparted(returnedAt time.Time, changes []Change) []Change {
 	clear(c.held)
 	return slices.DeleteFunc(slices.Clone(changes), func(change Change) bool {
 		r, ok := change.(Registered)
-		return ok && c.holdBack(now, r.Record)
+		return ok && c.holdBack(returnedAt, r.Record)
 	})
 }
 
 // holdBack holds back a registration in an older copy of the store if its instance had departed, or was followed by a later one.
-func (c *Catalogue) holdBack(now time.Time, record endpoint.Record) bool {
+func (c *Catalogue) holdBack(returnedAt time.Time, record endpoint.Record) bool {
 	id := record.Instance.ID
 	d, departed := c.departed[record.Instance]
 	if !departed && c.endpoints[id].Instance.StartedAt <= record.Instance.StartedAt {
 		return false
 	}
-	c.held[id] = heldRegistration{record: record, until: now.Add(c.cfg.ReturnHold), leaving: d.leaving}
+	c.held[id] = heldRegistration{record: record, until: returnedAt.Add(c.cfg.ReturnHold), leaving: d.leaving}
 	return true
 }
 
