Let what an outage deferred be settled as soon as a read can settle it

Callers saw: after an outage of the store, requests to endpoints that had ended in it for longer than the grace period.

Cause: a deferred removal needs a confirmation from after the grace period, and a watch that was sent before and has nothing to tell lasts a second; other hosts learn of the next one later still. On the other hand a host dropped an endpoint at once if it read of the removal after the grace period, though in a copy from before its end.

Change: while something is deferred a watch ends with the grace period, and later ones are answered at once until it is settled; that holds as well for registrations held back and evacuations that an older copy lacks. Whether a removal is deferred depends on the time of which the read tells, not on when it arrived.

Tests: TestWatchesEndWhenWhatIsDeferredCanBeSettled, TestRemovalThatAnOlderCopyTellsIsDeferredAfterTheGracePeriod, TestAwaitedConfirmationIsThatOfWhatIsDeferredFirst.

--- a/entry/node/outage.go
+++ b/entry/node/outage.go
@@ -39,3 +39,18 @@
 	defer v.mu.RUnlock()
 	return v.catalogue.MissingCount()
 }
+
+// nextWatchWait returns how long the store may wait for a change before it answers the next watch: less if callers wait for a copy that is up to
+// date, or if what was deferred is settled by a read from a certain time on.
+func (v *storeView) nextWatchWait(now time.Time) time.Duration {
+	if v.confirmationWaiters.Load() > 0 {
+		return confirmingWatchWait
+	}
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	from, awaited := v.catalogue.AwaitedConfirmation()
+	if !awaited {
+		return watchWait
+	}
+	return min(max(from.Sub(now), confirmingWatchWait), watchWait)
+}
--- a/entry/node/outage_test.go
+++ b/entry/node/outage_test.go
@@ -73,3 +73,20 @@
 	require.NoError(t, err)
 	require.Empty(t, n.slots.endpointAddress("i-left"))
 }
+
+// Guards against DRAIN: a removal that had been deferred waited up to a second more for the answer to a watch that had nothing to tell.
+func TestWatchesEndWhenWhatIsDeferredCanBeSettled(t *testing.T) {
+	t.Parallel()
+	n, _ := oldCopyNode(t)
+	v := n.storeView
+	require.Equal(t, watchWait, v.nextWatchWait(timer.BootClock()))
+	v.recordStep(timer.BootClock(), catalogue.Step{}, errors.New("connection reset"))
+	_, err := v.executeStep(t.Context(), timer.BootClock(), catalogue.Step{})
+	require.NoError(t, err)
+	graceEnd, awaited := v.catalogue.AwaitedConfirmation()
+	require.True(t, awaited)
+	require.Equal(t, watchWait, v.nextWatchWait(graceEnd.Add(-recoveryGrace)))
+	require.Equal(t, 200*time.Millisecond, v.nextWatchWait(graceEnd.Add(-200*time.Millisecond)))
+	require.Equal(t, confirmingWatchWait, v.nextWatchWait(graceEnd))
+	require.Equal(t, confirmingWatchWait, v.nextWatchWait(graceEnd.Add(time.Second)))
+}
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -80,7 +80,7 @@
 	outageThreshold = 2500 * time.Millisecond
 	// returnHold is how long an endpoint that was removed gets no requests if an older copy of the store has its registration.
 	returnHold = 5 * time.Second
-	// watchWait is how long the store waits for a change before it answers a watch, and confirmingWatchWait that while callers wait for a copy
+	// watchWait is how long the store waits for a change before it answers a watch, and confirmingWatchWait that while something waits for a copy
 	// that is up to date.
 	watchWait           = 1000 * time.Millisecond
 	confirmingWatchWait = 10 * time.Millisecond
@@ -232,11 +232,7 @@
 func (v *storeView) readStore(ctx context.Context) (page platform.Page, at catalogue.Position, full bool, err error) {
 	position := v.position()
 	if position.Loaded() {
-		wait := watchWait
-		if v.confirmationWaiters.Load() > 0 {
-			wait = confirmingWatchWait
-		}
-		page, err = v.n.store.Watch(ctx, "", platform.Revision(position.Revision), wait)
+		page, err = v.n.store.Watch(ctx, "", platform.Revision(position.Revision), v.nextWatchWait(timer.BootClock()))
 		at = positionOf(page, position.Era)
 		if err != nil && !errors.Is(err, platform.ErrHistoryLost) || err == nil && at.Era <= position.Era {
 			return page, at, false, err
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -151,7 +151,7 @@
 	}
 	if u.Full {
 		for _, id := range c.unlisted(u) {
-			c.remove(now, id, d)
+			c.remove(now, u.knownUpTo(), id, d)
 		}
 		d.DataCentres = append(d.DataCentres, c.evacuations.endUnlisted(u.Changes, olderCopy)...)
 	}
@@ -169,7 +169,7 @@
 	case Removed:
 		delete(c.held, change.ID)
 		delete(c.outdated, change.ID)
-		c.remove(now, change.ID, d)
+		c.remove(now, u.knownUpTo(), change.ID, d)
 	case Evacuated:
 		d.DataCentres = append(d.DataCentres, c.evacuations.begin(change.DataCentre)...)
 	case Reopened:
@@ -245,14 +245,14 @@
 	}
 }
 
-// remove deletes an endpoint and adds its removal to d. During the grace period after an outage it defers the removal of endpoints that had not
-// announced that they leave: their registration may have expired only because of the outage.
-func (c *Catalogue) remove(now time.Time, id endpoint.ID, d *Difference) {
+// remove deletes an endpoint that was not registered at knownAt, and adds its removal to d. During the grace period after an outage it defers the
+// removal of endpoints that had not announced that they leave: their registration may have expired only because of the outage.
+func (c *Catalogue) remove(now, knownAt time.Time, id endpoint.ID, d *Difference) {
 	record, known := c.endpoints[id]
 	if !known {
 		return
 	}
-	if !now.Before(c.graceEnd) || record.Leaving {
+	if !knownAt.Before(c.graceEnd) || record.Leaving {
 		d.Endpoints = append(d.Endpoints, c.drop(now, record)...)
 		return
 	}
--- a/fleet/catalogue/outage.go
+++ b/fleet/catalogue/outage.go
@@ -35,6 +35,14 @@
 	return f.SteadySince
 }
 
+// knownUpTo returns the time of which the read tells the state of the platform.
+func (f Confirmation) knownUpTo() time.Time {
+	if f.AnsweredAt.IsZero() {
+		return f.SentAt
+	}
+	return f.AnsweredAt
+}
+
 // Outage is an outage of the platform that has ended. Registrations may have expired in it, so that removals are deferred until GraceEnd.
 type Outage struct {
 	Evidence Evidence
--- a/fleet/catalogue/outage_test.go
+++ b/fleet/catalogue/outage_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"balsamknot.org/fleet/endpoint"
 )
 
 // seconds converts fractions of seconds, for times since start.
@@ -174,3 +176,44 @@
 	require.Equal(t, at(seconds(3)), d.GraceEnd)
 	require.Equal(t, at(seconds(6)), c.held["b"].until)
 }
+
+// Guards against LOST: a reader's copy that is older than the end of the grace period does not tell yet which endpoints have registered again.
+func TestRemovalThatAnOlderCopyTellsIsDeferredAfterTheGracePeriod(t *testing.T) {
+	t.Parallel()
+	c := newLoaded()
+	d := c.Apply(at(seconds(8.3)), Update{
+		Confirmation: Confirmation{SentAt: at(seconds(7.5)), OutageEnd: at(seconds(6))}, Position: atRevision(2), Changes: removed("a"),
+	})
+	require.Empty(t, d.Endpoints)
+	require.Equal(t, removed("a"), changesOfDeferred(d))
+	c.Confirm(sent(seconds(7.9)))
+	require.Empty(t, c.Tick(at(seconds(8.4))).Endpoints)
+	d = c.Apply(at(seconds(8.5)), Update{Confirmation: sent(seconds(8.2)), Position: atRevision(3), Changes: removed("b")})
+	require.Equal(t, removed("b"), d.Endpoints, "the copy is from after the grace period")
+	require.Equal(t, removed("a"), c.Tick(at(seconds(8.5))).Endpoints)
+}
+
+func TestAwaitedConfirmationIsThatOfWhatIsDeferredFirst(t *testing.T) {
+	t.Parallel()
+	c := newCatalogue()
+	_, ok := c.AwaitedConfirmation()
+	require.False(t, ok)
+	records := []endpoint.Record{record("a", false), record("b", false)}
+	c.Apply(at(0), Update{Confirmation: read(0), Position: inEra(1, 500), Full: true, Changes: append(registered(records...), evacuated("dc")...)})
+	c.Apply(at(0), Update{Confirmation: read(0), Position: inEra(1, 501), Changes: removed("b")})
+	requireFrom := func(want time.Duration) {
+		from, ok := c.AwaitedConfirmation()
+		require.True(t, ok)
+		require.Equal(t, at(want), from)
+	}
+	c.Apply(at(seconds(1)), Update{Confirmation: read(seconds(1)), Position: inEra(2, 480), Full: true, Changes: registered(records[1])})
+	requireFrom(seconds(3)) // the endpoint and the evacuation that the copy lacks
+	c.Apply(at(seconds(2)), Update{Confirmation: read(seconds(2)), Position: inEra(2, 481), Changes: registered(records[0])})
+	requireFrom(seconds(3)) // the evacuation
+	c.Apply(at(seconds(2)), Update{Confirmation: read(seconds(2)), Position: inEra(2, 482), Changes: reopened("dc")})
+	requireFrom(seconds(6)) // the registration that is held back
+	c.Confirm(read(seconds(6)))
+	c.Tick(at(seconds(6)))
+	_, ok = c.AwaitedConfirmation()
+	require.False(t, ok)
+}
