Ask an engine that ran nothing which process it is before a stream begins there

Cause: a process that runs nothing, and to which nobody is connected, ends without a trace at any host. A stream that begins in the process which took its place, and is not registered yet, was labelled with the version of the one before, and went on there when it broke off.

Change: the question that a host asks a young connection's process, before it goes on with a stream or where it saw the endpoint end connections, is also asked before a stream begins at an engine that ran nothing by the keeper's grant. Where another process answers, that counts as an end that this host saw. This works since a process that runs requests can't end unseen: their hosts tell the keeper.

--- a/entry/connection/process.go
+++ b/entry/connection/process.go
@@ -75,6 +75,7 @@
 		if c.contradicts(process.Instance) {
 			_ = c.Close()
 			p.distrust(address)
+			p.noteEnded(address)
 			return nil, eris.Wrapf(errors.Join(ErrNotSent, ErrOtherProcess), "check the process of endpoint %s at %s", process.Instance.ID, address)
 		}
 		if usable {
--- a/entry/node/stream_process.go
+++ b/entry/node/stream_process.go
@@ -19,13 +19,17 @@
 
 // boundProcess returns the process that must get a request of a stream that may go on later: the registered one, whose version is recorded. What
 // the local copy of the store says of a connection's process holds if the copy is younger than the connection by registrationDelay. For a new
-// stream, the process is asked only where the endpoint ended connections of this host in that time, or failed, by what its keeper was told by all hosts.
+// stream, the process is asked only where the endpoint ended connections of this host in that time, failed, by what its keeper was told by all hosts,
+// or ran nothing: the end of a process that runs nothing is told by nobody.
 func (n *Node) boundProcess(now time.Time, q *request, grant pool.Grant) connection.Process {
 	begins, target := q.version == "", grant.Endpoint
 	if q.set.Services[q.service].Engine == nil || begins && q.route.RetryMode != site.Resumable {
 		return connection.Process{}
 	}
-	return connection.Process{Instance: target.Instance, KnownBefore: now.Add(-n.storeView.age(now) - registrationDelay), IfEnded: begins && !grant.Decision.Suspect}
+	wasIdle := grant.Decision.Running == 0
+	return connection.Process{
+		Instance: target.Instance, KnownBefore: now.Add(-n.storeView.age(now) - registrationDelay), IfEnded: begins && !grant.Decision.Suspect && !wasIdle,
+	}
 }
 
 // noteOtherProcess logs a request that was not sent, since another process was found at the endpoint's address than the registered one.
