Test that a new stream at an engine that ended nothing asks for no report

Cause for this commit: nothing was left that fails if new streams at busy engines ask, too; the row of TestOnlyRequestsThatGoOn... looks at the argument only, not at what the pool does with it.

Change: TestReportIsAskedForOnceOverAConnectionAndOnlyIfNeeded sends such a request over a young connection and expects no report. Ruled out that it passes by chance: with needsReport asking always it fails with its message. No change of the program.

--- a/entry/connection/process_test.go
+++ b/entry/connection/process_test.go
@@ -150,6 +150,8 @@
 	require.Zero(t, s.reports.Load(), "not bound, or without a known start")
 	send(Process{Instance: registered, KnownBefore: time.Now().Add(time.Hour)})
 	require.Zero(t, s.reports.Load(), "over an old connection")
+	send(Process{Instance: registered, IfEnded: true})
+	require.Zero(t, s.reports.Load(), "over a young connection to an endpoint that has ended none")
 	send(Process{Instance: registered})
 	send(Process{Instance: registered})
 	require.EqualValues(t, 1, s.reports.Load(), "once over a connection")
