Keep connections of the raw test endpoint open where its answer's end is marked

Cause: a fault of the test. Its endpoint closed each connection after an answer whose head keeps it open.

Ruled out: the check of answers whose end is not marked.

Change: the endpoint goes on reading requests from a connection after an answer with a length or chunks, and answers them alike. It still ends the connection after answers without either. All heads, paths and expectations stay; what an unusual trailer leaves on the connection now shows in the next answer.

--- a/entry/node/raw_answer_test.go
+++ b/entry/node/raw_answer_test.go
@@ -31,14 +31,31 @@
 	return s
 }
 
+// answer writes the raw text. Where its end is marked, the connection stays open for further requests, as the text lets the node expect: one that
+// ended unannounced could reset a request that is already on its way.
 func (s *rawSite) answer(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	conn, _, err := w.(http.Hijacker).Hijack()
+	conn, buffered, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	_, _ = io.WriteString(conn, strings.ReplaceAll(s.raw.Load().(string), "ID", r.Header.Get(standin.RequestIDHeader)))
+	for {
+		raw := s.raw.Load().(string)
+		_, _ = io.WriteString(conn, strings.ReplaceAll(raw, "ID", r.Header.Get(standin.RequestIDHeader)))
+		if !rawEndMarked(raw) {
+			return
+		}
+		if r, err = http.ReadRequest(buffered.Reader); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+}
+
+// rawEndMarked reports whether a raw text has a length or chunks.
+func rawEndMarked(raw string) bool {
+	return strings.Contains(raw, "Content-Length") || strings.Contains(raw, "Transfer-Encoding")
 }
 
 // send sends a request and returns the status and the body, or an error if the answer is not whole.
