Tell callers that can't be recognised to return while they can be in time

Cause: a refused caller was told to come back after up to two thirds of its time, which is after its objective. One whose prompt can be recognised is known to be late then, and has a place. Callers of plain services can't be recognised: their return counts as a new request, and takes the slot of one that could be in time. At three times the load a third of what was served to the more urgent kind came late.

Change: while slots are released, such a caller returns within half of the time in which it has to get a slot. Where none is released it returns as late as before. No place can be kept for them, so a refusal costs them more.

--- a/fleet/admission/order.go
+++ b/fleet/admission/order.go
@@ -57,10 +57,9 @@
 	switch {
 	case room.Paced:
 		return rate
-	case e.band == owed:
+	case e.band == owed, e.band == late && e.request.anonymous():
 		return owedRateShare * rate
-	}
-	if e.band == late {
+	case e.band == late:
 		return max(rate-q.asked.at(now, demandTime)/demandTime.Seconds(), 0)
 	}
 	for _, c := range q.classes {
--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -36,6 +36,9 @@
 	Retry bool
 }
 
+// anonymous reports whether the caller can't be recognised when it returns.
+func (r Request) anonymous() bool { return r.Caller == 0 }
+
 // CallerKey is the same for all attempts at one request of a caller.
 type CallerKey uint64
 
@@ -89,10 +92,12 @@
 	minSlackShare = 0.125
 	// lateShare is the largest share of its time left for which a request that will be late is expected to wait.
 	lateShare = 1.0 / 16
-	// returnedLateShare is that of a caller that returns: it has no attempt left after this one.
-	returnedLateShare = 0.5
+	// returnedLateShare is that of a caller that returns: it has no attempt left after this one. anonymousLateShare is that of one that can't be
+	// recognised, for which no place can be kept if it is refused.
+	returnedLateShare  = 0.5
+	anonymousLateShare = 1.0 / 8
 	// minRateShare is the least share of the released slots on which refused callers of a class can count, and owedRateShare that on which
-	// a class that is short of its minimum can count.
+	// a class that is short of its minimum can count, and late requests of callers that can't be recognised.
 	minRateShare  = 0.125
 	owedRateShare = 0.5
 	// classLifetime is how long what is known of a class is kept without requests.
@@ -351,8 +356,11 @@
 
 // lateShare returns the largest share of its time left for which the request is expected to wait if it will be late.
 func (e *entry) lateShare() float64 {
-	if e.told != nil {
+	switch {
+	case e.told != nil:
 		return returnedLateShare
+	case e.request.anonymous():
+		return anonymousLateShare
 	}
 	return lateShare
 }
