Let the requests of a test of a stop wait until the notice

Cause: a fault of the test. It needs requests that wait when the load balancer has noticed the stop, 2.6 s after it began. A request waits only as long as it can be in time, and the routes of the stand-in's configuration have an objective of 0.5 s.

Change: the objective of the stand-in's routes can be chosen; the test's requests have one of 15 s, the timeout of its routes. The checks are the same ones. The old objective stays as a second case with the check that holds there: each request that did not run was refused.

--- a/entry/node/stop_request_test.go
+++ b/entry/node/stop_request_test.go
@@ -38,9 +38,10 @@
 	held, stuck atomic.Int64
 }
 
-func newStoppingSite(t *testing.T, subnet int) *stoppingSite {
+// newStoppingSite returns a site whose routes have a latency objective.
+func newStoppingSite(t *testing.T, subnet int, objective time.Duration) *stoppingSite {
 	s := &stoppingSite{testSite: newSite(t), release: make(chan struct{})}
-	s.store.PublishWithTimeout(1, longTimeout, "k1")
+	s.store.PublishPatient(1, longTimeout, objective, "k1")
 	for _, service := range []string{"plain", "engines", "full"} {
 		s.addEndpoint("i-"+service, service, s.answer)
 	}
@@ -128,7 +129,7 @@
 // their host is stopped, which ends after the load balancer has noticed, and send the next one over the same connection.
 func TestRequestThatMayOutlastAStopIsRefusedAsNotRun(t *testing.T) {
 	t.Parallel()
-	s := newStoppingSite(t, 70)
+	s := newStoppingSite(t, 70, standin.DefaultObjective)
 	paths := []string{"/stream/", "/once/", "/again/"}
 	kept, first, next := make([]*keptConnection, len(paths)), make([]reply, len(paths)), make([]reply, len(paths))
 	var firstDone, nextDone sync.WaitGroup
@@ -161,9 +162,24 @@
 }
 
 // Guards against LOST: a request that waited for a slot at a stop got it too late to end. All slots of the only endpoint are taken until the process ends.
+// Requests with a long objective wait until the notice of the stop; those with a short one are refused before.
 func TestRequestThatWaitsForASlotAtAStopIsRefusedAsNotRun(t *testing.T) {
 	t.Parallel()
-	s := newStoppingSite(t, 71)
+	t.Run("long objective", func(t *testing.T) {
+		t.Parallel()
+		s := newStoppingSite(t, 71, longTimeout)
+		s.stopWhileRequestsWait(t)
+		require.Positive(t, s.host.log.count(`"Cause":"no place: HostStopping"`))
+	})
+	t.Run("short objective", func(t *testing.T) {
+		t.Parallel()
+		newStoppingSite(t, 71, standin.DefaultObjective).stopWhileRequestsWait(t)
+	})
+}
+
+// stopWhileRequestsWait sends more requests than there are slots, stops the host, and checks that each request that did not run is refused.
+func (s *stoppingSite) stopWhileRequestsWait(t *testing.T) {
+	t.Helper()
 	var replies sync.WaitGroup
 	waiting := make([]reply, 2*standin.Slots+surgeSize)
 	for i := range waiting {
@@ -189,7 +205,6 @@
 		}
 	}
 	require.Equal(t, len(waiting)-int(s.stuck.Load()), notRun, "each request that did not run was refused")
-	require.Positive(t, s.host.log.count(`"Cause":"no place: HostStopping"`))
 }
 
 // Guards against LOST: streams were taken until 3.3 s after SIGTERM and cut at 7.3 s. Callers on kept connections have streams of nearly five seconds, one after another, until their host's process is gone.
