Say once what stood twice in the catalogue, the slot manager and the abilities of hosts

Callers see no difference.

- Catalogue.returnedAt repeated the choice of Confirmation.knownUpTo, and Apply the count of MissingCount.
- Three places of the slot manager asked in the same words whether this host keeps a service (keeps).
- execute went on to send a reply after it had logged that an endpoint turned cold: one command without `continue`.
The empty address of that reply is unknown, so nothing was sent.
Replies are the default case now.
- abilities.expire had one loop three times.

Measured: formatter, linters, fleet/catalogue and the tests of outages, cold endpoints, overloads and keepers in entry/node pass.

--- a/entry/node/abilities.go
+++ b/entry/node/abilities.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"time"
 
 	"balsamknot.org/entry/peer"
@@ -69,21 +70,14 @@
 
 // expire forgets what is out of date.
 func (a *abilities) expire(now time.Time) {
-	for id, at := range a.heardAt {
-		if now.Sub(at) >= abilitiesTTL {
-			delete(a.heardAt, id)
-		}
-	}
-	for id, at := range a.ignoredAt {
-		if now.Sub(at) >= ignoredTTL {
-			delete(a.ignoredAt, id)
-		}
-	}
-	for id, at := range a.toldAt {
-		if now.Sub(at) >= abilitiesTTL {
-			delete(a.toldAt, id)
-		}
-	}
+	forgetOlder(a.heardAt, now, abilitiesTTL)
+	forgetOlder(a.ignoredAt, now, ignoredTTL)
+	forgetOlder(a.toldAt, now, abilitiesTTL)
+}
+
+// forgetOlder deletes the times that are ttl or more ago.
+func forgetOlder(times map[host.ID]time.Time, now time.Time, ttl time.Duration) {
+	maps.DeleteFunc(times, func(_ host.ID, at time.Time) bool { return now.Sub(at) >= ttl })
 }
 
 // knowsDemands reports whether a host was heard to know demands a short time ago.
--- a/entry/node/cache_list.go
+++ b/entry/node/cache_list.go
@@ -35,7 +35,7 @@
 	}
 	s.listedAfterStart = true
 	for _, service := range s.services() {
-		if s.n.membership.keeper(now, service) == s.n.cfg.Host {
+		if s.keeps(now, service) {
 			s.update(now, pool.ListsNeeded{Service: service})
 		}
 	}
--- a/entry/node/cold.go
+++ b/entry/node/cold.go
@@ -12,7 +12,7 @@
 
 // logCold logs that an endpoint is cold or no longer is, if this host is the keeper of its service.
 func (s *slotManager) logCold(c pool.ColdChanged) {
-	if s.n.membership.keeper(timer.BootClock(), c.Service) != s.n.cfg.Host {
+	if !s.keeps(timer.BootClock(), c.Service) {
 		return
 	}
 	number := event.EndpointWarm
--- a/entry/node/overload.go
+++ b/entry/node/overload.go
@@ -10,7 +10,7 @@
 
 // logOverload logs the begin or end of an overload, if this host is the keeper of its service.
 func (s *slotManager) logOverload(c pool.OverloadChanged) {
-	if s.n.membership.keeper(timer.BootClock(), c.Service) != s.n.cfg.Host {
+	if !s.keeps(timer.BootClock(), c.Service) {
 		return
 	}
 	number := event.OverloadEnded
--- a/entry/node/slot_manager.go
+++ b/entry/node/slot_manager.go
@@ -13,6 +13,7 @@
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/rest"
+	"balsamknot.org/fleet/site"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -110,32 +111,38 @@
 		switch c := c.(type) {
 		case pool.UpdateStandbys:
 			s.updateStandbys(c)
-			continue
 		case pool.ShareLimits:
 			s.shareLimits(c)
-			continue
 		case pool.ListCache:
 			ctx := s.beginList(c)
 			s.n.wg.Go(func() { s.listCache(ctx, c) })
-			continue
 		case pool.CancelList:
 			s.cancelList(c.Instance)
-			continue
 		case pool.ColdChanged:
 			s.logCold(c)
 		case pool.OverloadChanged:
 			s.logOverload(c)
-			continue
+		default:
+			s.reply(c)
 		}
-		ticket, reply := toSlotReply(c)
-		if ticket.Host == s.n.cfg.Host {
-			s.deliverReply(ticket.Number, c)
-			continue
-		}
-		s.n.membership.send(ticket.Host, peer.Datagram{SlotReplies: []peer.SlotReply{reply}})
 	}
 }
 
+// reply passes a reply of the local keeper on to the host whose request it answers.
+func (s *slotManager) reply(c pool.Command) {
+	ticket, reply := toSlotReply(c)
+	if ticket.Host == s.n.cfg.Host {
+		s.deliverReply(ticket.Number, c)
+		return
+	}
+	s.n.membership.send(ticket.Host, peer.Datagram{SlotReplies: []peer.SlotReply{reply}})
+}
+
+// keeps reports whether this host is the keeper of a service.
+func (s *slotManager) keeps(now time.Time, service site.ServiceName) bool {
+	return s.n.membership.keeper(now, service) == s.n.cfg.Host
+}
+
 // updateStandbys sends cache contents to the service's standbys, the hosts that take over from its keeper. A host that
 // another one outranks as keeper sends nothing.
 func (s *slotManager) updateStandbys(update pool.UpdateStandbys) {
--- a/fleet/catalogue/catalogue.go
+++ b/fleet/catalogue/catalogue.go
@@ -130,7 +130,7 @@
 		c.merge(now, returnedAt, u, &d)
 		c.position = u.Position
 	}
-	d.Missing, d.Held, d.GraceEnd = len(c.pendingRemovals), len(c.held), c.graceEnd
+	d.Missing, d.Held, d.GraceEnd = c.MissingCount(), len(c.held), c.graceEnd
 	return d
 }
 
--- a/fleet/catalogue/outage.go
+++ b/fleet/catalogue/outage.go
@@ -94,13 +94,10 @@
 
 // returnedAt returns when the store is known to have returned from an older copy, if a confirmation is the first one in a new era.
 func (c *Catalogue) returnedAt(f Confirmation) time.Time {
-	switch {
-	case f.OutageEnd.After(c.confirmedAt):
+	if f.OutageEnd.After(c.confirmedAt) {
 		return f.OutageEnd
-	case !f.AnsweredAt.IsZero():
-		return f.AnsweredAt
 	}
-	return f.SentAt
+	return f.knownUpTo()
 }
 
 // deferRemovals defers removals from the end of an outage on. The outage is stated to other hosts if it was witnessed: a host whose reads fail,
--- a/fleet/pool/work.go
+++ b/fleet/pool/work.go
@@ -109,20 +109,3 @@
 	}
 	return p.Parts[len(p.Parts)-1].Tokens
 }
-
-// ExpectedHold returns for how long a request is expected to hold a slot of its service if nothing of its prompt is cached.
-func (k *Keeper) ExpectedHold(e SlotRequested) time.Duration {
-	return k.service(e.Service).expectedHold(e)
-}
-
-func (s *service) expectedHold(e SlotRequested) time.Duration {
-	if s.engine == nil {
-		return s.queue.meanHoldTime()
-	}
-	tokens := 0
-	for _, part := range e.Prompt.Parts {
-		tokens += part.Tokens
-	}
-	ms := float64(tokens)/s.speeds.tokensPerMs + s.lengths.Expect(forecastRequest(e)).Mean()*s.speeds.eventMs
-	return time.Duration(ms * float64(time.Millisecond))
-}
