Hold a workspace to its share only while the others are short of what they ask for

Cause: a workspace that asks for more than twice its usual, compared with the others, was held to what the others leave as soon as a little more was asked than was released. Where the others got all that they asked for, its part was exactly that bound, and chance decided. What was refused came back and kept the sum of what was asked above what was released.

Ruled out as the cause: the sign of an overload.

Change: no bound while the others get what they ask for, but for 0.02 of it and one request. Free slots are kept for others as before.

--- a/fleet/admission/workspace.go
+++ b/fleet/admission/workspace.go
@@ -18,6 +18,8 @@
 	// which what is usual grows within usualTime then.
 	riseFactor  = 1.5
 	usualGrowth = 1.25
+	// servedTolerance is the largest share of the work that the other workspaces ask for, beside one request, with which they count as served.
+	servedTolerance = 0.02
 	// minUsualShare is the least work that counts as usual of a workspace, as a share of the mean of all: a new one has no usual yet.
 	minUsualShare = 0.5
 	// keptShare is the share of the slots that must be held before free ones are kept for others.
@@ -115,7 +117,7 @@
 }
 
 // exceeds reports whether a workspace that asks for much more than usual, compared with the others, has got its share of the work of the
-// last time: what is usual of it. It may also use what the others leave, unless lends is false.
+// last time: what is usual of it. It may also use what the others leave, and has no bound while they are served, unless lends is false.
 func (s *workspaces) exceeds(now time.Time, name site.WorkspaceName, lends bool) bool {
 	w := s.byName[name]
 	if name == "" || w == nil || len(s.byName) < 2 {
@@ -130,11 +132,17 @@
 		return false
 	}
 	share := usual / (usual + othersUsual)
-	granted := s.total.granted.at(now, workTime)
-	if lends && granted > 0 {
-		share = max(share, 1-othersAsked/granted)
+	granted, ownGranted := s.total.granted.at(now, workTime), w.granted.at(now, workTime)
+	if lends {
+		othersShort := othersAsked - (granted - ownGranted)
+		if othersShort <= servedTolerance*othersAsked+meanWork {
+			return false
+		}
+		if granted > 0 {
+			share = max(share, 1-othersAsked/granted)
+		}
 	}
-	return w.granted.at(now, workTime) > share*granted || float64(w.held) > share*float64(s.total.held)
+	return ownGranted > share*granted || float64(w.held) > share*float64(s.total.held)
 }
 
 // othersRise reports whether the other workspaces ask for more than usual, so that they are about to need free slots.
--- a/fleet/admission/workspace_test.go
+++ b/fleet/admission/workspace_test.go
@@ -68,3 +68,28 @@
 	require.Empty(t, q.workspaces.byName)
 	require.Less(t, time.Duration(0), workspaceLifetime)
 }
+
+// Guards against RECOVER: a workspace that asked for more than usual was refused although all of the others were served and hardly any request
+// had to wait.
+func TestWorkspaceIsNotHeldToItsShareWhileTheOthersAreServed(t *testing.T) {
+	t.Parallel()
+	const ms = time.Millisecond
+	for _, engines := range []int{6, 60} {
+		for _, share := range []float64{0.7, 0.8, 0.9} {
+			t.Run(fmt.Sprintf("%g of the room of %d engines", share, engines), func(t *testing.T) {
+				t.Parallel()
+				l := visitors(engines, 4, 0, 375*ms, 0, 500*ms).alone(0)
+				l.workspaces, l.heavyFactor = 2, 8
+				room := float64(engines*l.slots) / ((1 + batchFactor) * 0.375)
+				l.kinds[0].perSecond = share * room * 2 / (1 + l.heavyFactor)
+				m := play(l, l.newDecision())
+				heavy := m.resultOf(surgeStart, surgeEnd, func(c *call) bool { return c.workspace == 0 })
+				others := m.resultOf(surgeStart, surgeEnd, ofOthers)
+				refused := float64(heavy.refused) / float64(heavy.asked)
+				t.Logf("heavy: on time %.3f, refused %.3f; others: on time %.3f", heavy.onTimeShare(), refused, others.onTimeShare())
+				require.LessOrEqual(t, refused, 0.01)
+				require.GreaterOrEqual(t, others.onTimeShare(), 0.99)
+			})
+		}
+	}
+}
