--- a/fleet/admission/closed_test.go
+++ b/fleet/admission/closed_test.go
@@ -60,6 +60,23 @@
 	require.GreaterOrEqual(t, r.onTimeShare(), 0.98)
 }
 
+// Callers in a closed loop who ask for up to one and a half times the room are served no worse than with a queue that only minds their deadline: their
+// number bounds the queue.
+func TestClosedLoopIsServedNoWorseThanByDeadline(t *testing.T) {
+	t.Parallel()
+	for _, think := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(fmt.Sprintf("think time %v", think), func(t *testing.T) {
+			t.Parallel()
+			l := visitors(6, 4, 40, 375*time.Millisecond, think, 500*time.Millisecond).alone(0)
+			m, before := play(l, l.newDecision()), play(l, l.delayDecision())
+			logResults(t, "objectives", m)
+			logResults(t, "delays", before)
+			now, then := m.result(0, 0, loadEnd), before.result(0, 0, loadEnd)
+			require.GreaterOrEqual(t, now.onTimeShare(), then.onTimeShare()-0.02)
+		})
+	}
+}
+
 // Requests that come by chance ask for a little less than there is room for. The order by priority makes some of the less urgent late in a small
 // pool.
 func TestRequestsBelowTheRoomAreServedInTime(t *testing.T) {
