--- a/entry/node/handover_test.go
+++ b/entry/node/handover_test.go
@@ -16,7 +16,6 @@
 // to one endpoint.
 type handover struct {
 	listener net.Listener
-	target   string
 
 	mu sync.Mutex
 	// processes holds the connections of each process, in the order of their starts.
@@ -24,37 +23,21 @@
 }
 
 func startHandover(t *testing.T, target string) *handover {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	h := &handover{listener: listener, target: target, processes: make([][]net.Conn, 1)}
+	h := &handover{processes: make([][]net.Conn, 1)}
 	t.Cleanup(func() {
-		_ = listener.Close()
 		for i := range h.processes {
 			h.end(i)
 		}
 	})
-	go h.accept()
-	return h
-}
-
-func (h *handover) accept() {
-	for {
-		conn, err := h.listener.Accept()
-		if err != nil {
-			return
-		}
-		target, err := net.Dial("tcp", h.target)
-		if err != nil {
-			_ = conn.Close()
-			continue
-		}
+	h.listener = listenThrough(t, target, func(caller, server net.Conn) {
 		h.mu.Lock()
 		newest := len(h.processes) - 1
-		h.processes[newest] = append(h.processes[newest], conn)
+		h.processes[newest] = append(h.processes[newest], caller)
 		h.mu.Unlock()
-		go pipe(target, conn)
-		go pipe(conn, target)
-	}
+		go pipe(server, caller)
+		go pipe(caller, server)
+	})
+	return h
 }
 
 // pipe copies what comes from one connection to another and passes its end on.
--- a/entry/node/silent_link_test.go
+++ b/entry/node/silent_link_test.go
@@ -17,7 +17,6 @@
 // silentLink is a TCP proxy in front of an endpoint, whose open connections can go silent: nothing comes over them any more, their ends included.
 type silentLink struct {
 	listener net.Listener
-	target   string
 
 	mu    sync.Mutex
 	conns []*silentConn
@@ -27,25 +26,8 @@
 type silentConn struct{ silent atomic.Bool }
 
 func newSilentLink(t *testing.T, target string) *silentLink {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	l := &silentLink{listener: listener, target: target}
-	t.Cleanup(func() { _ = listener.Close() })
-	go l.serve(t)
-	return l
-}
-
-func (l *silentLink) serve(t *testing.T) {
-	for {
-		caller, err := l.listener.Accept()
-		if err != nil {
-			return
-		}
-		server, err := net.Dial("tcp", l.target)
-		if err != nil {
-			_ = caller.Close()
-			continue
-		}
+	l := &silentLink{}
+	l.listener = listenThrough(t, target, func(caller, server net.Conn) {
 		t.Cleanup(func() { _, _ = caller.Close(), server.Close() })
 		c := &silentConn{}
 		l.mu.Lock()
@@ -53,7 +35,8 @@
 		l.mu.Unlock()
 		go c.copy(server, caller)
 		go c.copy(caller, server)
-	}
+	})
+	return l
 }
 
 // copy passes on what comes from one side, and its end.
--- a/fleet/admission/order.go
+++ b/fleet/admission/order.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// owedRateShare is the share of the released slots on which a class that is short of its minimum can count, and late requests of callers that
+// can't be recognised.
+const owedRateShare = 0.5
+
 // next returns the request that gets the next free slot; nil if none waits. Requests of classes short of their minimum go first. Then
 // requests that can be in time go before those that will be late, higher priorities before lower ones, and the one that has to begin
 // first before others.
