--- a/fleet/admission/acceptance.go
+++ b/fleet/admission/acceptance.go
@@ -17,10 +17,8 @@
 	minSlackShare = 0.125
 	// lateShare is the largest share of its time left for which a request that will be late is expected to wait.
 	lateShare = 1.0 / 16
-	// returnedLateShare is that of a caller that returns: it has no attempt left after this one. anonymousLateShare is that of one that can't be
-	// recognised, for which no place can be kept if it is refused.
-	returnedLateShare  = 0.5
-	anonymousLateShare = 1.0 / 8
+	// returnedLateShare is that of a caller that returns: it has no attempt left after this one.
+	returnedLateShare = 0.5
 )
 
 // slack returns the time in which a request has to get a slot to be in time.
@@ -61,11 +59,8 @@
 
 // lateShare returns the largest share of its time left for which the request is expected to wait if it will be late.
 func (e *entry) lateShare() float64 {
-	switch {
-	case e.told != nil:
+	if e.told != nil {
 		return returnedLateShare
-	case e.request.anonymous():
-		return anonymousLateShare
 	}
 	return lateShare
 }
--- a/fleet/admission/class.go
+++ b/fleet/admission/class.go
@@ -96,7 +96,7 @@
 	case overloaded:
 		return e.arrivedAt.Add(min(overloadWait(e.request.Objective), e.request.TimeLeft))
 	case e.band == late:
-		return e.arrivedAt.Add(time.Duration(2 * e.lateShare() * float64(e.request.TimeLeft)))
+		return e.arrivedAt.Add(time.Duration(2 * lateShare * float64(e.request.TimeLeft)))
 	}
 	return e.latestStart
 }
--- a/fleet/admission/order.go
+++ b/fleet/admission/order.go
@@ -7,8 +7,7 @@
 	"time"
 )
 
-// owedRateShare is the share of the released slots on which a class that is short of its minimum can count, and late requests of callers that
-// can't be recognised.
+// owedRateShare is the share of the released slots on which a class that is short of its minimum can count.
 const owedRateShare = 0.5
 
 // next returns the request that gets the next free slot; nil if none waits. Requests of classes short of their minimum go first. Then
@@ -61,9 +60,10 @@
 	switch {
 	case room.Paced:
 		return rate
-	case e.band == owed, e.band == late && e.request.anonymous():
+	case e.band == owed:
 		return owedRateShare * rate
-	case e.band == late:
+	}
+	if e.band == late {
 		return max(rate-q.asked.at(now, demandTime)/demandTime.Seconds(), 0)
 	}
 	for _, c := range q.classes {
--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -36,9 +36,6 @@
 	Retry bool
 }
 
-// anonymous reports whether the caller can't be recognised when it returns.
-func (r Request) anonymous() bool { return r.Caller == 0 }
-
 // CallerKey is the same for all attempts at one request of a caller.
 type CallerKey uint64
 
--- a/fleet/admission/return.go
+++ b/fleet/admission/return.go
@@ -12,9 +12,6 @@
 	// promisedShare is the share of the slots of a class that is promised to refused callers; the rest is for new requests, which can still
 	// be in time.
 	promisedShare = 0.125
-	// anonymousReturnShare is the longest retry delay of a caller that can't be recognised, as a share of the time in which it has to get a slot
-	// to be in time. Its return counts as a new request, so that a later one would take the slot of one that can be in time.
-	anonymousReturnShare = 0.5
 )
 
 // retryAfter returns the retry delay of a refused request and records it. Each refusal takes the next place behind the queue and the
@@ -25,9 +22,6 @@
 		return q.pacedRetryAfter(now, e, room)
 	}
 	longest := min(maxRetryAfter, max(time.Duration(maxRetryShare*float64(e.request.TimeLeft)), minRetryAfter))
-	if soon := q.anonymousReturn(e); e.request.anonymous() && waitFor(1, q.rate(now, room)) <= soon {
-		longest = min(longest, soon)
-	}
 	at, promised := now.Add(longest), false
 	if place := q.nextPlace(now, e, room); !place.After(at) && e.band != excess {
 		at, promised = place, e.told == nil
@@ -39,14 +33,6 @@
 	return at.Sub(now)
 }
 
-// anonymousReturn returns the longest retry delay of a caller that can't be recognised, while slots are released; 0 if it has no objective.
-func (q *Queue) anonymousReturn(e *entry) time.Duration {
-	if e.request.Objective <= 0 {
-		return 0
-	}
-	return max(time.Duration(anonymousReturnShare*float64(q.slack(e.request, e.class))), minRetryAfter)
-}
-
 // nextPlace returns when a slot is expected to be free for a refused caller, in the room that its class keeps for them.
 func (q *Queue) nextPlace(now time.Time, e *entry, room Room) time.Time {
 	fresh := *e
