Ask once whether the others are short, of a workspace above its share

No behaviour changes. Since a workspace has no bound while the others get what they ask for, what these leave need not be computed: once the others are short, a workspace has by definition more than they leave. So the larger of two shares decided nothing that the smaller one does not decide.

--- a/fleet/admission/workspace.go
+++ b/fleet/admission/workspace.go
@@ -117,7 +117,7 @@
 }
 
 // exceeds reports whether a workspace that asks for much more than usual, compared with the others, has got its share of the work of the
-// last time: what is usual of it. It may also use what the others leave, and has no bound while they are served, unless lends is false.
+// last time: what is usual of it. It may also use what the others leave, so that it has no bound while they are served, unless lends is false.
 func (s *workspaces) exceeds(now time.Time, name site.WorkspaceName, lends bool) bool {
 	w := s.byName[name]
 	if name == "" || w == nil || len(s.byName) < 2 {
@@ -133,14 +133,9 @@
 	}
 	share := usual / (usual + othersUsual)
 	granted, ownGranted := s.total.granted.at(now, workTime), w.granted.at(now, workTime)
-	if lends {
-		othersShort := othersAsked - (granted - ownGranted)
-		if othersShort <= servedTolerance*othersAsked+meanWork {
-			return false
-		}
-		if granted > 0 {
-			share = max(share, 1-othersAsked/granted)
-		}
+	othersShort := othersAsked - (granted - ownGranted)
+	if lends && othersShort <= servedTolerance*othersAsked+meanWork {
+		return false
 	}
 	return ownGranted > share*granted || float64(w.held) > share*float64(s.total.held)
 }
