Let the result of a read hold the update that it makes of the copy

No behaviour changes. readResult repeated four fields of catalogue.Update, which applyResult copied one by one. The test that calls it says the same in the new shape.

--- a/entry/node/outage_test.go
+++ b/entry/node/outage_test.go
@@ -25,10 +25,9 @@
 	page, at, full, err := v.readStore(t.Context())
 	require.NoError(t, err)
 	require.True(t, full)
-	require.NoError(t, v.applyResult(readResult{
-		source: "host-2", confirmation: catalogue.Confirmation{SentAt: timer.BootClock().Add(-outageThreshold - time.Second)},
-		entries: entriesOf(page), at: at, full: true, setEra: at.Era,
-	}))
+	require.NoError(t, v.applyResult(readResult{source: "host-2", entries: entriesOf(page), update: catalogue.Update{
+		Confirmation: catalogue.Confirmation{SentAt: timer.BootClock().Add(-outageThreshold - time.Second)}, Position: at, Full: true, SetEra: at.Era,
+	}}))
 	require.NotEmpty(t, n.slots.endpointAddress("i-left"))
 	e.Deregister()
 	return n, e
--- a/entry/node/readers.go
+++ b/entry/node/readers.go
@@ -129,9 +129,9 @@
 		return holder, err
 	}
 	stated.SentAt = sentAt.Add(-time.Duration(update.AgeMs) * time.Millisecond)
-	err = v.applyResult(readResult{
-		source: string(id), confirmation: stated, entries: update.Entries, at: update.Position(q.After.Era), full: update.Full, setEra: update.SetEra,
-	})
+	err = v.applyResult(readResult{source: string(id), entries: update.Entries, update: catalogue.Update{
+		Confirmation: stated, Position: update.Position(q.After.Era), Full: update.Full, SetEra: update.SetEra,
+	}})
 	return "", eris.Wrapf(err, "fetch from reader %s", id)
 }
 
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -345,14 +345,10 @@
 // readResult is the result of a read of the store, made by this host or by another one.
 type readResult struct {
 	// source is the host that sent it, or sourceStore.
-	source       string
-	confirmation catalogue.Confirmation
-	entries      []catalogue.Entry
-	// at is the position at which the read ended.
-	at   catalogue.Position
-	full bool
-	// setEra is the era of the read that contained the set; a host may pass on one that it read in an earlier era.
-	setEra catalogue.Era
+	source  string
+	entries []catalogue.Entry
+	// update is what it says of the whole read; its Changes are those of entries.
+	update catalogue.Update
 }
 
 // sourceStore is the source of this host's own reads.
@@ -362,40 +358,41 @@
 // error is errEarlierEra, and nothing is merged, if this host's copy is from a later era.
 func (v *storeView) apply(sentAt time.Time, entries []catalogue.Entry, at catalogue.Position, full bool) error {
 	confirmation := catalogue.Confirmation{SentAt: sentAt, AnsweredAt: timer.BootClock()}
-	return v.applyResult(readResult{source: sourceStore, confirmation: confirmation, entries: entries, at: at, full: full, setEra: at.Era})
+	update := catalogue.Update{Confirmation: confirmation, Position: at, Full: full, SetEra: at.Era}
+	return v.applyResult(readResult{source: sourceStore, entries: entries, update: update})
 }
 
 // applyResult is apply for the result of any source.
 func (v *storeView) applyResult(r readResult) error {
+	u := r.update
 	changes, setValues := v.decode(r.entries)
+	u.Changes = changes
 	v.applying.Lock()
 	defer v.applying.Unlock()
 	now := timer.BootClock()
 	v.mu.Lock()
 	before, newestBefore := v.catalogue.Position(), v.history.NewestChange()
-	if !before.Admits(r.at, r.full) {
+	if !before.Admits(u.Position, u.Full) {
 		v.mu.Unlock()
 		v.n.meter.recordDroppedRead()
-		event.LogText(v.n.log, zerolog.WarnLevel, event.EarlierEraDropped).Int64("Era", int64(r.at.Era)).Int64("OwnEra", int64(before.Era)).Send()
+		event.LogText(v.n.log, zerolog.WarnLevel, event.EarlierEraDropped).Int64("Era", int64(u.Position.Era)).Int64("OwnEra", int64(before.Era)).Send()
 		return errEarlierEra
 	}
-	difference := v.catalogue.Apply(now, catalogue.Update{
-		Confirmation: r.confirmation, Position: r.at, Full: r.full, SetEra: r.setEra, Changes: changes,
-	})
+	difference := v.catalogue.Apply(now, u)
 	if difference.Set != nil {
 		v.setValue = setValues[difference.Set]
 	}
-	if !before.Includes(r.at, r.full) {
-		v.history.Record(now, v.withNewestSet(r.entries, r.full), r.at, r.full)
+	if !before.Includes(u.Position, u.Full) {
+		v.history.Record(now, v.withNewestSet(r.entries, u.Full), u.Position, u.Full)
 	}
 	newest := v.history.NewestChange()
 	v.mu.Unlock()
-	v.recordReturn(before, r.at, difference)
+	v.recordReturn(before, u.Position, difference)
 	v.recordOutage(now, difference.Outage, r.source)
 	v.recordDeferrals(now, difference)
 	v.propagate(now, difference)
 	v.mu.Lock()
-	v.notePassedOn(r.confirmation.SentAt)
+	v.notePassedOn(u.SentAt)
 	v.mu.Unlock()
 	if newest.After(newestBefore) {
 		v.notifySubscribers(now, peer.CopyNotice{NewestChange: newest})
