--- a/entry/node/stream_process_test.go
+++ b/entry/node/stream_process_test.go
@@ -72,6 +72,24 @@
 	require.LessOrEqual(t, s.reportCount(), s.dials())
 }
 
+// Guards against cost: engines that run something were asked for new streams, which are not bound there.
+func TestNewStreamsAtBusyEnginesAskForNoReport(t *testing.T) {
+	t.Parallel()
+	const streams = 30
+	s := newSessionSite(t, standin.DefaultVersion, secondVersion)
+	s.startNodes(3, 169)
+	for i := range len(s.engines) {
+		_, leave := s.open(s.nodes[0], fmt.Sprint("held-", i))
+		defer leave()
+	}
+	s.mu.Lock()
+	require.NotEqual(t, s.began["held-0"], s.began["held-1"], "each engine runs one")
+	s.mu.Unlock()
+	asked := s.reportCount()
+	require.Len(t, s.beginStreams(streams), streams)
+	require.Equal(t, asked, s.reportCount())
+}
+
 // Guards against cost: plain services, which have no reports, and requests that are not bound were asked for.
 func TestOnlyRequestsThatGoOnWithAStreamOfAnEngineAreBoundToAProcess(t *testing.T) {
 	t.Parallel()
--- a/entry/node/stream_version_test.go
+++ b/entry/node/stream_version_test.go
@@ -76,17 +76,25 @@
 
 // begin reads the first event of a stream at a node and leaves; it returns false if there is none.
 func (s *versionSite) begin(n *testNode, name string) bool {
-	ctx, leave := context.WithCancel(context.Background())
-	defer leave()
+	began, leave := s.open(n, name)
+	leave()
+	return began
+}
+
+// open reads the first event of a stream at a node; began is false if there is none. The caller leaves when leave is called.
+func (s *versionSite) open(n *testNode, name string) (began bool, leave func()) {
+	ctx, cancel := context.WithCancel(context.Background())
 	r := standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/stream/x", name+"/1", "k1", nil).WithContext(ctx)
 	r.Header.Set(standin.PromptPartsHeader, s.prompt(name+"/1"))
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		return false
+		return false, cancel
 	}
-	defer response.Body.Close()
 	line, err := bufio.NewReader(response.Body).ReadString('\n')
-	return err == nil && response.StatusCode == http.StatusOK && line == "id: 1\n"
+	return err == nil && response.StatusCode == http.StatusOK && line == "id: 1\n", func() {
+		_ = response.Body.Close()
+		cancel()
+	}
 }
 
 // takeUp takes a stream up at a node and returns the status; 0 if the connection broke.
