--- a/entry/node/stop_request_test.go
+++ b/entry/node/stop_request_test.go
@@ -38,7 +38,7 @@
 	held, stuck atomic.Int64
 }
 
-// newStoppingSite returns a site whose routes have a latency objective.
+// newStoppingSite returns a site whose routes have the given latency objective.
 func newStoppingSite(t *testing.T, subnet int, objective time.Duration) *stoppingSite {
 	s := &stoppingSite{testSite: newSite(t), release: make(chan struct{})}
 	s.store.PublishPatient(1, longTimeout, objective, "k1")
--- a/entry/peer/copy_state_test.go
+++ b/entry/peer/copy_state_test.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"encoding/hex"
 	"testing"
 	"time"
 
@@ -19,10 +18,7 @@
 // Recorded from the release that introduced eras. Later ones must be able to read it.
 func TestRecordedCopyMessagesAreReadable(t *testing.T) {
 	t.Parallel()
-	raw, err := hex.DecodeString("a40161610481a101070581a4010702a20104021901e0031404f50682a101a20104021901e1a201a002f5")
-	require.NoError(t, err)
-	d, err := Decode(raw)
-	require.NoError(t, err)
+	_, d := decodeRecorded(t, "a40161610481a101070581a4010702a20104021901e0031404f50682a101a20104021901e1a201a002f5")
 	require.Equal(t, Datagram{From: "a", Extensions: copyMessages}, d)
 	require.Equal(t, KindStore, d.Kind())
 }
@@ -50,10 +46,7 @@
 // Recorded from the release that introduced OutageEnd and SteadySince. Later ones must be able to read it.
 func TestRecordedCopyStateAfterAnOutageIsReadable(t *testing.T) {
 	t.Parallel()
-	raw, err := hex.DecodeString("a20161610581a6010702a20104021901e0031404f5051903210619032b")
-	require.NoError(t, err)
-	d, err := Decode(raw)
-	require.NoError(t, err)
+	_, d := decodeRecorded(t, "a20161610581a6010702a20104021901e0031404f5051903210619032b")
 	state := copyMessages.CopyStates[0]
 	state.OutageEnd, state.SteadySince = 801, 811
 	require.Equal(t, Datagram{From: "a", Extensions: Extensions{CopyStates: []CopyState{state}}}, d)
--- a/entry/peer/extension_test.go
+++ b/entry/peer/extension_test.go
@@ -35,10 +35,7 @@
 // Recorded from the release that introduced extensions. Later ones must be able to read it.
 func TestRecordedExtensionsAreReadable(t *testing.T) {
 	t.Parallel()
-	raw, err := hex.DecodeString("a20161610281a50107026173031ae4402b7d0419051405190564")
-	require.NoError(t, err)
-	d, err := Decode(raw)
-	require.NoError(t, err)
+	_, d := decodeRecorded(t, "a20161610281a50107026173031ae4402b7d0419051405190564")
 	require.Equal(t, []PartLookup{lookup}, d.Extensions.PartLookups)
 }
 
@@ -75,10 +72,7 @@
 	for recorded, state := range map[string]SetState{
 		"a201616107a0": {}, "a201616107a101191267": {Version: 4711}, "a201616107a20119126702f5": {Version: 4711, InForce: true},
 	} {
-		raw, err := hex.DecodeString(recorded)
-		require.NoError(t, err)
-		d, err := Decode(raw)
-		require.NoError(t, err)
+		raw, d := decodeRecorded(t, recorded)
 		require.Equal(t, Datagram{From: "a", Extensions: Extensions{SetState: &state}}, d)
 		datagrams, err := EncodeAll(d)
 		require.NoError(t, err)
--- a/entry/peer/gossip_test.go
+++ b/entry/peer/gossip_test.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -112,10 +111,7 @@
 // Recorded from the release that introduced updates. Later ones must be able to read it.
 func TestRecordedGossipIsReadable(t *testing.T) {
 	t.Parallel()
-	raw, err := hex.DecodeString("a201616103a301818761616d31302e302e302e313a37333430617afb3fe00000000000001903e809f40281821b112233445566778819012c038105")
-	require.NoError(t, err)
-	d, err := Decode(raw)
-	require.NoError(t, err)
+	_, d := decodeRecorded(t, "a201616103a301818761616d31302e302e302e313a37333430617afb3fe00000000000001903e809f40281821b112233445566778819012c038105")
 	require.Equal(t, Datagram{From: "a", Extensions: Extensions{Gossip: &gossip}}, d)
 }
 
--- a/entry/peer/group_lookup_test.go
+++ b/entry/peer/group_lookup_test.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"encoding/hex"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -18,10 +17,7 @@
 // Recorded from the release that introduced them. Later ones must be able to read them, and those before ignore them.
 func TestRecordedGroupMessagesAreReadable(t *testing.T) {
 	t.Parallel()
-	raw, err := hex.DecodeString("a30161610881a80107026173031ae4402b7d0419051405190564060307184008010981a6010702030318400481627631058162763206f5")
-	require.NoError(t, err)
-	d, err := Decode(raw)
-	require.NoError(t, err)
+	raw, d := decodeRecorded(t, "a30161610881a80107026173031ae4402b7d0419051405190564060307184008010981a6010702030318400481627631058162763206f5")
 	require.Equal(t, Datagram{From: "a", Extensions: groupMessages}, d)
 	datagrams, err := EncodeAll(d)
 	require.NoError(t, err)
--- a/entry/peer/slot_demand_test.go
+++ b/entry/peer/slot_demand_test.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"encoding/hex"
 	"testing"
 	"time"
 
@@ -51,10 +50,7 @@
 	for _, recorded := range []string{
 		"a20161610a81a5010702617303818219ffff18640402051901f4", "a20161610b81a50107026173041850051907d00607", "a20161610ca101f5",
 	} {
-		raw, err := hex.DecodeString(recorded)
-		require.NoError(t, err)
-		d, err := Decode(raw)
-		require.NoError(t, err)
+		raw, d := decodeRecorded(t, recorded)
 		datagrams, err := EncodeAll(d)
 		require.NoError(t, err)
 		require.Equal(t, [][]byte{raw}, datagrams)
--- a/fleet/pool/work_test.go
+++ b/fleet/pool/work_test.go
@@ -19,19 +19,6 @@
 	sim.keeper.Update(sim.now, SlotReleased{Ticket: e.Ticket, Service: assistant, Result: Completed, Run: run})
 }
 
-// expectedHold returns for how long a request is expected to hold a slot of the service if nothing of its prompt is cached.
-func (s *service) expectedHold(e SlotRequested) time.Duration {
-	if s.engine == nil {
-		return s.queue.meanHoldTime()
-	}
-	tokens := 0
-	for _, part := range e.Prompt.Parts {
-		tokens += part.Tokens
-	}
-	ms := float64(tokens)/s.speeds.tokensPerMs + s.lengths.Expect(forecastRequest(e)).Mean()*s.speeds.eventMs
-	return time.Duration(ms * float64(time.Millisecond))
-}
-
 func TestHoldTimeFollowsWhatWasSeenOfTheRoute(t *testing.T) {
 	t.Parallel()
 	sim := newSimulation(t, 1, 32)
@@ -39,10 +26,10 @@
 		answer(sim, SlotRequested{Route: "album"}, Run{FirstAfter: 50 * time.Millisecond, Lasted: 2050 * time.Millisecond, Events: 51})
 		answer(sim, SlotRequested{Route: "tag"}, Run{FirstAfter: 50 * time.Millisecond, Lasted: 130 * time.Millisecond, Events: 3})
 	}
-	album := sim.keeper.service(assistant).expectedHold(SlotRequested{Route: "album"})
-	tag := sim.keeper.service(assistant).expectedHold(SlotRequested{Route: "tag"})
-	require.InDelta(t, 2040, milliseconds(album), 400)
-	require.InDelta(t, 120, milliseconds(tag), 60)
+	s := sim.keeper.service(assistant)
+	writeMs := func(e SlotRequested) float64 { return s.lengths.Expect(forecastRequest(e)).Mean() * s.speeds.eventMs }
+	require.InDelta(t, 2040, writeMs(SlotRequested{Route: "album"}), 400)
+	require.InDelta(t, 120, writeMs(SlotRequested{Route: "tag"}), 60)
 }
 
 // An engine that takes four times as long as the others gets fewer new chats while it does, and its share again some time after.
