--- a/review/third/case-14/main.go
+++ b/review/third/case-14/main.go
@@ -1,4 +1,4 @@
-// Command case-14 checks that a part of a prompt that crashes engines stays blocked when the processes of all hosts are killed at once.
+// Command case-14 checks that the retries of a service stay within the budget that all hosts share while hosts are replaced in turn.
 package main
 
 import (
@@ -14,32 +14,26 @@
 	"balsamknot.org/review/third/lab"
 )
 
+// The deployment's budget, and the load.
 const (
-	hosts     = 8
-	engines   = 8
-	downTime  = 3 * time.Second
-	stable    = 3 * time.Second
-	badPart   = "bad0"
-	soundPart = "5a"
-	// allowed is how many requests with the part may reach engines later than stable after the fifth crash.
-	allowed  = 3
-	crashes  = 5
-	soundGap = 100 * time.Millisecond
-	badGap   = time.Second
-	badAt    = 5 * time.Second
-	killAt   = 35 * time.Second
-	killTime = time.Second
-	length   = 75 * time.Second
+	retryRatio  = 0.2
+	retrySlack  = 56.0
+	retryWindow = 10 * time.Second
+	hosts       = 8
+	runners     = 6
+	perSecond   = 70
+	failShare   = 0.45
+	failTime    = 6500 * time.Millisecond
+	failPause   = 500 * time.Millisecond
+	workTime    = 30 * time.Millisecond
+	rollAt      = 26 * time.Second
+	rollGap     = 1300 * time.Millisecond
+	failAt      = 15 * time.Second
+	length      = 50 * time.Second
 )
 
 func main() { os.Exit(run()) }
 
-type arrival struct {
-	at   time.Time
-	host *lab.Host
-	up   time.Duration
-}
-
 func run() int {
 	record := lab.NewRecord()
 	defer record.Close()
@@ -50,27 +44,30 @@
 	}
 	defer site.Close()
 	var mu sync.Mutex
-	sentTo := make(map[string]*lab.Host)
-	var arrivals []arrival
+	arrived := make(map[string]int)
+	var sent, repeats lab.Events
+	start := time.Now()
 	site.Store.Publish(1, "key")
-	for n := range engines {
+	for n := range runners {
 		name := fmt.Sprintf("i-%d", n)
-		c := lab.NewCrasher(site, name, "engines", downTime, func(w http.ResponseWriter, r *http.Request) bool {
+		e := standin.NewEndpoint(site.Store, name, "plain", func(w http.ResponseWriter, r *http.Request) {
 			id := r.Header.Get(standin.RequestIDHeader)
-			bad := standin.SharesPart(r, badPart)
-			record.Printf("run %s at %s bad %v", id, name, bad)
-			if bad {
-				mu.Lock()
-				h := sentTo[id]
-				arrivals = append(arrivals, arrival{at: time.Now(), host: h, up: h.UpFor()})
-				mu.Unlock()
-				time.Sleep(20 * time.Millisecond)
-				return true
+			mu.Lock()
+			arrived[id]++
+			again := arrived[id] > 1
+			mu.Unlock()
+			if again {
+				repeats.Add()
 			}
-			lab.Stream(w, id, 4, 20*time.Millisecond)
-			return false
+			record.Printf("run %s at %s again %v", id, name, again)
+			time.Sleep(workTime)
+			if failing(time.Since(start)) && rand.Float64() < failShare {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			_, _ = w.Write([]byte("done " + id))
 		})
-		defer c.End()
+		defer e.Close()
 	}
 	if err := site.Start(); err != nil {
 		record.Say("could not run: %v", err)
@@ -79,80 +76,65 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	balancer := lab.NewBalancer(ctx, site)
-	start := time.Now()
-	statuses := map[bool]map[int]int{true: {}, false: {}}
+	start = time.Now()
 	var wg sync.WaitGroup
-	send := func(bad bool) {
-		id, host := balancer.NewID(), balancer.Pick()
-		parts := []string{soundPart}
-		if bad {
-			parts = append(parts, badPart)
-		}
-		mu.Lock()
-		sentTo[id] = host
-		mu.Unlock()
-		record.Printf("sent %s to %s bad %v", id, host.Name, bad)
-		header := http.Header{standin.PromptPartsHeader: {standin.PromptOf(parts, id)}}
-		a := balancer.Call(host, http.MethodPost, "/stream/x", id, "key", "body of "+id, 2500*time.Millisecond, header)
-		record.Printf("answered %s %d %v", id, a.Status, a.Err)
-		mu.Lock()
-		statuses[bad][a.Status]++
-		mu.Unlock()
-	}
-	wg.Go(func() {
-		for time.Since(start) < length {
-			wg.Go(func() { send(false) })
-			time.Sleep(time.Duration(rand.ExpFloat64() * float64(soundGap)))
-		}
-	})
-	wg.Go(func() {
-		time.Sleep(badAt)
-		for time.Since(start) < length {
-			wg.Go(func() { send(true) })
-			time.Sleep(time.Duration(rand.ExpFloat64() * float64(badGap)))
-		}
-	})
 	if lab.Trouble() {
-		wg.Go(func() { killAll(record, site, start) })
+		wg.Go(func() { roll(record, site, start) })
+	}
+	statuses := make(map[int]int)
+	for time.Since(start) < length {
+		wg.Go(func() {
+			id, host := balancer.NewID(), balancer.Pick()
+			sent.Add()
+			record.Printf("sent %s to %s", id, host.Name)
+			a := balancer.Call(host, http.MethodGet, "/again/x", id, "key", "", 1500*time.Millisecond, nil)
+			record.Printf("answered %s %d %v", id, a.Status, a.Err)
+			mu.Lock()
+			statuses[a.Status]++
+			mu.Unlock()
+		})
+		time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / perSecond))
 	}
 	wg.Wait()
-	record.Say("answers by status: sound %v, with the part %v", statuses[false], statuses[true])
-	return judge(record, start, arrivals)
+	record.Say("answers by status: %v", statuses)
+	return judge(record, start, sent.Times(), repeats.Times())
+}
+
+// failing reports whether the runners fail a share of their requests: for failTime, again and again.
+func failing(since time.Duration) bool {
+	return since > failAt && (since-failAt)%(failTime+failPause) < failTime
 }
 
-// killAll kills the processes of all hosts at the same moment and starts them again.
-func killAll(record *lab.Record, site *lab.Site, start time.Time) {
-	time.Sleep(time.Until(start.Add(killAt)))
-	record.Say("kill all hosts")
+// roll stops and starts all hosts in turn.
+func roll(record *lab.Record, site *lab.Site, start time.Time) {
 	var wg sync.WaitGroup
-	for _, h := range site.Hosts {
-		wg.Go(h.Kill)
-	}
-	wg.Wait()
-	time.Sleep(killTime)
-	for _, h := range site.Hosts {
-		if err := h.Start(); err != nil {
-			record.Say("start %s: %v", h.Name, err)
-		}
+	defer wg.Wait()
+	for n, h := range site.Hosts {
+		time.Sleep(time.Until(start.Add(rollAt + time.Duration(n)*rollGap)))
+		record.Say("SIGTERM %s", h.Name)
+		wg.Go(func() {
+			h.Terminate(8 * time.Second)
+			if err := h.Start(); err != nil {
+				record.Say("start %s: %v", h.Name, err)
+			}
+		})
 	}
-	record.Say("all hosts are started")
 }
 
-func judge(record *lab.Record, start time.Time, arrivals []arrival) int {
-	if len(arrivals) < crashes {
-		record.Say("only %d requests with the part reached engines", len(arrivals))
-		return lab.ExitNotRun
-	}
-	fifth, late := arrivals[crashes-1].at, 0
-	for n, a := range arrivals {
-		counts := a.at.Sub(fifth) > stable && a.up > stable
-		if counts {
-			late++
+// judge applies the rule to each window that ends with a repeat.
+func judge(record *lab.Record, start time.Time, sent, repeats []time.Time) int {
+	worst, worstAt, worstRepeats, worstAllowed := -1e9, start, 0, 0.0
+	for _, t := range repeats {
+		n := lab.Between(repeats, t.Add(-retryWindow), t)
+		requests := max(lab.Between(sent, t.Add(-retryWindow), t), lab.Between(sent, t.Add(-2*retryWindow), t.Add(-retryWindow)),
+			lab.Between(sent, t.Add(-3*retryWindow/2), t.Add(-retryWindow/2)))
+		allowed := retryRatio*float64(requests) + retrySlack
+		if over := float64(n) - allowed; over > worst {
+			worst, worstAt, worstRepeats, worstAllowed = over, t, n, allowed
 		}
-		record.Say("request %d with the part reached an engine at %.1f s from %s, up for %.1f s, counts %v", n+1, a.at.Sub(start).Seconds(), a.host.Name, a.up.Seconds(), counts)
 	}
-	record.Say("%d requests reached engines later than %s after the fifth crash, sent by hosts in touch; %d allowed", late, stable, allowed)
-	if late > allowed {
+	record.Say("%d requests, %d repeats; worst 10 s end at %.1f s: %d repeats, %.0f allowed", len(sent), len(repeats), worstAt.Sub(start).Seconds(), worstRepeats, worstAllowed)
+	if worst > 0 {
 		record.Say("BUDGET broken")
 		return lab.ExitBroken
 	}
--- a/review/third/case-15/main.go
+++ b/review/third/case-15/main.go
@@ -1,4 +1,4 @@
-// Command case-15 checks that a request that crashes runners stays blocked where hosts are cut off from the other hosts.
+// Command case-15 checks that a request that crashes runners is blocked while the store has entries of another writer.
 package main
 
 import (
@@ -16,22 +16,20 @@
 
 const (
 	hosts    = 8
-	isolated = 2
-	runners  = 8
+	runners  = 18
 	downTime = 2500 * time.Millisecond
 	stable   = 3 * time.Second
 	badBody  = "crash"
 	// allowed is how many retries of the request may reach runners later than stable after the third crash.
 	allowed  = 3
 	crashes  = 3
-	soundGap = 50 * time.Millisecond
-	badGap   = 125 * time.Millisecond
-	cutAt    = 5 * time.Second
-	cutTime  = 12 * time.Second
-	badAt    = 6 * time.Second
-	// anywhereAt is from when the request comes at any host.
-	anywhereAt = 11 * time.Second
-	length     = 20 * time.Second
+	soundGap = 14 * time.Millisecond
+	workTime = 250 * time.Millisecond
+	badGap   = 3200 * time.Millisecond
+	badAt    = 66 * time.Second
+	length   = 107 * time.Second
+	// foreignService is a service that no configuration names.
+	foreignService = "elsewhere"
 )
 
 func main() { os.Exit(run()) }
@@ -44,7 +42,7 @@
 func run() int {
 	record := lab.NewRecord()
 	defer record.Close()
-	site, err := lab.NewSite(record, lab.Config{Hosts: hosts, Proxied: true})
+	site, err := lab.NewSite(record, lab.Config{Hosts: hosts})
 	if err != nil {
 		record.Say("could not run: %v", err)
 		return lab.ExitNotRun
@@ -66,13 +64,19 @@
 			}
 			mu.Unlock()
 			record.Printf("run %s at %s crash %v", id, name, crash)
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(workTime)
 			if !crash {
 				_, _ = w.Write([]byte("done " + id))
 			}
 			return crash
 		})
 		defer c.End()
+		if lab.Trouble() {
+			foreign := standin.NewEndpoint(site.Store, "z-"+name, foreignService, nil)
+			defer foreign.Close()
+			foreign.RegisterAt(c.Listener.Addr().String())
+			record.Printf("another writer registers z-%s of service %s at the address of %s", name, foreignService, name)
+		}
 	}
 	if err := site.Start(); err != nil {
 		record.Say("could not run: %v", err)
@@ -108,29 +112,10 @@
 	wg.Go(func() {
 		time.Sleep(badAt)
 		for time.Since(start) < length {
-			n := hosts - isolated
-			if time.Since(start) > anywhereAt {
-				n = hosts
-			}
-			host := site.Hosts[rand.IntN(n)]
-			wg.Go(func() { send(true, host) })
+			wg.Go(func() { send(true, balancer.Pick()) })
 			time.Sleep(badGap)
 		}
 	})
-	if lab.Trouble() {
-		wg.Go(func() {
-			time.Sleep(time.Until(start.Add(cutAt)))
-			record.Say("cut %d hosts off from the other hosts", isolated)
-			for _, h := range site.Hosts[hosts-isolated:] {
-				h.Isolate(true)
-			}
-			time.Sleep(cutTime)
-			for _, h := range site.Hosts[hosts-isolated:] {
-				h.Isolate(false)
-			}
-			record.Say("the cut has ended")
-		})
-	}
 	wg.Wait()
 	record.Say("answers by status: sound %v, the request that crashes %v", statuses[false], statuses[true])
 	return judge(record, start, arrivals)
