review: case 12, streams go on at the other version of their session

All hosts are killed amid a release, and the old engines, which run nothing any more, leave before the hosts are back. These take the version whose engines cache the last part of the prompt for the one that began a stream; another stream of the session brought it there.

--- a/review/third/lab/lab.go
+++ b/review/third/lab/lab.go
@@ -382,3 +382,20 @@
 
 // LogPath returns the path of the host's log.
 func (h *Host) LogPath() string { return h.settings + ".log" }
+
+// KillAll kills the processes of all hosts at the same moment and starts them again after a time.
+func (s *Site) KillAll(downTime time.Duration) {
+	s.Record.Say("kill all hosts")
+	var wg sync.WaitGroup
+	for _, h := range s.Hosts {
+		wg.Go(h.Kill)
+	}
+	wg.Wait()
+	time.Sleep(downTime)
+	for _, h := range s.Hosts {
+		if err := h.Start(); err != nil {
+			s.Record.Say("start %s: %v", h.Name, err)
+		}
+	}
+	s.Record.Say("all hosts are started")
+}
