--- a/review/third/lab/lab.go
+++ b/review/third/lab/lab.go
@@ -84,7 +84,6 @@
 	dir       string
 	firstPort int
 	program   string
-	peers     *peerNetwork
 }
 
 // Host is one entry host.
@@ -94,7 +93,6 @@
 	ReadyAddress  string
 
 	site     *Site
-	ip       string
 	settings string
 
 	mu     sync.Mutex
@@ -107,8 +105,6 @@
 // Config describes a site.
 type Config struct {
 	Hosts int
-	// Proxied lets all messages between hosts pass through proxies, so that Isolate can cut hosts off from each other.
-	Proxied bool
 }
 
 // portsPerHost is how many ports each host gets from the first one on; all hosts have the same.
@@ -135,13 +131,10 @@
 	go s.endOnSignal()
 	network := 100 + rand.IntN(100)
 	for range 50 {
-		if s.firstPort = 20000 + rand.IntN(2000)*portsPerHost; s.portsFree(network, cfg.Hosts) {
+		if s.firstPort = 20000 + rand.IntN(1500)*portsPerHost; s.portsFree(network, cfg.Hosts) {
 			break
 		}
 	}
-	if cfg.Proxied {
-		s.peers = newPeerNetwork()
-	}
 	for i := range cfg.Hosts {
 		if err := s.addHost(network, i, cfg.Hosts); err != nil {
 			return nil, err
@@ -160,12 +153,12 @@
 	os.Exit(ExitNotRun)
 }
 
-func hostIP(network, kind, i int) string { return fmt.Sprintf("127.%d.%d.%d", network, kind, 10+i) }
+func hostIP(network, i int) string { return fmt.Sprintf("127.%d.1.%d", network, 10+i) }
 
 func (s *Site) portsFree(network, hosts int) bool {
 	for i := range hosts {
 		for port := range portsPerHost {
-			l, err := net.Listen("tcp", net.JoinHostPort(hostIP(network, 1, i), strconv.Itoa(s.firstPort+port)))
+			l, err := net.Listen("tcp", net.JoinHostPort(hostIP(network, i), strconv.Itoa(s.firstPort+port)))
 			if err != nil {
 				return false
 			}
@@ -176,36 +169,21 @@
 }
 
 func (s *Site) addHost(network, i, hosts int) error {
-	ip := hostIP(network, 1, i)
-	published := ip
-	if s.peers != nil {
-		published = hostIP(network, 2, i)
-		if err := s.peers.add(ip, published, s.firstPort); err != nil {
-			return err
-		}
-	}
-	seedKind := 1
-	if s.peers != nil {
-		seedKind = 2
-	}
+	ip := hostIP(network, i)
 	var seeds []string
 	for seed := range min(hosts, 3) {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", hostIP(network, seedKind, seed), s.firstPort+6))
+		seeds = append(seeds, fmt.Sprintf("%s:%d", hostIP(network, seed), s.firstPort+6))
 	}
 	h := &Host{
-		Name: fmt.Sprintf("front-%d", i+1), site: s, ip: ip, settings: filepath.Join(s.dir, fmt.Sprintf("host-%d.ini", i+1)),
+		Name: fmt.Sprintf("front-%d", i+1), site: s, settings: filepath.Join(s.dir, fmt.Sprintf("host-%d.ini", i+1)),
 		CallerAddress: fmt.Sprintf("%s:%d", ip, s.firstPort+5), ReadyAddress: fmt.Sprintf("%s:%d", ip, s.firstPort+4),
 	}
-	publishedLine := ""
-	if published != ip {
-		publishedLine = "PublishedAddress = " + published + "\n"
-	}
 	text := fmt.Sprintf(`[Host]
 Host = %s
 DataCentre = z%d
 Region = r1
 Address = %s
-%sCallerAddress = %s
+CallerAddress = %s
 ReadyAddress = %s
 PeerAddress = %s:%d
 MetricsAddress = %s:%d
@@ -219,7 +197,7 @@
 RetryWindow = 10s
 RetrySlack = 56
 LoadFactor = 2
-`, h.Name, i%4+1, ip, publishedLine, h.CallerAddress, h.ReadyAddress, ip, s.firstPort+6, ip, s.firstPort+7, s.firstPort, s.firstPort+3,
+`, h.Name, i%4+1, ip, h.CallerAddress, h.ReadyAddress, ip, s.firstPort+6, ip, s.firstPort+7, s.firstPort, s.firstPort+3,
 		strings.Join(seeds, ","), s.Store.Address())
 	s.Hosts = append(s.Hosts, h)
 	return os.WriteFile(h.settings, []byte(text), 0o600)
@@ -256,9 +234,6 @@
 	}
 	s.Store.CloseClientConnections()
 	s.Store.Close()
-	if s.peers != nil {
-		s.peers.close()
-	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(s.dir)
 	} else {
@@ -350,23 +325,6 @@
 	return time.Since(h.startedAt)
 }
 
-// PeakMemory returns the peak of the process's resident memory in MiB.
-func (h *Host) PeakMemory() float64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(raw)) {
-		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
 // Ready reports whether the host says that it is ready.
 func (h *Host) Ready() bool {
 	conn, err := net.DialTimeout("tcp", h.ReadyAddress, 300*time.Millisecond)
@@ -380,9 +338,6 @@
 	return strings.Contains(line, " 200 ")
 }
 
-// LogPath returns the path of the host's log.
-func (h *Host) LogPath() string { return h.settings + ".log" }
-
 // KillAll kills the processes of all hosts at the same moment and starts them again after a time.
 func (s *Site) KillAll(downTime time.Duration) {
 	s.Record.Say("kill all hosts")
