Log and count what the origin of a taken-up stream was inferred from

After a start of all hosts no host remembers which version began a stream.

BK1413 says at the entry what the version was taken from, and BK1414 at the keeper which versions' engines cache the last part of the prompt. entry_stream_origins_total counts by evidence.

--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -57,6 +57,8 @@
 	ProcessNotRegistered   Number = 1410
 	ReportMissing          Number = 1411
 	OriginConflict         Number = 1412
+	OriginInferred         Number = 1413
+	OriginLookedUp         Number = 1414
 	ClaimWon               Number = 1501
 	ClaimDeferred          Number = 1502
 	ClaimUnsettled         Number = 1503
@@ -141,6 +143,8 @@
 	{ProcessNotRegistered, "another process answered", "A request that goes on with a stream was not sent to an endpoint: the process at its address is not the one that is registered, which began at StartedAt. The request goes to another endpoint.", "None, unless it lasts for more than some seconds: look why the endpoint's registration does not change."},
 	{ReportMissing, "process not known", "An engine was asked which process it is, for a stream that goes on there, and did not tell: absent, its answer has no start; lost, no answer came in time. The stream goes on there.", "If lost and frequent: look at the engine."},
 	{OriginConflict, "two origins of a stream", "This host knows the software version that began a stream (Known), and another one was stated later (Rejected), by itself or by another host; the first is kept.", "Look for an endpoint that was replaced in place at about that time."},
+	{OriginInferred, "origin of a stream inferred", "A caller takes up a stream whose origin no host remembers. Evidence says what its software version (Version) was taken from: only version, the caches of the engines, or nothing, in which case it was refused.", "If nothing lasts for longer than half a minute after a start of all hosts: look at BK1414 of the same Stream."},
+	{OriginLookedUp, "origin looked up in caches", "This host was asked which versions can have begun a stream, by the engines that cache the last part of its prompt (Part): Found have it, Possible may have it only for requests that came since this host started. Versions is the answer.", "None."},
 	{ClaimWon, "claim won", "A quorum of electors vouches for this home.", "None."},
 	{ClaimDeferred, "claim deferred", "Another home holds the key; it was asked for the answer.", "None."},
 	{ClaimUnsettled, "claim unsettled", "Too few electors vouched; nothing was sent. The caller was told Unknown.", "Check the hosts if it lasts longer than ElectorGrace."},
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -52,6 +52,7 @@
 	droppedReads       = "entry_store_reads_dropped_total"
 	misplacedRuns      = "entry_misplaced_runs_total"
 	originConflicts    = "entry_origin_conflicts_total"
+	streamOrigins      = "entry_stream_origins_total"
 	evacuationRefusals = "entry_evacuation_refusals_total"
 	homeRefusals       = "entry_home_refusals_total"
 	deferredRemovals   = "entry_deferred_removals_total"
@@ -68,6 +69,9 @@
 	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns, originConflicts, evacuationRefusals, homeRefusals, deferredRemovals} {
 		m.set.NewCounter(name)
 	}
+	for _, evidence := range []originEvidence{recordedOrigin, onlyVersionSeen, cachedPart, noEvidence} {
+		m.set.NewCounter(streamOrigins + `{evidence="` + string(evidence) + `"}`)
+	}
 	for _, evidence := range []catalogue.Evidence{catalogue.OwnReads, catalogue.Stated} {
 		m.set.NewCounter(storeOutages(evidence))
 	}
@@ -164,6 +168,11 @@
 // recordOriginConflict counts an origin of a stream that was not recorded, since another one is known.
 func (m *meter) recordOriginConflict() { m.set.GetOrCreateCounter(originConflicts).Inc() }
 
+// recordOrigin counts a stream that a caller took up, by what its origin was taken from.
+func (m *meter) recordOrigin(evidence originEvidence) {
+	m.set.GetOrCreateCounter(streamOrigins + `{evidence="` + string(evidence) + `"}`).Inc()
+}
+
 // recordSlotRefusal counts a request that got no slot, since the operator evacuates the data centres of all endpoints that could take it, or since no
 // endpoint of its service is in a region in which it may run.
 func (m *meter) recordSlotRefusal(reason pool.Reason) {
--- a/entry/node/stream_cache.go
+++ b/entry/node/stream_cache.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"balsamknot.org/balsamknot/event"
 	"balsamknot.org/entry/peer"
 	"balsamknot.org/fleet/chat"
 	"balsamknot.org/fleet/endpoint"
@@ -116,6 +120,7 @@
 	if !known {
 		return
 	}
+	s.logLookup(to, lookup, versions, s.n.slots.answerGroup(now, lookup))
 	reply := peer.PartReply{Nonce: nonce, Versions: versions}
 	d := peer.Datagram{From: s.n.cfg.Host, Extras: peer.Extras{PartReplies: []peer.PartReply{reply}}}
 	if to == s.n.cfg.Host {
@@ -125,6 +130,12 @@
 	s.n.membership.send(to, d)
 }
 
+// logLookup logs what this host told another one, or itself, of the versions that cache a part.
+func (s *streamTracker) logLookup(to host.ID, lookup pool.PartLookup, versions []endpoint.Version, answer pool.GroupAnswer) {
+	event.LogText(s.n.log, zerolog.InfoLevel, event.OriginLookedUp).Str("To", string(to)).Str("Part", strconv.FormatUint(uint64(lookup.Part), 16)).
+		Any("Found", answer.Found).Any("Possible", answer.Possible).Any("Versions", versions).Send()
+}
+
 // versionsCaching returns what the local keeper knows; known is false while it lacks lists of engines' caches.
 func (s *slotManager) versionsCaching(now time.Time, lookup pool.PartLookup) (versions []endpoint.Version, known bool) {
 	s.mu.Lock()
--- a/entry/node/streams.go
+++ b/entry/node/streams.go
@@ -159,8 +159,9 @@
 	if !q.takesUp() {
 		return true
 	}
-	version, known := s.versionOf(q)
-	if !known {
+	version, evidence := s.versionOf(q)
+	s.recordEvidence(q, version, evidence)
+	if evidence == noEvidence {
 		if q.disconnected() {
 			s.n.endDisconnected(q)
 		}
@@ -172,30 +173,56 @@
 	return true
 }
 
-// versionOf returns the version that began the stream that a request takes up. Without the stream's origin, it is the only version of the
-// service, if that can be known, and else the one whose engines cache the stream's prompt.
-func (s *streamTracker) versionOf(q *request) (endpoint.Version, bool) {
+// originEvidence is what the origin of a stream was taken from.
+type originEvidence string
+
+// Evidence of the origin of a stream, the strongest first.
+const (
+	// recordedOrigin means that a host remembers it.
+	recordedOrigin originEvidence = "recorded"
+	// onlyVersionSeen means that there was one version only for as long as the stream can have run.
+	onlyVersionSeen originEvidence = "only version"
+	// cachedPart means that the engines that cache the last part of its prompt were asked.
+	cachedPart originEvidence = "caches"
+	noEvidence originEvidence = "nothing"
+)
+
+// recordEvidence counts and logs what the version of a stream was taken from. What a host remembers is not logged.
+func (s *streamTracker) recordEvidence(q *request, version endpoint.Version, evidence originEvidence) {
+	s.n.meter.recordOrigin(evidence)
+	if evidence == recordedOrigin {
+		return
+	}
+	event.LogText(s.n.log, zerolog.InfoLevel, event.OriginInferred).Str("Request", q.call.ID).Uint64("Stream", uint64(stream.IDOf(q.call.Resumes))).
+		Str("Service", string(q.service)).Str("Evidence", string(evidence)).Str("Version", string(version)).Send()
+}
+
+// versionOf returns the version that began the stream that a request takes up, and what it was taken from. Without the stream's origin, it is the
+// only version of the service, if that can be known, and else the one whose engines cache the stream's prompt.
+func (s *streamTracker) versionOf(q *request) (endpoint.Version, originEvidence) {
 	arrivedAt := timer.BootClock()
 	id := stream.IDOf(q.call.Resumes)
 	if version, known := s.origin(id); known {
-		return version, true
+		return version, recordedOrigin
 	}
 	replies := s.ask(q.r.Context(), id, peer.StreamQuery{Stream: id, Service: q.service})
 	if replies.version != "" {
-		return replies.version, true
+		return replies.version, recordedOrigin
 	}
 	if replies.quorum {
 		if version, only := s.onlyVersion(q, replies); only {
-			return version, true
+			return version, onlyVersionSeen
 		}
 	}
 	if version, known := s.versionByCache(q); known {
-		return version, true
+		return version, cachedPart
 	}
-	if _, only := s.onlyVersion(q, replies); !only || !s.n.storeView.awaitChangesBefore(q.r.Context(), arrivedAt) {
-		return "", false
+	if _, only := s.onlyVersion(q, replies); only && s.n.storeView.awaitChangesBefore(q.r.Context(), arrivedAt) {
+		if version, only := s.onlyVersion(q, replies); only {
+			return version, onlyVersionSeen
+		}
 	}
-	return s.onlyVersion(q, replies)
+	return "", noEvidence
 }
 
 // origin returns the version that began a stream, if this host knows it.
