--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -59,6 +59,8 @@
 	OriginConflict         Number = 1412
 	OriginInferred         Number = 1413
 	OriginLookedUp         Number = 1414
+	PastRead               Number = 1415
+	PastUnknown            Number = 1416
 	ClaimWon               Number = 1501
 	ClaimDeferred          Number = 1502
 	ClaimUnsettled         Number = 1503
@@ -144,7 +146,9 @@
 	{ReportMissing, "process not known", "An engine was asked which process it is, for a stream that goes on there, and did not tell: absent, its answer has no start; lost, no answer came in time. The stream goes on there.", "If lost and frequent: look at the engine."},
 	{OriginConflict, "two origins of a stream", "This host knows the software version that began a stream (Known), and another one was stated later (Rejected), by itself or by another host; the first is kept.", "Look for an endpoint that was replaced in place at about that time."},
 	{OriginInferred, "origin of a stream inferred", "A caller takes up a stream whose origin no host remembers. Evidence says what its software version (Version) was taken from: only version, the caches of the engines, or nothing, in which case it was refused.", "If nothing lasts for longer than half a minute after a start of all hosts: look at BK1414 of the same Stream."},
-	{OriginLookedUp, "origin looked up in caches", "This host was asked which versions can have begun a stream, by the engines that cache the last part of its prompt (Part): Found have it, Possible may have it only for requests that came since this host started. Versions is the answer.", "None."},
+	{OriginLookedUp, "origin looked up in caches", "This host was asked which versions can have begun a stream, by the engines that cache the last part of its prompt (Part): Found have it, Possible may have it only for requests that came since this host started. Left are versions of engines that left before this host knew what they cached, Order has the versions from the earliest on, and Standing is that of the stream among those of its session (0 untold, 1 undecided, 2 alone, 3 oldest, 4 newest, 5 between). Versions is the answer.", "None."},
+	{PastRead, "past read", "This host has read from the store's history which engines registered and left before it had its first copy of the store: Departed of Versions had left.", "None."},
+	{PastUnknown, "past not known", "The store's history does not tell this host which engines left before it had its first copy of the store. A stream that one of them began may go on at the version of another stream of its session.", "None, unless frequent: look at how long the store keeps its history."},
 	{ClaimWon, "claim won", "A quorum of electors vouches for this home.", "None."},
 	{ClaimDeferred, "claim deferred", "Another home holds the key; it was asked for the answer.", "None."},
 	{ClaimUnsettled, "claim unsettled", "Too few electors vouched; nothing was sent. The caller was told Unknown.", "Check the hosts if it lasts longer than ElectorGrace."},
--- a/entry/node/group_search.go
+++ b/entry/node/group_search.go
@@ -80,7 +80,11 @@
 	first := s.n.membership.groupHost(lookup.Service, pool.GroupQuery{Group: lookup.Group})
 	unconfirmed := s.n.slots.justStarted() || first != s.n.cfg.Host && query.Attempt == 0
 	s.n.slots.update(now, pool.PartQueried{Lookup: lookup, KeeperUnconfirmed: unconfirmed})
-	return s.n.slots.answerGroup(now, lookup)
+	answer := s.n.slots.answerGroup(now, lookup)
+	if !s.n.past.known(now) {
+		return answer.Await()
+	}
+	return answer
 }
 
 // groupHost returns the host that is to be asked about a group.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -51,6 +51,7 @@
 	store         *platform.Store
 	engines       *platform.EngineClient
 	storeView     *storeView
+	past          *pastReader
 	membership    *membership
 	slots         *slotManager
 	endpointConns *connection.Pool
@@ -110,6 +111,7 @@
 	n.membership = newMembership(n)
 	n.slots = newSlotManager(n)
 	n.storeView = newStoreView(n)
+	n.past = &pastReader{n: n}
 	n.callers = newCallerHandler(n)
 	n.meter = newMeter(n)
 	n.crashes = newCrashTracker(n)
--- a/entry/node/store_view.go
+++ b/entry/node/store_view.go
@@ -379,6 +379,7 @@
 		return errEarlierEra
 	}
 	difference := v.catalogue.Apply(now, u)
+	v.n.past.noteFirst(u.Position)
 	if difference.Set != nil {
 		v.setValue = setValues[difference.Set]
 	}
--- a/entry/node/stream_cache.go
+++ b/entry/node/stream_cache.go
@@ -13,6 +13,7 @@
 	"balsamknot.org/fleet/endpoint"
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
+	"balsamknot.org/fleet/stream"
 	"balsamknot.org/fleet/timer"
 )
 
@@ -37,7 +38,7 @@
 	ctx, cancel := context.WithTimeout(q.r.Context(), partQueryTimeLeft(q))
 	defer cancel()
 	own := parts[len(parts)-1]
-	lookup := peer.PartLookup{Service: q.service, Part: own.ID, MinTokens: own.Tokens}
+	lookup := peer.PartLookup{Service: q.service, Part: own.ID, MinTokens: own.Tokens, TakenUp: peer.FromTakenUp(q.takenUp())}
 	if q.call.Prompt.MaxOutputTokens > 0 {
 		lookup.MaxTokens = own.Tokens + q.call.Prompt.MaxOutputTokens
 	}
@@ -48,6 +49,19 @@
 	return versions[0], true
 }
 
+// takenUp returns the stream that the request takes up.
+func (q *request) takenUp() pool.TakenUp {
+	events, err := strconv.Atoi(q.call.LastEventID)
+	if err != nil {
+		events = 0
+	}
+	age := time.Duration(0)
+	if q.route.Timeout > 0 {
+		age = max(q.route.Timeout-q.call.TimeLeft, 0) + timer.BootClock().Sub(q.start)
+	}
+	return pool.TakenUp{Stream: stream.IDOf(q.call.Resumes), Age: age, Events: events}
+}
+
 // partQueryTimeLeft returns how much longer a request may wait for its stream's version: until partQueryShare of the time has passed for which
 // its caller waits for the first event, but no longer than for its deadline.
 func partQueryTimeLeft(q *request) time.Duration {
@@ -116,6 +130,9 @@
 		return
 	}
 	s.n.slots.update(now, pool.PartQueried{Lookup: lookup, KeeperUnconfirmed: s.n.slots.justStarted()})
+	if !s.n.past.known(now) {
+		return
+	}
 	versions, known := s.n.slots.versionsCaching(now, lookup)
 	if !known {
 		return
@@ -133,7 +150,8 @@
 // logLookup logs what this host told another one, or itself, of the versions that cache a part.
 func (s *streamTracker) logLookup(to host.ID, lookup pool.PartLookup, versions []endpoint.Version, answer pool.GroupAnswer) {
 	event.LogText(s.n.log, zerolog.InfoLevel, event.OriginLookedUp).Str("To", string(to)).Str("Part", strconv.FormatUint(uint64(lookup.Part), 16)).
-		Any("Found", answer.Found).Any("Possible", answer.Possible).Any("Versions", versions).Send()
+		Uint64("Stream", uint64(lookup.TakenUp.Stream)).Any("Found", answer.Found).Any("Possible", answer.Possible).Any("Left", answer.Left).
+		Any("Order", answer.Order).Int("Standing", int(answer.Standing)).Any("Versions", versions).Send()
 }
 
 // versionsCaching returns what the local keeper knows; known is false while it lacks lists of engines' caches.
--- a/entry/peer/extension.go
+++ b/entry/peer/extension.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -8,6 +10,7 @@
 	"balsamknot.org/fleet/host"
 	"balsamknot.org/fleet/pool"
 	"balsamknot.org/fleet/site"
+	"balsamknot.org/fleet/stream"
 )
 
 // Extensions holds the lists of a datagram that were added since releases serve side by side. Unlike the arrays of the other messages, they
@@ -57,11 +60,35 @@
 	// MinTokens and MaxTokens bound the length; a MaxTokens of 0 is no bound.
 	MinTokens int `cbor:"4,keyasint,omitempty"`
 	MaxTokens int `cbor:"5,keyasint,omitempty"`
+	// TakenUp is the stream whose version is looked up; nil from hosts of releases before it.
+	TakenUp *TakenUp `cbor:"7,keyasint,omitempty"`
 }
 
 // ToPool converts the message to a lookup at the keeper.
 func (l PartLookup) ToPool() pool.PartLookup {
-	return pool.PartLookup{Service: l.Service, Part: l.Part, MinTokens: l.MinTokens, MaxTokens: l.MaxTokens}
+	return pool.PartLookup{Service: l.Service, Part: l.Part, MinTokens: l.MinTokens, MaxTokens: l.MaxTokens, TakenUp: l.TakenUp.toPool()}
+}
+
+// TakenUp is pool.TakenUp.
+type TakenUp struct {
+	Stream stream.ID `cbor:"1,keyasint"`
+	AgeMs  int64     `cbor:"2,keyasint,omitempty"`
+	Events int       `cbor:"3,keyasint,omitempty"`
+}
+
+// FromTakenUp converts a stream to a message; nil if it has no name.
+func FromTakenUp(t pool.TakenUp) *TakenUp {
+	if t.Stream == 0 {
+		return nil
+	}
+	return &TakenUp{Stream: t.Stream, AgeMs: t.Age.Milliseconds(), Events: t.Events}
+}
+
+func (t *TakenUp) toPool() pool.TakenUp {
+	if t == nil {
+		return pool.TakenUp{}
+	}
+	return pool.TakenUp{Stream: t.Stream, Age: time.Duration(t.AgeMs) * time.Millisecond, Events: t.Events}
 }
 
 // mapHead and mapMask tell a datagram of Extensions, a CBOR map, by the first byte from the arrays of the others.
--- a/fleet/pool/departed.go
+++ b/fleet/pool/departed.go
@@ -17,6 +17,8 @@
 	hash     uint64
 	leftAt   time.Time
 	parts    map[chat.PartID]cachedPart
+	// unlisted is true if it left before this host had its list, so that it may have cached anything.
+	unlisted bool
 }
 
 // departedEngines holds the engines that left within stream.Lifetime, in the order in which they did.
@@ -27,6 +29,7 @@
 	*d = d.lately(now)
 	*d = append(*d, departedEngine{
 		instance: st.record.Instance, version: st.record.Version, hash: st.hash, leftAt: now, parts: st.cachedParts,
+		unlisted: st.list.state != listed,
 	})
 }
 
--- a/fleet/pool/endpoint_state.go
+++ b/fleet/pool/endpoint_state.go
@@ -53,6 +53,8 @@
 	// group is the one of the service's groups to which the endpoint belongs; nil after its removal.
 	group   *group
 	running int
+	// addedAt is when this host learned of the endpoint.
+	addedAt time.Time
 	// work is what the endpoint still has to do, and slowdown how long it takes, compared with the other engines.
 	work     engineWork
 	slowdown slowdown
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -55,6 +55,8 @@
 	evacuated map[host.DataCentre]bool
 	// startedAt is the time of the first event.
 	startedAt time.Time
+	// createdAt is PastRead.CreatedAt.
+	createdAt map[endpoint.Instance]int64
 }
 
 // New returns a keeper without services and endpoints.
@@ -95,6 +97,8 @@
 		k.service(e.Service.Name).configure(now, e.Service)
 	case EndpointRegistered, EndpointRemoved, DataCentreEvacuated:
 		return k.follow(now, e)
+	case PastRead:
+		k.readPast(now, e)
 	case HostRemoved:
 		return k.forEachService(func(s *service) []Command { return s.releaseHost(now, e.Host) })
 	case Tick:
@@ -160,7 +164,7 @@
 	s := k.services[name]
 	if s == nil {
 		s = newService(name, k.cfg)
-		s.reachableShare, s.evacuated, s.startedAt = k.reachableShare, k.evacuated, k.startedAt
+		s.reachableShare, s.evacuated, s.startedAt, s.createdAt = k.reachableShare, k.evacuated, k.startedAt, k.createdAt
 		k.services[name] = s
 	}
 	return s
--- a/fleet/pool/list_group.go
+++ b/fleet/pool/list_group.go
@@ -20,12 +20,23 @@
 	// requests that came after the host started, so that it is no sign by itself of where an older stream began.
 	Found    []endpoint.Version
 	Possible []endpoint.Version
+	// Left has the versions of engines that left before this host knew what they cached, so that one of them may have begun the stream, in order.
+	Left []endpoint.Version
+	// Order has the versions of the service from the earliest to the latest; empty if that is not known, see service.versionOrder.
+	Order []endpoint.Version
+	// Standing is that of the lookup's stream among those of its session.
+	Standing Standing
 	// Awaited has the versions of the engines that are still to be asked or awaited, in order, and Unlisted is true if an engine has not listed its
 	// cache, awaited or not.
 	Awaited  []endpoint.Version
 	Unlisted bool
 }
 
+// Await returns the answer of a host that does not know yet which engines left before it started: whatever caches the part may still be contradicted.
+func (a GroupAnswer) Await() GroupAnswer {
+	return GroupAnswer{Group: a.Group, Awaited: distinct(append(slices.Clone(a.Found), a.Awaited...)), Unlisted: true}
+}
+
 // ListGroupCount returns how many groups the engines of a service are divided into for the listing of their caches: a power of two, 1 for those
 // that the keeper of the service lists itself.
 func (k *Keeper) ListGroupCount(name site.ServiceName) int {
--- a/fleet/pool/part_lookup.go
+++ b/fleet/pool/part_lookup.go
@@ -19,6 +19,8 @@
 	MinTokens, MaxTokens int
 	// Group has the engines that are meant.
 	Group ListGroup
+	// TakenUp is the stream whose version is looked up.
+	TakenUp TakenUp
 }
 
 // PartQueried asks which versions cache a part of a prompt. While that is not known, the keeper lists the caches of the engines that it has not
@@ -33,6 +35,7 @@
 
 // queryPart requests the lists that a lookup needs. No slot request waits for them.
 func (s *service) queryPart(now time.Time, e PartQueried) []Command {
+	s.noteTakenUp(now, e.Lookup)
 	if s.engine == nil || e.KeeperUnconfirmed {
 		return nil
 	}
@@ -42,8 +45,8 @@
 	return s.demandLists(now, s.members(e.Lookup.Group))
 }
 
-// VersionsCaching returns the software versions whose engines are known to cache a part of a prompt at the given length, in order. known is
-// false while the list of an engine is awaited that could add a version.
+// VersionsCaching returns the software versions at which the stream of a lookup can have begun, in order: those whose engines are known to cache the part
+// of the prompt at the given length, as far as nothing else excludes them. known is false while the list of an engine is awaited that could add a version.
 func (k *Keeper) VersionsCaching(now time.Time, lookup PartLookup) (versions []endpoint.Version, known bool) {
 	return k.service(lookup.Service).versionsCaching(now, lookup)
 }
@@ -56,7 +59,8 @@
 	return decideVersions(s.answerGroup(now, lookup))
 }
 
-// decideVersions returns the versions that answers found, and beside these the ones that are possible. An engine that has not listed its cache may
+// decideVersions returns the versions that answers found, and beside these the ones that are possible, unless the other streams of the session exclude
+// some; see amongSession. An engine that has not listed its cache may
 // cache the part too, as one does that lost the request before its first event, so that a version counts as the only one when all engines of the
 // others are listed or overdue. That one engine lists it is no proof then, but an engine that is silent for long costs no more than the streams that it
 // began. Without a version that is found, all engines must be listed. Several remain several.
@@ -79,7 +83,44 @@
 			return nil, false
 		}
 	}
-	return distinct(append(versions, possible...)), true
+	if open := distinct(append(slices.Clone(versions), possible...)); len(open) > len(versions) {
+		return open, true
+	}
+	return amongSession(versions, answers)
+}
+
+// amongSession returns which of the versions that were found the stream of a lookup can have begun at, if several cache the part, or engines left that
+// may have cached it before anybody knew. Each engine that caches the part, or did, has run a stream of the session. One that is the only one of its session
+// began where the part is found. Of several the oldest began at the earliest version and the newest at the latest one, since sessions move in this direction
+// only. Nothing tells the version of the others.
+func amongSession(found []endpoint.Version, answers []GroupAnswer) (versions []endpoint.Version, known bool) {
+	open := slices.Clone(found)
+	standing := answers[0].Standing
+	for _, a := range answers {
+		open = append(open, a.Left...)
+		if a.Standing != standing {
+			standing = Between
+		}
+	}
+	open = distinct(open)
+	if len(open) < 2 {
+		return open, true
+	}
+	isOpen := func(v endpoint.Version) bool { return slices.Contains(open, v) }
+	order := slices.DeleteFunc(slices.Clone(answers[0].Order), func(v endpoint.Version) bool { return !isOpen(v) })
+	switch {
+	case standing == Undecided:
+		return nil, false
+	case standing == Untold, standing == Alone:
+		return found, true
+	case len(order) < len(open):
+		return open, true
+	case standing == Oldest:
+		return order[:1], true
+	case standing == Newest:
+		return order[len(order)-1:], true
+	}
+	return open, true
 }
 
 // AnswerGroup returns what the keeper knows of the engines of the lookup's group.
@@ -88,7 +129,7 @@
 }
 
 func (s *service) answerGroup(now time.Time, lookup PartLookup) GroupAnswer {
-	a := GroupAnswer{Group: lookup.Group}
+	a := GroupAnswer{Group: lookup.Group, Order: s.versionOrder(now), Standing: s.standing(now, lookup)}
 	s.noteCaching(now, lookup, &a)
 	for _, st := range s.members(lookup.Group) {
 		if st.list.state == listed || st.caches(lookup) {
@@ -99,7 +140,7 @@
 			a.Awaited = append(a.Awaited, st.record.Version)
 		}
 	}
-	a.Found, a.Possible, a.Awaited = distinct(a.Found), distinct(a.Possible), distinct(a.Awaited)
+	a.Found, a.Possible, a.Left, a.Awaited = distinct(a.Found), distinct(a.Possible), distinct(a.Left), distinct(a.Awaited)
 	return a
 }
 
@@ -121,6 +162,9 @@
 	}
 	for _, d := range s.departed.lately(now) {
 		note(d.version, d.hash, d.parts)
+		if _, cached := d.parts[lookup.Part]; d.unlisted && !cached && s.mayBeOlder(now) && lookup.Group.contains(d.hash) {
+			a.Left = append(a.Left, d.version)
+		}
 	}
 }
 
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -46,6 +46,11 @@
 	// departed remembers the caches of engines that have left, and startedAt is when this host began to follow the services.
 	departed  departedEngines
 	startedAt time.Time
+	// loadedAt is when the first endpoint was added, with all others of the first copy of the store, and createdAt is PastRead.CreatedAt.
+	loadedAt  time.Time
+	createdAt map[endpoint.Instance]int64
+	// sessions holds the streams that were taken up and may have begun before this host started.
+	sessions  map[sessionKey]*sessionStreams
 	heldSlots map[Ticket]*heldSlot
 	queue     requestQueue
 	budget    retryBudget
@@ -130,6 +135,10 @@
 	s.remove(now, r.Instance.ID)
 	s.departed.restore(r.Instance)
 	st := newEndpointState(r)
+	st.addedAt = now
+	if s.loadedAt.IsZero() {
+		s.loadedAt = now
+	}
 	st.limiter, st.arrivals, st.evacuated = s.limiters[r.Instance], s.arrivalsOf(r.Instance.ID), s.evacuated[r.DataCentre]
 	st.limited = st.limiter.limited()
 	s.applyStatement(st)
