--- a/entry/node/stream_session_test.go
+++ b/entry/node/stream_session_test.go
@@ -127,3 +127,18 @@
 	require.Zero(t, older, "no engine of their version is left")
 	require.Greater(t, newer, int64(sessions/2), "those of the version that is left go on")
 }
+
+// Guards against LOST, review/13: streams of sessions that ran at two versions were refused after a start of all hosts, although both versions served.
+func TestStreamsGoOnAfterAllHostsStartedThoughTheirSessionsRanAtBothVersions(t *testing.T) {
+	t.Parallel()
+	const sessions = 12
+	s := newTwoVersionSessions(t, sessions, 68)
+	for _, e := range s.old {
+		e.RegisterReady()
+	}
+	s.restartAll(69)
+	older, newer := s.takeUpBoth()
+	require.LessOrEqual(t, s.mixed(), allowedMixed)
+	require.Greater(t, older, int64(sessions/2))
+	require.Greater(t, newer, int64(sessions/2))
+}
--- a/fleet/pool/choice.go
+++ b/fleet/pool/choice.go
@@ -20,6 +20,8 @@
 	awaited *endpointState
 	// paced is true if there is no target, but would be one if its requests were not paced.
 	paced bool
+	// beyond is true if target has got as many requests as a cold endpoint may get.
+	beyond bool
 }
 
 // minFetchTokens is the smallest number of tokens for which one engine fetches from the cache of another.
@@ -64,11 +66,11 @@
 	leastMissingTokens int
 }
 
-// choose returns the endpoint with the lowest cost among those with a free slot that it compares: the engines that are known to cache the
+// chooseAmong returns the endpoint with the lowest cost among those with a free slot that it compares: the engines that are known to cache the
 // prompt, and the group to which its prefix falls, or further groups if these have none. ok is false when there is none in the whole service.
 // Suspect endpoints are chosen only when there is no other. When no endpoint is known to cache the prompt's last shared
 // part, the LastEndpoint of the request is preferred. waited is how long the request has waited.
-func (s *service) choose(now time.Time, e SlotRequested, waited time.Duration) (c choice, ok bool) {
+func (s *service) chooseAmong(now time.Time, e SlotRequested, waited time.Duration) (c choice, ok bool) {
 	sc := scan{now: now, request: e, awaitLimitMs: awaitLimitMs(e, waited), isEngine: s.engine != nil, loadLimit: s.loadLimit(), rendezvousKey: rendezvousKey(e.Prompt), share: s.share(e), service: s}
 	sc.own, sc.speeds, sc.engineCost = s.expect(e), s.speeds, s.placing.cost
 	sc.grants = s.cold.grants(s.reachableShare, e.KeeperUnconfirmed || s.starting(now))
@@ -179,7 +181,7 @@
 		c.amount = sc.endpointCost(st, missingTokens)
 	}
 	if sc.better(c) {
-		sc.best, sc.bestCost = choice{target: st, missingTokens: missingTokens}, c
+		sc.best, sc.bestCost = choice{target: st, missingTokens: missingTokens, beyond: c.beyond}, c
 	}
 	return !c.beyond
 }
--- a/fleet/pool/request_queue.go
+++ b/fleet/pool/request_queue.go
@@ -59,10 +59,7 @@
 
 // callerKey returns what recognises a caller that was refused and returns: the last part of its prompt, which belongs to it alone.
 func (e SlotRequested) callerKey() admission.CallerKey {
-	if len(e.Prompt.Parts) == 0 {
-		return 0
-	}
-	return admission.CallerKey(e.Prompt.Parts[len(e.Prompt.Parts)-1].ID)
+	return admission.CallerKey(e.session())
 }
 
 // serve records a request that gets a slot without waiting.
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -52,9 +52,12 @@
 	// sessions holds the streams that were taken up and may have begun before this host started.
 	sessions  map[sessionKey]*sessionStreams
 	heldSlots map[Ticket]*heldSlot
-	queue     requestQueue
-	budget    retryBudget
-	serial    serialRuns
+	// runningSessions has the sessions of the requests with a slot, and versionSince when this host learned of the first engine of each version.
+	runningSessions runningSessions
+	versionSince    map[endpoint.Version]time.Time
+	queue           requestQueue
+	budget          retryBudget
+	serial          serialRuns
 	// sent holds the newest cache update for the standbys by shared prefix, and pending the updates to be sent at the
 	// next tick.
 	sent    map[chat.PartID]sentUpdate
@@ -101,15 +104,18 @@
 	// renewedAt is when the holder last requested or reported the slot.
 	renewedAt time.Time
 	serial    SerialKey
-	work      work
-	class     admission.Class
+	// session is the last part of the request's prompt, 0 if it has none, and version that of the endpoint when the slot was granted.
+	session chat.PartID
+	version endpoint.Version
+	work    work
+	class   admission.Class
 	// workspace is empty for a slot that another keeper granted.
 	workspace site.WorkspaceName
 }
 
 func newService(name site.ServiceName, cfg Config) *service {
 	return &service{
-		name: name, cfg: cfg, sent: make(map[chat.PartID]sentUpdate), pending: make(map[chat.PartID]CachedParts), endpoints: make(map[endpoint.ID]*endpointState), heldSlots: make(map[Ticket]*heldSlot), queue: newRequestQueue(),
+		name: name, cfg: cfg, sent: make(map[chat.PartID]sentUpdate), pending: make(map[chat.PartID]CachedParts), endpoints: make(map[endpoint.ID]*endpointState), heldSlots: make(map[Ticket]*heldSlot), runningSessions: make(runningSessions), versionSince: make(map[endpoint.Version]time.Time), queue: newRequestQueue(),
 		groups: newGroups(nil, maxGroupSize), maxGroupSize: maxGroupSize, caching: make(cacheIndex),
 		budget: newRetryBudget(cfg), serial: make(serialRuns), limiters: make(map[endpoint.Instance]*limiter), statements: make(map[endpoint.Instance]statement), arrivals: make(map[endpoint.ID]*arrivals), reachableShare: 1,
 		perDataCentre: make(dataCentreCounts),
@@ -126,7 +132,12 @@
 	if st := s.endpoints[r.Instance.ID]; st != nil && st.record.Instance == r.Instance {
 		s.addToTotals(st, -1)
 		s.perDataCentre.move(st.record.DataCentre, r.DataCentre)
+		version := st.record.Version
 		st.record, st.evacuated = r, s.evacuated[r.DataCentre]
+		if version != r.Version {
+			s.noteVersion(now, r.Version)
+			s.forgetVersion(version)
+		}
 		s.applyStatement(st)
 		s.addToTotals(st, 1)
 		s.registerCold(now, st, false)
@@ -146,6 +157,7 @@
 	s.perDataCentre.add(r.DataCentre)
 	at, _ := searchEndpoint(s.sorted, r.Instance.ID)
 	s.sorted = slices.Insert(s.sorted, at, st)
+	s.noteVersion(now, r.Version)
 	s.groups.add(st)
 	s.regroup()
 	s.addToTotals(st, 1)
@@ -166,6 +178,7 @@
 	if at, found := searchEndpoint(s.sorted, id); found {
 		s.sorted = slices.Delete(s.sorted, at, at+1)
 	}
+	s.forgetVersion(st.record.Version)
 	s.groups.remove(st)
 	s.regroup()
 	for part := range st.cachedParts {
@@ -223,6 +236,8 @@
 	st := h.endpoint
 	h.grantedAt, h.renewedAt = now, now
 	s.heldSlots[h.grant.Ticket] = h
+	h.session, h.version = sessionOf(p), st.record.Version
+	s.runningSessions.begin(h.session, h.version)
 	s.serial.begin(h.serial, h.grant.Ticket)
 	s.queue.order.Hold(now, h.workspace)
 	st.begin(now, h.work, readMs)
@@ -236,6 +251,7 @@
 // releaseSlot frees a held slot and records the result of the request at the endpoint.
 func (s *service) releaseSlot(now time.Time, t Ticket, h *heldSlot, r Result) {
 	delete(s.heldSlots, t)
+	s.runningSessions.end(h.session, h.version)
 	s.serial.end(now, h.serial, t, r)
 	h.endpoint.end(now, h.work)
 	h.endpoint.finish(now, r)
@@ -270,6 +286,7 @@
 	if !s.anyAvailable(e) {
 		return []Command{s.refuseWithoutEndpoint(e)}
 	}
+	e = s.bindToSession(e)
 	commands := s.listCaches(now, e)
 	commands = append(commands, s.drainPaced(now)...)
 	if s.queue.unbound == 0 && !s.awaitsCacheLists(now) && !s.queue.holdsBack(now, e, s.recentRoom(now)) {
