--- a/entry/node/crashes.go
+++ b/entry/node/crashes.go
@@ -113,7 +113,7 @@
 func (c *crashTracker) recordSignOfLife(now time.Time, q *request, x *connection.Exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.interruptions.Pending() > 0 {
+	if c.interruptions.AwaitsAnswers() {
 		c.execute(now, c.interruptions.Update(now, interruption.Answered{Endpoint: q.instance, ConnectedAt: x.ConnectedAt()}))
 	}
 }
--- a/entry/node/tunnels.go
+++ b/entry/node/tunnels.go
@@ -57,7 +57,7 @@
 func (p *pathTracker) dialForHost(ctx context.Context, target peer.TunnelTarget) (net.Conn, error) {
 	resting := p.n.slots.resting(timer.BootClock(), target.Endpoint)
 	p.mu.Lock()
-	usable := p.table.Endpoint(target.Address) == target.Endpoint && !p.table.Gone(target.Address) && len(p.tunnels) < maxTunnels
+	usable := p.table.IsRegistered(target.Endpoint, target.Address) && !p.table.Gone(target.Address) && len(p.tunnels) < maxTunnels
 	p.mu.Unlock()
 	if !usable || resting || p.n.draining.Load() {
 		return nil, eris.Wrapf(peer.ErrRelayUnavailable, "tunnel to endpoint %s", target.Endpoint)
--- a/fleet/interruption/interruption.go
+++ b/fleet/interruption/interruption.go
@@ -1,9 +1,9 @@
 // Package interruption decides whether an endpoint crashed while it ran a request whose answer is missing or incomplete.
 //
 // A broken connection has many causes. The package attributes it to a crash only on evidence that the endpoint ended at that time:
-// nothing listens at its address, another incarnation or another endpoint registers, or its registration is removed although it was
-// not leaving. It rules a crash out when a connection from before the interruption still carries answers and, after a time-out, when
-// any does.
+// nothing listens at its address, another incarnation or another endpoint of its service registers there, or one of another service that then answers
+// there, or its registration is removed although it was not leaving. It rules a crash out when a connection from before the interruption still carries
+// answers and, after a time-out, when any does. An endpoint that answers a while after its end had not ended.
 package interruption
 
 import (
@@ -23,6 +23,8 @@
 	listeningWindow = 5 * time.Second
 	// endedMemory is how long an ended incarnation is remembered, for runs that break off or time out after its end.
 	endedMemory = time.Minute
+	// revivalDelay is how long after its end an incarnation must answer at least for that end to be wrong: answers that it wrote before are read by then.
+	revivalDelay = 2 * time.Second
 	// maxRunsPerEndpoint limits the runs that are remembered for one incarnation; the oldest are dropped.
 	maxRunsPerEndpoint = 256
 	// refusalsOfLostEndpoint is how many probes in a row nothing must answer for the endpoint to be lost. One alone may be an
@@ -135,10 +137,12 @@
 // Tracker holds the interrupted runs of one host until their cause is known. It is not safe for concurrent use.
 type Tracker struct {
 	incarnations map[endpoint.Instance]*incarnation
-	// registered holds the incarnation that is registered now, by endpoint, and byAddress the one that registered last at an
-	// address.
+	// registered holds the incarnation that is registered now, by endpoint, and byAddress those that are registered at an address, in the order in
+	// which they were: an entry may name the address of an endpoint that is none of its own.
 	registered map[endpoint.ID]endpoint.Instance
-	byAddress  map[string]endpoint.Instance
+	byAddress  map[string][]endpoint.Instance
+	// replaced holds the incarnations that ended for another endpoint at their address, while their own registrations last.
+	replaced map[endpoint.ID]endpoint.Instance
 	// awaited holds the incarnations with runs whose answer has not begun.
 	awaited map[endpoint.Instance]bool
 	// active lists the incarnations with interrupted runs, and ended those that ended, in that order.
@@ -173,10 +177,13 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		incarnations: make(map[endpoint.Instance]*incarnation), registered: make(map[endpoint.ID]endpoint.Instance),
-		byAddress: make(map[string]endpoint.Instance), awaited: make(map[endpoint.Instance]bool),
+		byAddress: make(map[string][]endpoint.Instance), replaced: make(map[endpoint.ID]endpoint.Instance), awaited: make(map[endpoint.Instance]bool),
 	}
 }
 
+// AwaitsAnswers reports whether Answered could change anything: runs whose cause is not known, or endpoints that were replaced.
+func (t *Tracker) AwaitsAnswers() bool { return t.pending > 0 || len(t.replaced) > 0 }
+
 // Pending returns the number of runs whose cause is not known yet.
 func (t *Tracker) Pending() int { return t.pending }
 
@@ -199,6 +206,7 @@
 	case Registered:
 		return t.register(now, e.Record)
 	case Removed:
+		delete(t.replaced, e.ID)
 		return t.remove(now, t.registered[e.ID])
 	case ReportedLost:
 		return t.lost(e.Endpoint)
@@ -250,19 +258,69 @@
 }
 
 // answered drops the runs that did not end in a crash: those that ended while the connection was open, so long ago that the answer was sent
-// after that, and, if they only timed out, all that ended before.
+// after that, and, if they only timed out, all that ended before. Endpoints that were registered at the address before have ended.
 func (t *Tracker) answered(now time.Time, e Answered) []Command {
 	in := t.incarnations[e.Endpoint]
 	if in == nil {
 		return nil
 	}
-	return t.drop(in, reasonAnswered, func(run pendingRun) bool {
+	t.revive(now, e.Endpoint, in)
+	ended := t.endPredecessors(now, e.Endpoint, in.record.Address)
+	return append(ended, t.drop(in, reasonAnswered, func(run pendingRun) bool {
 		timedOut := !run.broken && !run.unmarked
 		if timedOut {
 			return run.EndedAt.Before(now)
 		}
 		return now.Sub(run.EndedAt) > buffered && run.EndedAt.After(e.ConnectedAt)
-	})
+	})...)
+}
+
+// revive takes the end of an incarnation back that another endpoint replaced, and that answers so long after it that it wrote the answer later.
+func (t *Tracker) revive(now time.Time, instance endpoint.Instance, in *incarnation) {
+	if t.replaced[instance.ID] != instance || now.Sub(in.endedAt) <= revivalDelay {
+		return
+	}
+	in.endedAt = time.Time{}
+	delete(t.replaced, instance.ID)
+	t.place(instance, in.record.Address)
+}
+
+// place records an incarnation as the last one that was registered, for its endpoint and at its address.
+func (t *Tracker) place(instance endpoint.Instance, address string) {
+	t.registered[instance.ID] = instance
+	if !slices.Contains(t.byAddress[address], instance) {
+		t.byAddress[address] = append(t.byAddress[address], instance)
+	}
+}
+
+// unplace is the opposite of place.
+func (t *Tracker) unplace(instance endpoint.Instance, address string) {
+	delete(t.registered, instance.ID)
+	others := slices.DeleteFunc(t.byAddress[address], func(other endpoint.Instance) bool { return other == instance })
+	if len(others) == 0 {
+		delete(t.byAddress, address)
+		return
+	}
+	t.byAddress[address] = others
+}
+
+// endPredecessors ends the incarnations that were registered at an address before one that answers there.
+func (t *Tracker) endPredecessors(now time.Time, instance endpoint.Instance, address string) []Command {
+	at := slices.Index(t.byAddress[address], instance)
+	if at <= 0 {
+		return nil
+	}
+	var commands []Command
+	for _, other := range slices.Clone(t.byAddress[address][:at]) {
+		commands = append(commands, t.replace(now, other)...)
+	}
+	return commands
+}
+
+// replace ends an incarnation, for another endpoint at its address.
+func (t *Tracker) replace(now time.Time, instance endpoint.Instance) []Command {
+	t.replaced[instance.ID] = instance
+	return t.end(now, instance)
 }
 
 func (t *Tracker) probed(now time.Time, e Probed) []Command {
@@ -292,21 +350,30 @@
 	}
 }
 
-// register notes a registration. It ends the earlier incarnation of the endpoint and any other endpoint at the same address.
+// register notes a registration. It ends the earlier incarnation of the endpoint and any other endpoint of its service at the same address. That of another
+// service is no evidence until it answers: an address is assigned anew after the end of its endpoint, but an entry may also come from another
+// writer.
 func (t *Tracker) register(now time.Time, r endpoint.Record) []Command {
 	var commands []Command
 	if earlier, known := t.registered[r.Instance.ID]; known && earlier != r.Instance {
 		commands = append(commands, t.end(now, earlier)...)
 	}
-	if other, known := t.byAddress[r.Address]; known && other != r.Instance {
-		commands = append(commands, t.end(now, other)...)
+	for _, other := range slices.Clone(t.byAddress[r.Address]) {
+		if other != r.Instance && t.incarnations[other].record.Service == r.Service {
+			commands = append(commands, t.replace(now, other)...)
+		}
+	}
+	delete(t.replaced, r.Instance.ID)
+	in := t.incarnations[r.Instance]
+	if in == nil {
+		in = &incarnation{}
+		t.incarnations[r.Instance] = in
 	}
-	if in := t.incarnations[r.Instance]; in != nil {
-		in.record, in.endedAt = r, time.Time{}
-	} else {
-		t.incarnations[r.Instance] = &incarnation{record: r}
+	if in.record.Address != r.Address {
+		t.unplace(r.Instance, in.record.Address)
 	}
-	t.registered[r.Instance.ID], t.byAddress[r.Address] = r.Instance, r.Instance
+	in.record, in.endedAt = r, time.Time{}
+	t.place(r.Instance, r.Address)
 	return commands
 }
 
@@ -316,10 +383,7 @@
 	if in == nil || t.registered[instance.ID] != instance {
 		return nil
 	}
-	delete(t.registered, instance.ID)
-	if t.byAddress[in.record.Address] == instance {
-		delete(t.byAddress, in.record.Address)
-	}
+	t.unplace(instance, in.record.Address)
 	in.endedAt = now
 	t.ended = append(t.ended, instance)
 	return t.lost(instance)
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -115,6 +115,9 @@
 // path is the path to one endpoint.
 type path struct {
 	record endpoint.Record
+	// others holds the later registrations of other services at the same address, in order. They may come from another writer and name no endpoint of their own, so
+	// that the first one counts while it is registered.
+	others []endpoint.Record
 	state  state
 	// silent is that of the Bypassed event, and silentSince when the path was found to be silent although the endpoint, or others of the service
 	// behind lost paths, are alive.
@@ -161,7 +164,7 @@
 	case Registered:
 		t.register(e.Record)
 	case Removed:
-		t.remove(t.addresses[e.ID])
+		t.remove(e.ID)
 	case Connected:
 		return t.connected(now, e.Address)
 	case Heard:
@@ -182,26 +185,51 @@
 
 func (t *Table) register(r endpoint.Record) {
 	if old, known := t.addresses[r.Instance.ID]; known && old != r.Address {
-		t.remove(old)
+		t.remove(r.Instance.ID)
 	}
 	t.addresses[r.Instance.ID] = r.Address
-	if p := t.paths[r.Address]; p != nil && p.record.Instance == r.Instance {
+	p := t.paths[r.Address]
+	switch {
+	case p == nil:
+		t.begin(r.Address, r, nil)
+	case p.record.Instance == r.Instance:
 		p.record = r
-		return
+	case p.record.Instance.ID == r.Instance.ID:
+		t.begin(r.Address, r, p.others)
+	case p.record.Service == r.Service:
+		delete(t.addresses, p.record.Instance.ID)
+		t.begin(r.Address, r, p.without(r.Instance.ID))
+	default:
+		p.others = append(p.without(r.Instance.ID), r)
 	}
-	t.remove(r.Address)
-	t.paths[r.Address] = &path{record: r}
-	t.addresses[r.Instance.ID] = r.Address
 }
 
-func (t *Table) remove(address string) {
+// begin replaces the path to an address by a new one.
+func (t *Table) begin(address string, r endpoint.Record, others []endpoint.Record) {
+	t.paths[address] = &path{record: r, others: others}
+	t.gone = slices.DeleteFunc(t.gone, func(a string) bool { return a == address })
+}
+
+// without returns the later registrations at the address but that of an endpoint.
+func (p *path) without(id endpoint.ID) []endpoint.Record {
+	return slices.DeleteFunc(slices.Clone(p.others), func(r endpoint.Record) bool { return r.Instance.ID == id })
+}
+
+// remove removes the registration of an endpoint, and the path to its address if there is no other one.
+func (t *Table) remove(id endpoint.ID) {
+	address := t.addresses[id]
+	delete(t.addresses, id)
 	p := t.paths[address]
-	if p == nil {
-		return
+	switch {
+	case p == nil:
+	case p.record.Instance.ID != id:
+		p.others = p.without(id)
+	case len(p.others) > 0:
+		t.begin(address, p.others[0], p.others[1:])
+	default:
+		delete(t.paths, address)
+		t.gone = slices.DeleteFunc(t.gone, func(a string) bool { return a == address })
 	}
-	delete(t.paths, address)
-	delete(t.addresses, p.record.Instance.ID)
-	t.gone = slices.DeleteFunc(t.gone, func(a string) bool { return a == address })
 }
 
 func (t *Table) heard(now time.Time, address string) {
@@ -380,7 +408,7 @@
 	return p.state == lost && p.silent && p.holdsSince.IsZero() && now.Sub(p.silentSince) >= d
 }
 
-// Endpoint returns the endpoint that is registered at an address; empty if there is none.
+// Endpoint returns the endpoint whose path an address is; empty if there is none.
 func (t *Table) Endpoint(address string) endpoint.ID {
 	if p := t.paths[address]; p != nil {
 		return p.record.Instance.ID
@@ -388,6 +416,11 @@
 	return ""
 }
 
+// IsRegistered reports whether an endpoint is registered at an address.
+func (t *Table) IsRegistered(id endpoint.ID, address string) bool {
+	return address != "" && t.addresses[id] == address
+}
+
 // HeardSince reports whether the endpoint at an address sent something over a direct connection after at.
 func (t *Table) HeardSince(address string, at time.Time) bool {
 	p := t.paths[address]
--- a/soak/schedule/fault.go
+++ b/soak/schedule/fault.go
@@ -80,6 +80,8 @@
 	// fault. TurnCold makes an endpoint cold until the end of the fault while it runs; its registration says so Fault.Delay later.
 	ReturnCold
 	TurnCold
+	// WriteForeignEntry writes an entry of a service that no configuration names, at an endpoint's address, until the end of the fault.
+	WriteForeignEntry
 )
 
 var actionNames = map[Action]string{
@@ -92,6 +94,7 @@
 	ReturnStore: "ReturnStore", EndEndpoint: "EndEndpoint", SilenceEndpoints: "SilenceEndpoints", ReplaceEndpoint: "ReplaceEndpoint",
 	LapseService: "LapseService", DelayCacheLists: "DelayCacheLists", SwitchEngine: "SwitchEngine", SickenEngines: "SickenEngines",
 	SurgeLoad: "SurgeLoad", ReturnCold: "ReturnCold", TurnCold: "TurnCold",
+	WriteForeignEntry: "WriteForeignEntry",
 }
 
 func (a Action) String() string { return actionNames[a] }
--- a/soak/schedule/schedule.go
+++ b/soak/schedule/schedule.go
@@ -103,6 +103,9 @@
 	if cfg.Seed%coldSeeds == coldRemainder {
 		faults = append(faults, coldFaults(cfg)...)
 	}
+	if cfg.Seed%entrySeeds == entryRemainder {
+		faults = append(faults, entryFaults(cfg)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
--- a/soak/schedule/schedule_test.go
+++ b/soak/schedule/schedule_test.go
@@ -122,6 +122,28 @@
 	require.Positive(t, beside[KillAllHosts])
 }
 
+// Entries of another writer come on their seeds alone, beside a request that crashes endpoints; some of them stay.
+func TestForeignEntriesComeOnTheirSeeds(t *testing.T) {
+	t.Parallel()
+	entries, lasting := 0, 0
+	for seed := range uint64(50) {
+		cfg := config(seed)
+		for _, f := range Generate(cfg) {
+			if f.Action != WriteForeignEntry {
+				continue
+			}
+			entries++
+			require.Equal(t, uint64(entryRemainder), seed%entrySeeds)
+			require.LessOrEqual(t, f.At+f.For, cfg.Length)
+			if f.At+f.For == cfg.Length {
+				lasting++
+			}
+		}
+	}
+	require.Greater(t, entries, lasting)
+	require.Positive(t, lasting)
+}
+
 // Endpoints become cold on their seeds alone, and the registrations of those that run say so late.
 func TestEndpointsBecomeColdOnTheirSeeds(t *testing.T) {
 	t.Parallel()
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -77,6 +77,9 @@
 		s.applyToProcesses(f, e, wait)
 	case schedule.SwitchEngine, schedule.SickenEngines:
 		s.applyToEngines(f, wait)
+	case schedule.WriteForeignEntry:
+		defer e.WriteForeignEntry()()
+		wait()
 	case schedule.SurgeLoad:
 		s.surge(ctx, s.Now()+f.For)
 	default:
