--- a/balsamknot/event/event.go
+++ b/balsamknot/event/event.go
@@ -61,6 +61,7 @@
 	OriginLookedUp         Number = 1414
 	PastRead               Number = 1415
 	PastUnknown            Number = 1416
+	AnswerUnsigned         Number = 1417
 	ClaimWon               Number = 1501
 	ClaimDeferred          Number = 1502
 	ClaimUnsettled         Number = 1503
@@ -149,6 +150,7 @@
 	{OriginLookedUp, "origin looked up in caches", "This host was asked which versions can have begun a stream, by the engines that cache the last part of its prompt (Part): Found have it, Possible may have it only for requests that came since this host started. Left are versions of engines that left before this host knew what they cached, Order has the versions from the earliest on, and Standing is that of the stream among those of its session (0 untold, 1 undecided, 2 alone, 3 oldest, 4 newest, 5 between). Versions is the answer.", "None."},
 	{PastRead, "past read", "This host has read from the store's history which engines registered and left before it had its first copy of the store: Departed of Versions had left.", "None."},
 	{PastUnknown, "past not known", "The store's history does not tell this host which engines left before it had its first copy of the store. A stream that one of them began may go on at the version of another stream of its session.", "None, unless frequent: look at how long the store keeps its history."},
+	{AnswerUnsigned, "answer without a signature", "An endpoint's success had no signature, so that some of its bytes are wrong. It was given up: the request goes to another endpoint, or fails with 502 if it may run once only.", "If frequent at one Endpoint: look at its machine."},
 	{ClaimWon, "claim won", "A quorum of electors vouches for this home.", "None."},
 	{ClaimDeferred, "claim deferred", "Another home holds the key; it was asked for the answer.", "None."},
 	{ClaimUnsettled, "claim unsettled", "Too few electors vouched; nothing was sent. The caller was told Unknown.", "Check the hosts if it lasts longer than ElectorGrace."},
--- a/entry/node/answer_body_test.go
+++ b/entry/node/answer_body_test.go
@@ -89,7 +89,7 @@
 				defer conn.Close()
 				head := c.head
 				if strings.Contains(head, "%s") {
-					head = fmt.Sprintf(head, standin.RequestIDHeader+": "+r.Header.Get(standin.RequestIDHeader))
+					head = fmt.Sprintf(head, standin.RequestIDHeader+": "+r.Header.Get(standin.RequestIDHeader)+"\r\n"+standin.SealHeader+": seal")
 				}
 				_, _ = io.WriteString(conn, head)
 				block := strings.Repeat(c.chunk, 8<<10)
--- a/entry/node/meter.go
+++ b/entry/node/meter.go
@@ -53,6 +53,7 @@
 	misplacedRuns      = "entry_misplaced_runs_total"
 	originConflicts    = "entry_origin_conflicts_total"
 	streamOrigins      = "entry_stream_origins_total"
+	unsignedAnswers    = "entry_unsigned_answers_total"
 	evacuationRefusals = "entry_evacuation_refusals_total"
 	homeRefusals       = "entry_home_refusals_total"
 	deferredRemovals   = "entry_deferred_removals_total"
@@ -66,7 +67,7 @@
 func newMeter(n *Node) *meter {
 	m := &meter{set: metrics.NewSet()}
 	// Series without the label service are created at startup, so that a zero is exported as 0 and not left out.
-	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns, originConflicts, evacuationRefusals, homeRefusals, deferredRemovals} {
+	for _, name := range []string{storeReadsDone, storeReadsFailed, datagramsSent, datagramBytes, interruptedRuns, crashesObserved, crashesReceived, blockedRequests, blockedByParts, tunnelsOpened, storeReturns, droppedReads, misplacedRuns, originConflicts, unsignedAnswers, evacuationRefusals, homeRefusals, deferredRemovals} {
 		m.set.NewCounter(name)
 	}
 	for _, evidence := range []originEvidence{recordedOrigin, onlyVersionSeen, cachedPart, noEvidence} {
@@ -168,6 +169,9 @@
 // recordOriginConflict counts an origin of a stream that was not recorded, since another one is known.
 func (m *meter) recordOriginConflict() { m.set.GetOrCreateCounter(originConflicts).Inc() }
 
+// recordUnsigned counts a success of an endpoint that had no signature.
+func (m *meter) recordUnsigned() { m.set.GetOrCreateCounter(unsignedAnswers).Inc() }
+
 // recordOrigin counts a stream that a caller took up, by what its origin was taken from.
 func (m *meter) recordOrigin(evidence originEvidence) {
 	m.set.GetOrCreateCounter(streamOrigins + `{evidence="` + string(evidence) + `"}`).Inc()
--- a/entry/node/raw_answer_test.go
+++ b/entry/node/raw_answer_test.go
@@ -75,7 +75,7 @@
 
 const (
 	// rawID is the field with the request's ID, and rawBody a body that is an event of a stream, too.
-	rawID   = standin.RequestIDHeader + ": ID\r\n"
+	rawID   = standin.RequestIDHeader + ": ID\r\n" + standin.SealHeader + ": seal\r\n"
 	rawBody = "id: 1\ndata: a\n\n"
 )
 
--- a/entry/node/serve.go
+++ b/entry/node/serve.go
@@ -305,6 +305,8 @@
 	case status != http.StatusOK && !q.firstByteAt.IsZero():
 		x.Discard()
 		return n.misplaced(q, a, id, x, eris.Errorf("status %d in place of its events", status))
+	case status < http.StatusMultipleChoices && !x.Answer.Signed:
+		return n.unsigned(q, a, id, x)
 	case q.route.Streaming && status == http.StatusOK:
 		return n.streamEvents(q, a, id, x)
 	}
@@ -317,6 +319,18 @@
 	return q.completedResult(x), nil
 }
 
+// unsigned handles a success without its endpoint's signature, some of whose bytes are wrong. It is no answer, but the endpoint lives, so that its run is
+// no crash.
+func (n *Node) unsigned(q *request, a *attempt.Attempt, id endpoint.ID, x *connection.Exchange) (pool.Result, attempt.Command) {
+	now := timer.BootClock()
+	x.Discard()
+	n.crashes.recordSignOfLife(now, q, x)
+	q.cause = "the endpoint's success has no signature"
+	n.meter.recordUnsigned()
+	q.logEvent(n.log, zerolog.WarnLevel, event.AnswerUnsigned).Int("Status", x.Response.StatusCode).Str("Endpoint", string(q.endpoint)).Send()
+	return pool.Failed, a.Update(now, attempt.Interrupted{ID: id})
+}
+
 // completedResult returns the result of an answer that was delivered in full. One without a marked end may have ended in a crash, on which
 // the next request with the same SerialKey must wait for evidence.
 func (q *request) completedResult(x *connection.Exchange) pool.Result {
