Wait for the other streams of a session in the first second only

A stream that is taken up after a start of all hosts waited 0.7 s for others of its session, whenever it came. In a run of all tests of entry/node, TestStreamsOfAVersionThatLeftBeforeAllHostsStartedDoNotGoOnAtAnother took up 60 streams one after another, so that the last ones came 30 s after the start, when no stream can be older than the hosts and the only version counts: 4 at another version, 2 allowed. Callers that were cut at one moment return at about the same time, so that the long wait is needed once: all streams wait for a second after the first one that is taken up, and later ones for 0.3 s.

TestHostThatIsLoadingItsCopyOfTheStoreDoesNotSayThatNoVersionCachesAPart did not end: a host without a copy of the store has no past to read, and waited for it.

--- a/entry/node/past.go
+++ b/entry/node/past.go
@@ -43,14 +43,18 @@
 	}
 }
 
-// known reports whether the past is known, can't be known, or does not matter since no stream is older than this process. If not, it is read.
+// known reports whether the past is known, can't be known, or does not matter: no stream is older than this process, or it has no copy of the store yet, and knows
+// of no engines. If it is not known, it is read.
 func (p *pastReader) known(now time.Time) bool {
 	if now.Sub(p.n.storeView.startedAt) >= stream.Lifetime {
 		return true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.done && !p.begun && p.firstPosition.Loaded() {
+	if !p.firstPosition.Loaded() {
+		return true
+	}
+	if !p.begun {
 		p.begun = true
 		p.n.wg.Go(func() { p.read(p.n.slots.runCtx, p.firstPosition) })
 	}
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -49,9 +49,10 @@
 	// loadedAt is when the first endpoint was added, with all others of the first copy of the store, and createdAt is PastRead.CreatedAt.
 	loadedAt  time.Time
 	createdAt map[endpoint.Instance]int64
-	// sessions holds the streams that were taken up and may have begun before this host started.
-	sessions  map[sessionKey]*sessionStreams
-	heldSlots map[Ticket]*heldSlot
+	// sessions holds the streams that were taken up and may have begun before this host started, the first one at firstTakenUpAt.
+	sessions       map[sessionKey]*sessionStreams
+	firstTakenUpAt time.Time
+	heldSlots      map[Ticket]*heldSlot
 	// runningSessions has the sessions of the requests with a slot, and versionSince when this host learned of the first engine of each version.
 	runningSessions runningSessions
 	versionSince    map[endpoint.Version]time.Time
--- a/fleet/pool/session_stream.go
+++ b/fleet/pool/session_stream.go
@@ -37,9 +37,10 @@
 )
 
 const (
-	// sessionWait is how long the standing of a session's streams is undecided: callers whose streams were cut at the same moment return at about the
-	// same time.
-	sessionWait = 700 * time.Millisecond
+	// returnWait is how long the standing of all streams is undecided after the first one was taken up, and sessionWait how long that of a session's streams is
+	// after the first of these: callers whose streams were cut at the same moment return at about the same time.
+	returnWait  = time.Second
+	sessionWait = 300 * time.Millisecond
 	// beginMargin is by how much the begins of two streams must differ at least, as their callers' deadlines tell, to be in order.
 	beginMargin = 250 * time.Millisecond
 	// maxSessions limits the sessions whose streams are remembered.
@@ -77,7 +78,7 @@
 		return
 	}
 	if s.sessions == nil {
-		s.sessions = make(map[sessionKey]*sessionStreams)
+		s.sessions, s.firstTakenUpAt = make(map[sessionKey]*sessionStreams), now
 	}
 	session := s.sessions[lookup.session()]
 	if session == nil {
@@ -110,7 +111,7 @@
 	if session == nil || lookup.TakenUp.Stream == 0 {
 		return Untold
 	}
-	if now.Sub(session.firstAt) < sessionWait {
+	if now.Sub(s.firstTakenUpAt) < returnWait || now.Sub(session.firstAt) < sessionWait {
 		return Undecided
 	}
 	return session.standing(lookup.TakenUp.Stream)
--- a/fleet/pool/session_stream_test.go
+++ b/fleet/pool/session_stream_test.go
@@ -17,9 +17,9 @@
 	return lookup
 }
 
-// played is a lookup that is repeated while other streams of the session are taken up.
+// playLookups repeats lookups until they can be answered.
 func (l *listingSite) playLookups(lookups ...PartLookup) {
-	l.advance(sessionWait+2*step, func() {
+	l.advance(returnWait+2*step, func() {
 		for _, lookup := range lookups {
 			l.apply(l.keeper.Update(l.now, PartQueried{Lookup: lookup}))
 		}
@@ -65,7 +65,7 @@
 	l.caches(0)
 	l.readPast(map[int]int64{9: 10, 0: 20, 1: 21}, departedV1)
 	lookup := takenUpOfSession(1, 4*time.Second, 27)
-	l.advance(sessionWait/2, func() { l.apply(l.keeper.Update(l.now, PartQueried{Lookup: lookup})) })
+	l.advance(returnWait/2, func() { l.apply(l.keeper.Update(l.now, PartQueried{Lookup: lookup})) })
 	_, known := l.keeper.VersionsCaching(l.now, lookup)
 	require.False(t, known, "another stream of the session may still be taken up")
 	l.playLookups(lookup)
@@ -86,6 +86,24 @@
 	l.requireVersions(t, third, "v2")
 }
 
+// Callers that return later are waited for, too, but not for as long.
+func TestStreamThatIsTakenUpLaterWaitsForOthersOfItsSession(t *testing.T) {
+	t.Parallel()
+	l := newListingSite("v2", "v2")
+	l.caches(0)
+	l.readPast(map[int]int64{9: 10, 0: 20, 1: 21}, departedV1)
+	early := takenUpOfSession(1, 4*time.Second, 27)
+	early.Part++
+	l.playLookups(early)
+	older, newer := takenUpOfSession(2, 6*time.Second, 27), takenUpOfSession(3, 2*time.Second, 10)
+	l.apply(l.keeper.Update(l.now, PartQueried{Lookup: older}))
+	_, known := l.keeper.VersionsCaching(l.now, older)
+	require.False(t, known)
+	l.advance(sessionWait, func() { l.apply(l.keeper.Update(l.now, PartQueried{Lookup: newer})) })
+	l.requireVersions(t, older, "v1")
+	l.requireVersions(t, newer, "v2")
+}
+
 func TestVersionIsOpenWithoutTheOrderOfVersionsOrOfStreams(t *testing.T) {
 	t.Parallel()
 	older, newer := takenUpOfSession(1, 4*time.Second, 27), takenUpOfSession(2, 2*time.Second, 10)
