--- a/entry/node/slot_manager.go
+++ b/entry/node/slot_manager.go
@@ -26,6 +26,8 @@
 	runCtx context.Context
 	// startedAt is when the process started, by the boot clock.
 	startedAt time.Time
+	// process tells this process from earlier ones of the host.
+	process uint64
 	// listedAfterStart is true once listAfterStart has done its work. Only tick uses it.
 	listedAfterStart bool
 
@@ -82,8 +84,8 @@
 	return &slotManager{
 		// Keepers may still have slots of the host's previous process. A random first number keeps the tickets of the two
 		// processes apart.
-		lastTicketNumber: rand.Uint64() >> 1,
-		n:                n, runCtx: context.Background(), startedAt: timer.BootClock(), replies: make(map[uint64]chan pool.Command), heldSlots: make(map[pool.Ticket]heldSlot),
+		lastTicketNumber: rand.Uint64() >> 1, process: rand.Uint64(),
+		n: n, runCtx: context.Background(), startedAt: timer.BootClock(), replies: make(map[uint64]chan pool.Command), heldSlots: make(map[pool.Ticket]heldSlot),
 		keeper: pool.New(poolConfig(n.cfg)), cancelLists: make(map[endpoint.Instance]context.CancelFunc), sentLimits: make(map[endpoint.Instance]sentLimit),
 		sentStatements: make(map[endpoint.Instance]sentStatement), rests: rest.NewTable(), abilities: newAbilities(),
 		leavings: announcement.NewSchedule(announcement.Config{Repeats: leavingRepeats(), Memory: leavingMemory}),
@@ -111,6 +113,8 @@
 		switch c := c.(type) {
 		case pool.UpdateStandbys:
 			s.updateStandbys(c)
+		case pool.ShareBudget:
+			s.shareBudget(c)
 		case pool.ShareLimits:
 			s.shareLimits(c)
 		case pool.ListCache:
@@ -209,6 +213,7 @@
 		s.update(now, event)
 	}
 	s.handleAbilities(now, d)
+	s.handleBudgets(now, d)
 	for _, release := range d.SlotReleases {
 		s.update(now, pool.SlotReleased{Ticket: pool.Ticket{Host: d.From, Number: release.Number}, Service: release.Service, Result: release.Result})
 	}
--- a/entry/peer/extension.go
+++ b/entry/peer/extension.go
@@ -35,10 +35,12 @@
 	SlotDemands []SlotDemand `cbor:"10,keyasint,omitempty"`
 	SlotEnds    []SlotEnd    `cbor:"11,keyasint,omitempty"`
 	Abilities   *Abilities   `cbor:"12,keyasint,omitempty"`
+	// BudgetReports are about retry budgets.
+	BudgetReports []BudgetReport `cbor:"13,keyasint,omitempty"`
 }
 
 func (e Extensions) empty() bool {
-	return len(e.PartLookups)+len(e.GroupLookups)+len(e.GroupReplies) == 0 && e.Gossip == nil && e.SetState == nil && !e.aboutCopies() && !e.aboutSlots()
+	return len(e.PartLookups)+len(e.GroupLookups)+len(e.GroupReplies)+len(e.BudgetReports) == 0 && e.Gossip == nil && e.SetState == nil && !e.aboutCopies() && !e.aboutSlots()
 }
 
 // aboutSlots reports whether the extensions are about slots.
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -87,7 +87,7 @@
 		k.service(e.Service).applyCacheUpdate(now, e)
 	case CacheListed, PartQueried, ListsNeeded:
 		return k.list(now, e)
-	case LimitReported, StatementReported:
+	case LimitReported, StatementReported, BudgetShared:
 		return k.report(now, e)
 	case FleetCounted:
 		k.setReachableShare(e.ReachableShare)
@@ -133,13 +133,15 @@
 	return nil
 }
 
-// report applies what an answer says of its endpoint.
+// report applies what an answer says of its endpoint, or another host of the retry budget.
 func (k *Keeper) report(now time.Time, event Event) []Command {
 	switch e := event.(type) {
 	case LimitReported:
 		return k.service(e.Service).reportLimit(now, e)
 	case StatementReported:
 		return k.service(e.Service).reportStatement(now, e)
+	case BudgetShared:
+		k.service(e.Service).budget.note(now, e.Granted)
 	}
 	return nil
 }
--- a/fleet/pool/service.go
+++ b/fleet/pool/service.go
@@ -281,7 +281,7 @@
 	if wait := s.serialWait(now, e.Serial); wait > 0 {
 		return []Command{Refuse{e.Ticket, AwaitsCopy, wait}}
 	}
-	if !s.budget.allow(now, e) {
+	if !s.budget.allow(now, e, s.reachableShare) {
 		return []Command{Refuse{e.Ticket, NoBudget, maxRetryAfter}}
 	}
 	if !s.anyAvailable(e) {
@@ -382,6 +382,7 @@
 	s.queue.order.ForgetIdle(now)
 	commands = append(commands, s.overloadChanges(now)...)
 	commands = append(commands, s.expireQueue(now)...)
+	commands = append(commands, s.shareBudget(now)...)
 	return append(append(commands, s.drainQueue(now)...), s.flushCacheUpdates(now)...)
 }
 
