--- a/entry/node/group_search.go
+++ b/entry/node/group_search.go
@@ -82,7 +82,7 @@
 	s.n.slots.update(now, pool.PartQueried{Lookup: lookup, KeeperUnconfirmed: unconfirmed})
 	answer := s.n.slots.answerGroup(now, lookup)
 	if !s.n.past.known(now) {
-		return answer.Await()
+		return answer.AwaitPast()
 	}
 	return answer
 }
--- a/entry/node/past.go
+++ b/entry/node/past.go
@@ -70,12 +70,13 @@
 	}()
 	giveUpAt := timer.BootClock().Add(pastPatience)
 	for {
-		changes, err := p.n.store.Past(ctx, platform.Revision(upTo.Revision))
+		changes, err := p.n.store.Past(ctx, platform.Era(upTo.Era), platform.Revision(upTo.Revision))
 		if err == nil {
 			p.apply(catalogue.NewPast(datedChanges(changes)))
 			return
 		}
-		if errors.Is(err, platform.ErrHistoryLost) || !timer.BootClock().Before(giveUpAt) || !timer.Sleep(ctx, pastRetryInterval) {
+		lost := errors.Is(err, platform.ErrHistoryLost) || errors.Is(err, platform.ErrEraChanged)
+		if lost || !timer.BootClock().Before(giveUpAt) || !timer.Sleep(ctx, pastRetryInterval) {
 			event.LogText(p.n.log, zerolog.WarnLevel, event.PastUnknown).Int64("UpTo", int64(upTo.Revision)).Err(err).Send()
 			return
 		}
--- a/fleet/pool/keeper.go
+++ b/fleet/pool/keeper.go
@@ -85,7 +85,7 @@
 		k.service(e.Service).adoptSlot(now, e)
 	case CacheUpdated:
 		k.service(e.Service).applyCacheUpdate(now, e)
-	case CacheListed, PartQueried, ListsNeeded:
+	case CacheListed, PartQueried, ListsNeeded, PastRead:
 		return k.list(now, e)
 	case LimitReported, StatementReported, BudgetShared:
 		return k.report(now, e)
@@ -97,8 +97,6 @@
 		k.service(e.Service.Name).configure(now, e.Service)
 	case EndpointRegistered, EndpointRemoved, DataCentreEvacuated:
 		return k.follow(now, e)
-	case PastRead:
-		k.readPast(now, e)
 	case HostRemoved:
 		return k.forEachService(func(s *service) []Command { return s.releaseHost(now, e.Host) })
 	case Tick:
@@ -107,7 +105,7 @@
 	return nil
 }
 
-// list processes the events of the cache listing.
+// list processes the events of the cache listing, and of what was cached before this host started.
 func (k *Keeper) list(now time.Time, event Event) []Command {
 	switch e := event.(type) {
 	case CacheListed:
@@ -116,6 +114,8 @@
 		return k.service(e.Lookup.Service).queryPart(now, e)
 	case ListsNeeded:
 		return k.service(e.Service).listVersions(now)
+	case PastRead:
+		k.readPast(now, e)
 	}
 	return nil
 }
--- a/fleet/pool/list_group.go
+++ b/fleet/pool/list_group.go
@@ -32,8 +32,8 @@
 	Unlisted bool
 }
 
-// Await returns the answer of a host that does not know yet which engines left before it started: whatever caches the part may still be contradicted.
-func (a GroupAnswer) Await() GroupAnswer {
+// AwaitPast returns the answer of a host that does not know yet which engines left before it started: whatever caches the part may still be contradicted.
+func (a GroupAnswer) AwaitPast() GroupAnswer {
 	return GroupAnswer{Group: a.Group, Awaited: distinct(append(slices.Clone(a.Found), a.Awaited...)), Unlisted: true}
 }
 
--- a/fleet/pool/past.go
+++ b/fleet/pool/past.go
@@ -42,6 +42,9 @@
 // order is not known, or if the last one takes no requests. Versions have no order of their own. Where this is known, a session moved from an earlier
 // version to a later one only, see sessionVersion.
 func (s *service) versionOrder(now time.Time) []endpoint.Version {
+	if !s.mayBeOlder(now) || len(s.versionSince) < 2 && len(s.departed) == 0 {
+		return nil
+	}
 	first := make(map[endpoint.Version]int64)
 	note := func(version endpoint.Version, created int64) {
 		if earliest, found := first[version]; !found || created < earliest {
--- a/soak/site/fault.go
+++ b/soak/site/fault.go
@@ -77,9 +77,6 @@
 		s.applyToProcesses(f, e, wait)
 	case schedule.SwitchEngine, schedule.SickenEngines:
 		s.applyToEngines(f, wait)
-	case schedule.WriteForeignEntry:
-		defer e.WriteForeignEntry()()
-		wait()
 	case schedule.SurgeLoad:
 		s.surge(ctx, s.Now()+f.For)
 	default:
@@ -118,6 +115,9 @@
 		s.store.DropHistory()
 	case schedule.ReturnStore:
 		s.returnStore(f, wait)
+	case schedule.WriteForeignEntry:
+		defer s.endpoints[f.Endpoint].WriteForeignEntry()()
+		wait()
 	case schedule.MoveRoute:
 		s.publishChange(func() { s.routeMoves++ })
 	case schedule.RevokeKey:
