--- a/entry/node/stream_session_test.go
+++ b/entry/node/stream_session_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -83,21 +82,6 @@
 	return &wentOn
 }
 
-func (s *twoVersionSessions) takeUpWith(n *testNode, name string, timeLeft time.Duration) int {
-	r := standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/stream/x", name+"/2", "k1", nil)
-	standin.SetTimeLeft(r, timeLeft)
-	r.Header.Set(standin.PromptPartsHeader, s.prompt(name+"/2"))
-	r.Header.Set(standin.LastEventIDHeader, "1")
-	r.Header.Set(standin.ResumesHeader, name+"/1")
-	response, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode
-}
-
 // takeUpBoth takes the older and the newer streams up at the same time and returns how many of each went on.
 func (s *twoVersionSessions) takeUpBoth() (older, newer int64) {
 	const newerTimeLeft = callerTime - 2*time.Second
--- a/entry/node/stream_version_test.go
+++ b/entry/node/stream_version_test.go
@@ -99,7 +99,13 @@
 
 // takeUp takes a stream up at a node and returns the status; 0 if the connection broke.
 func (s *versionSite) takeUp(n *testNode, name string) int {
+	return s.takeUpWith(n, name, 2*time.Second)
+}
+
+// takeUpWith is takeUp by a caller with timeLeft.
+func (s *versionSite) takeUpWith(n *testNode, name string, timeLeft time.Duration) int {
 	r := standin.NewCall(n.cfg.CallerAddress, http.MethodPost, "/stream/x", name+"/2", "k1", nil)
+	standin.SetTimeLeft(r, timeLeft)
 	r.Header.Set(standin.PromptPartsHeader, s.prompt(name+"/2"))
 	r.Header.Set(standin.LastEventIDHeader, "1")
 	r.Header.Set(standin.ResumesHeader, name+"/1")
--- a/fleet/pool/session_stream_test.go
+++ b/fleet/pool/session_stream_test.go
@@ -46,12 +46,18 @@
 // departedV1 is the registration of engine 9, of v1, which left before the keeper started.
 var departedV1 = endpoint.Record{Instance: endpoint.Instance{ID: engineID(9), StartedAt: 1}, Service: assistant, Slots: 4, Version: "v1"}
 
-// Guards against ORDER, review/12: the streams of a version whose engines left while no host ran went on at the version of other streams of their sessions.
-func TestOlderStreamOfASessionBeganAtTheVersionThatLeftWhileNoHostRan(t *testing.T) {
-	t.Parallel()
+// newSiteThatV1HasLeft returns a site with engines of v2, one of which lists the part of ownLookup, after an engine of v1 has left unseen.
+func newSiteThatV1HasLeft() *listingSite {
 	l := newListingSite("v2", "v2")
 	l.caches(0)
 	l.readPast(map[int]int64{9: 10, 0: 20, 1: 21}, departedV1)
+	return l
+}
+
+// Guards against ORDER, review/12: the streams of a version whose engines left while no host ran went on at the version of other streams of their sessions.
+func TestOlderStreamOfASessionBeganAtTheVersionThatLeftWhileNoHostRan(t *testing.T) {
+	t.Parallel()
+	l := newSiteThatV1HasLeft()
 	older, newer := takenUpOfSession(1, 4*time.Second, 27), takenUpOfSession(2, 2*time.Second, 10)
 	l.playLookups(older, newer)
 	l.requireVersions(t, older, "v1")
@@ -61,9 +67,7 @@
 // Guards against LOST beside it: where the sessions have one stream each, those of the remaining version go on.
 func TestOnlyStreamOfASessionBeganWhereItsPartIsCached(t *testing.T) {
 	t.Parallel()
-	l := newListingSite("v2", "v2")
-	l.caches(0)
-	l.readPast(map[int]int64{9: 10, 0: 20, 1: 21}, departedV1)
+	l := newSiteThatV1HasLeft()
 	lookup := takenUpOfSession(1, 4*time.Second, 27)
 	l.advance(returnWait/2, func() { l.apply(l.keeper.Update(l.now, PartQueried{Lookup: lookup})) })
 	_, known := l.keeper.VersionsCaching(l.now, lookup)
@@ -89,9 +93,7 @@
 // Callers that return later are waited for, too, but not for as long.
 func TestStreamThatIsTakenUpLaterWaitsForOthersOfItsSession(t *testing.T) {
 	t.Parallel()
-	l := newListingSite("v2", "v2")
-	l.caches(0)
-	l.readPast(map[int]int64{9: 10, 0: 20, 1: 21}, departedV1)
+	l := newSiteThatV1HasLeft()
 	early := takenUpOfSession(1, 4*time.Second, 27)
 	early.Part++
 	l.playLookups(early)
@@ -157,9 +159,7 @@
 // A host of an earlier release does not tell which stream it looks up.
 func TestLookupWithoutAStreamIsAnsweredByTheCachesAlone(t *testing.T) {
 	t.Parallel()
-	l := newListingSite("v2", "v2")
-	l.caches(0)
-	l.readPast(map[int]int64{9: 10, 0: 20, 1: 21}, departedV1)
+	l := newSiteThatV1HasLeft()
 	l.playLookups(ownLookup)
 	l.requireVersions(t, ownLookup, "v2")
 }
